Lay down the shape: crates, core types, micro-kernel

Change: a workspace of small crates; the kernel with named services, duty threads, bounded rings that park at once and hold reserved room, start and stop order and the clock; the model with ids as type aliases, messages, the closed list of error kinds with its one table, settings and the operators' text with a checker that reports every mistake with its place.

--- /dev/null
+++ b/crates/kernel/src/registry.rs
@@ -0,0 +1,165 @@
+//! Owns the names of a process's services and the order in which they start
+//! and stop.
+//!
+//! Invariants:
+//! - a name is registered at most once, with one message type;
+//! - all rings exist before the first duty starts, so duties may look each
+//!   other up in any order;
+//! - stopping closes the rings in the reverse order of the start and joins
+//!   each thread before the next ring is closed.
+
+use std::any::Any;
+use std::collections::HashMap;
+use std::fmt::Display;
+use std::hash::Hash;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+use snafu::{OptionExt, ResultExt, Snafu};
+
+use crate::ring::{RingReceiver, RingSender, bounded};
+
+/// Mistakes in how a process is put together.
+#[derive(Debug, Snafu)]
+pub enum KernelError {
+    /// Two services asked for one name.
+    #[snafu(display("service name {name} is registered twice"))]
+    NameTaken {
+        /// The name.
+        name: String,
+    },
+    /// No service of that name and message type is registered.
+    #[snafu(display("no service named {name} takes such messages"))]
+    NoSuchService {
+        /// The name.
+        name: String,
+    },
+    /// The operating system refused a thread.
+    #[snafu(display("can't start the thread of {name}"))]
+    Thread {
+        /// The duty's name.
+        name: String,
+        /// The refusal.
+        source: std::io::Error,
+    },
+}
+
+/// Finds services by name. Cheap to clone.
+pub struct Registry<N> {
+    rings: Arc<HashMap<N, Box<dyn Any + Send + Sync>>>,
+}
+
+impl<N> Clone for Registry<N> {
+    fn clone(&self) -> Registry<N> {
+        Registry { rings: Arc::clone(&self.rings) }
+    }
+}
+
+impl<N: Copy + Eq + Hash + Display> Registry<N> {
+    /// The ring of the service called `name`, which takes messages of type `M`.
+    ///
+    /// # Errors
+    /// `NoSuchService` when the name is unknown or takes other messages.
+    pub fn find<M: Send + 'static>(&self, name: N) -> Result<RingSender<M>, KernelError> {
+        self.rings
+            .get(&name)
+            .and_then(|ring| ring.downcast_ref::<RingSender<M>>())
+            .cloned()
+            .context(NoSuchServiceSnafu { name: name.to_string() })
+    }
+}
+
+type DutyBody<N> = Box<dyn FnOnce(Registry<N>) + Send>;
+
+struct PreparedDuty<N> {
+    name: N,
+    close: Box<dyn Fn() + Send>,
+    body: DutyBody<N>,
+}
+
+struct RunningDuty {
+    close: Box<dyn Fn() + Send>,
+    thread: JoinHandle<()>,
+}
+
+/// Assembles the services of one process, then starts and stops them.
+pub struct Kernel<N> {
+    rings: HashMap<N, Box<dyn Any + Send + Sync>>,
+    prepared: Vec<PreparedDuty<N>>,
+    running: Vec<RunningDuty>,
+}
+
+impl<N> Default for Kernel<N> {
+    fn default() -> Kernel<N> {
+        Kernel { rings: HashMap::new(), prepared: Vec::new(), running: Vec::new() }
+    }
+}
+
+impl<N> Kernel<N>
+where
+    N: Copy + Eq + Hash + Display + Send + Sync + 'static,
+{
+    /// Registers a service under `name` with a ring for `capacity` messages.
+    /// `body` is run on the service's own thread; it returns when the ring is
+    /// closed.
+    ///
+    /// # Errors
+    /// `NameTaken` when the name is in use.
+    pub fn register<M, F>(&mut self, name: N, capacity: usize, body: F) -> Result<(), KernelError>
+    where
+        M: Send + 'static,
+        F: FnOnce(RingReceiver<M>, Registry<N>) + Send + 'static,
+    {
+        let (sender, receiver) = bounded::<M>(capacity);
+        if self.rings.contains_key(&name) {
+            return NameTakenSnafu { name: name.to_string() }.fail();
+        }
+        self.rings.insert(name, Box::new(sender.clone()));
+        self.prepared.push(PreparedDuty {
+            name,
+            close: Box::new(move || sender.close()),
+            body: Box::new(move |registry| body(receiver, registry)),
+        });
+        Ok(())
+    }
+
+    /// Starts the duties in the order of their registration.
+    ///
+    /// # Errors
+    /// `Thread` when the operating system refuses one; those already started
+    /// are stopped.
+    pub fn start(&mut self) -> Result<Registry<N>, KernelError> {
+        let registry = Registry { rings: Arc::new(std::mem::take(&mut self.rings)) };
+        for duty in std::mem::take(&mut self.prepared) {
+            if let Err(error) = self.start_duty(duty, registry.clone()) {
+                self.stop();
+                return Err(error);
+            }
+        }
+        Ok(registry)
+    }
+
+    fn start_duty(
+        &mut self,
+        duty: PreparedDuty<N>,
+        registry: Registry<N>,
+    ) -> Result<(), KernelError> {
+        let PreparedDuty { name, close, body } = duty;
+        let thread = std::thread::Builder::new()
+            .name(name.to_string())
+            .spawn(move || body(registry))
+            .context(ThreadSnafu { name: name.to_string() })?;
+        self.running.push(RunningDuty { close, thread });
+        Ok(())
+    }
+
+    /// Stops the duties in the reverse order of their start.
+    pub fn stop(&mut self) {
+        while let Some(duty) = self.running.pop() {
+            (duty.close)();
+            if let Err(panic) = duty.thread.join() {
+                std::panic::resume_unwind(panic);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/model/src/replica.rs
@@ -0,0 +1,108 @@
+//! Owns the messages and records of the replicated log.
+
+use serde::{Deserialize, Serialize};
+
+use crate::command::Command;
+use crate::ids::{LogIndex, NodeId, Term};
+use crate::settings::ControlPeer;
+
+/// One position of the log.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LogRecord {
+    /// Its position, from 1.
+    pub index: LogIndex,
+    /// The term of the leader that wrote it.
+    pub term: Term,
+    /// Calendar time at the leader, in milliseconds since 1970.
+    pub at_ms: u64,
+    /// The change.
+    pub command: Command,
+}
+
+/// What a replica must have synced before it answers a vote.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct HardState {
+    /// Latest term seen.
+    pub term: Term,
+    /// Whom the replica voted for in that term.
+    pub voted_for: Option<NodeId>,
+}
+
+/// Where a snapshot stands in the log, and the group at that point.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct SnapshotMark {
+    /// Last position that the snapshot covers.
+    pub index: LogIndex,
+    /// The term of that position.
+    pub term: Term,
+    /// The group of control hosts at that position.
+    pub group: Vec<ControlPeer>,
+}
+
+/// A message from one replica to another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ReplicaEnvelope {
+    /// The sender.
+    pub from: NodeId,
+    /// The sender's term.
+    pub term: Term,
+    /// The message.
+    pub message: ReplicaMessage,
+}
+
+/// What replicas say to each other.
+///
+/// Source: Ongaro and Ousterhout, "In Search of an Understandable Consensus
+/// Algorithm", 2014; the trial vote is from Ongaro's thesis, section 9.6.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ReplicaMessage {
+    /// Asks for a vote. A trial vote changes nothing at the voter.
+    VoteRequest {
+        /// Whether this is only a trial.
+        trial: bool,
+        /// Candidate's last position.
+        last_index: LogIndex,
+        /// The term of that position.
+        last_term: Term,
+    },
+    /// Answers a vote request.
+    VoteReply {
+        /// Whether the request was a trial.
+        trial: bool,
+        /// Whether the vote is given.
+        granted: bool,
+    },
+    /// Carries records, or none as a heartbeat.
+    Append {
+        /// Position before the first record.
+        prev_index: LogIndex,
+        /// The term of that position.
+        prev_term: Term,
+        /// The records.
+        records: Vec<LogRecord>,
+        /// Position up to which the leader has committed.
+        commit: LogIndex,
+        /// Grows with each heartbeat round; echoed in the reply.
+        round: u64,
+    },
+    /// Answers an append.
+    AppendReply {
+        /// Whether the records fitted the follower's log.
+        accepted: bool,
+        /// Last position that the follower has synced and that matches, or a
+        /// hint where to try next.
+        match_index: LogIndex,
+        /// The round of the append.
+        round: u64,
+    },
+    /// Carries a whole snapshot to a follower that is too far behind.
+    Snapshot {
+        /// Where it stands.
+        mark: SnapshotMark,
+        /// The replicated state as JSON.
+        state: String,
+        /// The round at which it was sent.
+        round: u64,
+    },
+}
--- /dev/null
+++ b/crates/model/src/settings.rs
@@ -0,0 +1,346 @@
+//! Owns the settings of the three roles: their types, defaults and schemas.
+//!
+//! Invariant: settings that were read are complete and within their ranges.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{DomainId, NodeId, RackId, WorkerId};
+use crate::schema::{FieldRule, Mistake, Shape, optional, read_document, required};
+
+const MAX_MILLIS: u64 = 3_600_000;
+const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
+const MAX_RING: u64 = 1_000_000;
+
+/// Where log lines go and from which level.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct LogSettings {
+    /// Least level that is written: `error`, `warn`, `info`, `debug` or `trace`.
+    pub level: CompactString,
+    /// File to append to; standard error when absent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub file: Option<String>,
+}
+
+impl Default for LogSettings {
+    fn default() -> LogSettings {
+        LogSettings { level: "info".into(), file: None }
+    }
+}
+
+/// Settings of an entry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// The entry's name.
+    pub name: NodeId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Address of the callers' HTTP server.
+    pub listen: SocketAddr,
+    /// Addresses of the control hosts.
+    pub controls: Vec<SocketAddr>,
+    /// Calls in progress at a time.
+    #[serde(default = "default_call_limit")]
+    pub call_limit: usize,
+    /// Tasks waiting at a time.
+    #[serde(default = "default_queue_limit")]
+    pub queue_limit: usize,
+    /// Largest body in bytes.
+    #[serde(default = "default_body_limit")]
+    pub body_limit_bytes: u64,
+    /// Tasks in one job.
+    #[serde(default = "default_task_limit")]
+    pub task_limit: usize,
+    /// How long a drain may take, in milliseconds.
+    #[serde(default = "default_drain_limit")]
+    pub drain_limit_ms: u64,
+    /// How many agents this entry connects to at most.
+    #[serde(default = "default_agent_limit")]
+    pub agent_limit: usize,
+    /// Seed of random choices (backoff jitter, baselines of routing).
+    #[serde(default)]
+    pub seed: u64,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+fn default_call_limit() -> usize {
+    4_096
+}
+
+fn default_queue_limit() -> usize {
+    20_000
+}
+
+fn default_body_limit() -> u64 {
+    1024 * 1024
+}
+
+fn default_task_limit() -> usize {
+    180
+}
+
+fn default_drain_limit() -> u64 {
+    30_000
+}
+
+fn default_agent_limit() -> usize {
+    256
+}
+
+impl EntrySettings {
+    /// How long a drain may take.
+    pub fn drain_limit(&self) -> Duration {
+        Duration::from_millis(self.drain_limit_ms)
+    }
+}
+
+/// Settings of an agent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AgentSettings {
+    /// The worker that the agent runs beside.
+    pub worker: WorkerId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Its rack.
+    pub rack: RackId,
+    /// Address of the RPC server for entries.
+    pub listen: SocketAddr,
+    /// Address of the HTTP server for backend servers' announcements.
+    pub announce_listen: SocketAddr,
+    /// Addresses of the control hosts.
+    pub controls: Vec<SocketAddr>,
+    /// Processor cores of the worker.
+    pub cores: u32,
+    /// Memory of the worker in MB.
+    pub memory_mb: u32,
+    /// Accelerators of the worker.
+    #[serde(default)]
+    pub accelerators: u32,
+    /// Tasks that may wait for a slot here.
+    #[serde(default = "default_agent_queue")]
+    pub queue_limit: usize,
+    /// How long an announcement holds without being repeated, in milliseconds.
+    #[serde(default = "default_announce_ttl")]
+    pub announce_ttl_ms: u64,
+    /// How long started tasks are remembered, in milliseconds.
+    #[serde(default = "default_retention")]
+    pub retention_ms: u64,
+    /// How long a drain may take, in milliseconds.
+    #[serde(default = "default_drain_limit")]
+    pub drain_limit_ms: u64,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+fn default_agent_queue() -> usize {
+    64
+}
+
+fn default_announce_ttl() -> u64 {
+    3_000
+}
+
+fn default_retention() -> u64 {
+    600_000
+}
+
+impl AgentSettings {
+    /// How long an announcement holds without being repeated.
+    pub fn announce_ttl(&self) -> Duration {
+        Duration::from_millis(self.announce_ttl_ms)
+    }
+
+    /// How long started tasks are remembered.
+    pub fn retention(&self) -> Duration {
+        Duration::from_millis(self.retention_ms)
+    }
+
+    /// How long a drain may take.
+    pub fn drain_limit(&self) -> Duration {
+        Duration::from_millis(self.drain_limit_ms)
+    }
+}
+
+/// A control host as its group knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControlPeer {
+    /// The control host's name.
+    pub name: NodeId,
+    /// Address of its RPC server.
+    pub address: SocketAddr,
+}
+
+/// Settings of a control host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControlSettings {
+    /// The control host's name.
+    pub name: NodeId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Address of its RPC server.
+    pub listen: SocketAddr,
+    /// Folder for everything that must survive.
+    pub data_folder: String,
+    /// The whole first group, this host included. A host that joins later
+    /// names the group it joins and is not in it.
+    pub group: Vec<ControlPeer>,
+    /// Least election timeout in milliseconds; the longest is twice that.
+    #[serde(default = "default_election")]
+    pub election_ms: u64,
+    /// How long entries' and agents' leases last, in milliseconds.
+    #[serde(default = "default_lease")]
+    pub lease_ms: u64,
+    /// How long finished submissions are remembered, in milliseconds.
+    #[serde(default = "default_retention")]
+    pub retention_ms: u64,
+    /// Log records between snapshots.
+    #[serde(default = "default_snapshot_records")]
+    pub snapshot_records: u64,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+fn default_election() -> u64 {
+    500
+}
+
+fn default_lease() -> u64 {
+    4_000
+}
+
+fn default_snapshot_records() -> u64 {
+    50_000
+}
+
+impl ControlSettings {
+    /// Least election timeout.
+    pub fn election(&self) -> Duration {
+        Duration::from_millis(self.election_ms)
+    }
+
+    /// How long entries' and agents' leases last.
+    pub fn lease(&self) -> Duration {
+        Duration::from_millis(self.lease_ms)
+    }
+
+    /// How long finished submissions are remembered.
+    pub fn retention(&self) -> Duration {
+        Duration::from_millis(self.retention_ms)
+    }
+}
+
+const LEVELS: &[&str] = &["error", "warn", "info", "debug", "trace"];
+const LOG_FIELDS: &[FieldRule] =
+    &[optional("level", Shape::Word(LEVELS)), optional("file", Shape::Text)];
+const MILLIS: Shape = Shape::Count(1, MAX_MILLIS);
+const RETENTION: Shape = Shape::Count(1_000, 24 * MAX_MILLIS);
+const ADDRESSES: Shape = Shape::List(&Shape::Address);
+const PEER_FIELDS: &[FieldRule] =
+    &[required("name", Shape::Name), required("address", Shape::Address)];
+
+const ENTRY_SHAPE: Shape = Shape::Object(&[
+    required("name", Shape::Name),
+    required("domain", Shape::Name),
+    required("listen", Shape::Address),
+    required("controls", ADDRESSES),
+    optional("call_limit", Shape::Count(1, MAX_RING)),
+    optional("queue_limit", Shape::Count(1, MAX_RING)),
+    optional("body_limit_bytes", Shape::Count(1, MAX_BODY_BYTES)),
+    optional("task_limit", Shape::Count(1, 10_000)),
+    optional("drain_limit_ms", MILLIS),
+    optional("agent_limit", Shape::Count(1, 10_000)),
+    optional("seed", Shape::Count(0, u64::MAX)),
+    optional("log", Shape::Object(LOG_FIELDS)),
+]);
+
+const AGENT_SHAPE: Shape = Shape::Object(&[
+    required("worker", Shape::Name),
+    required("domain", Shape::Name),
+    required("rack", Shape::Name),
+    required("listen", Shape::Address),
+    required("announce_listen", Shape::Address),
+    required("controls", ADDRESSES),
+    required("cores", Shape::Count(1, 4_096)),
+    required("memory_mb", Shape::Count(1, 16_000_000)),
+    optional("accelerators", Shape::Count(0, 64)),
+    optional("queue_limit", Shape::Count(0, 100_000)),
+    optional("announce_ttl_ms", MILLIS),
+    optional("retention_ms", RETENTION),
+    optional("drain_limit_ms", MILLIS),
+    optional("log", Shape::Object(LOG_FIELDS)),
+]);
+
+const CONTROL_SHAPE: Shape = Shape::Object(&[
+    required("name", Shape::Name),
+    required("domain", Shape::Name),
+    required("listen", Shape::Address),
+    required("data_folder", Shape::Text),
+    required("group", Shape::List(&Shape::Object(PEER_FIELDS))),
+    optional("election_ms", Shape::Count(50, 60_000)),
+    optional("lease_ms", Shape::Count(500, 60_000)),
+    optional("retention_ms", RETENTION),
+    optional("snapshot_records", Shape::Count(16, 10_000_000)),
+    optional("log", Shape::Object(LOG_FIELDS)),
+]);
+
+/// Reads an entry's settings.
+///
+/// # Errors
+/// Every mistake with its place.
+pub fn read_entry_settings(text: &str) -> Result<EntrySettings, Vec<Mistake>> {
+    let settings: EntrySettings = read_document(text, &ENTRY_SHAPE)?;
+    check_controls(&settings.controls)?;
+    Ok(settings)
+}
+
+/// Reads an agent's settings.
+///
+/// # Errors
+/// Every mistake with its place.
+pub fn read_agent_settings(text: &str) -> Result<AgentSettings, Vec<Mistake>> {
+    let settings: AgentSettings = read_document(text, &AGENT_SHAPE)?;
+    check_controls(&settings.controls)?;
+    Ok(settings)
+}
+
+/// Reads a control host's settings.
+///
+/// # Errors
+/// Every mistake with its place.
+pub fn read_control_settings(text: &str) -> Result<ControlSettings, Vec<Mistake>> {
+    let settings: ControlSettings = read_document(text, &CONTROL_SHAPE)?;
+    let mut mistakes = Vec::new();
+    if settings.group.is_empty() {
+        mistakes.push(group_mistake("$.group", "expected at least one control host"));
+    }
+    for (position, peer) in settings.group.iter().enumerate() {
+        if settings.group[..position].iter().any(|earlier| earlier.name == peer.name) {
+            let place = format!("$.group[{position}].name");
+            mistakes.push(group_mistake(&place, "expected a name that no earlier host has"));
+        }
+    }
+    if mistakes.is_empty() { Ok(settings) } else { Err(mistakes) }
+}
+
+fn check_controls(controls: &[SocketAddr]) -> Result<(), Vec<Mistake>> {
+    if controls.is_empty() {
+        return Err(vec![group_mistake("$.controls", "expected at least one address")]);
+    }
+    Ok(())
+}
+
+fn group_mistake(place: &str, expected: &str) -> Mistake {
+    Mistake { place: place.to_owned(), expected: expected.to_owned() }
+}
--- /dev/null
+++ b/crates/model/src/text_delta.rs
@@ -0,0 +1,149 @@
+//! Owns the difference between two operators' texts, which is what spreads to
+//! the nodes, and what `plan` shows.
+//!
+//! Invariant: applying `delta(a, b)` to `a` gives a text with `b`'s digest.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{Fingerprint, ServiceId, TeamId};
+use crate::text::{BalanceText, OperatorText, RoutingPolicy, ServiceText, TeamText};
+
+/// What changes between two texts. Maps give the new value, or `None` for a
+/// removed name.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TextDelta {
+    /// Changed services.
+    #[serde(default, skip_serializing_if = "IndexMap::is_empty")]
+    pub services: IndexMap<ServiceId, Option<ServiceText>>,
+    /// Changed teams.
+    #[serde(default, skip_serializing_if = "IndexMap::is_empty")]
+    pub teams: IndexMap<TeamId, Option<TeamText>>,
+    /// New routing policy.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub policy: Option<RoutingPolicy>,
+    /// New balance.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub balance: Option<BalanceText>,
+    /// New time zone.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub time_zone: Option<compact_str::CompactString>,
+    /// New list of drained workers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub drained_workers: Option<Vec<compact_str::CompactString>>,
+    /// Digest of the text that must come out.
+    pub digest: Fingerprint,
+}
+
+impl TextDelta {
+    /// What turns `before` into `after`.
+    pub fn between(before: &OperatorText, after: &OperatorText) -> TextDelta {
+        TextDelta {
+            services: map_delta(&before.services, &after.services),
+            teams: map_delta(&before.teams, &after.teams),
+            policy: changed(&before.policy, &after.policy),
+            balance: changed(&before.balance, &after.balance),
+            time_zone: changed(&before.time_zone, &after.time_zone),
+            drained_workers: changed(&before.drained_workers, &after.drained_workers),
+            digest: sorted(after).digest(),
+        }
+    }
+
+    /// Applies the change; `None` when the outcome has another digest than
+    /// stated, and the whole text must be fetched instead.
+    pub fn apply(&self, before: &OperatorText) -> Option<OperatorText> {
+        let mut after = before.clone();
+        apply_map(&mut after.services, &self.services);
+        apply_map(&mut after.teams, &self.teams);
+        after.policy = self.policy.unwrap_or(after.policy);
+        if let Some(balance) = &self.balance {
+            after.balance = balance.clone();
+        }
+        if let Some(time_zone) = &self.time_zone {
+            after.time_zone = time_zone.clone();
+        }
+        if let Some(drained_workers) = &self.drained_workers {
+            after.drained_workers = drained_workers.clone();
+        }
+        let after = sorted(&after);
+        (after.digest() == self.digest).then_some(after)
+    }
+
+    /// One line for each change, for people.
+    pub fn lines(&self) -> Vec<String> {
+        let mut lines = Vec::new();
+        lines.extend(map_lines("service", &self.services));
+        lines.extend(map_lines("team", &self.teams));
+        if let Some(policy) = self.policy {
+            lines.push(format!("~ policy {policy}"));
+        }
+        if let Some(balance) = &self.balance {
+            let BalanceText { slowdown_weight, waste_weight } = balance;
+            lines.push(format!("~ balance slowdown={slowdown_weight} waste={waste_weight}"));
+        }
+        if let Some(time_zone) = &self.time_zone {
+            lines.push(format!("~ time zone {time_zone}"));
+        }
+        if let Some(drained_workers) = &self.drained_workers {
+            lines.push(format!("~ drained workers: {}", drained_workers.join(", ")));
+        }
+        lines
+    }
+}
+
+/// The text with its names in order, so that equal content has one digest.
+pub fn sorted(text: &OperatorText) -> OperatorText {
+    let mut text = text.clone();
+    text.services.sort_unstable_keys();
+    text.teams.sort_unstable_keys();
+    text
+}
+
+fn changed<T: PartialEq + Clone>(before: &T, after: &T) -> Option<T> {
+    (before != after).then(|| after.clone())
+}
+
+fn map_delta<K, V>(before: &IndexMap<K, V>, after: &IndexMap<K, V>) -> IndexMap<K, Option<V>>
+where
+    K: Clone + Eq + std::hash::Hash,
+    V: Clone + PartialEq,
+{
+    let removed = before.keys().filter(|key| !after.contains_key(*key));
+    let mut delta: IndexMap<K, Option<V>> = removed.map(|key| (key.clone(), None)).collect();
+    for (key, value) in after {
+        if before.get(key) != Some(value) {
+            delta.insert(key.clone(), Some(value.clone()));
+        }
+    }
+    delta
+}
+
+fn apply_map<K, V>(target: &mut IndexMap<K, V>, delta: &IndexMap<K, Option<V>>)
+where
+    K: Clone + Eq + std::hash::Hash,
+    V: Clone,
+{
+    for (key, value) in delta {
+        match value {
+            Some(value) => {
+                target.insert(key.clone(), value.clone());
+            }
+            None => {
+                target.shift_remove(key);
+            }
+        }
+    }
+}
+
+fn map_lines<V: Serialize>(
+    what: &str,
+    delta: &IndexMap<compact_str::CompactString, Option<V>>,
+) -> Vec<String> {
+    let line = |(name, value): (&compact_str::CompactString, &Option<V>)| match value {
+        Some(value) => {
+            format!("~ {what} {name} {}", serde_json::to_string(value).unwrap_or_default())
+        }
+        None => format!("- {what} {name}"),
+    };
+    delta.iter().map(line).collect()
+}
