--- /dev/null
+++ b/crates/cactuswing/src/commands/replay.rs
@@ -0,0 +1,116 @@
+//! `replay`: recorded traces against their stated outcomes.
+
+use std::path::Path;
+
+use clap::ArgMatches;
+use indicatif::{ProgressBar, ProgressStyle};
+use model::{LogSettings, OperatorText, RoutingPolicy, read_operator_text};
+use standin::{Trace, read_trace};
+use strum::IntoEnumIterator;
+
+use super::{argument, print_json, read_file, show_mistakes, wants_json};
+use crate::cli::ExitKind;
+use crate::replay::{PlayOptions, ReplayReport, play};
+use crate::report::print_replays;
+
+/// Plays each trace under each policy.
+pub fn run(matches: &ArgMatches) -> ExitKind {
+    match run_all(matches) {
+        Ok(reports) => finish(&reports, wants_json(matches)),
+        Err(exit) => exit,
+    }
+}
+
+/// Prints reports; refused where a stated outcome was not met.
+pub(super) fn finish(reports: &[ReplayReport], json: bool) -> ExitKind {
+    if json {
+        print_json(&reports);
+    } else {
+        print_replays(reports);
+    }
+    let held = reports.iter().all(|report| report.violations.is_empty());
+    if held { ExitKind::Done } else { ExitKind::Refused }
+}
+
+fn run_all(matches: &ArgMatches) -> Result<Vec<ReplayReport>, ExitKind> {
+    let policies = read_policies(matches)?;
+    let controls = matches.get_one::<usize>("controls").copied().unwrap_or(1);
+    let log = open_log(argument(matches, "log"))?;
+    let mut reports = Vec::new();
+    for path in matches.get_many::<String>("trace").into_iter().flatten() {
+        let trace = read_trace_file(path)?;
+        let text = read_text_of(path, &trace)?;
+        for policy in &policies {
+            reports.push(play_once(&trace, text.clone(), *policy, controls, &log)?);
+        }
+    }
+    Ok(reports)
+}
+
+fn open_log(file: &str) -> Result<LogSettings, ExitKind> {
+    let file = (!file.is_empty()).then(|| file.to_owned());
+    let level = if file.is_some() { "info" } else { "error" };
+    let log = LogSettings { level: level.into(), file };
+    edges::log_writer::open_log(&log).map_err(|error| {
+        eprintln!("{error}");
+        ExitKind::BadInput
+    })?;
+    Ok(log)
+}
+
+fn read_policies(matches: &ArgMatches) -> Result<Vec<Option<RoutingPolicy>>, ExitKind> {
+    let Some(names) = matches.get_many::<String>("policy") else { return Ok(vec![None]) };
+    let mut policies = Vec::new();
+    for name in names {
+        if name == "all" {
+            policies.extend(RoutingPolicy::iter().map(Some));
+            continue;
+        }
+        let policy: RoutingPolicy = name.parse().map_err(|_| {
+            let known: Vec<String> =
+                RoutingPolicy::iter().map(|policy| policy.to_string()).collect();
+            eprintln!("no policy named {name}; expected all, {}", known.join(", "));
+            ExitKind::BadInput
+        })?;
+        policies.push(Some(policy));
+    }
+    Ok(policies)
+}
+
+fn read_trace_file(path: &str) -> Result<Trace, ExitKind> {
+    let text = read_file(path)?;
+    read_trace(&text).map_err(|error| {
+        eprintln!("{path}: {error}");
+        ExitKind::BadInput
+    })
+}
+
+/// The text's path is meant from the folder above the trace's own.
+fn read_text_of(trace_path: &str, trace: &Trace) -> Result<OperatorText, ExitKind> {
+    let root = Path::new(trace_path).parent().and_then(Path::parent).unwrap_or(Path::new("."));
+    let path = root.join(&trace.header.text).display().to_string();
+    let text = read_file(&path)?;
+    read_operator_text(&text).map_err(|mistakes| show_mistakes(&path, &mistakes, false))
+}
+
+/// Plays a trace once, with a progress bar when on a terminal.
+pub(super) fn play_once(
+    trace: &Trace,
+    text: OperatorText,
+    policy: Option<RoutingPolicy>,
+    controls: usize,
+    log: &LogSettings,
+) -> Result<ReplayReport, ExitKind> {
+    let bar = ProgressBar::new(trace.events.len() as u64);
+    let style = ProgressStyle::with_template("{msg} [{bar:40}] {pos}/{len}");
+    bar.set_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
+    bar.set_message(trace.header.trace.clone());
+    let progress = |played: usize, _all: usize| bar.set_position(played as u64);
+    let options = PlayOptions { text, policy, controls, log: log.clone(), progress: &progress };
+    let played = play(trace, options);
+    bar.finish_and_clear();
+    played.map_err(|error| {
+        eprintln!("{error}");
+        ExitKind::Refused
+    })
+}
--- /dev/null
+++ b/crates/cactuswing/src/commands/serve.rs
@@ -0,0 +1,139 @@
+//! `entry`, `agent`, `control`: one role in one process, until it is told to
+//! end.
+
+use std::sync::Arc;
+
+use clap::ArgMatches;
+use kernel::{SharedClock, SystemClock};
+use model::{
+    LogSettings, Mistake, read_agent_settings, read_control_settings, read_entry_settings,
+};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use super::{argument, read_file, show_mistakes};
+use crate::cli::ExitKind;
+use crate::roles::{DrainEnd, RoleError, RunningRole, start_agent, start_control, start_entry};
+
+/// Serves callers.
+pub fn run_entry(matches: &ArgMatches) -> ExitKind {
+    serve(matches, "entry", read_entry_settings, |settings, clock| {
+        (settings.log.clone(), start_entry(settings, clock))
+    })
+}
+
+/// Runs tasks beside backend servers.
+pub fn run_agent(matches: &ArgMatches) -> ExitKind {
+    serve(matches, "agent", read_agent_settings, |settings, clock| {
+        (settings.log.clone(), start_agent(settings, clock))
+    })
+}
+
+/// Keeps the durable state.
+pub fn run_control(matches: &ArgMatches) -> ExitKind {
+    serve(matches, "control", read_control_settings, |settings, clock| {
+        (settings.log.clone(), start_control(settings, clock))
+    })
+}
+
+fn serve<S>(
+    matches: &ArgMatches,
+    role: &str,
+    read: impl Fn(&str) -> Result<S, Vec<Mistake>>,
+    start: impl Fn(&S, &SharedClock) -> (LogSettings, Result<RunningRole, RoleError>),
+) -> ExitKind {
+    let path = argument(matches, "settings");
+    let text = match read_file(path) {
+        Ok(text) => text,
+        Err(exit) => return exit,
+    };
+    let settings = match read(&text) {
+        Ok(settings) => settings,
+        Err(mistakes) => return show_mistakes(path, &mistakes, false),
+    };
+    let clock: SharedClock = Arc::new(SystemClock);
+    let (log, started) = start(&settings, &clock);
+    if let Err(error) = edges::log_writer::open_log(&log) {
+        eprintln!("{error}");
+        return ExitKind::BadInput;
+    }
+    match started {
+        Ok(running) => run_until_signal(role, running),
+        Err(error) => {
+            eprintln!("{role} did not start: {error}");
+            ExitKind::Refused
+        }
+    }
+}
+
+/// Prints where the role listens, then waits for the signal to end.
+fn run_until_signal(role: &str, running: RunningRole) -> ExitKind {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let signals = runtime.and_then(|runtime| {
+        let signals = {
+            let _inside = runtime.enter();
+            StopSignals::listen()?
+        };
+        Ok((runtime, signals))
+    });
+    let (runtime, mut signals) = match signals {
+        Ok(listening) => listening,
+        Err(error) => {
+            eprintln!("{role} can't listen for signals: {error}");
+            running.stop();
+            return ExitKind::Refused;
+        }
+    };
+    announce(role, &running);
+    runtime.block_on(signals.next());
+    running.begin_drain();
+    let gate = running.gate();
+    let ending = std::thread::spawn(move || running.drain());
+    runtime.block_on(async {
+        tokio::select! {
+            () = signals.next() => gate.set(0),
+            () = wait_for(&ending) => {}
+        }
+    });
+    match ending.join() {
+        Ok(DrainEnd::Idle) => ExitKind::Done,
+        Ok(DrainEnd::LimitReached) | Err(_) => ExitKind::Refused,
+    }
+}
+
+/// Machines read this line to learn the port when the settings ask for any.
+fn announce(role: &str, running: &RunningRole) {
+    let announce = running.announce_address.map(|address| format!(" announce={address}"));
+    println!(
+        "event=listening role={role} address={}{}",
+        running.address,
+        announce.unwrap_or_default()
+    );
+}
+
+/// Looks now and then whether the drain has ended.
+async fn wait_for<T>(thread: &std::thread::JoinHandle<T>) {
+    while !thread.is_finished() {
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+}
+
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    fn listen() -> std::io::Result<StopSignals> {
+        Ok(StopSignals {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/cactuswing/src/commands/text.rs
@@ -0,0 +1,230 @@
+//! `check`, `plan`, `apply`, `show`, `drain`: the operators' text.
+
+use clap::ArgMatches;
+use compact_str::CompactString;
+use model::{
+    Command, CommandResult, ConfigInForce, ControlAnswer, ControlQuery, HistoryLine, OperatorText,
+    TextDelta, read_operator_text, sorted,
+};
+use serde::Serialize;
+
+use super::{argument, print_json, read_file, show_mistakes, wants_json, with_control};
+use crate::cli::ExitKind;
+use crate::control_client::{ControlClient, ControlFailure};
+
+/// Times that `drain` tries again when another operator was faster.
+const MOST_RACES: usize = 10;
+
+/// Reports every mistake of a text.
+pub fn check(matches: &ArgMatches) -> ExitKind {
+    match read_text(matches) {
+        Ok(text) => {
+            let (services, teams) = (text.services.len(), text.teams.len());
+            if wants_json(matches) {
+                print_json(&Vec::<String>::new());
+            } else {
+                println!(
+                    "{}: {services} services, {teams} teams, no mistakes",
+                    argument(matches, "text")
+                );
+            }
+            ExitKind::Done
+        }
+        Err(exit) => exit,
+    }
+}
+
+fn read_text(matches: &ArgMatches) -> Result<OperatorText, ExitKind> {
+    let path = argument(matches, "text");
+    let text = read_file(path)?;
+    let text = read_operator_text(&text)
+        .map_err(|mistakes| show_mistakes(path, &mistakes, wants_json(matches)))?;
+    if services::is_time_zone(&text.time_zone) {
+        return Ok(text);
+    }
+    let mistake = model::Mistake {
+        place: "$.time_zone".to_owned(),
+        expected: format!("expected an IANA time zone, found \"{}\"", text.time_zone),
+    };
+    Err(show_mistakes(path, &[mistake], wants_json(matches)))
+}
+
+#[derive(Serialize)]
+struct Plan {
+    base: u64,
+    changes: Vec<String>,
+}
+
+/// Shows what applying a text would change.
+pub fn plan(matches: &ArgMatches) -> ExitKind {
+    let text = match read_text(matches) {
+        Ok(text) => text,
+        Err(exit) => return exit,
+    };
+    let current = match with_control(matches, async |client| current_config(client).await) {
+        Ok(current) => current,
+        Err(exit) => return exit,
+    };
+    let plan = make_plan(current.as_ref(), &text);
+    if wants_json(matches) {
+        print_json(&plan);
+        return ExitKind::Done;
+    }
+    for change in &plan.changes {
+        println!("{change}");
+    }
+    if plan.changes.is_empty() {
+        println!("nothing would change");
+    }
+    println!("apply with --base {}", plan.base);
+    ExitKind::Done
+}
+
+fn make_plan(current: Option<&ConfigInForce>, text: &OperatorText) -> Plan {
+    match current {
+        Some(config) => Plan {
+            base: config.version,
+            changes: TextDelta::between(&config.text, &sorted(text)).lines(),
+        },
+        None => Plan { base: 0, changes: vec!["+ the first text".to_owned()] },
+    }
+}
+
+async fn current_config(
+    client: &mut ControlClient,
+) -> Result<Option<ConfigInForce>, ControlFailure> {
+    match client.query(ControlQuery::Config).await? {
+        ControlAnswer::Config(config) => Ok(config),
+        _ => Err(ControlFailure::Unknown),
+    }
+}
+
+/// Changes the configuration by compare-and-set.
+pub fn apply(matches: &ArgMatches) -> ExitKind {
+    let text = match read_text(matches) {
+        Ok(text) => text,
+        Err(exit) => return exit,
+    };
+    let base = matches.get_one::<u64>("base").copied().unwrap_or_default();
+    let given = matches.get_one::<String>("request").map(CompactString::from);
+    let request = given.unwrap_or_else(new_request);
+    let command = Command::ApplyText { request: request.clone(), base, text: Box::new(text) };
+    match with_control(matches, async |client| client.propose(command).await) {
+        Ok(result) => show_applied(matches, &result),
+        Err(ExitKind::Unknown) => {
+            eprintln!("resend with --request {request}");
+            ExitKind::Unknown
+        }
+        Err(exit) => exit,
+    }
+}
+
+/// An id that no other request of this host has.
+fn new_request() -> CompactString {
+    let now = std::time::SystemTime::now();
+    let since = now.duration_since(std::time::SystemTime::UNIX_EPOCH).unwrap_or_default();
+    compact_str::format_compact!("{}-{}", std::process::id(), since.as_nanos())
+}
+
+fn show_applied(matches: &ArgMatches, result: &CommandResult) -> ExitKind {
+    if wants_json(matches) {
+        print_json(result);
+    }
+    match result {
+        CommandResult::TextAccepted { version } => {
+            if !wants_json(matches) {
+                println!("version {version} is accepted");
+            }
+            ExitKind::Done
+        }
+        CommandResult::VersionConflict { current, lines } => {
+            if !wants_json(matches) {
+                eprintln!("not applied: the current version is {current}; it differs in");
+                lines.iter().for_each(|line| eprintln!("  {line}"));
+            }
+            ExitKind::Refused
+        }
+        other => {
+            eprintln!("not applied: {other:?}");
+            ExitKind::Refused
+        }
+    }
+}
+
+/// Prints the configuration in force, or the accepted versions.
+pub fn show(matches: &ArgMatches) -> ExitKind {
+    if matches.get_flag("history") {
+        return show_history(matches);
+    }
+    match with_control(matches, async |client| current_config(client).await) {
+        Ok(Some(config)) if wants_json(matches) => {
+            print_json(&config);
+            ExitKind::Done
+        }
+        Ok(Some(config)) => {
+            eprintln!("version {}", config.version);
+            print_json(&config.text);
+            ExitKind::Done
+        }
+        Ok(None) => {
+            eprintln!("no text has been applied yet");
+            ExitKind::Refused
+        }
+        Err(exit) => exit,
+    }
+}
+
+fn show_history(matches: &ArgMatches) -> ExitKind {
+    let asked = with_control(matches, async |client| client.query(ControlQuery::History).await);
+    let history: Vec<HistoryLine> = match asked {
+        Ok(ControlAnswer::History(history)) => history,
+        Ok(_) => return ExitKind::Unknown,
+        Err(exit) => return exit,
+    };
+    if wants_json(matches) {
+        print_json(&history);
+        return ExitKind::Done;
+    }
+    for HistoryLine { version, at_ms, request } in &history {
+        println!("{version}\t{at_ms}\t{request}");
+    }
+    ExitKind::Done
+}
+
+/// Gives a worker no new work, or work again.
+pub fn drain(matches: &ArgMatches) -> ExitKind {
+    let worker = CompactString::from(argument(matches, "worker"));
+    let undo = matches.get_flag("undo");
+    for _ in 0..MOST_RACES {
+        let changed = with_control(matches, async |client| {
+            let Some(config) = current_config(client).await? else { return Ok(None) };
+            let text = with_drained(&config.text, &worker, undo);
+            let command = Command::ApplyText {
+                request: new_request(),
+                base: config.version,
+                text: Box::new(text),
+            };
+            client.propose(command).await.map(Some)
+        });
+        match changed {
+            Ok(Some(CommandResult::VersionConflict { .. })) => {}
+            Ok(Some(result)) => return show_applied(matches, &result),
+            Ok(None) => {
+                eprintln!("no text has been applied yet");
+                return ExitKind::Refused;
+            }
+            Err(exit) => return exit,
+        }
+    }
+    eprintln!("not applied: other operators keep changing the configuration");
+    ExitKind::Refused
+}
+
+fn with_drained(text: &OperatorText, worker: &CompactString, undo: bool) -> OperatorText {
+    let mut text = text.clone();
+    text.drained_workers.retain(|drained| drained != worker);
+    if !undo {
+        text.drained_workers.push(worker.clone());
+    }
+    text
+}
--- /dev/null
+++ b/crates/cactuswing/src/commands/try_out.rs
@@ -0,0 +1,39 @@
+//! `try`: everything in one process with stand-ins.
+
+use clap::ArgMatches;
+use model::{LogSettings, read_operator_text};
+use standin::read_trace;
+
+use super::replay::{finish, play_once};
+use super::{show_mistakes, wants_json};
+use crate::cli::ExitKind;
+
+const TRACE: &str = include_str!("../../../../traces/try.jsonl");
+const TEXT: &str = include_str!("../../../../examples/roubikov.json");
+
+/// Plays the small trace that ships with the binary.
+pub fn run(matches: &ArgMatches) -> ExitKind {
+    let trace = match read_trace(TRACE) {
+        Ok(trace) => trace,
+        Err(error) => {
+            eprintln!("the trace that ships with the binary: {error}");
+            return ExitKind::BadInput;
+        }
+    };
+    let text = match read_operator_text(TEXT) {
+        Ok(text) => text,
+        Err(mistakes) => return show_mistakes("examples/roubikov.json", &mistakes, false),
+    };
+    let log = LogSettings { level: "error".into(), file: None };
+    if let Err(error) = edges::log_writer::open_log(&log) {
+        eprintln!("{error}");
+        return ExitKind::BadInput;
+    }
+    if !wants_json(matches) {
+        println!("{}\n", trace.header.about);
+    }
+    match play_once(&trace, text, None, 1, &log) {
+        Ok(report) => finish(&[report], wants_json(matches)),
+        Err(exit) => exit,
+    }
+}
--- /dev/null
+++ b/crates/cactuswing/src/replay/ideal.rs
@@ -0,0 +1,34 @@
+//! Owns the ideal response times that slowdowns are measured against.
+
+use std::time::Duration;
+
+use standin::InstanceLine;
+
+/// Ideal times on one set of backend servers.
+#[derive(Debug, Clone)]
+pub(super) struct IdealTimes {
+    network: Duration,
+    fastest: f64,
+    /// Slots, each counted by its speed.
+    capacity: f64,
+}
+
+impl IdealTimes {
+    pub(super) fn new(instances: &[InstanceLine], client_delay_ms: f64) -> IdealTimes {
+        let fastest = instances.iter().map(|instance| instance.speed).fold(f64::INFINITY, f64::min);
+        let slots = instances.iter().map(|instance| f64::from(instance.slots) / instance.speed);
+        IdealTimes {
+            network: Duration::from_secs_f64(2.0 * client_delay_ms / 1e3),
+            fastest,
+            capacity: slots.sum(),
+        }
+    }
+
+    /// The network there and back, plus the longest task on the fastest
+    /// backend server or all work spread over all slots, whichever is longer.
+    pub(super) fn of(&self, run_ms: &[f64]) -> Duration {
+        let longest = run_ms.iter().copied().fold(0.0, f64::max) * self.fastest;
+        let spread = run_ms.iter().sum::<f64>() / self.capacity;
+        self.network + Duration::from_secs_f64(longest.max(spread) / 1e3)
+    }
+}
--- /dev/null
+++ b/crates/cactuswing/src/replay/player.rs
@@ -0,0 +1,380 @@
+//! Plays a trace: sends its calls in time, lets its faults happen, and gathers
+//! what came out.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use model::{JobOrder, LogSettings, MessageKind, OperatorText, Payload, RoutingPolicy, TaskSpec};
+use serde::Deserialize;
+use standin::{
+    BackendServer, CallFailure, CallReply, Caller, LinkFault, Trace, TraceStep, task_payload,
+};
+use strum::IntoEnumIterator;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+
+use super::checks::find_violations;
+use super::ideal::IdealTimes;
+use super::local_cluster::{ClusterError, ClusterShape, LocalCluster};
+use super::outcome::{CallAnswer, CallOutcome, ReplayReport, Slowdowns, count_failures};
+
+/// Calls without a stated deadline are given up after this.
+const LONGEST_WAIT: Duration = Duration::from_secs(60);
+
+/// How a trace is played.
+pub struct PlayOptions<'a> {
+    /// The operators' text.
+    pub text: OperatorText,
+    /// Routing policy, when not the text's own.
+    pub policy: Option<RoutingPolicy>,
+    /// Control hosts.
+    pub controls: usize,
+    /// Logs.
+    pub log: LogSettings,
+    /// Called with the events played and their number.
+    pub progress: &'a dyn Fn(usize, usize),
+}
+
+/// Plays a trace against a system of its own.
+///
+/// # Errors
+/// When the system can't be put together.
+pub fn play(trace: &Trace, options: PlayOptions<'_>) -> Result<ReplayReport, ClusterError> {
+    let mut text = options.text;
+    text.policy = options.policy.unwrap_or(text.policy);
+    let policy = text.policy;
+    let mut shape = ClusterShape::small(trace.header.instances.clone(), text);
+    shape.controls = options.controls;
+    shape.entries = trace.header.entries;
+    shape.log = options.log;
+    let mut cluster = LocalCluster::start(&shape)?;
+    let before = message_counts(&cluster);
+    let started = Instant::now();
+    let calls = play_events(trace, &mut cluster, options.progress);
+    let last_event = trace.events.last().map_or(0, |event| event.at_ms);
+    let last_event = started + Duration::from_millis(last_event);
+    let starts = cluster.records.all();
+    let violations = find_violations(&calls, &starts, &trace.expect, last_event);
+    let messages = difference(&before, &message_counts(&cluster));
+    let seconds = started.elapsed().as_secs_f64();
+    cluster.stop();
+    Ok(build_report(trace, policy, &calls, starts.len(), messages, violations, seconds))
+}
+
+fn message_counts(cluster: &LocalCluster) -> IndexMap<MessageKind, u64> {
+    MessageKind::iter().map(|kind| (kind, cluster.messages(kind))).collect()
+}
+
+/// An agent that was stopped takes its counters along, so a count can fall.
+fn difference(
+    before: &IndexMap<MessageKind, u64>,
+    after: &IndexMap<MessageKind, u64>,
+) -> IndexMap<MessageKind, u64> {
+    let earlier = |kind: &MessageKind| before.get(kind).copied().unwrap_or(0);
+    after.iter().map(|(kind, count)| (*kind, count.saturating_sub(earlier(kind)))).collect()
+}
+
+fn build_report(
+    trace: &Trace,
+    policy: RoutingPolicy,
+    calls: &[CallOutcome],
+    starts: usize,
+    messages: IndexMap<MessageKind, u64>,
+    violations: Vec<String>,
+    seconds: f64,
+) -> ReplayReport {
+    let completed = calls.iter().filter(|call| matches!(call.answer, CallAnswer::Whole(_))).count();
+    let unanswered = calls.iter().filter(|call| matches!(call.answer, CallAnswer::None(_))).count();
+    let wasted: u64 =
+        messages.iter().filter(|(kind, _)| kind.is_wasted()).map(|(_, count)| count).sum();
+    ReplayReport {
+        trace: trace.header.trace.clone(),
+        policy,
+        calls: calls.len(),
+        completed,
+        failed: count_failures(calls),
+        unanswered,
+        starts,
+        slowdown: Slowdowns::of(calls),
+        messages: messages.into_iter().map(|(kind, count)| (kind.to_string(), count)).collect(),
+        wasted_per_completed: wasted as f64 / completed.max(1) as f64,
+        violations,
+        seconds,
+    }
+}
+
+/// A call on its way.
+#[derive(Debug, Clone)]
+struct PlannedCall {
+    entry: SocketAddr,
+    path: String,
+    headers: Vec<(&'static str, String)>,
+    body: String,
+    job: String,
+    echoes: Vec<String>,
+    single: bool,
+    ideal: Duration,
+    delay: Duration,
+}
+
+fn play_events(
+    trace: &Trace,
+    cluster: &mut LocalCluster,
+    progress: &dyn Fn(usize, usize),
+) -> Vec<CallOutcome> {
+    let entries: Vec<SocketAddr> = cluster.entries.iter().map(|entry| entry.address).collect();
+    let ideal = IdealTimes::new(&trace.header.instances, trace.header.client_delay_ms);
+    let mut planner = CallPlanner {
+        entries,
+        ideal,
+        delay: Duration::from_secs_f64(trace.header.client_delay_ms / 1e3),
+        next: 0,
+        numbers: 0,
+        owners: IndexMap::new(),
+    };
+    let caller = Caller::new();
+    let handle = cluster.host.handle().clone();
+    let (back, mut backs) = mpsc::channel::<String>(64);
+    handle.block_on(async {
+        let mut calls: JoinSet<CallOutcome> = JoinSet::new();
+        let started = tokio::time::Instant::now();
+        for (position, event) in trace.events.iter().enumerate() {
+            let due = started + Duration::from_millis(event.at_ms);
+            wait_until(due, &mut backs, cluster).await;
+            match planner.plan(&event.step) {
+                Planned::Call(call) => {
+                    calls.spawn(send(caller.clone(), *call));
+                }
+                Planned::Cancel { entry, path } => {
+                    let caller = caller.clone();
+                    tokio::spawn(async move { caller.delete(entry, &path).await });
+                }
+                Planned::Fault => fault(cluster, &event.step, &back).await,
+            }
+            progress(position + 1, trace.events.len());
+        }
+        let mut outcomes = Vec::new();
+        while let Some(outcome) = calls.join_next().await {
+            outcomes.extend(outcome.ok());
+        }
+        outcomes
+    })
+}
+
+/// Waits for the next event, and lets backend servers come back meanwhile.
+async fn wait_until(
+    due: tokio::time::Instant,
+    backs: &mut mpsc::Receiver<String>,
+    cluster: &mut LocalCluster,
+) {
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep_until(due) => return,
+            Some(worker) = backs.recv() => bring_back(cluster, &worker).await,
+        }
+    }
+}
+
+async fn bring_back(cluster: &mut LocalCluster, name: &str) {
+    let records = cluster.records.clone();
+    let Some(worker) = cluster.worker_mut(name) else { return };
+    let Some(announce) = worker.agent.as_ref().and_then(|agent| agent.announce_address) else {
+        return;
+    };
+    if let Ok(backend) = BackendServer::start(worker.shape.clone(), announce, records).await {
+        worker.backend = backend;
+    }
+}
+
+async fn fault(cluster: &mut LocalCluster, step: &TraceStep, back: &mpsc::Sender<String>) {
+    match step {
+        TraceStep::Behave { worker, behaviour } => {
+            if let Some(worker) = cluster.worker_mut(worker) {
+                worker.backend.behave(*behaviour);
+            }
+        }
+        TraceStep::Restart { worker: name, back_after_ms } => {
+            let Some(worker) = cluster.worker_mut(name) else { return };
+            worker.backend.leave().await;
+            let (back, name) = (back.clone(), name.clone());
+            let pause = Duration::from_millis(*back_after_ms);
+            tokio::spawn(async move {
+                tokio::time::sleep(pause).await;
+                // The player may have ended meanwhile.
+                let _ended = back.send(name).await;
+            });
+        }
+        TraceStep::CutWorker { worker } => {
+            let Some(worker) = cluster.worker_mut(worker) else { return };
+            worker.peer_link.set(LinkFault::Cut);
+            for link in &worker.control_links {
+                link.set(LinkFault::Cut);
+            }
+        }
+        TraceStep::SilenceLinks { worker } => {
+            if let Some(worker) = cluster.worker_mut(worker) {
+                worker.peer_link.set(LinkFault::SilenceOpen);
+            }
+        }
+        TraceStep::Request { .. } | TraceStep::Job { .. } | TraceStep::Cancel { .. } => {}
+    }
+}
+
+enum Planned {
+    Call(Box<PlannedCall>),
+    Cancel { entry: SocketAddr, path: String },
+    Fault,
+}
+
+/// Turns events into calls; each goes to the next entry, so that a
+/// resubmission arrives elsewhere.
+struct CallPlanner {
+    entries: Vec<SocketAddr>,
+    ideal: IdealTimes,
+    delay: Duration,
+    next: usize,
+    numbers: u64,
+    /// Where each submission arrived first.
+    owners: IndexMap<String, SocketAddr>,
+}
+
+impl CallPlanner {
+    fn entry_of(&self, job: &str) -> SocketAddr {
+        self.owners.get(job).copied().unwrap_or(self.entries[0])
+    }
+
+    fn plan(&mut self, step: &TraceStep) -> Planned {
+        match step {
+            TraceStep::Request { service, team, key, run_ms, deadline_ms } => {
+                self.numbers += 1;
+                let echo = format!("r{}", self.numbers);
+                let mut headers = vec![("cactuswing-team", team.to_string())];
+                headers.extend(key.iter().map(|key| ("idempotency-key", key.to_string())));
+                headers.extend(deadline_ms.map(|ms| ("cactuswing-deadline-ms", ms.to_string())));
+                let job = key.as_ref().map(|key| format!("{team}/{key}")).unwrap_or_default();
+                // A resubmission must carry the same content.
+                let echo = key.as_ref().map_or(echo, |key| format!("k-{key}"));
+                let body = task_payload(*run_ms, &echo).text().to_owned();
+                let path = format!("/v1/services/{service}/requests");
+                Planned::Call(self.call(path, headers, body, job, vec![echo], true, &[*run_ms]))
+            }
+            TraceStep::Job { submission, team, .. } => {
+                let job = format!("{team}/{submission}");
+                let (order, runs) = job_order(step);
+                let echoes = (0..runs.len()).map(|task| format!("{job}/{task}")).collect();
+                let body = serde_json::to_string(&order).unwrap_or_default();
+                Planned::Call(self.call(
+                    "/v1/jobs".to_owned(),
+                    Vec::new(),
+                    body,
+                    job,
+                    echoes,
+                    false,
+                    &runs,
+                ))
+            }
+            TraceStep::Cancel { team, submission } => Planned::Cancel {
+                entry: self.entry_of(&format!("{team}/{submission}")),
+                path: format!("/v1/jobs/{team}/{submission}"),
+            },
+            _ => Planned::Fault,
+        }
+    }
+
+    #[allow(clippy::too_many_arguments, reason = "each is one part of an HTTP call")]
+    fn call(
+        &mut self,
+        path: String,
+        headers: Vec<(&'static str, String)>,
+        body: String,
+        job: String,
+        echoes: Vec<String>,
+        single: bool,
+        run_ms: &[f64],
+    ) -> Box<PlannedCall> {
+        let entry = self.entries[self.next % self.entries.len()];
+        self.next += 1;
+        self.owners.entry(job.clone()).or_insert(entry);
+        let ideal = self.ideal.of(run_ms);
+        Box::new(PlannedCall {
+            entry,
+            path,
+            headers,
+            body,
+            job,
+            echoes,
+            single,
+            ideal,
+            delay: self.delay,
+        })
+    }
+}
+
+fn job_order(step: &TraceStep) -> (Option<JobOrder>, Vec<f64>) {
+    let TraceStep::Job { service, team, submission, run_ms, declared_ms, cores, deadline_ms } =
+        step
+    else {
+        return (None, Vec::new());
+    };
+    let task = |(position, run): (usize, &f64)| TaskSpec {
+        declared_ms: declared_ms.get(position).copied(),
+        cores: cores.unwrap_or(1),
+        memory_mb: 0,
+        accelerators: 0,
+        payload: task_payload(*run, &format!("{team}/{submission}/{position}")),
+    };
+    let order = JobOrder {
+        submission: submission.clone(),
+        team: team.clone(),
+        service: service.clone(),
+        deadline_ms: *deadline_ms,
+        tasks: run_ms.iter().enumerate().map(task).collect(),
+    };
+    (Some(order), run_ms.clone())
+}
+
+async fn send(caller: Caller, call: PlannedCall) -> CallOutcome {
+    let sent_at = Instant::now();
+    tokio::time::sleep(call.delay).await;
+    let headers: Vec<(&str, &str)> =
+        call.headers.iter().map(|(name, value)| (*name, value.as_str())).collect();
+    let sending = caller.post(call.entry, &call.path, &headers, call.body.clone());
+    let reply = tokio::time::timeout(LONGEST_WAIT, sending).await;
+    tokio::time::sleep(call.delay).await;
+    let answer = match reply {
+        Ok(reply) => read_answer(reply, call.single),
+        Err(_late) => CallAnswer::None("no answer in time".to_owned()),
+    };
+    CallOutcome {
+        job: call.job,
+        echoes: call.echoes,
+        sent_at,
+        answered_at: Instant::now(),
+        ideal: call.ideal,
+        answer,
+    }
+}
+
+#[derive(Deserialize)]
+struct JobAnswers {
+    answers: Vec<Payload>,
+}
+
+fn read_answer(reply: Result<CallReply, CallFailure>, single: bool) -> CallAnswer {
+    let reply = match reply {
+        Ok(reply) => reply,
+        Err(failure) => return CallAnswer::None(failure.to_string()),
+    };
+    if let Some(problem) = reply.problem() {
+        return CallAnswer::Failed(problem);
+    }
+    let answers = match single {
+        true => Payload::parse(&reply.body).ok().map(|answer| vec![answer]),
+        false => serde_json::from_str::<JobAnswers>(&reply.body).ok().map(|body| body.answers),
+    };
+    match answers {
+        Some(answers) if reply.status == 200 => CallAnswer::Whole(answers),
+        _ => CallAnswer::Strange(reply.body),
+    }
+}
--- /dev/null
+++ b/crates/cactuswing/src/roles/agent.rs
@@ -0,0 +1,119 @@
+//! The services of an agent.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+
+use decisions::agent::StartLimits;
+use edges::backend_edge::{BackendEdge, BarePlatform};
+use edges::control_link::{ControlLink, incarnation_at};
+use kernel::{Kernel, SharedClock, StopSignal};
+use model::{
+    AgentSettings, AgentView, MemberRecord, NodeRole, ServiceName, StartMessage, WorkerSize,
+};
+use services::task_starts::StartSettings;
+
+use super::{DUTY_RING, RoleError, RunningRole, assembled, context, local_address, with_log};
+
+/// Starts an agent.
+///
+/// # Errors
+/// When one of its addresses can't be listened on.
+pub fn start_agent(
+    settings: &AgentSettings,
+    clock: &SharedClock,
+) -> Result<RunningRole, RoleError> {
+    let context = context(clock);
+    let stop = StopSignal::default();
+    let listener = edges::caller_edge::listen(settings.listen)?;
+    let address = local_address(&listener, settings.listen)?;
+    let announce = edges::caller_edge::listen(settings.announce_listen)?;
+    let announce_address = local_address(&announce, settings.announce_listen)?;
+    let incarnation = incarnation_at(clock.calendar());
+    let mut kernel = Kernel::default();
+    with_log(&mut kernel)?;
+
+    let link = ControlLink {
+        clock: clock.clone(),
+        counters: context.counters.clone(),
+        member: MemberRecord {
+            node: settings.worker.clone(),
+            role: NodeRole::Agent,
+            incarnation,
+            address: settings.advertise.unwrap_or(address),
+            domain: settings.domain.clone(),
+        },
+        controls: settings.controls.clone(),
+        ready: Arc::new(AtomicBool::new(false)),
+    };
+    let log_context = context.clone();
+    kernel.register(ServiceName::ControlLink, DUTY_RING, move |ring, registry| {
+        let log = log_context.event_log(&registry).expect("the log writer is registered");
+        edges::control_link::run(&ring, &registry, link, log);
+    })?;
+
+    let edge = BackendEdge {
+        clock: clock.clone(),
+        counters: context.counters.clone(),
+        stop: stop.clone(),
+        platform: Arc::new(BarePlatform),
+    };
+    kernel.register(ServiceName::BackendEdge, DUTY_RING, move |ring, registry| {
+        edges::backend_edge::run(&ring, &registry, edge, announce);
+    })?;
+
+    let starts = StartSettings {
+        incarnation,
+        view: first_view(settings, incarnation),
+        limits: StartLimits {
+            queue_limit: settings.queue_limit,
+            retention: settings.retention(),
+            announce_ttl: settings.announce_ttl(),
+        },
+    };
+    let start_context = context.clone();
+    kernel.register::<StartMessage, _>(
+        ServiceName::TaskStarts,
+        DUTY_RING,
+        move |ring, registry| {
+            assembled(services::task_starts::run(&ring, &registry, start_context, starts));
+        },
+    )?;
+
+    kernel.register(ServiceName::AgentEdge, DUTY_RING, move |ring, registry| {
+        edges::agent_edge::run(&ring, &registry, listener);
+    })?;
+
+    let registry = kernel.start()?;
+    let table = registry.find::<StartMessage>(ServiceName::TaskStarts)?;
+    Ok(RunningRole {
+        kernel,
+        address,
+        announce_address: Some(announce_address),
+        counters: context.counters,
+        clock: clock.clone(),
+        stop,
+        gate: context.gate,
+        drain_limit: settings.drain_limit(),
+        begin_drain: Box::new(move || {
+            // A full ring refuses new work by itself; the drain's limit covers it.
+            let _full = table.push(StartMessage::Drain);
+        }),
+    })
+}
+
+fn first_view(settings: &AgentSettings, incarnation: model::Incarnation) -> AgentView {
+    AgentView {
+        worker: settings.worker.clone(),
+        incarnation,
+        version: 0,
+        domain: settings.domain.clone(),
+        rack: settings.rack.clone(),
+        draining: false,
+        size: WorkerSize {
+            cores: settings.cores,
+            memory_mb: settings.memory_mb,
+            accelerators: settings.accelerators,
+        },
+        services: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/cactuswing/src/roles/entry.rs
@@ -0,0 +1,113 @@
+//! The services of an entry.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+use decisions::entry::{DispatchLimits, TrackerLimits};
+use edges::agent_links::AgentLinks;
+use edges::caller_edge::CallerEdge;
+use edges::control_link::{ControlLink, incarnation_at};
+use kernel::{Kernel, SharedClock, StopSignal};
+use model::{EntrySettings, JobMessage, MemberRecord, NodeRole, ServiceName};
+use services::job_tracking::JobSettings;
+
+use super::{DUTY_RING, RoleError, RunningRole, assembled, context, local_address, with_log};
+
+/// How long an entry itself remembers ended submissions.
+const KEEP_ENDED: Duration = Duration::from_secs(60);
+
+/// Starts an entry.
+///
+/// # Errors
+/// When its address can't be listened on.
+pub fn start_entry(
+    settings: &EntrySettings,
+    clock: &SharedClock,
+) -> Result<RunningRole, RoleError> {
+    let context = context(clock);
+    let stop = StopSignal::default();
+    let ready = Arc::new(AtomicBool::new(false));
+    let listener = edges::caller_edge::listen(settings.listen)?;
+    let address = local_address(&listener, settings.listen)?;
+    let incarnation = incarnation_at(clock.calendar());
+    let mut kernel = Kernel::default();
+    with_log(&mut kernel)?;
+
+    let link = ControlLink {
+        clock: clock.clone(),
+        counters: context.counters.clone(),
+        member: MemberRecord {
+            node: settings.name.clone(),
+            role: NodeRole::Entry,
+            incarnation,
+            address,
+            domain: settings.domain.clone(),
+        },
+        controls: settings.controls.clone(),
+        ready: Arc::clone(&ready),
+    };
+    let log_context = context.clone();
+    kernel.register(ServiceName::ControlLink, DUTY_RING, move |ring, registry| {
+        let log = log_context.event_log(&registry).expect("the log writer is registered");
+        edges::control_link::run(&ring, &registry, link, log);
+    })?;
+
+    let links = AgentLinks {
+        entry: settings.name.clone(),
+        counters: context.counters.clone(),
+        agent_limit: settings.agent_limit,
+    };
+    kernel.register(ServiceName::AgentLinks, DUTY_RING, move |ring, registry| {
+        edges::agent_links::run(&ring, &registry, links);
+    })?;
+
+    let limits = DispatchLimits { queue_limit: settings.queue_limit, seed: settings.seed };
+    let dispatch_context = context.clone();
+    let dispatch_ring = DUTY_RING + 2 * settings.queue_limit;
+    kernel.register(ServiceName::TaskDispatch, dispatch_ring, move |ring, registry| {
+        assembled(services::task_dispatch::run(&ring, &registry, dispatch_context, limits));
+    })?;
+
+    let jobs = JobSettings {
+        entry: settings.name.clone(),
+        incarnation,
+        limits: TrackerLimits { task_limit: settings.task_limit, keep_ended: KEEP_ENDED },
+    };
+    let job_context = context.clone();
+    kernel.register::<JobMessage, _>(
+        ServiceName::JobTracking,
+        DUTY_RING,
+        move |ring, registry| {
+            assembled(services::job_tracking::run(&ring, &registry, job_context, jobs));
+        },
+    )?;
+
+    let edge = CallerEdge {
+        clock: clock.clone(),
+        counters: context.counters.clone(),
+        stop: stop.clone(),
+        body_limit: settings.body_limit_bytes,
+        ready,
+    };
+    kernel.register(ServiceName::CallerEdge, settings.call_limit, move |ring, registry| {
+        edges::caller_edge::run(&ring, &registry, edge, listener);
+    })?;
+
+    let registry = kernel.start()?;
+    let tracking = registry.find::<JobMessage>(ServiceName::JobTracking)?;
+    Ok(RunningRole {
+        kernel,
+        address,
+        announce_address: None,
+        counters: context.counters,
+        clock: clock.clone(),
+        stop,
+        gate: context.gate,
+        drain_limit: settings.drain_limit(),
+        begin_drain: Box::new(move || {
+            // A full ring refuses new work by itself; the drain's limit covers it.
+            let _full = tracking.push(JobMessage::Drain);
+        }),
+    })
+}
--- /dev/null
+++ b/crates/decisions/src/agent/mod.rs
@@ -0,0 +1,8 @@
+//! An agent's decisions: which backend server runs a task, and whether a task
+//! may start at all.
+
+mod instance_pool;
+mod start_table;
+
+pub use instance_pool::{InstancePool, PoolChange};
+pub use start_table::{StartLimits, StartStep, StartTable};
--- /dev/null
+++ b/crates/decisions/src/control/control_state.rs
@@ -0,0 +1,143 @@
+//! Owns the whole replicated state and applies commands to it.
+//!
+//! Invariant: the state depends on the sequence of records alone.
+
+use std::sync::Arc;
+
+use model::{
+    Command, CommandResult, ConfigVersion, HistoryLine, LogIndex, LogRecord, MembershipState,
+    MonthFigures, StateVersions,
+};
+use serde::{Deserialize, Serialize};
+
+use super::config_store::ConfigStore;
+use super::figure_book::FigureBook;
+use super::ledger::Ledger;
+use super::member_book::{MemberBook, MemberChange};
+
+/// The replicated state.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct ControlState {
+    applied: LogIndex,
+    configs: ConfigStore,
+    ledger: Ledger,
+    members: MemberBook,
+    figures: FigureBook,
+}
+
+impl ControlState {
+    /// Applies the next record.
+    pub fn apply(&mut self, record: &LogRecord) -> CommandResult {
+        debug_assert_eq!(record.index, self.applied + 1, "records are applied in order");
+        self.applied = record.index;
+        match &record.command {
+            Command::Noop | Command::ChangeGroup { .. } => CommandResult::Done,
+            Command::ApplyText { request, base, text } => {
+                self.configs.apply(request, *base, text, record.at_ms)
+            }
+            Command::Claim { order } => self.ledger.claim(record.index, order),
+            Command::Peek { key, fingerprint } => self.ledger.peek(key, *fingerprint),
+            Command::Finish { key, epoch, owner, answer } => {
+                self.ledger.finish(key, *epoch, owner, answer, record.at_ms)
+            }
+            Command::Join { member } => {
+                let change = self.members.join(member);
+                self.on_member_change(record.index, &member.node, change)
+            }
+            Command::Lapse { node, incarnation } => {
+                let change = self.members.lapse(node, *incarnation);
+                self.on_member_change(record.index, node, change)
+            }
+            Command::FenceInForce { entry, incarnation } => {
+                self.members.fence_in_force(entry, *incarnation);
+                self.ledger.on_fence_in_force(entry, *incarnation);
+                CommandResult::Done
+            }
+            Command::AddFigures { increment } => {
+                self.figures.add(record.at_ms, increment);
+                CommandResult::Done
+            }
+            Command::Expire { before_ms } => {
+                self.ledger.expire(*before_ms);
+                CommandResult::Done
+            }
+        }
+    }
+
+    fn on_member_change(
+        &mut self,
+        index: LogIndex,
+        node: &model::NodeId,
+        change: MemberChange,
+    ) -> CommandResult {
+        match change {
+            MemberChange::None | MemberChange::Joined => {}
+            MemberChange::EntryEnded { incarnation } => {
+                self.ledger.on_entry_lapsed(node, incarnation);
+            }
+            MemberChange::AgentEnded => self.ledger.on_agent_lost(index),
+        }
+        CommandResult::Done
+    }
+
+    /// What is known of a submission, without a record.
+    pub fn peek(
+        &self,
+        key: &model::JobKey,
+        fingerprint: Option<model::Fingerprint>,
+    ) -> CommandResult {
+        self.ledger.peek(key, fingerprint)
+    }
+
+    /// Versions that watchers wait for.
+    pub fn versions(&self) -> StateVersions {
+        StateVersions {
+            applied: self.applied,
+            config: self.configs.version(),
+            members: self.members.version(),
+        }
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Option<Arc<model::ConfigInForce>> {
+        self.configs.current()
+    }
+
+    /// Version of the configuration in force.
+    pub fn config_version(&self) -> ConfigVersion {
+        self.configs.version()
+    }
+
+    /// Accepted versions, oldest first.
+    pub fn history(&self) -> Vec<HistoryLine> {
+        self.configs.history()
+    }
+
+    /// One month's figures.
+    pub fn month(&self, month: &compact_str::CompactString) -> MonthFigures {
+        self.figures.month(month)
+    }
+
+    /// Moment of the oldest recorded answer, in milliseconds since 1970.
+    pub fn oldest_ended_ms(&self) -> Option<u64> {
+        self.ledger.oldest_ended_ms()
+    }
+
+    /// Submissions known, and ids known as expired.
+    pub fn ledger_size(&self) -> (usize, usize) {
+        self.ledger.size()
+    }
+
+    /// What membership needs to know.
+    pub fn membership(&self) -> MembershipState {
+        MembershipState {
+            config: self.configs.current(),
+            deltas: self.configs.deltas(),
+            members_version: self.members.version(),
+            members: self.members.members().clone(),
+            ended: self.members.ended().clone(),
+            fences: self.members.fences().clone(),
+            pending_fences: self.members.pending().to_vec(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/control/figure_book.rs
@@ -0,0 +1,110 @@
+//! Owns the monthly figures.
+//!
+//! Invariants:
+//! - an increment is added once, however often it arrives;
+//! - increments of one entry incarnation are added in their order;
+//! - a closed month does not change: what comes later counts in the month in
+//!   which it arrives.
+
+use compact_str::CompactString;
+use indexmap::IndexMap;
+use model::{FigureIncrement, FigureRow, Incarnation, MonthFigures, NodeId, ServiceId, TeamId};
+use serde::{Deserialize, Serialize};
+
+/// Version of the figures' definitions; it grows when one changes.
+const DEFINITIONS: u32 = 1;
+/// How long after its end a month takes late increments, in milliseconds.
+const CLOSING_DELAY_MS: u64 = 2 * 24 * 3_600 * 1_000;
+
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+struct MonthRecord {
+    #[serde(with = "indexmap::map::serde_seq")]
+    rows: IndexMap<(ServiceId, TeamId), FigureRow>,
+    /// When a later month was first seen, in milliseconds since 1970.
+    followed_ms: Option<u64>,
+}
+
+impl MonthRecord {
+    fn is_closed(&self, at_ms: u64) -> bool {
+        self.followed_ms.is_some_and(|followed_ms| at_ms >= followed_ms + CLOSING_DELAY_MS)
+    }
+}
+
+/// Figures by month.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct FigureBook {
+    months: IndexMap<CompactString, MonthRecord>,
+    #[serde(with = "indexmap::map::serde_seq")]
+    added: IndexMap<(NodeId, Incarnation), u64>,
+    latest_ms: u64,
+}
+
+impl FigureBook {
+    /// Adds an increment, once.
+    pub fn add(&mut self, at_ms: u64, increment: &FigureIncrement) {
+        self.latest_ms = self.latest_ms.max(at_ms);
+        let source = (increment.entry.clone(), increment.incarnation);
+        let added = self.added.entry(source).or_default();
+        if increment.sequence <= *added {
+            return;
+        }
+        *added = increment.sequence;
+        let month = self.open_month(at_ms, &increment.month);
+        for row in &increment.rows {
+            let key = (row.service.clone(), row.team.clone());
+            merge(month.rows.entry(key).or_default(), row);
+        }
+    }
+
+    /// The record of `month`, or of the latest month when that one is closed.
+    fn open_month(&mut self, at_ms: u64, month: &CompactString) -> &mut MonthRecord {
+        if !self.months.contains_key(month) {
+            self.months.insert(month.clone(), MonthRecord::default());
+            self.months.sort_unstable_keys();
+            self.mark_followed(at_ms);
+        }
+        let closed = self.months.get(month).is_some_and(|record| record.is_closed(at_ms));
+        let latest = self.months.keys().next_back().cloned().unwrap_or_default();
+        let open = if closed { latest } else { month.clone() };
+        self.months.entry(open).or_default()
+    }
+
+    fn mark_followed(&mut self, at_ms: u64) {
+        let last = self.months.len().saturating_sub(1);
+        for record in self.months.values_mut().take(last) {
+            record.followed_ms.get_or_insert(at_ms);
+        }
+    }
+
+    /// One month's figures.
+    pub fn month(&self, month: &CompactString) -> MonthFigures {
+        let record = self.months.get(month);
+        MonthFigures {
+            month: month.clone(),
+            definitions: DEFINITIONS,
+            closed: record.is_some_and(|record| record.is_closed(self.latest_ms)),
+            rows: record.map(|record| record.rows.values().cloned().collect()).unwrap_or_default(),
+        }
+    }
+}
+
+fn merge(total: &mut FigureRow, row: &FigureRow) {
+    total.service = row.service.clone();
+    total.team = row.team.clone();
+    total.submitted += row.submitted;
+    total.completed += row.completed;
+    total.tasks += row.tasks;
+    total.wasted += row.wasted;
+    add_counts(&mut total.failed, &row.failed);
+    add_counts(&mut total.refused, &row.refused);
+    add_counts(&mut total.slowdown, &row.slowdown);
+}
+
+fn add_counts<K: Clone + Eq + std::hash::Hash>(
+    total: &mut IndexMap<K, u64>,
+    counts: &IndexMap<K, u64>,
+) {
+    for (key, count) in counts {
+        *total.entry(key.clone()).or_default() += count;
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/control/mod.rs
@@ -0,0 +1,16 @@
+//! Control's decisions: the state that the replicated log builds, and who is a
+//! member.
+
+mod config_store;
+mod control_state;
+mod figure_book;
+mod ledger;
+mod member_book;
+mod membership;
+
+pub use config_store::ConfigStore;
+pub use control_state::ControlState;
+pub use figure_book::FigureBook;
+pub use ledger::Ledger;
+pub use member_book::MemberBook;
+pub use membership::{MembershipDesk, MembershipStep};
--- /dev/null
+++ b/crates/decisions/src/entry/admission.rs
@@ -0,0 +1,135 @@
+//! Decides whether a submission is let in, before anything of it is recorded
+//! or sent.
+//!
+//! Invariant: a refusal here is proof that nothing of the submission ran.
+
+use std::time::{Duration, Instant};
+
+use model::{AdmitRequest, ErrorKind, Failure, OperatorText, ServiceId, WorkerSize};
+
+/// What is known of a service's load when a submission arrives.
+#[derive(Debug, Clone, Default)]
+pub struct ServiceLoad {
+    /// Slots of live backend servers.
+    pub slots: u32,
+    /// Tasks waiting at this entry, of all services.
+    pub waiting: usize,
+    /// Expected run time of what waits for this service, in microseconds.
+    pub waiting_us: f64,
+    /// Expected run time of the submission's longest task, in microseconds.
+    pub longest_us: f64,
+    /// Expected run time of all of the submission's tasks, in microseconds.
+    pub total_us: f64,
+    /// Sizes of the live workers that serve the service.
+    pub sizes: Vec<WorkerSize>,
+    /// Services with a live backend server.
+    pub served: Vec<ServiceId>,
+    /// Tasks of the team waiting or running at this entry.
+    pub team_tasks: usize,
+}
+
+/// What admission decided.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AdmissionCheck {
+    /// Let in.
+    Admit,
+    /// The queue is full: let in only if other work can be shed.
+    AdmitIfShed,
+    /// Refused.
+    Refuse(Failure),
+}
+
+/// Decides on a submission.
+pub fn check_admission(
+    now: Instant,
+    text: &OperatorText,
+    request: &AdmitRequest,
+    load: &ServiceLoad,
+    queue_limit: usize,
+) -> AdmissionCheck {
+    let refusals = [
+        unknown_names(text, request),
+        dependency_down(text, request, load),
+        never_runnable(request, load),
+        over_quota(text, request, load),
+        no_backend(request, load),
+        deadline_too_short(now, request, load),
+    ];
+    if let Some(failure) = refusals.into_iter().flatten().next() {
+        return AdmissionCheck::Refuse(failure);
+    }
+    if load.waiting + request.tasks.len() > queue_limit {
+        return AdmissionCheck::AdmitIfShed;
+    }
+    AdmissionCheck::Admit
+}
+
+fn unknown_names(text: &OperatorText, request: &AdmitRequest) -> Option<Failure> {
+    if !text.services.contains_key(&request.service) {
+        let detail = format!("no service named {} is declared", request.service);
+        return Some(Failure::new(ErrorKind::UnknownService, detail));
+    }
+    if !text.teams.contains_key(&request.key.team) {
+        let detail = format!("no team named {} is declared", request.key.team);
+        return Some(Failure::new(ErrorKind::UnknownTeam, detail));
+    }
+    None
+}
+
+fn dependency_down(
+    text: &OperatorText,
+    request: &AdmitRequest,
+    load: &ServiceLoad,
+) -> Option<Failure> {
+    let needed = text.dependency_closure(&request.service);
+    let missing = needed.iter().find(|service| !load.served.contains(service))?;
+    let detail =
+        format!("{} depends on {missing}, which has no live backend server", request.service);
+    Some(Failure::new(ErrorKind::DependencyDown, detail))
+}
+
+/// A task larger than every live worker can't ever start; without any live
+/// worker nothing is proved about sizes.
+fn never_runnable(request: &AdmitRequest, load: &ServiceLoad) -> Option<Failure> {
+    if load.sizes.is_empty() {
+        return None;
+    }
+    let fits = |wanted: &WorkerSize| load.sizes.iter().any(|size| size.holds(wanted));
+    let position = request.tasks.iter().position(|task| !fits(&task.size))?;
+    let detail = format!("task {position} is larger than every worker");
+    Some(Failure::new(ErrorKind::NeverRunnable, detail))
+}
+
+fn over_quota(text: &OperatorText, request: &AdmitRequest, load: &ServiceLoad) -> Option<Failure> {
+    let quota = text.teams.get(&request.key.team)?.task_quota as usize;
+    if load.team_tasks + request.tasks.len() <= quota {
+        return None;
+    }
+    let detail =
+        format!("team {} has {} of {quota} tasks in use", request.key.team, load.team_tasks);
+    Some(Failure::new(ErrorKind::QuotaExceeded, detail))
+}
+
+fn no_backend(request: &AdmitRequest, load: &ServiceLoad) -> Option<Failure> {
+    if load.slots > 0 {
+        return None;
+    }
+    let detail = format!("{} has no live backend server", request.service);
+    Some(Failure::new(ErrorKind::NoBackendServer, detail))
+}
+
+/// Compares the deadline with the expected time to the end: what waits ahead
+/// and the submission's own work spread over all slots, but never less than
+/// its longest task.
+fn deadline_too_short(now: Instant, request: &AdmitRequest, load: &ServiceLoad) -> Option<Failure> {
+    let slots = f64::from(load.slots.max(1));
+    let own_us = load.longest_us.max(load.total_us / slots);
+    let expected = Duration::from_secs_f64((load.waiting_us / slots + own_us) / 1e6);
+    let left = request.deadline.saturating_duration_since(now);
+    if expected <= left {
+        return None;
+    }
+    let detail =
+        format!("expected to take {} ms, with {} ms left", expected.as_millis(), left.as_millis());
+    Some(Failure::new(ErrorKind::DeadlineTooShort, detail))
+}
--- /dev/null
+++ b/crates/decisions/src/entry/dispatcher/intake.rs
@@ -0,0 +1,177 @@
+//! Letting submissions in, shedding under overload, and releasing what has
+//! been claimed into the fair queue.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use model::{
+    AdmitRequest, ConfigInForce, ErrorKind, Failure, JobKey, ReleaseOrder, ServiceId, Takeover,
+    TaskKey, TeamId,
+};
+
+use super::super::admission::{AdmissionCheck, ServiceLoad, check_admission};
+use super::super::fair_queue::{FairQueue, QueuedTask};
+use super::super::task_table::{JobSlot, TaskPhase, TaskSlot};
+use super::{DispatchStep, Dispatcher};
+
+impl Dispatcher {
+    pub(super) fn admit(
+        &mut self,
+        now: Instant,
+        request: AdmitRequest,
+        release: Option<ReleaseOrder>,
+    ) -> Vec<DispatchStep> {
+        let key = request.key.clone();
+        let Some(config) = self.config.clone() else {
+            let failure =
+                Failure::new(ErrorKind::NotReady, "no configuration is in force here yet");
+            return vec![DispatchStep::Refused { key, failure }];
+        };
+        let load = self.service_load(&request);
+        let limit = self.limits.queue_limit;
+        let mut steps = match check_admission(now, &config.text, &request, &load, limit) {
+            AdmissionCheck::Refuse(failure) => return vec![DispatchStep::Refused { key, failure }],
+            AdmissionCheck::Admit => Vec::new(),
+            AdmissionCheck::AdmitIfShed => match self.shed_for(&config, &request) {
+                Some(steps) => steps,
+                None => return vec![overloaded(key)],
+            },
+        };
+        self.insert(request);
+        match release {
+            Some(order) => steps.extend(self.release(now, &key, order)),
+            None => steps.push(DispatchStep::Admitted { key }),
+        }
+        steps
+    }
+
+    fn service_load(&self, request: &AdmitRequest) -> ServiceLoad {
+        let costs =
+            request.tasks.iter().map(|task| self.times.base_us(&request.service, task.declared));
+        let costs: Vec<f64> = costs.collect();
+        let team_tasks = self.team_tasks.get(&request.key.team).copied().unwrap_or(0);
+        ServiceLoad {
+            slots: self.workers.total_slots(&request.service),
+            waiting: self.waiting(),
+            waiting_us: self.queues.get(&request.service).map_or(0.0, FairQueue::cost_us),
+            longest_us: costs.iter().copied().fold(0.0, f64::max),
+            total_us: costs.iter().sum(),
+            sizes: self.workers.sizes(&request.service),
+            served: self.workers.served(),
+            team_tasks,
+        }
+    }
+
+    fn insert(&mut self, request: AdmitRequest) {
+        let slots = request.tasks.into_iter().map(|task| TaskSlot {
+            task,
+            phase: TaskPhase::Held,
+            number: 0,
+            retries: 0,
+            may_have_run: false,
+            sent_at: None,
+        });
+        let tasks: Vec<TaskSlot> = slots.collect();
+        let open = tasks.len();
+        self.held += open;
+        *self.team_tasks.entry(request.key.team.clone()).or_default() += open;
+        self.deadlines.insert((request.deadline, request.key.clone()));
+        let job = JobSlot {
+            service: request.service,
+            deadline: request.deadline,
+            idempotent: request.idempotent,
+            withdrawn: false,
+            order: None,
+            collection: None,
+            tasks,
+            open,
+        };
+        self.tasks.jobs.insert(request.key, job);
+    }
+
+    /// Makes room by giving up the newest waiting submissions of the team most
+    /// over its share; `None` when that team is the one that asks.
+    fn shed_for(
+        &mut self,
+        config: &ConfigInForce,
+        request: &AdmitRequest,
+    ) -> Option<Vec<DispatchStep>> {
+        let mut steps = Vec::new();
+        let team = &request.key.team;
+        let weight = config.text.teams.get(team).map_or(1, |text| text.weight);
+        while self.waiting() + request.tasks.len() > self.limits.queue_limit {
+            let queue = self.queues.get(&request.service)?;
+            let (most, load) = queue.most_over_share()?;
+            if most == *team || load <= queue.share_of(team, weight) {
+                return None;
+            }
+            let victim = self.sheddable(&request.service, &most)?;
+            for key in self.tasks.keys_where(&victim, TaskPhase::is_waiting) {
+                let detail = "shed: the queue is full and the team is over its share";
+                steps.extend(self.end_not_started(&key, ErrorKind::Overloaded, detail));
+            }
+        }
+        Some(steps)
+    }
+
+    /// The team's newest waiting submission, unless a task of it was sent.
+    fn sheddable(&self, service: &ServiceId, team: &TeamId) -> Option<JobKey> {
+        let newest = self.queues.get(service)?.newest_of(team)?;
+        let job = self.tasks.jobs.get(&newest.job)?;
+        job.tasks.iter().all(|slot| slot.phase.is_waiting()).then(|| newest.job.clone())
+    }
+
+    /// The submission is claimed: its tasks may be placed.
+    pub fn on_release(
+        &mut self,
+        now: Instant,
+        key: &JobKey,
+        order: ReleaseOrder,
+    ) -> Vec<DispatchStep> {
+        self.release(now, key, order)
+    }
+
+    fn release(&mut self, now: Instant, key: &JobKey, order: ReleaseOrder) -> Vec<DispatchStep> {
+        let Some(job) = self.tasks.jobs.get_mut(key) else { return Vec::new() };
+        let service = job.service.clone();
+        let takeover = order.takeover;
+        job.order = Some(order);
+        if let Some(budget) = self.budgets.get_mut(&service) {
+            budget.on_first_try();
+        }
+        match takeover {
+            Takeover::Fresh => {
+                for task in self.tasks.keys_where(key, |phase| *phase == TaskPhase::Held) {
+                    self.enqueue(&task);
+                }
+                self.place(now, &service)
+            }
+            Takeover::Collect { memory_lost } => self.start_collection(now, key, memory_lost),
+        }
+    }
+
+    /// Puts a task into its team's line.
+    pub(super) fn enqueue(&mut self, key: &TaskKey) {
+        let Some(job) = self.tasks.jobs.get_mut(&key.job) else { return };
+        let service = job.service.clone();
+        let Some(slot) = job.tasks.get_mut(key.task as usize) else { return };
+        if slot.phase == TaskPhase::Held {
+            self.held -= 1;
+        }
+        slot.phase = TaskPhase::Queued;
+        let cost_us = self.times.base_us(&service, slot.task.declared);
+        let weight = self.weight(&key.job.team);
+        let queue = self.queues.entry(service).or_default();
+        queue.push_back(weight, QueuedTask { key: key.clone(), cost_us });
+    }
+
+    fn weight(&self, team: &TeamId) -> u32 {
+        let config: Option<&Arc<ConfigInForce>> = self.config.as_ref();
+        config.and_then(|config| config.text.teams.get(team)).map_or(1, |text| text.weight)
+    }
+}
+
+fn overloaded(key: JobKey) -> DispatchStep {
+    let failure = Failure::new(ErrorKind::Overloaded, "the queue is full");
+    DispatchStep::Refused { key, failure }
+}
--- /dev/null
+++ b/crates/decisions/src/entry/job_tracker/ends.rs
@@ -0,0 +1,102 @@
+//! Ends of tasks and of submissions.
+
+use std::time::Instant;
+
+use model::{ErrorKind, Failure, JobAnswer, JobKey, TaskEnd, TaskKey, caller_answer};
+
+use super::answer::{build_answer, describe_end, ran_tasks};
+use super::job::{Job, JobPhase};
+use super::{FigureEvent, JobStep, JobTracker};
+
+impl JobTracker {
+    /// A task ended.
+    pub fn on_task_ended(&mut self, now: Instant, key: &TaskKey, end: TaskEnd) -> Vec<JobStep> {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return Vec::new() };
+        let takes_ends = job.phase_takes_ends();
+        let Some(slot) = job.ends.get_mut(key.task as usize) else { return Vec::new() };
+        if slot.is_some() || !takes_ends {
+            return Vec::new();
+        }
+        let line = format!("task {} {}", key.task, describe_end(&end));
+        let failed = !matches!(&end, TaskEnd::Ran { outcome, .. }
+            if matches!(outcome, model::TaskOutcome::Completed { .. }));
+        *slot = Some(end);
+        job.open -= 1;
+        job.note(now, line);
+        let mut steps = Vec::new();
+        if failed && job.open > 0 && !job.failing {
+            job.failing = true;
+            steps.push(JobStep::Withdraw { key: key.job.clone() });
+        }
+        if job.open == 0 {
+            steps.extend(self.on_all_ended(now, &key.job));
+        }
+        steps
+    }
+
+    fn on_all_ended(&mut self, now: Instant, key: &JobKey) -> Vec<JobStep> {
+        let Some(job) = self.jobs.get(key) else { return Vec::new() };
+        match job.phase {
+            JobPhase::Running => self.finish(now, key),
+            JobPhase::Elsewhere => {
+                let detail = "the deadline passed while another entry worked on the submission";
+                self.drop_refused(key, Failure::new(ErrorKind::DeadlinePassed, detail))
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// All tasks have ended: the answer is recorded, or given at once when the
+    /// ledger need not know it.
+    pub(super) fn finish(&mut self, now: Instant, key: &JobKey) -> Vec<JobStep> {
+        let owner = self.owner.clone();
+        let Some(job) = self.jobs.get_mut(key) else { return Vec::new() };
+        let ends: Vec<TaskEnd> = job.ends.iter().flatten().cloned().collect();
+        let answer = build_answer(&ends, job.cancelled);
+        if !job.durable {
+            return self.end(now, key, answer);
+        }
+        job.note(now, "recording the answer".to_owned());
+        let epoch = job.epoch;
+        let deadline = job.deadline;
+        job.phase = JobPhase::Recording { answer: answer.clone() };
+        self.set_timer(deadline.max(now), key);
+        vec![JobStep::Record { key: key.clone(), epoch, owner, answer }]
+    }
+
+    /// The answer stands: every waiting call gets it.
+    pub(super) fn end(&mut self, now: Instant, key: &JobKey, answer: JobAnswer) -> Vec<JobStep> {
+        let keep = self.limits.keep_ended;
+        let Some(job) = self.jobs.get_mut(key) else { return Vec::new() };
+        let mut steps = vec![JobStep::Figure(figure(now, key, job, &answer))];
+        let reply = caller_answer(answer.clone(), job.single);
+        let calls = job.take_waiters();
+        steps.extend(calls.into_iter().map(|call| JobStep::Answer { call, answer: reply.clone() }));
+        job.phase = JobPhase::Ended { answer };
+        if job.durable {
+            self.set_timer(now + keep, key);
+        } else {
+            self.jobs.swap_remove(key);
+        }
+        steps
+    }
+}
+
+fn figure(now: Instant, key: &JobKey, job: &Job, answer: &JobAnswer) -> FigureEvent {
+    let ends: Vec<TaskEnd> = job.ends.iter().flatten().cloned().collect();
+    let (tasks, ideal) = ran_tasks(&ends);
+    let failure = match answer {
+        JobAnswer::Complete { .. } => None,
+        JobAnswer::Failed { failure } => Some(failure.kind),
+    };
+    let response = now.saturating_duration_since(job.arrived);
+    let percent = response.as_secs_f64() / ideal.as_secs_f64().max(1e-6) * 100.0;
+    let slowdown_percent = (failure.is_none() && tasks > 0).then_some(percent as u64);
+    FigureEvent {
+        service: job.service.clone(),
+        team: key.team.clone(),
+        failure,
+        tasks,
+        slowdown_percent,
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/entry/job_tracker/intake.rs
@@ -0,0 +1,264 @@
+//! Arrival of requests and jobs: checks, attachment to a running submission,
+//! admission and refusal.
+
+use std::time::{Duration, Instant};
+
+use compact_str::{CompactString, format_compact};
+use model::{
+    AdmitRequest, AdmitTask, CallId, CallerAnswer, ErrorKind, Failure, Fingerprint, JobAnswer,
+    JobKey, JobOrder, Payload, Ran, ReleaseOrder, RequestIntake, ServiceText, SubmissionId,
+    Takeover, TaskSpec, WorkerSize, fingerprint, is_name,
+};
+
+use super::job::{Job, JobPhase, NewJob};
+use super::{FigureEvent, JobStep, JobTracker};
+
+/// Longest deadline; agents remember tasks for longer than this.
+const LONGEST_DEADLINE: Duration = Duration::from_secs(300);
+/// How long the ledger may take to say whether a refused submission ran.
+const PEEK_LIMIT: Duration = Duration::from_secs(2);
+
+impl JobTracker {
+    pub(super) fn on_request(
+        &mut self,
+        now: Instant,
+        call: CallId,
+        intake: RequestIntake,
+    ) -> Vec<JobStep> {
+        let service_text = match self.service_text(&intake.service) {
+            Ok(text) => text,
+            Err(failure) => return vec![refuse(call, failure)],
+        };
+        let (submission, durable) = match self.submission_of(&intake, &service_text) {
+            Ok(identity) => identity,
+            Err(failure) => return vec![refuse(call, failure)],
+        };
+        let key = JobKey { team: intake.team, submission };
+        let content = fingerprint([intake.service.as_bytes(), intake.payload.text().as_bytes()]);
+        let new = NewJob {
+            service: intake.service,
+            single: true,
+            durable,
+            idempotent: service_text.idempotent,
+            fingerprint: content,
+            deadline: deadline(now, intake.deadline, &service_text),
+            tasks: vec![single_task(intake.payload)],
+        };
+        self.submit(now, call, key, new, true)
+    }
+
+    /// The request's submission id, and whether the ledger must know it. A
+    /// request that may be repeated gets an id of its own, in a form that no
+    /// client can choose.
+    fn submission_of(
+        &mut self,
+        intake: &RequestIntake,
+        service_text: &ServiceText,
+    ) -> Result<(SubmissionId, bool), Failure> {
+        if service_text.idempotent {
+            self.next_request += 1;
+            let id = format_compact!("~{}~{}", self.owner.incarnation, self.next_request);
+            return Ok((id, false));
+        }
+        let Some(submission) = intake.submission.clone() else {
+            let detail = "requests of this service are not idempotent: send an Idempotency-Key";
+            return Err(Failure::new(ErrorKind::MissingKey, detail));
+        };
+        check_submission(&submission)?;
+        Ok((submission, true))
+    }
+
+    pub(super) fn on_job(
+        &mut self,
+        now: Instant,
+        call: CallId,
+        order: JobOrder,
+        wait: bool,
+    ) -> Vec<JobStep> {
+        let checked = self.check_job(&order).and_then(|()| self.service_text(&order.service));
+        let service_text = match checked {
+            Ok(text) => text,
+            Err(failure) => return vec![refuse(call, failure)],
+        };
+        let key = order.key();
+        let fingerprint = order.fingerprint();
+        let limit = order.deadline_ms.map(Duration::from_millis);
+        let new = NewJob {
+            service: order.service,
+            single: false,
+            durable: true,
+            idempotent: false,
+            fingerprint,
+            deadline: deadline(now, limit, &service_text),
+            tasks: order.tasks.into_iter().map(admit_task).collect(),
+        };
+        self.submit(now, call, key, new, wait)
+    }
+
+    fn check_job(&self, order: &JobOrder) -> Result<(), Failure> {
+        check_submission(&order.submission)?;
+        if order.tasks.is_empty() {
+            return Err(Failure::new(ErrorKind::MalformedRequest, "a job needs at least one task"));
+        }
+        if order.tasks.len() > self.limits.task_limit {
+            let detail = format!("{} tasks, at most {}", order.tasks.len(), self.limits.task_limit);
+            return Err(Failure::new(ErrorKind::TooManyTasks, detail));
+        }
+        Ok(())
+    }
+
+    fn service_text(&self, service: &CompactString) -> Result<ServiceText, Failure> {
+        let Some(config) = &self.config else {
+            let detail = "no configuration is in force here yet";
+            return Err(Failure::new(ErrorKind::NotReady, detail));
+        };
+        config.text.services.get(service).cloned().ok_or_else(|| {
+            let detail = format!("no service named {service} is declared");
+            Failure::new(ErrorKind::UnknownService, detail)
+        })
+    }
+
+    fn submit(
+        &mut self,
+        now: Instant,
+        call: CallId,
+        key: JobKey,
+        new: NewJob,
+        wait: bool,
+    ) -> Vec<JobStep> {
+        if let Some(steps) = self.attach(call, &key, new.fingerprint, wait) {
+            return steps;
+        }
+        let draining = self.draining;
+        let mut job = Job::new(now, new);
+        let waiters = if wait { &mut job.waiters } else { &mut job.accept_waiters };
+        waiters.push(call);
+        let request = AdmitRequest {
+            key: key.clone(),
+            service: job.service.clone(),
+            tasks: std::mem::take(&mut job.tasks),
+            deadline: job.deadline,
+            idempotent: job.idempotent,
+        };
+        let release = (!job.durable).then(|| self.unclaimed_release());
+        if !job.durable {
+            job.phase = JobPhase::Running;
+        }
+        self.jobs.insert(key.clone(), job);
+        if draining {
+            let failure = Failure::new(ErrorKind::ShuttingDown, "this entry is shutting down");
+            return self.on_refused(now, &key, failure);
+        }
+        vec![JobStep::Admit { request, release }]
+    }
+
+    fn unclaimed_release(&self) -> ReleaseOrder {
+        ReleaseOrder { epoch: 0, owner: self.owner.clone(), takeover: Takeover::Fresh }
+    }
+
+    /// Joins a call to the submission of the same key, if there is one that it
+    /// can join. A submission that surely did not run may be run anew.
+    fn attach(
+        &mut self,
+        call: CallId,
+        key: &JobKey,
+        fingerprint: Fingerprint,
+        wait: bool,
+    ) -> Option<Vec<JobStep>> {
+        let job = self.jobs.get_mut(key)?;
+        if job.fingerprint != fingerprint {
+            return Some(vec![refuse(call, conflict(key))]);
+        }
+        match &job.phase {
+            JobPhase::Ended { answer: JobAnswer::Failed { failure } }
+                if failure.ran() == Ran::No =>
+            {
+                None
+            }
+            JobPhase::Ended { answer } => {
+                let answer = model::caller_answer(answer.clone(), job.single);
+                Some(vec![JobStep::Answer { call, answer }])
+            }
+            JobPhase::Running | JobPhase::Recording { .. } if !wait => {
+                Some(vec![JobStep::Answer { call, answer: CallerAnswer::Accepted }])
+            }
+            _ => {
+                let waiters = if wait { &mut job.waiters } else { &mut job.accept_waiters };
+                waiters.push(call);
+                Some(Vec::new())
+            }
+        }
+    }
+
+    /// Dispatch let the submission in.
+    pub fn on_admitted(&mut self, now: Instant, key: &JobKey) -> Vec<JobStep> {
+        let Some(job) = self.jobs.get_mut(key) else { return Vec::new() };
+        job.note(now, "admitted".to_owned());
+        job.phase = JobPhase::Claiming;
+        vec![self.claim_step(key)]
+    }
+
+    /// Dispatch refused the submission. For a client-chosen id the ledger is
+    /// asked first: an earlier submission of the same id may have run.
+    pub fn on_refused(&mut self, now: Instant, key: &JobKey, failure: Failure) -> Vec<JobStep> {
+        let Some(job) = self.jobs.get_mut(key) else { return Vec::new() };
+        job.note(now, format!("refused: {}", failure.detail));
+        if !job.durable {
+            return self.drop_refused(key, failure);
+        }
+        job.phase = JobPhase::Peeking { failure };
+        let fingerprint = Some(job.fingerprint);
+        self.set_timer(now + PEEK_LIMIT, key);
+        vec![JobStep::Peek { key: key.clone(), fingerprint }]
+    }
+
+    /// Answers a refused submission and forgets it: nothing of it ran here.
+    pub(super) fn drop_refused(&mut self, key: &JobKey, failure: Failure) -> Vec<JobStep> {
+        let Some(mut job) = self.jobs.swap_remove(key) else { return Vec::new() };
+        let event = FigureEvent {
+            service: job.service.clone(),
+            team: key.team.clone(),
+            failure: Some(failure.kind),
+            tasks: 0,
+            slowdown_percent: None,
+        };
+        let mut steps = vec![JobStep::Figure(event)];
+        steps.extend(job.take_waiters().into_iter().map(|call| refuse(call, failure.clone())));
+        steps
+    }
+}
+
+pub(super) fn refuse(call: CallId, failure: Failure) -> JobStep {
+    JobStep::Answer { call, answer: CallerAnswer::Failed { failure } }
+}
+
+pub(super) fn conflict(key: &JobKey) -> Failure {
+    let detail = format!("submission {key} is in use with other content");
+    Failure::new(ErrorKind::SubmissionConflict, detail)
+}
+
+fn check_submission(submission: &SubmissionId) -> Result<(), Failure> {
+    if is_name(submission) {
+        return Ok(());
+    }
+    let detail = "a submission id has 1 to 64 letters, digits, '-', '_' or '.'";
+    Err(Failure::new(ErrorKind::MalformedRequest, detail))
+}
+
+fn deadline(now: Instant, wanted: Option<Duration>, service_text: &ServiceText) -> Instant {
+    now + wanted.unwrap_or_else(|| service_text.deadline()).min(LONGEST_DEADLINE)
+}
+
+fn single_task(payload: Payload) -> AdmitTask {
+    let size = WorkerSize { cores: 1, memory_mb: 0, accelerators: 0 };
+    AdmitTask { declared: None, size, payload }
+}
+
+fn admit_task(spec: TaskSpec) -> AdmitTask {
+    let TaskSpec { declared_ms, cores, memory_mb, accelerators, payload } = spec;
+    AdmitTask {
+        declared: declared_ms.map(|ms| Duration::from_millis(u64::from(ms))),
+        size: WorkerSize { cores, memory_mb, accelerators },
+        payload,
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/entry/job_tracker/ledger.rs
@@ -0,0 +1,237 @@
+//! What control's word means for a submission: claims, attachment to another
+//! entry's run, takeover, recording.
+
+use std::time::{Duration, Instant};
+
+use model::{
+    CallerAnswer, ClaimEpoch, ClaimOrder, CommandResult, ErrorKind, Failure, JobAnswer, JobKey,
+    LedgerWord, Ran, ReleaseOrder, Takeover, caller_answer,
+};
+
+use super::intake::{conflict, refuse};
+use super::job::JobPhase;
+use super::{JobStep, JobTracker, unknown_job};
+
+/// How often another entry's run is asked after.
+const ELSEWHERE_INTERVAL: Duration = Duration::from_millis(250);
+/// Delay before an unanswered command is sent again.
+const RESEND_DELAY: Duration = Duration::from_millis(100);
+
+impl JobTracker {
+    pub(super) fn claim_step(&self, key: &JobKey) -> JobStep {
+        let fingerprint = self.jobs.get(key).map_or(0, |job| job.fingerprint);
+        JobStep::Claim(ClaimOrder { key: key.clone(), fingerprint, owner: self.owner.clone() })
+    }
+
+    pub(super) fn claim_again(&mut self, now: Instant, key: &JobKey) -> Vec<JobStep> {
+        let Some(job) = self.jobs.get(key) else { return Vec::new() };
+        if now >= job.deadline {
+            let detail = "the ledger did not answer in time; this request started nothing";
+            return self.on_claim_hopeless(key, Failure::new(ErrorKind::LedgerUnavailable, detail));
+        }
+        vec![self.claim_step(key)]
+    }
+
+    /// Gives up on a claim: nothing was released, so nothing of it runs here.
+    fn on_claim_hopeless(&mut self, key: &JobKey, failure: Failure) -> Vec<JobStep> {
+        let mut steps = vec![JobStep::Withdraw { key: key.clone() }];
+        steps.extend(self.drop_refused(key, failure));
+        steps
+    }
+
+    /// Control's word on a claim, a question or a final answer.
+    pub fn on_ledger(&mut self, now: Instant, key: &JobKey, word: LedgerWord) -> Vec<JobStep> {
+        let mut steps = self.answer_lookups(key, &word);
+        let Some(job) = self.jobs.get(key) else { return steps };
+        steps.extend(match &job.phase {
+            JobPhase::Peeking { failure } => {
+                let failure = failure.clone();
+                self.on_peek_word(now, key, failure, word)
+            }
+            JobPhase::Claiming | JobPhase::Elsewhere => self.on_claim_word(now, key, word),
+            JobPhase::Recording { answer } => {
+                let answer = answer.clone();
+                self.on_record_word(now, key, answer, word)
+            }
+            JobPhase::Admitting | JobPhase::Running | JobPhase::Ended { .. } => Vec::new(),
+        });
+        steps
+    }
+
+    fn answer_lookups(&mut self, key: &JobKey, word: &LedgerWord) -> Vec<JobStep> {
+        let Some(calls) = self.lookups.swap_remove(key) else { return Vec::new() };
+        let answer = match word {
+            LedgerWord::Applied { result: CommandResult::Recorded { answer } } => {
+                caller_answer(answer.clone(), false)
+            }
+            LedgerWord::Applied { result: CommandResult::OwnedElsewhere { .. } } => {
+                CallerAnswer::InProgress { ended: 0, tasks: 0 }
+            }
+            LedgerWord::Applied { result: CommandResult::Expired } => {
+                CallerAnswer::Failed { failure: expired(key) }
+            }
+            LedgerWord::Applied { .. } => unknown_job(key),
+            LedgerWord::NotSent | LedgerWord::AnswerLost => {
+                CallerAnswer::Failed { failure: no_ledger() }
+            }
+        };
+        calls.into_iter().map(|call| JobStep::Answer { call, answer: answer.clone() }).collect()
+    }
+
+    /// The ledger's word on a submission that was refused here.
+    fn on_peek_word(
+        &mut self,
+        now: Instant,
+        key: &JobKey,
+        failure: Failure,
+        word: LedgerWord,
+    ) -> Vec<JobStep> {
+        match word {
+            LedgerWord::Applied { result: CommandResult::Recorded { answer } } => {
+                self.end(now, key, answer)
+            }
+            LedgerWord::Applied { result: CommandResult::OwnedElsewhere { owner } } => {
+                let detail = format!("an earlier submission of this id is in progress at {owner}");
+                self.drop_refused(key, Failure::new(ErrorKind::OutcomeUnknown, detail))
+            }
+            LedgerWord::Applied { result: CommandResult::ContentConflict } => {
+                self.drop_refused(key, conflict(key))
+            }
+            LedgerWord::Applied { result: CommandResult::Expired } => {
+                self.drop_refused(key, expired(key))
+            }
+            LedgerWord::Applied { .. } => self.drop_refused(key, failure),
+            LedgerWord::NotSent | LedgerWord::AnswerLost => self.drop_refused(key, no_ledger()),
+        }
+    }
+
+    pub(super) fn on_peek_late(&mut self, key: &JobKey) -> Vec<JobStep> {
+        self.drop_refused(key, no_ledger())
+    }
+
+    fn on_claim_word(&mut self, now: Instant, key: &JobKey, word: LedgerWord) -> Vec<JobStep> {
+        match word {
+            LedgerWord::Applied { result } => self.on_claim_result(now, key, result),
+            LedgerWord::NotSent => self.on_claim_hopeless(key, no_ledger()),
+            LedgerWord::AnswerLost => {
+                self.set_timer(now + RESEND_DELAY, key);
+                Vec::new()
+            }
+        }
+    }
+
+    fn on_claim_result(
+        &mut self,
+        now: Instant,
+        key: &JobKey,
+        result: CommandResult,
+    ) -> Vec<JobStep> {
+        match result {
+            CommandResult::Claimed { epoch, takeover } => {
+                self.on_claimed(now, key, epoch, takeover)
+            }
+            CommandResult::OwnedElsewhere { owner } => {
+                let Some(job) = self.jobs.get_mut(key) else { return Vec::new() };
+                job.note(now, format!("owned by {owner}; waiting for its answer"));
+                job.phase = JobPhase::Elsewhere;
+                self.set_timer(now + ELSEWHERE_INTERVAL, key);
+                Vec::new()
+            }
+            CommandResult::Recorded { answer } => {
+                let mut steps = vec![JobStep::Withdraw { key: key.clone() }];
+                steps.extend(self.end(now, key, answer));
+                steps
+            }
+            CommandResult::ContentConflict => self.on_claim_hopeless(key, conflict(key)),
+            CommandResult::Expired => self.on_claim_hopeless(key, expired(key)),
+            _ => self.on_claim_hopeless(key, no_ledger()),
+        }
+    }
+
+    fn on_claimed(
+        &mut self,
+        now: Instant,
+        key: &JobKey,
+        epoch: ClaimEpoch,
+        takeover: Takeover,
+    ) -> Vec<JobStep> {
+        let owner = self.owner.clone();
+        let Some(job) = self.jobs.get_mut(key) else { return Vec::new() };
+        job.epoch = epoch;
+        job.phase = JobPhase::Running;
+        job.note(now, format!("claimed, epoch {epoch}, {takeover:?}"));
+        let accepted = std::mem::take(&mut job.accept_waiters);
+        let answer = CallerAnswer::Accepted;
+        let mut steps: Vec<JobStep> = accepted
+            .into_iter()
+            .map(|call| JobStep::Answer { call, answer: answer.clone() })
+            .collect();
+        if job.open == 0 {
+            steps.extend(self.finish(now, key));
+            return steps;
+        }
+        let order = ReleaseOrder { epoch, owner, takeover };
+        steps.push(JobStep::Release { key: key.clone(), order });
+        steps
+    }
+
+    fn on_record_word(
+        &mut self,
+        now: Instant,
+        key: &JobKey,
+        answer: JobAnswer,
+        word: LedgerWord,
+    ) -> Vec<JobStep> {
+        match word {
+            LedgerWord::Applied { result: CommandResult::Done } => self.end(now, key, answer),
+            LedgerWord::Applied { result: CommandResult::Recorded { answer } } => {
+                self.end(now, key, answer)
+            }
+            LedgerWord::Applied { .. } => {
+                let detail = "another entry has taken the submission over";
+                self.abandon(now, key, Failure::new(ErrorKind::OutcomeUnknown, detail))
+            }
+            LedgerWord::NotSent | LedgerWord::AnswerLost => {
+                self.set_timer(now + RESEND_DELAY, key);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Sends the record again. Callers are not kept past their deadline, but
+    /// the answer is recorded all the same.
+    pub(super) fn record_again(&mut self, now: Instant, key: &JobKey) -> Vec<JobStep> {
+        let owner = self.owner.clone();
+        let Some(job) = self.jobs.get_mut(key) else { return Vec::new() };
+        let JobPhase::Recording { answer } = &job.phase else { return Vec::new() };
+        let record =
+            JobStep::Record { key: key.clone(), epoch: job.epoch, owner, answer: answer.clone() };
+        let mut steps = vec![record];
+        if now >= job.deadline {
+            let detail = "the answer could not be recorded in time; ask again with the same id";
+            let failure = Failure::new(ErrorKind::OutcomeUnknown, detail);
+            steps.extend(job.take_waiters().into_iter().map(|call| refuse(call, failure.clone())));
+        }
+        steps
+    }
+
+    /// Ends a submission that is no longer this entry's to finish, and forgets
+    /// it: the ledger knows better.
+    pub(super) fn abandon(&mut self, now: Instant, key: &JobKey, failure: Failure) -> Vec<JobStep> {
+        debug_assert_ne!(failure.ran(), Ran::No, "an abandoned submission proves nothing");
+        let steps = self.end(now, key, JobAnswer::Failed { failure });
+        self.jobs.swap_remove(key);
+        steps
+    }
+}
+
+fn expired(key: &JobKey) -> Failure {
+    let detail = format!("submission {key} is older than the retention window");
+    Failure::new(ErrorKind::SubmissionExpired, detail)
+}
+
+fn no_ledger() -> Failure {
+    let detail =
+        "the ledger can't be reached; this request started nothing: send it again with the same id";
+    Failure::new(ErrorKind::LedgerUnavailable, detail)
+}
--- /dev/null
+++ b/crates/decisions/src/entry/mod.rs
@@ -0,0 +1,22 @@
+//! An entry's decisions: admission, fair queueing, placement, retries and the
+//! tracking of jobs.
+
+mod admission;
+mod dispatcher;
+mod fair_queue;
+mod job_tracker;
+mod placement;
+mod retry_budget;
+mod run_times;
+mod task_table;
+mod worker_health;
+mod worker_table;
+
+pub use admission::{AdmissionCheck, ServiceLoad, check_admission};
+pub use dispatcher::{DispatchLimits, DispatchStep, Dispatcher};
+pub use fair_queue::{FairQueue, QueuedTask};
+pub use job_tracker::{FigureEvent, JobStep, JobTracker, TrackerLimits};
+pub use placement::{Candidate, Chooser, Placement};
+pub use retry_budget::{RetryBudget, backoff_delay};
+pub use run_times::RunTimes;
+pub use worker_health::{HealthBook, HealthChange};
--- /dev/null
+++ b/crates/edges/src/agent_link.rs
@@ -0,0 +1,304 @@
+//! One link from an entry to one agent: connect, watch, carry calls, notice
+//! silence.
+//!
+//! Invariants:
+//! - a link on which nothing is heard is asked for a sign of life; without one
+//!   the connection ends, and with it every call that was open on it;
+//! - a link in use is never asked: its answers are signs of life;
+//! - each job's reserved room is used exactly once.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jsonrpsee::core::ClientError;
+use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
+use kernel::{Reservation, RingSender};
+use model::{
+    AgentWatch, DispatchMessage, LinkEvent, MessageKind, NodeId, ProcessCounters, RecallOrder,
+    StartOrder, TaskQuestion, TaskReport, WorkerId,
+};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+
+use crate::agent_links::report;
+use crate::peer_api::{AgentApiClient, MOST_MESSAGE_BYTES, NOT_TAKEN};
+
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+/// How long an agent may take to give a sign of life.
+const SIGN_LIMIT: Duration = Duration::from_millis(1_000);
+/// How long an agent waits for news before it answers a watch all the same.
+const WATCH_WAIT: Duration = Duration::from_secs(30);
+/// How long ended calls may take to report after the connection is gone.
+const LAST_REPORTS: Duration = Duration::from_secs(1);
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+const MOST_CALLS: usize = 65_536;
+/// A call's own limit is its task's deadline; this only bounds what a client
+/// library keeps.
+const LONGEST_CALL: Duration = Duration::from_secs(600);
+const FULL_RING_PAUSE: Duration = Duration::from_millis(5);
+
+/// How a link behaves; changes with the configuration.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LinkPlan {
+    /// How long a link may be quiet before it is asked for a sign of life.
+    pub(crate) interval: Duration,
+}
+
+/// What a link is asked to do.
+pub(crate) enum LinkJob {
+    Start { order: Box<StartOrder>, reply: Reservation<DispatchMessage> },
+    Attach { question: TaskQuestion, reply: Reservation<DispatchMessage> },
+    Recall { order: RecallOrder, reply: Reservation<DispatchMessage> },
+}
+
+impl LinkJob {
+    /// Reports that no answer came; `sent` says whether the message may have
+    /// left.
+    pub(crate) fn give_up(self, worker: &WorkerId, sent: bool) {
+        match self {
+            LinkJob::Start { order, reply } => {
+                let StartOrder { key, attempt, .. } = *order;
+                report(reply, worker, LinkEvent::CallLost { key, attempt, sent });
+            }
+            LinkJob::Attach { question, reply } => {
+                // A question that was not sent leaves its task in doubt all the same.
+                let TaskQuestion { key, attempt } = question;
+                report(reply, worker, LinkEvent::CallLost { key, attempt, sent: true });
+            }
+            LinkJob::Recall { order, reply } => {
+                report(reply, worker, LinkEvent::RecallLost { questions: order.questions });
+            }
+        }
+    }
+}
+
+pub(crate) struct LinkTask {
+    pub(crate) entry: NodeId,
+    pub(crate) worker: WorkerId,
+    pub(crate) address: SocketAddr,
+    pub(crate) counters: ProcessCounters,
+    pub(crate) dispatch: RingSender<DispatchMessage>,
+    pub(crate) queue: mpsc::Receiver<LinkJob>,
+    pub(crate) plans: watch::Receiver<LinkPlan>,
+}
+
+impl LinkTask {
+    /// Keeps the link open until the task is aborted.
+    pub(crate) async fn run(mut self) {
+        let mut pause = FIRST_PAUSE;
+        loop {
+            if let Some(client) = self.connect().await {
+                pause = FIRST_PAUSE;
+                self.use_connection(client).await;
+            }
+            self.tell(LinkEvent::Silent).await;
+            self.refuse_jobs_for(pause).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
+        }
+    }
+
+    async fn connect(&mut self) -> Option<Arc<WsClient>> {
+        let builder = WsClientBuilder::default()
+            .connection_timeout(CONNECT_LIMIT)
+            .request_timeout(LONGEST_CALL)
+            .max_concurrent_requests(MOST_CALLS)
+            .max_request_size(MOST_MESSAGE_BYTES)
+            .max_response_size(MOST_MESSAGE_BYTES);
+        let connecting = builder.build(format!("ws://{}", self.address));
+        tokio::pin!(connecting);
+        loop {
+            tokio::select! {
+                connected = &mut connecting => return connected.ok().map(Arc::new),
+                Some(job) = self.queue.recv() => job.give_up(&self.worker, false),
+            }
+        }
+    }
+
+    /// Carries calls until the agent gives no sign of life any more.
+    async fn use_connection(&mut self, client: Arc<WsClient>) {
+        let heard = LastHeard::new();
+        let mut calls = JoinSet::new();
+        let watching = self.watch_agent(Arc::clone(&client), heard.clone());
+        let checking = self.check_life(Arc::clone(&client), heard.clone());
+        tokio::pin!(watching, checking);
+        loop {
+            tokio::select! {
+                () = &mut watching => break,
+                () = &mut checking => break,
+                Some(job) = self.queue.recv() => {
+                    let worker = self.worker.clone();
+                    calls.spawn_local(carry(Arc::clone(&client), heard.clone(), worker, job));
+                }
+                Some(_ended) = calls.join_next() => {}
+            }
+        }
+        // Without the connection every open call ends with an error of its own.
+        drop(client);
+        let ending = async { while calls.join_next().await.is_some() {} };
+        let _late = tokio::time::timeout(LAST_REPORTS, ending).await;
+        calls.detach_all();
+    }
+
+    /// Asks the agent for news again and again; returns when the connection
+    /// ends.
+    fn watch_agent(
+        &self,
+        client: Arc<WsClient>,
+        heard: LastHeard,
+    ) -> impl Future<Output = ()> + use<> {
+        let (entry, worker) = (self.entry.clone(), self.worker.clone());
+        let (dispatch, counters) = (self.dispatch.clone(), self.counters.clone());
+        async move {
+            let mut version = 0;
+            loop {
+                let wait_ms = WATCH_WAIT.as_millis() as u64;
+                let watch = AgentWatch { entry: entry.clone(), version, wait_ms };
+                let Ok(view) = client.watch(watch).await else { return };
+                heard.note();
+                if view.version == version {
+                    counters.count_exchange(MessageKind::Heartbeat);
+                }
+                version = view.version;
+                tell(&dispatch, &worker, LinkEvent::View { view }).await;
+            }
+        }
+    }
+
+    /// Asks for a sign of life whenever the link has been quiet; returns when
+    /// none comes.
+    fn check_life(
+        &self,
+        client: Arc<WsClient>,
+        heard: LastHeard,
+    ) -> impl Future<Output = ()> + use<> {
+        let (entry, plans) = (self.entry.clone(), self.plans.clone());
+        let counters = self.counters.clone();
+        async move {
+            loop {
+                let quiet_at = heard.at() + plans.borrow().interval;
+                tokio::time::sleep_until(quiet_at).await;
+                if heard.at() + plans.borrow().interval > tokio::time::Instant::now() {
+                    continue;
+                }
+                counters.count_exchange(MessageKind::Heartbeat);
+                let watch = AgentWatch { entry: entry.clone(), version: 0, wait_ms: 0 };
+                let sign = tokio::time::timeout(SIGN_LIMIT, client.watch(watch)).await;
+                if !matches!(sign, Ok(Ok(_))) {
+                    return;
+                }
+                heard.note();
+            }
+        }
+    }
+
+    async fn refuse_jobs_for(&mut self, pause: Duration) {
+        let over = tokio::time::sleep(pause);
+        tokio::pin!(over);
+        loop {
+            tokio::select! {
+                () = &mut over => return,
+                Some(job) = self.queue.recv() => job.give_up(&self.worker, false),
+            }
+        }
+    }
+
+    async fn tell(&self, event: LinkEvent) {
+        tell(&self.dispatch, &self.worker, event).await;
+    }
+}
+
+/// Tells dispatch, waiting while its ring is full: an event of a link must not
+/// be lost.
+async fn tell(dispatch: &RingSender<DispatchMessage>, worker: &WorkerId, event: LinkEvent) {
+    let mut message = DispatchMessage::Link { worker: worker.clone(), event };
+    loop {
+        match dispatch.push(message) {
+            Ok(()) | Err(kernel::PushError::Closed { .. }) => return,
+            Err(kernel::PushError::Full { message: refused }) => {
+                message = refused;
+                tokio::time::sleep(FULL_RING_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// When anything was last heard on a connection.
+#[derive(Clone)]
+struct LastHeard {
+    at: Rc<Cell<tokio::time::Instant>>,
+}
+
+impl LastHeard {
+    fn new() -> LastHeard {
+        LastHeard { at: Rc::new(Cell::new(tokio::time::Instant::now())) }
+    }
+
+    fn note(&self) {
+        self.at.set(tokio::time::Instant::now());
+    }
+
+    fn note_if(&self, answered: bool) {
+        if answered {
+            self.note();
+        }
+    }
+
+    fn at(&self) -> tokio::time::Instant {
+        self.at.get()
+    }
+}
+
+/// Carries one job and reports its answer, or that none came.
+async fn carry(client: Arc<WsClient>, heard: LastHeard, worker: WorkerId, job: LinkJob) {
+    match job {
+        LinkJob::Start { order, reply } => {
+            let TaskQuestion { key, attempt } =
+                TaskQuestion { key: order.key.clone(), attempt: order.attempt };
+            let answer = client.start(*order).await;
+            drop(client);
+            heard.note_if(answer.is_ok());
+            report(reply, &worker, report_event(key, attempt, answer));
+        }
+        LinkJob::Attach { question, reply } => {
+            let TaskQuestion { key, attempt } = question.clone();
+            let answer = client.attach(question).await;
+            drop(client);
+            heard.note_if(answer.is_ok());
+            let event = match answer {
+                Ok(answer) => LinkEvent::Report { report: answer },
+                Err(_) => LinkEvent::CallLost { key, attempt, sent: true },
+            };
+            report(reply, &worker, event);
+        }
+        LinkJob::Recall { order, reply } => {
+            let questions = order.questions.clone();
+            let answer = client.recall(order).await;
+            drop(client);
+            heard.note_if(answer.is_ok());
+            let event = match answer {
+                Ok(fates) => LinkEvent::Recalled { fates },
+                Err(_) => LinkEvent::RecallLost { questions },
+            };
+            report(reply, &worker, event);
+        }
+    }
+}
+
+fn report_event(
+    key: model::TaskKey,
+    attempt: model::AttemptId,
+    answer: Result<TaskReport, ClientError>,
+) -> LinkEvent {
+    match answer {
+        Ok(report) => LinkEvent::Report { report },
+        Err(ClientError::Call(error)) if error.code() == NOT_TAKEN => {
+            LinkEvent::CallLost { key, attempt, sent: false }
+        }
+        Err(_) => LinkEvent::CallLost { key, attempt, sent: true },
+    }
+}
--- /dev/null
+++ b/crates/edges/src/announce_routes.rs
@@ -0,0 +1,85 @@
+//! The HTTP routes that backend servers use to announce themselves to the
+//! agent beside them.
+
+use kernel::RingSender;
+use model::{Announcement, ErrorKind, Failure, LeaveNotice, Problem, StartMessage, is_name};
+use serde::de::DeserializeOwned;
+use warp::http::StatusCode;
+use warp::hyper::body::Bytes;
+use warp::reply::Response;
+use warp::{Filter, Reply};
+
+use crate::backend_edge::BackendEdge;
+use crate::metrics;
+
+/// Largest announcement in bytes.
+const MOST_BYTES: usize = 16 * 1024;
+
+/// All routes of an agent's announcement server.
+pub(crate) fn announce_routes(
+    starts: RingSender<StartMessage>,
+    edge: BackendEdge,
+) -> warp::filters::BoxedFilter<(Response,)> {
+    let announce_starts = starts.clone();
+    let announce = warp::path!("v1" / "announce")
+        .and(warp::post())
+        .and(warp::body::bytes())
+        .map(move |body: Bytes| hand_on(&announce_starts, read_announcement(&body)));
+    let leave = warp::path!("v1" / "leave")
+        .and(warp::post())
+        .and(warp::body::bytes())
+        .map(move |body: Bytes| hand_on(&starts, read_leave(&body)));
+    let health = warp::path!("healthz").and(warp::get()).map(|| "ok\n".into_response());
+    let stop = edge.stop.clone();
+    let ready = warp::path!("readyz").and(warp::get()).map(move || match stop.is_raised() {
+        true => problem(&Failure::new(ErrorKind::ShuttingDown, "draining")),
+        false => "ready\n".into_response(),
+    });
+    let metrics = warp::path!("metrics")
+        .and(warp::get())
+        .map(move || metrics::render(&edge.counters).into_response());
+    announce.or(leave).unify().or(health).unify().or(ready).unify().or(metrics).unify().boxed()
+}
+
+fn hand_on(starts: &RingSender<StartMessage>, read: Result<StartMessage, Failure>) -> Response {
+    let sent = read.and_then(|message| {
+        starts.push(message).map_err(|_| Failure::new(ErrorKind::Overloaded, "no room; repeat it"))
+    });
+    match sent {
+        Ok(()) => StatusCode::NO_CONTENT.into_response(),
+        Err(failure) => problem(&failure),
+    }
+}
+
+fn read_announcement(body: &Bytes) -> Result<StartMessage, Failure> {
+    let announcement: Announcement = read(body)?;
+    if !is_name(&announcement.service) {
+        return Err(unreadable("service: 1 to 64 letters, digits, '-', '_' or '.'"));
+    }
+    if announcement.slots == 0 || announcement.connections == 0 {
+        return Err(unreadable("slots and connections must be above zero"));
+    }
+    Ok(StartMessage::Announced { announcement })
+}
+
+fn read_leave(body: &Bytes) -> Result<StartMessage, Failure> {
+    let notice: LeaveNotice = read(body)?;
+    Ok(StartMessage::Leaving { address: notice.address })
+}
+
+fn read<T: DeserializeOwned>(body: &Bytes) -> Result<T, Failure> {
+    if body.len() > MOST_BYTES {
+        return Err(Failure::new(ErrorKind::BodyTooLarge, "an announcement has 16 KiB at most"));
+    }
+    serde_json::from_slice(body).map_err(|error| unreadable(&error.to_string()))
+}
+
+fn unreadable(detail: &str) -> Failure {
+    Failure::new(ErrorKind::MalformedRequest, detail)
+}
+
+fn problem(failure: &Failure) -> Response {
+    let problem = Problem::from(failure);
+    let status = StatusCode::from_u16(problem.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    warp::reply::with_status(warp::reply::json(&problem), status).into_response()
+}
--- /dev/null
+++ b/crates/edges/src/control_edge.rs
@@ -0,0 +1,99 @@
+//! The RPC server of a control host.
+
+use jsonrpsee::core::{RpcResult, async_trait};
+use jsonrpsee::server::{Server, ServerConfig};
+use kernel::{Registry, Reservation, RingReceiver, RingSender};
+use model::{
+    CallId, Command, ControlQuery, ControlReply, ControlReplyBody, LogMessage, MembershipMessage,
+    NodeWatch, ReplicaEnvelope, ServiceName,
+};
+
+use crate::call_book::CallBook;
+use crate::edge_runtime::block_on;
+use crate::peer_api::{ControlApiServer, MOST_MESSAGE_BYTES, not_taken};
+
+/// Nodes, operators and replicas that may be connected at a time.
+const MOST_CONNECTIONS: u32 = 4_096;
+
+struct ControlDesk {
+    calls: CallBook<ControlReplyBody>,
+    own: RingSender<ControlReply>,
+    replicated: RingSender<LogMessage>,
+    membership: RingSender<MembershipMessage>,
+}
+
+impl ControlDesk {
+    async fn ask(
+        &self,
+        send: impl FnOnce(CallId, Reservation<ControlReply>) -> bool,
+    ) -> RpcResult<ControlReplyBody> {
+        let open = self.calls.open();
+        let reply = self.own.reserve().ok_or_else(not_taken)?;
+        if !send(open.call, reply) {
+            return Err(not_taken());
+        }
+        Ok(open.wait().await.unwrap_or(ControlReplyBody::Unknown))
+    }
+}
+
+#[async_trait]
+impl ControlApiServer for ControlDesk {
+    async fn watch(&self, watch: NodeWatch) -> RpcResult<ControlReplyBody> {
+        let watch = Box::new(watch);
+        let send = |call, reply| {
+            self.membership.push(MembershipMessage::Watch { call, watch, reply }).is_ok()
+        };
+        self.ask(send).await
+    }
+
+    async fn propose(&self, commands: Vec<Command>) -> RpcResult<ControlReplyBody> {
+        let send = |call, reply| {
+            self.replicated.push(LogMessage::Propose { call, commands, reply }).is_ok()
+        };
+        self.ask(send).await
+    }
+
+    async fn query(&self, query: ControlQuery) -> RpcResult<ControlReplyBody> {
+        let send =
+            |call, reply| self.replicated.push(LogMessage::Query { call, query, reply }).is_ok();
+        self.ask(send).await
+    }
+
+    async fn replica(&self, envelope: ReplicaEnvelope) -> RpcResult<()> {
+        let envelope = Box::new(envelope);
+        self.replicated.push(LogMessage::Replica { envelope }).map_err(|_| not_taken())
+    }
+}
+
+/// Runs the duty until its ring is closed.
+///
+/// # Panics
+/// When a service that it needs is not registered, or the listener is not
+/// usable.
+pub fn run(
+    ring: &RingReceiver<ControlReply>,
+    registry: &Registry<ServiceName>,
+    listener: std::net::TcpListener,
+) {
+    let calls = CallBook::default();
+    let desk = ControlDesk {
+        calls: calls.clone(),
+        own: registry.find(ServiceName::ControlEdge).expect("the control edge is registered"),
+        replicated: registry.find(ServiceName::ReplicatedLog).expect("the log is registered"),
+        membership: registry.find(ServiceName::Membership).expect("membership is registered"),
+    };
+    block_on(async move {
+        let config = ServerConfig::builder()
+            .max_connections(MOST_CONNECTIONS)
+            .max_request_body_size(MOST_MESSAGE_BYTES)
+            .max_response_body_size(MOST_MESSAGE_BYTES)
+            .build();
+        let server = Server::builder().set_config(config).build_from_tcp(listener);
+        let handle = server.expect("the listener is non-blocking").start(desk.into_rpc());
+        while let Some(reply) = ring.next().await {
+            calls.answer(reply.call, reply.body);
+        }
+        // A server that is stopped already needs no stopping.
+        let _stopped = handle.stop();
+    });
+}
--- a/crates/edges/src/lib.rs
+++ b/crates/edges/src/lib.rs
@@ -1,1 +1,31 @@
-//! x
+//! The edges of a process: callers, peers, backend servers, control, logs and
+//! metrics. All encoding of messages is here, and so are the only traits
+//! besides the clock.
+//!
+//! Invariants:
+//! - each edge runs one current-thread runtime on its own duty thread;
+//! - a message is checked and decoded here before a service sees it;
+//! - every call that is let in has its room for the answer reserved.
+
+pub mod agent_edge;
+pub mod agent_links;
+pub mod backend_edge;
+pub mod caller_edge;
+pub mod control_edge;
+pub mod control_link;
+pub mod log_writer;
+pub mod metrics;
+
+mod agent_link;
+mod announce_routes;
+mod call_book;
+mod caller_routes;
+mod edge_error;
+mod edge_runtime;
+mod ledger_batches;
+mod peer_api;
+mod view_merge;
+
+pub use call_book::CallBook;
+pub use edge_error::EdgeError;
+pub use peer_api::{AgentApiClient, AgentApiServer, ControlApiClient, ControlApiServer};
--- /dev/null
+++ b/crates/edges/src/log_writer.rs
@@ -0,0 +1,67 @@
+//! The duty that writes log lines, so that nothing else waits on the disk.
+
+use kernel::{Popped, RingReceiver};
+use log::LevelFilter;
+use log4rs::Config;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::append::file::FileAppender;
+use log4rs::config::{Appender, Root};
+use log4rs::encode::pattern::PatternEncoder;
+use model::{LineLevel, LogLine, LogSettings};
+
+use crate::edge_error::EdgeError;
+
+const PATTERN: &str = "time={d(%Y-%m-%dT%H:%M:%S%.6fZ)(utc)} level={l} {m}{n}";
+const APPENDER: &str = "lines";
+
+/// Opens the log once for the whole process; a later call changes nothing.
+///
+/// # Errors
+/// When the file can't be opened.
+pub fn open_log(settings: &LogSettings) -> Result<(), EdgeError> {
+    let encoder = Box::new(PatternEncoder::new(PATTERN));
+    let appender: Box<dyn log4rs::append::Append> = match &settings.file {
+        Some(path) => {
+            let file = FileAppender::builder().encoder(encoder).build(path);
+            Box::new(file.map_err(|error| EdgeError::Log { reason: format!("{path}: {error}") })?)
+        }
+        None => {
+            Box::new(ConsoleAppender::builder().encoder(encoder).target(Target::Stderr).build())
+        }
+    };
+    let root = Root::builder().appender(APPENDER).build(level(&settings.level));
+    let config = Config::builder()
+        .appender(Appender::builder().build(APPENDER, appender))
+        .build(root)
+        .map_err(|error| EdgeError::Log { reason: error.to_string() })?;
+    // Tests and `try` assemble several roles in one process; the first opens the log.
+    let _already_open = log4rs::init_config(config);
+    Ok(())
+}
+
+fn level(name: &str) -> LevelFilter {
+    name.parse().unwrap_or(LevelFilter::Info)
+}
+
+/// Runs the duty until its ring is closed.
+pub fn run(ring: &RingReceiver<LogLine>) {
+    loop {
+        match ring.pop(None) {
+            Popped::Message(line) => write(&line),
+            Popped::DeadlinePassed => {}
+            Popped::Closed => {
+                log::logger().flush();
+                return;
+            }
+        }
+    }
+}
+
+fn write(line: &LogLine) {
+    match line.level {
+        LineLevel::Error => log::error!("{}", line.text),
+        LineLevel::Warn => log::warn!("{}", line.text),
+        LineLevel::Info => log::info!("{}", line.text),
+        LineLevel::Debug => log::debug!("{}", line.text),
+    }
+}
--- /dev/null
+++ b/crates/edges/src/metrics.rs
@@ -0,0 +1,52 @@
+//! Owns the metrics page.
+
+use model::{ErrorKind, MessageKind, ProcessCounters};
+use prometheus::{Encoder, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use strum::IntoEnumIterator;
+
+/// The counters of a process in the Prometheus text format.
+pub fn render(counters: &ProcessCounters) -> String {
+    let registry = Registry::new();
+    let filled = fill(&registry, counters);
+    let mut page = Vec::new();
+    let encoded = TextEncoder::new().encode(&registry.gather(), &mut page);
+    match filled.and(encoded) {
+        Ok(()) => String::from_utf8(page).unwrap_or_default(),
+        Err(error) => format!("# metrics failed: {error}\n"),
+    }
+}
+
+fn fill(registry: &Registry, counters: &ProcessCounters) -> prometheus::Result<()> {
+    let messages = counter(registry, "cactuswing_messages_total", "Messages by kind", "kind")?;
+    for kind in MessageKind::iter() {
+        messages.with_label_values(&[<&str>::from(kind)]).inc_by(counters.messages(kind));
+    }
+    let failures =
+        counter(registry, "cactuswing_failed_answers_total", "Failures by kind", "kind")?;
+    for kind in ErrorKind::iter() {
+        failures.with_label_values(&[<&str>::from(kind)]).inc_by(counters.failures(kind));
+    }
+    gauge(registry, "cactuswing_whole_answers", "Whole answers so far", counters.completed())?;
+    gauge(registry, "cactuswing_waiting_tasks", "Tasks that wait", counters.waiting())?;
+    gauge(registry, "cactuswing_in_progress", "Work in progress", counters.in_progress())?;
+    gauge(registry, "cactuswing_known_slots", "Slots known to take work", counters.slots())?;
+    let dropped = counters.dropped_lines();
+    gauge(registry, "cactuswing_dropped_log_lines", "Log lines without room", dropped)
+}
+
+fn counter(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    label: &str,
+) -> prometheus::Result<IntCounterVec> {
+    let counter = IntCounterVec::new(Opts::new(name, help), &[label])?;
+    registry.register(Box::new(counter.clone()))?;
+    Ok(counter)
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str, value: u64) -> prometheus::Result<()> {
+    let gauge = IntGauge::new(name, help)?;
+    gauge.set(value as i64);
+    registry.register(Box::new(gauge))
+}
--- /dev/null
+++ b/crates/edges/src/peer_api.rs
@@ -0,0 +1,60 @@
+//! Owns the protocol between the processes: JSON-RPC over WebSocket.
+
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::proc_macros::rpc;
+use jsonrpsee::types::ErrorObjectOwned;
+use model::{
+    AgentView, AgentWatch, Command, ControlQuery, ControlReplyBody, NodeWatch, RecallFate,
+    RecallOrder, ReplicaEnvelope, StartOrder, TaskQuestion, TaskReport,
+};
+
+/// Largest message between processes, in bytes.
+pub(crate) const MOST_MESSAGE_BYTES: u32 = 32 * 1024 * 1024;
+/// Code of an answer that says: the message was not taken, nothing was done.
+pub(crate) const NOT_TAKEN: i32 = -32_050;
+
+/// What agents offer to entries.
+#[rpc(client, server, namespace = "agent")]
+pub trait AgentApi {
+    /// Starts a task; answers when it ended or surely did not start.
+    #[method(name = "start")]
+    async fn start(&self, order: StartOrder) -> RpcResult<TaskReport>;
+
+    /// Asks for a task's end. When it did not start, it never will.
+    #[method(name = "attach")]
+    async fn attach(&self, question: TaskQuestion) -> RpcResult<TaskReport>;
+
+    /// Takes back tasks that have not started.
+    #[method(name = "recall")]
+    async fn recall(&self, order: RecallOrder) -> RpcResult<Vec<RecallFate>>;
+
+    /// Answers when there is news, or after the asked time.
+    #[method(name = "watch")]
+    async fn watch(&self, watch: AgentWatch) -> RpcResult<AgentView>;
+}
+
+/// What control hosts offer to nodes, operators and each other.
+#[rpc(client, server, namespace = "control")]
+pub trait ControlApi {
+    /// Renews a lease and answers when there is news, or in time for the next
+    /// renewal.
+    #[method(name = "watch")]
+    async fn watch(&self, watch: NodeWatch) -> RpcResult<ControlReplyBody>;
+
+    /// Puts commands into the replicated log.
+    #[method(name = "propose")]
+    async fn propose(&self, commands: Vec<Command>) -> RpcResult<ControlReplyBody>;
+
+    /// Answers an operator's question.
+    #[method(name = "query")]
+    async fn query(&self, query: ControlQuery) -> RpcResult<ControlReplyBody>;
+
+    /// Takes a message of another replica; its answer is a message of its own.
+    #[method(name = "replica")]
+    async fn replica(&self, envelope: ReplicaEnvelope) -> RpcResult<()>;
+}
+
+/// The answer of a process that has no room for a message.
+pub(crate) fn not_taken() -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(NOT_TAKEN, "no room; the message was not taken", None::<()>)
+}
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -9,12 +9,14 @@
 
 mod clock;
 mod duty;
+mod gate;
 mod registry;
 mod ring;
 mod stop;
 
 pub use clock::{Clock, ManualClock, SharedClock, SystemClock};
 pub use duty::{DutyState, serve};
+pub use gate::DrainGate;
 pub use registry::{Kernel, KernelError, Registry};
 pub use ring::{Popped, PushError, Reservation, RingReceiver, RingSender, bounded};
 pub use stop::StopSignal;
--- a/crates/kernel/src/ring.rs
+++ b/crates/kernel/src/ring.rs
@@ -165,6 +165,12 @@
     }
 }
 
+impl<T> std::fmt::Debug for RingSender<T> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("RingSender").field("capacity", &self.core.capacity).finish_non_exhaustive()
+    }
+}
+
 impl<T> std::fmt::Debug for Reservation<T> {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str("Reservation")
@@ -203,6 +209,11 @@
         std::future::poll_fn(|cx| self.poll_next(cx)).await
     }
 
+    /// Takes the oldest message if there is one now.
+    pub fn try_next(&self) -> Option<T> {
+        self.core.lock().queue.pop_front()
+    }
+
     fn poll_next(&self, cx: &mut Context<'_>) -> Poll<Option<T>> {
         let mut state = self.core.lock();
         if let Some(message) = state.queue.pop_front() {
--- a/crates/model/src/command.rs
+++ b/crates/model/src/command.rs
@@ -47,6 +47,13 @@
         /// The claim.
         order: ClaimOrder,
     },
+    /// Asks what is known of a submission; changes nothing.
+    Peek {
+        /// The submission.
+        key: JobKey,
+        /// Fingerprint of its content; `None` when only the key is known.
+        fingerprint: Option<Fingerprint>,
+    },
     /// Records the final answer of a submission.
     Finish {
         /// The submission.
@@ -120,6 +127,8 @@
         /// What is known of an earlier owner's work.
         takeover: Takeover,
     },
+    /// Nobody has claimed the submission, or nothing of it ever started.
+    Unclaimed,
     /// Another entry owns the submission and has not been fenced.
     OwnedElsewhere {
         /// The owner.
--- a/crates/model/src/error.rs
+++ b/crates/model/src/error.rs
@@ -62,13 +62,16 @@
     Overloaded,
     /// The deadline can't be met.
     DeadlineTooShort,
+    /// The service has no live backend server.
+    NoBackendServer,
     /// A service that this one depends on has no live backend server.
     DependencyDown,
     /// The process is draining.
     ShuttingDown,
     /// No configuration is in force here yet.
     NotReady,
-    /// The ledger can't be reached, and the work was not started.
+    /// The ledger can't be reached. This request started nothing, but whether
+    /// an earlier one with the same id did can't be told.
     LedgerUnavailable,
     /// The submission id is in use with other content.
     SubmissionConflict,
@@ -130,10 +133,11 @@
             ErrorKind::QuotaExceeded => row(429, Ran::No, LATER),
             ErrorKind::Overloaded => row(503, Ran::No, LATER),
             ErrorKind::DeadlineTooShort => row(503, Ran::No, LATER),
+            ErrorKind::NoBackendServer => row(503, Ran::No, LATER),
             ErrorKind::DependencyDown => row(503, Ran::No, LATER),
             ErrorKind::ShuttingDown => row(503, Ran::No, SOON),
             ErrorKind::NotReady => row(503, Ran::No, SOON),
-            ErrorKind::LedgerUnavailable => row(503, Ran::No, LATER),
+            ErrorKind::LedgerUnavailable => row(503, Ran::Unknown, LATER),
             ErrorKind::SubmissionConflict => row(409, Ran::No, NEVER),
             ErrorKind::SubmissionExpired => row(410, Ran::Unknown, NEVER),
             ErrorKind::CancelledBeforeStart => row(409, Ran::No, NEVER),
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,7 +9,9 @@
 
 mod cluster;
 mod command;
+mod counters;
 mod error;
+mod event_log;
 mod ids;
 mod messages;
 mod payload;
@@ -23,7 +25,9 @@
 
 pub use cluster::*;
 pub use command::*;
+pub use counters::*;
 pub use error::*;
+pub use event_log::*;
 pub use ids::*;
 pub use messages::*;
 pub use payload::*;
--- a/crates/model/src/messages.rs
+++ b/crates/model/src/messages.rs
@@ -23,7 +23,8 @@
 use crate::replica::{HardState, LogRecord, ReplicaEnvelope, SnapshotMark};
 use crate::settings::ControlPeer;
 use crate::work::{
-    JobAnswer, JobKey, JobOrder, OwnerRef, StartOrder, TaskFate, TaskKey, TaskOutcome,
+    JobAnswer, JobKey, JobOrder, NotStartedReason, OwnerRef, StartOrder, TaskFate, TaskKey,
+    TaskOutcome,
 };
 
 /// A caller's single request.
@@ -135,6 +136,35 @@
     },
 }
 
+/// A step on a task's way.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TaskNote {
+    /// A start order goes to a worker.
+    Placed {
+        /// The worker.
+        worker: WorkerId,
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// A worker confirmed that it did not start the task.
+    Refused {
+        /// The worker.
+        worker: WorkerId,
+        /// Why.
+        reason: NotStartedReason,
+    },
+    /// Contact was lost; the worker will be asked.
+    InDoubt {
+        /// The worker.
+        worker: WorkerId,
+    },
+    /// The task is tried again, as it may be repeated.
+    Retried {
+        /// What came of the try before.
+        reason: CompactString,
+    },
+}
+
 /// Tasks of one submission that ask to be let in.
 #[derive(Debug, Clone, PartialEq)]
 pub struct AdmitRequest {
@@ -194,6 +224,13 @@
         /// How.
         end: TaskEnd,
     },
+    /// A step on a task's way, for `explain`.
+    Noted {
+        /// The task.
+        key: TaskKey,
+        /// The step.
+        note: TaskNote,
+    },
     /// Control's word on a claim or a final answer.
     Ledger {
         /// The submission.
@@ -285,6 +322,8 @@
     Members {
         /// Live agents.
         agents: Vec<MemberRecord>,
+        /// Number of live entries.
+        entries: usize,
     },
     /// The lease at control.
     Lease {
@@ -356,6 +395,8 @@
         worker: WorkerId,
         /// The order.
         order: Box<StartOrder>,
+        /// Room for the answer.
+        reply: Reservation<DispatchMessage>,
     },
     /// Asks for a task's end.
     Attach {
@@ -363,6 +404,8 @@
         worker: WorkerId,
         /// The question.
         question: TaskQuestion,
+        /// Room for the answer.
+        reply: Reservation<DispatchMessage>,
     },
     /// Takes tasks back.
     Recall {
@@ -370,6 +413,8 @@
         worker: WorkerId,
         /// The order.
         order: RecallOrder,
+        /// Room for the answer.
+        reply: Reservation<DispatchMessage>,
     },
 }
 
@@ -607,8 +652,6 @@
         /// The increment.
         increment: FigureIncrement,
     },
-    /// The node gives up its lease.
-    Leave,
 }
 
 /// An operator's question to control.
@@ -873,6 +916,8 @@
     pub members_version: crate::ids::MembersVersion,
     /// Members.
     pub members: indexmap::IndexMap<NodeId, MemberRecord>,
+    /// Highest ended incarnation of each node that has one.
+    pub ended: indexmap::IndexMap<NodeId, Incarnation>,
     /// Highest fenced incarnation of each entry.
     pub fences: indexmap::IndexMap<NodeId, Incarnation>,
     /// Fences that are not yet in force, with the member list version that
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -113,6 +113,9 @@
     pub rack: RackId,
     /// Address of the RPC server for entries.
     pub listen: SocketAddr,
+    /// Address that entries are told, when it differs from `listen`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advertise: Option<SocketAddr>,
     /// Address of the HTTP server for backend servers' announcements.
     pub announce_listen: SocketAddr,
     /// Addresses of the control hosts.
@@ -217,7 +220,7 @@
 }
 
 fn default_lease() -> u64 {
-    4_000
+    10_000
 }
 
 fn default_snapshot_records() -> u64 {
@@ -270,6 +273,7 @@
     required("domain", Shape::Name),
     required("rack", Shape::Name),
     required("listen", Shape::Address),
+    optional("advertise", Shape::Address),
     required("announce_listen", Shape::Address),
     required("controls", ADDRESSES),
     required("cores", Shape::Count(1, 4_096)),
@@ -289,7 +293,7 @@
     required("data_folder", Shape::Text),
     required("group", Shape::List(&Shape::Object(PEER_FIELDS))),
     optional("election_ms", Shape::Count(50, 60_000)),
-    optional("lease_ms", Shape::Count(500, 60_000)),
+    optional("lease_ms", Shape::Count(500, 15_000)),
     optional("retention_ms", RETENTION),
     optional("snapshot_records", Shape::Count(16, 10_000_000)),
     optional("log", Shape::Object(LOG_FIELDS)),
--- /dev/null
+++ b/crates/services/src/job_tracking.rs
@@ -0,0 +1,241 @@
+//! The duty that tracks submissions at an entry.
+
+use std::time::{Duration, Instant};
+
+use decisions::entry::{JobStep, JobTracker, TrackerLimits};
+use indexmap::IndexMap;
+use kernel::{DutyState, KernelError, Registry, Reservation, RingReceiver, RingSender, serve};
+use model::{
+    CallId, CallerAnswer, CallerReply, Command, ControlLinkMessage, DispatchMessage, ErrorKind,
+    EventLine, EventLog, Failure, Incarnation, JobKey, JobMessage, LeaseState, LedgerWord,
+    MessageKind, NodeId, OwnerRef, Ran, ServiceName,
+};
+
+use crate::context::ServiceContext;
+use crate::figure_meter::FigureMeter;
+
+/// How often figures are shipped to control.
+const SHIP_INTERVAL: Duration = Duration::from_secs(2);
+
+/// What job tracking is given besides the context.
+#[derive(Debug, Clone)]
+pub struct JobSettings {
+    /// The entry's name.
+    pub entry: NodeId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Limits.
+    pub limits: TrackerLimits,
+}
+
+struct JobTracking {
+    context: ServiceContext,
+    log: EventLog,
+    tracker: JobTracker,
+    entry: NodeId,
+    meter: FigureMeter,
+    time_zone: String,
+    next_ship: Instant,
+    replies: IndexMap<CallId, Reservation<CallerReply>>,
+    own: RingSender<JobMessage>,
+    dispatch: RingSender<DispatchMessage>,
+    control: RingSender<ControlLinkMessage>,
+}
+
+/// Runs the duty until its ring is closed.
+///
+/// # Errors
+/// When a service that it needs is not registered.
+pub fn run(
+    ring: &RingReceiver<JobMessage>,
+    registry: &Registry<ServiceName>,
+    context: ServiceContext,
+    settings: JobSettings,
+) -> Result<(), KernelError> {
+    let owner = OwnerRef { entry: settings.entry.clone(), incarnation: settings.incarnation };
+    let clock = context.clock.clone();
+    let state = JobTracking {
+        log: context.event_log(registry)?,
+        tracker: JobTracker::new(settings.limits, owner),
+        meter: FigureMeter::new(settings.entry.clone(), settings.incarnation),
+        entry: settings.entry,
+        time_zone: "UTC".to_owned(),
+        next_ship: clock.now() + SHIP_INTERVAL,
+        replies: IndexMap::new(),
+        own: registry.find(ServiceName::JobTracking)?,
+        dispatch: registry.find(ServiceName::TaskDispatch)?,
+        control: registry.find(ServiceName::ControlLink)?,
+        context,
+    };
+    serve(ring, &clock, DutyState { state, handle, next_deadline });
+    Ok(())
+}
+
+fn next_deadline(state: &JobTracking) -> Option<Instant> {
+    let timer = state.tracker.next_deadline();
+    Some(timer.map_or(state.next_ship, |at| at.min(state.next_ship)))
+}
+
+fn handle(state: &mut JobTracking, now: Instant, message: Option<JobMessage>) {
+    let steps = match message {
+        Some(message) => state.on_message(now, message),
+        None => Vec::new(),
+    };
+    state.carry_out(now, steps);
+    let due = state.tracker.on_tick(now);
+    state.carry_out(now, due);
+    state.ship_figures(now);
+    let in_progress = state.tracker.in_progress() + state.replies.len();
+    state.context.gate.set(in_progress);
+    state.context.counters.set_in_progress(in_progress);
+}
+
+impl JobTracking {
+    fn on_message(&mut self, now: Instant, message: JobMessage) -> Vec<JobStep> {
+        match message {
+            JobMessage::Caller { call, wish, arrived, reply } => {
+                self.replies.insert(call, reply);
+                self.tracker.on_wish(arrived, call, wish)
+            }
+            JobMessage::Admitted { key } => self.tracker.on_admitted(now, &key),
+            JobMessage::Refused { key, failure } => self.tracker.on_refused(now, &key, failure),
+            JobMessage::TaskEnded { key, end } => self.tracker.on_task_ended(now, &key, end),
+            JobMessage::Noted { key, note } => {
+                self.tracker.on_note(now, &key, &note);
+                Vec::new()
+            }
+            JobMessage::Ledger { key, word } => self.tracker.on_ledger(now, &key, word),
+            JobMessage::Config { config } => {
+                self.time_zone = config.text.time_zone.to_string();
+                self.tracker.on_config(config);
+                Vec::new()
+            }
+            JobMessage::Lease { state } => self.on_lease(now, state),
+            JobMessage::FiguresRecorded { sequence } => {
+                self.meter.on_recorded(sequence);
+                Vec::new()
+            }
+            JobMessage::Drain => {
+                self.tracker.on_drain();
+                Vec::new()
+            }
+        }
+    }
+
+    fn on_lease(&mut self, now: Instant, state: LeaseState) -> Vec<JobStep> {
+        match state {
+            LeaseState::HeldUntil(_) => Vec::new(),
+            LeaseState::Fenced { incarnation } => {
+                let line = EventLine::new("fenced").with("new_incarnation", incarnation);
+                self.log.warn(line);
+                let owner = OwnerRef { entry: self.entry.clone(), incarnation };
+                self.tracker.on_fenced(now, owner)
+            }
+        }
+    }
+
+    fn carry_out(&mut self, now: Instant, steps: Vec<JobStep>) {
+        for step in steps {
+            self.carry_out_one(now, step);
+        }
+    }
+
+    fn carry_out_one(&mut self, now: Instant, step: JobStep) {
+        match step {
+            JobStep::Admit { request, release } => self.admit(now, request, release),
+            JobStep::Release { key, order } => {
+                self.tell_dispatch(DispatchMessage::Release { key, order });
+            }
+            JobStep::Withdraw { key } => self.tell_dispatch(DispatchMessage::Withdraw { key }),
+            JobStep::Claim(order) => {
+                let key = order.key.clone();
+                self.ask_ledger(now, key, Command::Claim { order });
+            }
+            JobStep::Peek { key, fingerprint } => {
+                self.ask_ledger(now, key.clone(), Command::Peek { key, fingerprint });
+            }
+            JobStep::Record { key, epoch, owner, answer } => {
+                let command = Command::Finish { key: key.clone(), epoch, owner, answer };
+                self.ask_ledger(now, key, command);
+            }
+            JobStep::Answer { call, answer } => self.answer(call, answer),
+            JobStep::Figure(event) => self.meter.count(event, self.context.counters.wasted()),
+        }
+    }
+
+    fn admit(
+        &mut self,
+        now: Instant,
+        request: model::AdmitRequest,
+        release: Option<model::ReleaseOrder>,
+    ) {
+        let key = request.key.clone();
+        let sent = self.dispatch.push(DispatchMessage::Admit { request, release });
+        if sent.is_err() {
+            let failure = Failure::new(ErrorKind::Overloaded, "dispatch has no room");
+            let steps = self.tracker.on_refused(now, &key, failure);
+            self.carry_out(now, steps);
+        }
+    }
+
+    /// Dispatch keeps room for these by limiting what it admits; a full ring
+    /// here is a broken invariant that the deadline still covers.
+    fn tell_dispatch(&self, message: DispatchMessage) {
+        if self.dispatch.push(message).is_err() {
+            self.log.warn(EventLine::new("ring_full").with("ring", ServiceName::TaskDispatch));
+        }
+    }
+
+    fn ask_ledger(&mut self, now: Instant, key: JobKey, command: Command) {
+        let Some(reply) = self.own.reserve() else { return self.ledger_lost(now, &key) };
+        let message =
+            ControlLinkMessage::Ledger { key: key.clone(), command: Box::new(command), reply };
+        if self.control.push(message).is_err() {
+            self.ledger_lost(now, &key);
+        }
+    }
+
+    fn ledger_lost(&mut self, now: Instant, key: &JobKey) {
+        let steps = self.tracker.on_ledger(now, key, LedgerWord::NotSent);
+        self.carry_out(now, steps);
+    }
+
+    fn answer(&mut self, call: CallId, answer: CallerAnswer) {
+        match &answer {
+            CallerAnswer::Failed { failure } => self.count_failure(failure),
+            CallerAnswer::Request { .. } | CallerAnswer::Job { .. } => {
+                self.context.counters.complete();
+            }
+            _ => {}
+        }
+        if let Some(reply) = self.replies.swap_remove(&call) {
+            reply.push(CallerReply { call, answer });
+        }
+    }
+
+    fn count_failure(&self, failure: &Failure) {
+        self.context.counters.fail(failure.kind);
+        if failure.ran() == Ran::No {
+            self.context.counters.count(MessageKind::Refusal);
+        }
+        let line = EventLine::new("failed_answer")
+            .with("kind", failure.kind)
+            .with("ran", failure.ran())
+            .with("detail", &failure.detail);
+        self.log.info(line);
+    }
+
+    fn ship_figures(&mut self, now: Instant) {
+        if now < self.next_ship {
+            return;
+        }
+        self.next_ship = now + SHIP_INTERVAL;
+        let calendar = self.context.clock.calendar();
+        if let Some(increment) = self.meter.increment(calendar, &self.time_zone) {
+            let message = ControlLinkMessage::Figures { increment };
+            if self.control.push(message).is_err() {
+                self.log.warn(EventLine::new("figures_delayed"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/backend_server.rs
@@ -0,0 +1,208 @@
+//! A stand-in backend server: runs tasks by sleeping, at a speed of its own,
+//! and can be told to misbehave.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Bytes, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use model::{Announcement, LeaveNotice, Payload, ServiceId};
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+
+use crate::caller::Caller;
+use crate::start_records::StartRecords;
+
+/// How often a backend server repeats its announcement.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// What a stand-in backend server is like.
+#[derive(Debug, Clone)]
+pub struct BackendShape {
+    /// The worker it runs on.
+    pub worker: String,
+    /// The service it runs.
+    pub service: ServiceId,
+    /// Tasks at a time.
+    pub slots: u32,
+    /// Connections at a time.
+    pub connections: u32,
+    /// Run time relative to what a task states; above 1 is slower.
+    pub speed: f64,
+}
+
+/// How a stand-in backend server behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Behaviour {
+    /// Runs tasks.
+    Normal,
+    /// Fails every task at once.
+    FailAll,
+    /// Runs tasks so many times slower.
+    Straggle(f64),
+    /// Starts tasks and never answers.
+    Hang,
+    /// Sends half of the answer, then breaks the connection off.
+    Truncate,
+}
+
+/// What a task tells a stand-in backend server.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct TaskInput {
+    run_ms: f64,
+    #[serde(default)]
+    echo: String,
+}
+
+/// The input of a task that runs for `run_ms` milliseconds on a backend server
+/// of speed 1 and answers `echo`.
+pub fn task_payload(run_ms: f64, echo: &str) -> Payload {
+    let input = TaskInput { run_ms, echo: echo.to_owned() };
+    let text = serde_json::to_string(&input).unwrap_or_default();
+    Payload::parse(&text).unwrap_or_else(|_| Payload::null())
+}
+
+struct BackendCore {
+    shape: BackendShape,
+    records: StartRecords,
+    behaviour: Mutex<Behaviour>,
+}
+
+/// A running stand-in backend server; dropping it ends it at once.
+pub struct BackendServer {
+    core: Arc<BackendCore>,
+    address: SocketAddr,
+    agent: SocketAddr,
+    caller: Caller,
+    stop: Option<oneshot::Sender<()>>,
+}
+
+impl BackendServer {
+    /// Starts a backend server that announces itself at `agent`.
+    ///
+    /// # Errors
+    /// When no port can be listened on.
+    pub async fn start(
+        shape: BackendShape,
+        agent: SocketAddr,
+        records: StartRecords,
+    ) -> std::io::Result<BackendServer> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let behaviour = Mutex::new(Behaviour::Normal);
+        let core = Arc::new(BackendCore { shape, records, behaviour });
+        let (stop, stopped) = oneshot::channel();
+        let caller = Caller::new();
+        let announcing = announce_again(caller.clone(), Arc::clone(&core), agent, address);
+        let serving = serve(listener, Arc::clone(&core));
+        tokio::spawn(async move {
+            tokio::select! {
+                () = serving => {}
+                () = announcing => {}
+                _dropped = stopped => {}
+            }
+        });
+        Ok(BackendServer { core, address, agent, caller, stop: Some(stop) })
+    }
+
+    /// Changes how it behaves from the next task on.
+    pub fn behave(&self, behaviour: Behaviour) {
+        *self.core.behaviour.lock().unwrap_or_else(PoisonError::into_inner) = behaviour;
+    }
+
+    /// The worker it runs on.
+    pub fn worker(&self) -> &str {
+        &self.core.shape.worker
+    }
+
+    /// Tells the agent that it leaves; tasks that run go on.
+    pub async fn leave(&mut self) {
+        let notice = LeaveNotice { address: self.address };
+        let body = serde_json::to_string(&notice).unwrap_or_default();
+        let _reply = self.caller.post(self.agent, "/v1/leave", &[], body).await;
+    }
+
+    /// Ends it at once, with everything that it runs.
+    pub fn kill(&mut self) {
+        self.stop.take();
+    }
+}
+
+async fn announce_again(
+    caller: Caller,
+    core: Arc<BackendCore>,
+    agent: SocketAddr,
+    address: SocketAddr,
+) {
+    let announcement = Announcement {
+        service: core.shape.service.clone(),
+        address,
+        slots: core.shape.slots,
+        connections: core.shape.connections,
+    };
+    let body = serde_json::to_string(&announcement).unwrap_or_default();
+    loop {
+        // An announcement that is lost is repeated.
+        let _reply = caller.post(agent, "/v1/announce", &[], body.clone()).await;
+        tokio::time::sleep(ANNOUNCE_INTERVAL).await;
+    }
+}
+
+async fn serve(listener: TcpListener, core: Arc<BackendCore>) {
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        let Ok((stream, _peer)) = listener.accept().await else { return };
+        // A socket without the option still works.
+        let _refused = stream.set_nodelay(true);
+        let core = Arc::clone(&core);
+        connections.spawn(async move {
+            let service = service_fn(move |request| answer(Arc::clone(&core), request));
+            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            // A connection that breaks is the other side's business.
+            let _broken = served.await;
+        });
+    }
+}
+
+/// An answer that the behaviour may leave unfinished.
+async fn answer(
+    core: Arc<BackendCore>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, std::io::Error> {
+    let key = request.headers().get("idempotency-key").and_then(|value| value.to_str().ok());
+    let key = key.unwrap_or("").to_owned();
+    let body = request.into_body().collect().await.map_err(std::io::Error::other)?.to_bytes();
+    core.records.add(&key, &core.shape.worker);
+    let behaviour = *core.behaviour.lock().unwrap_or_else(PoisonError::into_inner);
+    let Ok(input) = serde_json::from_slice::<TaskInput>(&body) else {
+        return Ok(reply(StatusCode::BAD_REQUEST, "{\"error\":\"input\"}".to_owned()));
+    };
+    match behaviour {
+        Behaviour::Normal => sleep_ms(input.run_ms * core.shape.speed).await,
+        Behaviour::Straggle(factor) => sleep_ms(input.run_ms * core.shape.speed * factor).await,
+        Behaviour::FailAll => {
+            return Ok(reply(StatusCode::INTERNAL_SERVER_ERROR, "{}".to_owned()));
+        }
+        Behaviour::Hang => std::future::pending().await,
+        Behaviour::Truncate => return Err(std::io::Error::other("breaks off")),
+    }
+    let answer = serde_json::json!({ "echo": input.echo, "worker": core.shape.worker });
+    Ok(reply(StatusCode::OK, answer.to_string()))
+}
+
+async fn sleep_ms(ms: f64) {
+    tokio::time::sleep(Duration::from_secs_f64(ms.max(0.0) / 1e3)).await;
+}
+
+fn reply(status: StatusCode, body: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,21 @@
-//! x
+//! Small stand-ins at the interfaces: a backend server, a caller, a faulty
+//! link, and the traces they play.
+//!
+//! Invariant: a stand-in records what it was asked, so that a run can be
+//! checked against what really happened.
+
+mod backend_server;
+mod caller;
+mod faulty_link;
+mod standin_host;
+mod start_records;
+mod trace;
+
+pub use backend_server::{BackendServer, BackendShape, Behaviour, task_payload};
+pub use caller::{CallFailure, CallReply, Caller};
+pub use faulty_link::{FaultyLink, LinkFault};
+pub use standin_host::StandinHost;
+pub use start_records::{StartRecord, StartRecords};
+pub use trace::{
+    Expectation, InstanceLine, Trace, TraceError, TraceEvent, TraceHeader, TraceStep, read_trace,
+};
--- /dev/null
+++ b/tests/graceful_drain.rs
@@ -0,0 +1,49 @@
+//! A graceful shutdown cuts off nothing in progress and takes nothing new.
+
+use cactuswing::roles::DrainEnd;
+use model::{ErrorKind, Ran};
+use standin::Caller;
+
+use crate::support::{body, problem, request, small_cluster};
+
+#[test]
+fn entry_finishes_work() {
+    let mut cluster = small_cluster();
+    let entry = cluster.entries.remove(0);
+    let address = entry.address;
+    let running =
+        cluster.host.handle().spawn(request(address, "order", Some("o-1"), body(300.0, "a")));
+    cluster.host.block_on(async {
+        while cluster.records.all().is_empty() {
+            tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+        }
+    });
+    entry.begin_drain();
+    let ready = cluster.host.block_on(Caller::new().get(address, "/readyz")).expect("an answer");
+    assert_eq!(ready.status, 503);
+    let refused = cluster.host.block_on(request(address, "stock", None, body(1.0, "b")));
+    let refused = problem(&refused);
+    assert_eq!((refused.kind, refused.ran), (ErrorKind::ShuttingDown, Ran::No));
+    assert_eq!(entry.drain(), DrainEnd::Idle);
+    let finished = cluster.host.block_on(running).expect("a call");
+    assert_eq!(finished.status, 200);
+    cluster.stop();
+}
+
+#[test]
+fn agent_finishes_work() {
+    let mut cluster = small_cluster();
+    let entry = cluster.entries[0].address;
+    let running = cluster.host.handle().spawn(request(entry, "stock", None, body(300.0, "a")));
+    cluster.host.block_on(async {
+        while cluster.records.all().is_empty() {
+            tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+        }
+    });
+    let agent = cluster.workers[0].agent.take().expect("the agent runs");
+    let drained = cluster.host.handle().spawn_blocking(move || agent.drain());
+    assert_eq!(cluster.host.block_on(drained).expect("the drain ends"), DrainEnd::Idle);
+    let finished = cluster.host.block_on(running).expect("a call");
+    assert_eq!(finished.status, 200, "{}", finished.body);
+    cluster.stop();
+}
--- /dev/null
+++ b/tests/job_path.rs
@@ -0,0 +1,104 @@
+//! Jobs: the whole answer, in order, once; lookup, explanation, cancellation.
+
+use model::ErrorKind;
+use standin::{Behaviour, Caller};
+
+use crate::support::{body, job, job_body, problem, request, small_cluster};
+
+#[test]
+fn answers_in_order() {
+    let cluster = small_cluster();
+    let entry = cluster.entries[0].address;
+    let runs = [30.0, 5.0, 20.0, 1.0, 10.0];
+    let reply = cluster.host.block_on(job(entry, job_body("j-1", &runs)));
+    assert_eq!(reply.status, 200, "{}", reply.body);
+    let value: serde_json::Value = serde_json::from_str(&reply.body).expect("JSON");
+    let echoes: Vec<&str> = value["answers"]
+        .as_array()
+        .expect("a list")
+        .iter()
+        .filter_map(|a| a["echo"].as_str())
+        .collect();
+    assert_eq!(echoes, ["j-1/0", "j-1/1", "j-1/2", "j-1/3", "j-1/4"]);
+    assert_eq!(cluster.records.starts_of("north/j-1"), 5);
+    cluster.stop();
+}
+
+#[test]
+fn recorded_then_looked_up() {
+    let cluster = small_cluster();
+    let entry = cluster.entries[0].address;
+    let caller = Caller::new();
+    let posted = cluster.host.block_on(async {
+        caller.post(entry, "/v1/jobs?wait=false", &[], job_body("j-2", &[5.0])).await
+    });
+    assert_eq!(posted.expect("an answer").status, 202);
+    // A resubmission waits for the end.
+    let whole = cluster.host.block_on(job(entry, job_body("j-2", &[5.0])));
+    let looked_up = cluster.host.block_on(caller.get(entry, "/v1/jobs/north/j-2"));
+    assert_eq!(looked_up.expect("an answer").body, whole.body);
+    assert_eq!(cluster.records.starts_of("north/j-2"), 1);
+    cluster.stop();
+}
+
+#[test]
+fn never_partial() {
+    let cluster = small_cluster();
+    for worker in &cluster.workers {
+        worker.backend.behave(Behaviour::FailAll);
+    }
+    let entry = cluster.entries[0].address;
+    let reply = cluster.host.block_on(job(entry, job_body("j-3", &[5.0, 5.0, 5.0])));
+    assert_eq!(problem(&reply).kind, ErrorKind::BackendFailed);
+    assert!(!reply.body.contains("answers"));
+    cluster.stop();
+}
+
+#[test]
+fn cut_answer_fails() {
+    let cluster = small_cluster();
+    for worker in &cluster.workers {
+        worker.backend.behave(Behaviour::Truncate);
+    }
+    let entry = cluster.entries[0].address;
+    let reply = cluster.host.block_on(request(entry, "order", Some("o-9"), body(5.0, "a")));
+    assert_eq!(problem(&reply).kind, ErrorKind::OutcomeUnknown);
+    assert_eq!(cluster.records.starts_of("north/o-9"), 1);
+    cluster.stop();
+}
+
+#[test]
+fn explained_by_step() {
+    let cluster = small_cluster();
+    let entry = cluster.entries[0].address;
+    cluster.host.block_on(job(entry, job_body("j-4", &[5.0])));
+    let explained = cluster.host.block_on(Caller::new().get(entry, "/v1/jobs/north/j-4/explain"));
+    let lines = explained.expect("an answer").body;
+    for step in ["submitted", "admitted", "claimed", "sent to worker-", "completed at worker-"] {
+        assert!(lines.contains(step), "{step} is missing in {lines}");
+    }
+    cluster.stop();
+}
+
+#[test]
+fn cancel_tells_truth() {
+    let cluster = small_cluster();
+    let entry = cluster.entries[0].address;
+    let caller = Caller::new();
+    // Twenty long tasks on eight slots: some run and some wait when it is cancelled.
+    let runs = [60_000.0; 20];
+    let (submitted, cancelled) = cluster.host.block_on(async {
+        let submitting = tokio::spawn(job(entry, job_body("j-5", &runs)));
+        while cluster.records.starts_of("north/j-5") < 8 {
+            tokio::task::yield_now().await;
+            tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+        }
+        let cancelled = caller.delete(entry, "/v1/jobs/north/j-5").await.expect("an answer");
+        (submitting.await.expect("a call"), cancelled)
+    });
+    let kind = problem(&cancelled).kind;
+    assert!(matches!(kind, ErrorKind::OutcomeUnknown | ErrorKind::CancelledAfterStart), "{kind}");
+    assert_eq!(problem(&submitted), problem(&cancelled));
+    assert_eq!(cluster.records.starts_of("north/j-5"), 8);
+    cluster.stop();
+}
--- /dev/null
+++ b/tests/request_path.rs
@@ -0,0 +1,50 @@
+//! One request through entry, agent and backend server, and back.
+
+use assert_matches::assert_matches;
+use model::{ErrorKind, Ran};
+
+use crate::support::{body, problem, request, small_cluster};
+
+#[test]
+fn answers_come_back() {
+    let cluster = small_cluster();
+    let entry = cluster.entries[0].address;
+    let reply = cluster.host.block_on(request(entry, "stock", None, body(5.0, "tin-7")));
+    assert_eq!(reply.status, 200);
+    assert!(reply.body.contains("\"tin-7\""), "{}", reply.body);
+    assert_eq!(cluster.records.all().len(), 1);
+    cluster.stop();
+}
+
+#[test]
+fn key_runs_once() {
+    let cluster = small_cluster();
+    let entry = cluster.entries[0].address;
+    let first = cluster.host.block_on(request(entry, "order", Some("o-1"), body(5.0, "a")));
+    let again = cluster.host.block_on(request(entry, "order", Some("o-1"), body(5.0, "a")));
+    assert_eq!(first, again);
+    assert_eq!(cluster.records.starts_of("north/o-1"), 1);
+    cluster.stop();
+}
+
+#[test]
+fn changed_content_conflicts() {
+    let cluster = small_cluster();
+    let entry = cluster.entries[0].address;
+    cluster.host.block_on(request(entry, "order", Some("o-2"), body(5.0, "a")));
+    let other = cluster.host.block_on(request(entry, "order", Some("o-2"), body(5.0, "b")));
+    assert_matches!(problem(&other).kind, ErrorKind::SubmissionConflict);
+    assert_eq!(cluster.records.starts_of("north/o-2"), 1);
+    cluster.stop();
+}
+
+#[test]
+fn dead_dependency_refused() {
+    let cluster = small_cluster();
+    let entry = cluster.entries[0].address;
+    let reply = cluster.host.block_on(request(entry, "ledgerless", None, body(5.0, "a")));
+    let problem = problem(&reply);
+    assert_matches!((problem.kind, problem.ran), (ErrorKind::DependencyDown, Ran::No));
+    assert!(cluster.records.all().is_empty());
+    cluster.stop();
+}
--- /dev/null
+++ b/tests/support.rs
@@ -0,0 +1,88 @@
+//! What several features' tests share: a small system and calls to it.
+
+use std::net::SocketAddr;
+
+use cactuswing::replay::{ClusterShape, LocalCluster};
+use model::{OperatorText, Problem, read_operator_text};
+use standin::{CallReply, Caller, InstanceLine, task_payload};
+
+/// A text with a service that may be repeated, one that may not, and one that
+/// depends on a service without backend servers.
+pub(crate) fn small_text() -> OperatorText {
+    let text = r#"{
+        "services": {
+            "stock": { "idempotent": true },
+            "order": { "idempotent": false },
+            "ledgerless": { "idempotent": true, "depends_on": ["absent"] },
+            "absent": { "idempotent": true }
+        },
+        "teams": { "north": {}, "south": {} }
+    }"#;
+    read_operator_text(text).expect("the text has no mistakes")
+}
+
+pub(crate) fn instance(worker: &str, service: &str) -> InstanceLine {
+    InstanceLine {
+        worker: worker.to_owned(),
+        domain: "kolin".to_owned(),
+        rack: "rack-1".to_owned(),
+        cores: 16,
+        memory_mb: 32_768,
+        service: service.into(),
+        slots: 4,
+        connections: 16,
+        speed: 1.0,
+    }
+}
+
+pub(crate) fn small_shape() -> ClusterShape {
+    let instances = vec![
+        instance("worker-1", "stock"),
+        instance("worker-2", "order"),
+        instance("worker-3", "order"),
+    ];
+    ClusterShape::small(instances, small_text())
+}
+
+pub(crate) fn small_cluster() -> LocalCluster {
+    LocalCluster::start(&small_shape()).expect("the system starts")
+}
+
+pub(crate) fn body(run_ms: f64, echo: &str) -> String {
+    task_payload(run_ms, echo).text().to_owned()
+}
+
+pub(crate) fn job_body(submission: &str, run_ms: &[f64]) -> String {
+    let tasks: Vec<serde_json::Value> = run_ms
+        .iter()
+        .enumerate()
+        .map(|(position, run)| {
+            let echo = format!("{submission}/{position}");
+            serde_json::json!({ "payload": { "run_ms": run, "echo": echo } })
+        })
+        .collect();
+    serde_json::json!({
+        "submission": submission, "team": "north", "service": "order", "tasks": tasks
+    })
+    .to_string()
+}
+
+pub(crate) async fn request(
+    entry: SocketAddr,
+    service: &str,
+    key: Option<&str>,
+    body: String,
+) -> CallReply {
+    let mut headers = vec![("cactuswing-team", "north")];
+    headers.extend(key.map(|key| ("idempotency-key", key)));
+    let path = format!("/v1/services/{service}/requests");
+    Caller::new().post(entry, &path, &headers, body).await.expect("a whole answer")
+}
+
+pub(crate) async fn job(entry: SocketAddr, body: String) -> CallReply {
+    Caller::new().post(entry, "/v1/jobs", &[], body).await.expect("a whole answer")
+}
+
+pub(crate) fn problem(reply: &CallReply) -> Problem {
+    reply.problem().unwrap_or_else(|| panic!("a problem, not {reply:?}"))
+}
