--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -1,16 +1,25 @@
 //! The services of a control host.
 
+use std::path::Path;
 use std::time::Duration;
 
+use decisions::control::{ControlState, StoredReplica};
+use edges::control_link::incarnation_at;
+use edges::disk::HostFolder;
+use edges::journal::{Journal, RecoveredJournal};
 use kernel::{Kernel, SharedClock, StopSignal};
 use model::{ControlSettings, ServiceName};
+use services::replicated_log::LogSetup;
 
 use super::{DUTY_RING, RoleError, RunningRole, assembled, context, local_address, with_log};
 
+/// Calls of nodes, operators and replicas that may wait at a time.
+const CALL_RING: usize = 16_384;
+
 /// Starts a control host.
 ///
 /// # Errors
-/// When its address can't be listened on.
+/// When its address can't be listened on, or its data folder can't be used.
 pub fn start_control(
     settings: &ControlSettings,
     clock: &SharedClock,
@@ -27,13 +36,24 @@
         assembled(services::membership::run(&ring, &registry, &lease_context, lease));
     })?;
 
-    let name = settings.name.clone();
+    let (journal, found) = open_journal(settings)?;
+    kernel.register(ServiceName::JournalWriter, DUTY_RING, move |ring, registry| {
+        edges::journal_writer::run(&ring, &registry, journal);
+    })?;
+
+    let own = settings.name.clone();
+    let counters = context.counters.clone();
+    kernel.register(ServiceName::ReplicaLinks, DUTY_RING, move |ring, registry| {
+        edges::replica_links::run(&ring, &registry, &own, &counters);
+    })?;
+
+    let setup = log_setup(settings, clock, found)?;
     let log_context = context.clone();
     kernel.register(ServiceName::ReplicatedLog, DUTY_RING, move |ring, registry| {
-        assembled(services::replicated_log::run(&ring, &registry, log_context, name));
+        assembled(services::replicated_log::run(&ring, &registry, log_context, setup));
     })?;
 
-    kernel.register(ServiceName::ControlEdge, DUTY_RING, move |ring, registry| {
+    kernel.register(ServiceName::ControlEdge, CALL_RING, move |ring, registry| {
         edges::control_edge::run(&ring, &registry, listener);
     })?;
 
@@ -50,3 +70,36 @@
         begin_drain: Box::new(|| {}),
     })
 }
+
+fn open_journal(settings: &ControlSettings) -> Result<(Journal, RecoveredJournal), RoleError> {
+    let data = |error: String| RoleError::Data {
+        reason: format!("data folder {}: {error}", settings.data_folder),
+    };
+    let folder = HostFolder::open(Path::new(&settings.data_folder))
+        .map_err(|error| data(error.to_string()))?;
+    Journal::open(Box::new(folder)).map_err(|error| data(error.to_string()))
+}
+
+fn log_setup(
+    settings: &ControlSettings,
+    clock: &SharedClock,
+    found: RecoveredJournal,
+) -> Result<LogSetup, RoleError> {
+    let RecoveredJournal { hard, mark, state, records, .. } = found;
+    let state: ControlState = match state.as_str() {
+        "" => ControlState::default(),
+        text => serde_json::from_str(text).map_err(|error| RoleError::Data {
+            reason: format!("the snapshot in {} can't be read: {error}", settings.data_folder),
+        })?,
+    };
+    Ok(LogSetup {
+        name: settings.name.clone(),
+        boot: incarnation_at(clock.calendar()),
+        group: settings.group.clone(),
+        election: settings.election(),
+        retention: settings.retention(),
+        snapshot_records: settings.snapshot_records,
+        stored: StoredReplica { hard, mark, records },
+        state,
+    })
+}
--- a/crates/decisions/src/control/mod.rs
+++ b/crates/decisions/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod ledger;
 mod member_book;
 mod membership;
+mod replica;
 
 pub use config_store::ConfigStore;
 pub use control_state::ControlState;
@@ -14,3 +15,4 @@
 pub use ledger::Ledger;
 pub use member_book::MemberBook;
 pub use membership::{MembershipDesk, MembershipStep};
+pub use replica::{GroupChange, LogStore, Replica, ReplicaLimits, ReplicaStep, StoredReplica};
--- a/crates/edges/src/control_edge.rs
+++ b/crates/edges/src/control_edge.rs
@@ -59,9 +59,12 @@
         self.ask(send).await
     }
 
-    async fn replica(&self, envelope: ReplicaEnvelope) -> RpcResult<()> {
+    async fn replica(&self, envelope: ReplicaEnvelope) -> RpcResult<ControlReplyBody> {
         let envelope = Box::new(envelope);
-        self.replicated.push(LogMessage::Replica { envelope }).map_err(|_| not_taken())
+        let send = |call, reply| {
+            self.replicated.push(LogMessage::Replica { call, envelope, reply }).is_ok()
+        };
+        self.ask(send).await
     }
 }
 
--- a/crates/edges/src/peer_api.rs
+++ b/crates/edges/src/peer_api.rs
@@ -49,9 +49,10 @@
     #[method(name = "query")]
     async fn query(&self, query: ControlQuery) -> RpcResult<ControlReplyBody>;
 
-    /// Takes a message of another replica; its answer is a message of its own.
+    /// Takes a message of another replica; answers when what it promises is
+    /// synced.
     #[method(name = "replica")]
-    async fn replica(&self, envelope: ReplicaEnvelope) -> RpcResult<()>;
+    async fn replica(&self, envelope: ReplicaEnvelope) -> RpcResult<ControlReplyBody>;
 }
 
 /// The answer of a process that has no room for a message.
--- a/crates/model/src/messages.rs
+++ b/crates/model/src/messages.rs
@@ -749,6 +749,8 @@
     View(Box<ControlView>),
     /// The answer to a question.
     Answer(Box<ControlAnswer>),
+    /// The answer to another replica, if there is one to this message.
+    Replica(Option<Box<ReplicaEnvelope>>),
     /// This host does not lead; nothing was changed.
     NotLeader {
         /// The leader's address, if known.
@@ -796,20 +798,22 @@
     },
     /// A message of another replica.
     Replica {
+        /// The call.
+        call: CallId,
         /// The message.
         envelope: Box<ReplicaEnvelope>,
+        /// Room for the answer.
+        reply: Reservation<ControlReply>,
     },
-    /// The journal has synced up to a position.
-    Synced {
-        /// The position.
-        index: LogIndex,
-        /// The term of that position when it was written.
-        term: Term,
+    /// Another replica's answer.
+    ReplicaAnswer {
+        /// The answer.
+        envelope: Box<ReplicaEnvelope>,
     },
-    /// The journal has synced the hard state.
-    HardStateSynced {
-        /// What is on disk.
-        state: HardState,
+    /// The journal has synced what it was given.
+    Synced {
+        /// What is on disk now.
+        mark: SyncMark,
     },
     /// The journal can't write any more; nothing later will be confirmed.
     JournalFailed {
@@ -827,9 +831,33 @@
     },
 }
 
-/// Messages to the journal.
+/// What a sync of the journal covers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SyncMark {
+    /// The hard state.
+    HardState(HardState),
+    /// Records up to a position.
+    Records {
+        /// The position.
+        index: LogIndex,
+        /// Its term when it was written.
+        term: Term,
+    },
+}
+
+/// Something to write, with room for the word that it is synced.
 #[derive(Debug)]
-pub enum JournalMessage {
+pub struct JournalMessage {
+    /// What to write.
+    pub entry: JournalEntry,
+    /// Room for the word.
+    pub reply: Reservation<LogMessage>,
+}
+
+/// What the journal writes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum JournalEntry {
     /// Writes the hard state.
     HardState {
         /// The state.
@@ -855,6 +883,24 @@
     },
 }
 
+impl JournalEntry {
+    /// What its sync covers.
+    pub fn sync_mark(&self) -> SyncMark {
+        match self {
+            JournalEntry::HardState { state } => SyncMark::HardState(state.clone()),
+            JournalEntry::Records { from, records } => match records.last() {
+                Some(last) => SyncMark::Records { index: last.index, term: last.term },
+                None => SyncMark::Records { index: from.saturating_sub(1), term: 0 },
+            },
+            JournalEntry::Snapshot { mark, rest, .. } => {
+                let last = rest.last().map(|record| (record.index, record.term));
+                let (index, term) = last.unwrap_or((mark.index, mark.term));
+                SyncMark::Records { index, term }
+            }
+        }
+    }
+}
+
 /// Messages to the links between replicas.
 #[derive(Debug)]
 pub enum ReplicaLinkMessage {
--- a/crates/model/src/replica.rs
+++ b/crates/model/src/replica.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::command::Command;
-use crate::ids::{LogIndex, NodeId, Term};
+use crate::ids::{Incarnation, LogIndex, NodeId, Term};
 use crate::settings::ControlPeer;
 
 /// One position of the log.
@@ -26,6 +26,9 @@
     pub term: Term,
     /// Whom the replica voted for in that term.
     pub voted_for: Option<NodeId>,
+    /// Whether the replica counts: its group formed, or it was caught up after
+    /// it had lost its disk or joined.
+    pub formed: bool,
 }
 
 /// Where a snapshot stands in the log, and the group at that point.
@@ -46,6 +49,9 @@
     pub from: NodeId,
     /// The sender's term.
     pub term: Term,
+    /// Grows with each start of the sender's process; what an earlier process
+    /// said of its disk counts no more.
+    pub boot: Incarnation,
     /// The message.
     pub message: ReplicaMessage,
 }
@@ -57,6 +63,12 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ReplicaMessage {
+    /// Sent by a replica that finds no data of its own, to learn whether its
+    /// group is new or it has lost its disk.
+    Hello {
+        /// Whether the sender counts in its group.
+        formed: bool,
+    },
     /// Asks for a vote. A trial vote changes nothing at the voter.
     VoteRequest {
         /// Whether this is only a trial.
@@ -85,6 +97,8 @@
         commit: LogIndex,
         /// Grows with each heartbeat round; echoed in the reply.
         round: u64,
+        /// Whether the follower's copy may count for durability from now on.
+        may_count: bool,
     },
     /// Answers an append.
     AppendReply {
@@ -95,6 +109,8 @@
         match_index: LogIndex,
         /// The round of the append.
         round: u64,
+        /// Whether the follower's copy counts for durability yet.
+        counts: bool,
     },
     /// Carries a whole snapshot to a follower that is too far behind.
     Snapshot {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 mod backend_server;
 mod caller;
 mod faulty_link;
+mod memory_disk;
 mod standin_host;
 mod start_records;
 mod trace;
@@ -14,6 +15,7 @@
 pub use backend_server::{BackendServer, BackendShape, Behaviour, task_payload};
 pub use caller::{CallFailure, CallReply, Caller};
 pub use faulty_link::{FaultyLink, LinkFault};
+pub use memory_disk::{CrashTail, MemoryDisk};
 pub use standin_host::StandinHost;
 pub use start_records::{StartRecord, StartRecords};
 pub use trace::{
--- /dev/null
+++ b/tests/log_exploration.rs
@@ -0,0 +1,114 @@
+//! Every interleaving of a small group, breadth first over the pure state:
+//! three hosts, one proposal a leader, and bounded steps.
+
+use std::collections::{HashSet, VecDeque};
+use std::time::Duration;
+
+use crate::log_model::{ELECTION, LogModel};
+
+/// States that are looked at.
+const MOST_STATES: usize = 12_000;
+/// Messages that may be on their way.
+const MOST_MESSAGES: usize = 6;
+
+/// Whatever decides how a state goes on, as text.
+fn state_key(model: &LogModel) -> String {
+    let mut key = String::new();
+    for host in &model.hosts {
+        let replica = &host.replica;
+        let log: Vec<_> = replica.log().slice(1, 99).iter().map(|r| (r.index, r.term)).collect();
+        key += &format!(
+            "{:?}|{:?}|{}|{}|{:?}|{:?};",
+            replica.hard_state(),
+            log,
+            replica.commit(),
+            replica.takes_proposals(),
+            replica.progress(),
+            host.unsynced,
+        );
+    }
+    let mut network: Vec<String> = model.network.iter().map(|m| format!("{m:?}")).collect();
+    network.sort();
+    key + &network.join(";")
+}
+
+fn successors(model: &LogModel, last_term: u64) -> Vec<LogModel> {
+    let mut next = Vec::new();
+    for number in 0..model.hosts.len() {
+        // An election timeout may come at any moment.
+        let mut timed_out = model.clone();
+        timed_out.advance(ELECTION * 2 + Duration::from_millis(1));
+        timed_out.tick(number);
+        next.push(timed_out);
+        if !model.hosts[number].unsynced.is_empty() {
+            let mut synced = model.clone();
+            synced.sync(number, 1);
+            next.push(synced);
+            let mut crashed = model.clone();
+            crashed.restart(number);
+            next.push(crashed);
+        }
+        let log = model.hosts[number].replica.log();
+        if model.hosts[number].replica.takes_proposals() && log.last_index() < 4 {
+            let mut proposed = model.clone();
+            proposed.propose(number);
+            next.push(proposed);
+        }
+    }
+    for position in 0..model.network.len() {
+        let mut delivered = model.clone();
+        delivered.deliver(position, false);
+        next.push(delivered);
+        let mut dropped = model.clone();
+        dropped.network.remove(position);
+        next.push(dropped);
+    }
+    next.retain(|model| {
+        model.network.len() <= MOST_MESSAGES
+            && model.hosts.iter().all(|host| host.replica.term() <= last_term)
+    });
+    next
+}
+
+/// Looks at what can follow from a start, breadth first; gives how many states
+/// were seen, and in how many something new was committed.
+fn explore(start: LogModel, most_terms: u64) -> (usize, usize) {
+    let highest = start.highest_committed();
+    let last_term =
+        start.hosts.iter().map(|host| host.replica.term()).max().unwrap_or(0) + most_terms;
+    let mut seen = HashSet::new();
+    let mut open = VecDeque::from([start]);
+    let mut committed = 0;
+    while let Some(model) = open.pop_front() {
+        if seen.len() >= MOST_STATES {
+            break;
+        }
+        // The checks of the model run within every step.
+        for next in successors(&model, last_term) {
+            if seen.insert(state_key(&next)) {
+                committed += usize::from(next.highest_committed() > highest);
+                open.push_back(next);
+            }
+        }
+    }
+    (seen.len(), committed)
+}
+
+#[test]
+fn elections_explored() {
+    let (states, _) = explore(LogModel::formed(3), 1);
+    assert!(states > 1_000, "{states} states");
+}
+
+#[test]
+fn leader_change_explored() {
+    let mut start = LogModel::formed(3);
+    start.calm(60);
+    start.network.clear();
+    let leader = start.leader().expect("a leader");
+    // Two proposals are on their way when anything may happen.
+    start.propose(leader);
+    start.propose(leader);
+    let (states, committed) = explore(start, 1);
+    assert!(states > 1_000 && committed > 10, "{states} states, {committed} with a commit");
+}
--- /dev/null
+++ b/tests/log_model.rs
@@ -0,0 +1,292 @@
+//! A group of replicas as pure state, with a network and disks that a test
+//! moves step by step, and the checks that hold after every step.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use decisions::control::{GroupChange, Replica, ReplicaLimits, ReplicaStep, StoredReplica};
+use model::{
+    Command, ControlPeer, JournalEntry, LogIndex, LogRecord, NodeId, ReplicaEnvelope,
+    ReplicaMessage, SyncMark, Term,
+};
+
+pub(crate) const ELECTION: Duration = Duration::from_millis(100);
+
+#[derive(Clone)]
+pub(crate) struct Host {
+    pub(crate) replica: Replica,
+    pub(crate) stored: StoredReplica,
+    pub(crate) unsynced: Vec<JournalEntry>,
+    pub(crate) boot: u64,
+    pub(crate) down: bool,
+}
+
+#[derive(Clone)]
+pub(crate) struct LogModel {
+    pub(crate) now: Instant,
+    pub(crate) hosts: Vec<Host>,
+    pub(crate) network: Vec<(NodeId, ReplicaEnvelope)>,
+    group: Vec<ControlPeer>,
+    /// Every record that any replica has called committed.
+    committed: BTreeMap<LogIndex, LogRecord>,
+    leaders: BTreeMap<Term, NodeId>,
+    proposals: u64,
+}
+
+pub(crate) fn peer(number: usize) -> ControlPeer {
+    let address = ([127, 0, 0, 1], 9_000 + number as u16).into();
+    ControlPeer { name: format!("c{number}").into(), address }
+}
+
+fn limits() -> ReplicaLimits {
+    ReplicaLimits { election: ELECTION, heartbeat: ELECTION / 3, batch_records: 4 }
+}
+
+impl LogModel {
+    pub(crate) fn new(size: usize) -> LogModel {
+        let now = Instant::now();
+        let group: Vec<ControlPeer> = (0..size).map(peer).collect();
+        let mut model = LogModel {
+            now,
+            hosts: Vec::new(),
+            network: Vec::new(),
+            group,
+            committed: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            proposals: 0,
+        };
+        for number in 0..size {
+            let host = model.boot(number, 1, StoredReplica::default());
+            model.hosts.push(host);
+        }
+        model
+    }
+
+    /// A group that has formed already.
+    pub(crate) fn formed(size: usize) -> LogModel {
+        let mut model = LogModel::new(size);
+        for number in 0..size {
+            let mut stored = StoredReplica::default();
+            stored.hard.formed = true;
+            model.hosts[number] = model.boot(number, 1, stored);
+        }
+        model
+    }
+
+    fn boot(&self, number: usize, boot: u64, stored: StoredReplica) -> Host {
+        let name = peer(number).name;
+        let replica =
+            Replica::new(self.now, name, boot, limits(), self.group.clone(), stored.clone());
+        Host { replica, stored, unsynced: Vec::new(), boot, down: false }
+    }
+
+    /// A host that joins later; it is not in the first group.
+    pub(crate) fn add_host(&mut self) -> usize {
+        let number = self.hosts.len();
+        let host = self.boot(number, 1, StoredReplica::default());
+        self.hosts.push(host);
+        number
+    }
+
+    fn number(&self, name: &NodeId) -> Option<usize> {
+        self.hosts.iter().position(|host| host.replica.name() == name)
+    }
+
+    fn take(&mut self, number: usize, steps: Vec<ReplicaStep>) {
+        for step in steps {
+            let host = &mut self.hosts[number];
+            match step {
+                ReplicaStep::Send { to, envelope } => self.network.push((to, *envelope)),
+                ReplicaStep::PersistHardState(state) => {
+                    host.unsynced.push(JournalEntry::HardState { state });
+                }
+                ReplicaStep::PersistRecords { from, records } => {
+                    host.unsynced.push(JournalEntry::Records { from, records });
+                }
+                ReplicaStep::SendSnapshot { to, round } => {
+                    let index = host.replica.commit();
+                    let Some(mark) = host.replica.mark_at(index) else { continue };
+                    let message = ReplicaMessage::Snapshot { mark, state: String::new(), round };
+                    let envelope = host.replica.envelope(host.replica.term(), message);
+                    self.network.push((to, envelope));
+                }
+                ReplicaStep::InstallSnapshot { mark, state } => {
+                    let rest = host.replica.log().slice(mark.index + 1, usize::MAX);
+                    let hard_state = host.replica.hard_state().clone();
+                    host.unsynced.push(JournalEntry::Snapshot { mark, state, rest, hard_state });
+                }
+            }
+        }
+        self.check();
+    }
+
+    pub(crate) fn tick(&mut self, number: usize) {
+        if !self.hosts[number].down {
+            let steps = self.hosts[number].replica.on_tick(self.now);
+            self.take(number, steps);
+        }
+    }
+
+    pub(crate) fn advance(&mut self, step: Duration) {
+        self.now += step;
+    }
+
+    /// Delivers the message at a position; gives whether there was one.
+    pub(crate) fn deliver(&mut self, position: usize, keep: bool) -> bool {
+        if position >= self.network.len() {
+            return false;
+        }
+        let (to, envelope) = match keep {
+            true => self.network[position].clone(),
+            false => self.network.remove(position),
+        };
+        if let Some(number) = self.number(&to).filter(|number| !self.hosts[*number].down) {
+            let steps = self.hosts[number].replica.on_message(self.now, envelope);
+            self.take(number, steps);
+        }
+        true
+    }
+
+    /// Syncs the oldest `count` writes of a host.
+    pub(crate) fn sync(&mut self, number: usize, count: usize) {
+        let host = &mut self.hosts[number];
+        let count = count.min(host.unsynced.len());
+        let entries: Vec<JournalEntry> = host.unsynced.drain(..count).collect();
+        for entry in entries {
+            let mark = entry.sync_mark();
+            store(&mut self.hosts[number].stored, entry);
+            let now = self.now;
+            let replica = &mut self.hosts[number].replica;
+            let steps = match mark {
+                SyncMark::HardState(state) => replica.on_hard_state_synced(now, state),
+                SyncMark::Records { index, term } => replica.on_synced(now, index, term),
+            };
+            self.take(number, steps);
+        }
+    }
+
+    /// Ends a host and starts it again with what it had synced.
+    pub(crate) fn restart(&mut self, number: usize) {
+        let (stored, boot) = (self.hosts[number].stored.clone(), self.hosts[number].boot + 1);
+        self.hosts[number] = self.boot(number, boot, stored);
+        self.check();
+    }
+
+    /// Ends a host and starts it again with an empty disk.
+    pub(crate) fn lose_disk(&mut self, number: usize) {
+        self.hosts[number].stored = StoredReplica::default();
+        self.restart(number);
+    }
+
+    /// Whether every other host counts, so that one may lose its disk.
+    pub(crate) fn others_count(&self, number: usize) -> bool {
+        let others = self.hosts.iter().enumerate().filter(|(other, _)| *other != number);
+        others.clone().count() > 0 && others.into_iter().all(|(_, host)| host.stored.hard.formed)
+    }
+
+    pub(crate) fn propose(&mut self, number: usize) -> bool {
+        self.proposals += 1;
+        let command = Command::Expire { before_ms: self.proposals };
+        let proposed = self.hosts[number].replica.propose(self.now, 0, vec![command]);
+        let Some((_, steps)) = proposed else { return false };
+        self.take(number, steps);
+        true
+    }
+
+    pub(crate) fn change_group(&mut self, number: usize, group: Vec<ControlPeer>) -> bool {
+        match self.hosts[number].replica.change_group(self.now, 0, group) {
+            Some(GroupChange::Logged { steps, .. } | GroupChange::CatchingUp { steps }) => {
+                self.take(number, steps);
+                true
+            }
+            Some(GroupChange::Refused(_)) | None => false,
+        }
+    }
+
+    pub(crate) fn compact(&mut self, number: usize) {
+        let host = &mut self.hosts[number];
+        let index = host.replica.commit();
+        if index <= host.replica.log().mark().index {
+            return;
+        }
+        let mark = host.replica.compact(index);
+        let rest = host.replica.log().slice(mark.index + 1, usize::MAX);
+        let hard_state = host.replica.hard_state().clone();
+        let state = String::new();
+        host.unsynced.push(JournalEntry::Snapshot { mark, state, rest, hard_state });
+    }
+
+    /// Lets everything work for a while: all messages arrive, all writes sync.
+    pub(crate) fn calm(&mut self, rounds: usize) {
+        for _ in 0..rounds {
+            self.advance(ELECTION / 10);
+            for number in 0..self.hosts.len() {
+                self.tick(number);
+                self.sync(number, usize::MAX);
+            }
+            let mut budget = 400;
+            while budget > 0 && self.deliver(0, false) {
+                budget -= 1;
+                for number in 0..self.hosts.len() {
+                    self.sync(number, usize::MAX);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn leader(&self) -> Option<usize> {
+        let leads = |host: &Host| !host.down && host.replica.leading(self.now).is_some();
+        self.hosts.iter().position(leads)
+    }
+
+    pub(crate) fn committed_proposals(&self) -> usize {
+        let proposal = |record: &&LogRecord| matches!(record.command, Command::Expire { .. });
+        self.committed.values().filter(proposal).count()
+    }
+
+    pub(crate) fn highest_committed(&self) -> LogIndex {
+        self.committed.keys().next_back().copied().unwrap_or(0)
+    }
+
+    /// One leader a term; what is committed anywhere is the same everywhere
+    /// and stays.
+    fn check(&mut self) {
+        let mut leaders = Vec::new();
+        for host in self.hosts.iter().filter(|host| host.replica.takes_proposals()) {
+            leaders.push((host.replica.term(), host.replica.name().clone()));
+        }
+        for (term, name) in leaders {
+            let known = self.leaders.entry(term).or_insert_with(|| name.clone());
+            assert_eq!(*known, name, "two leaders in term {term}");
+        }
+        for number in 0..self.hosts.len() {
+            self.check_commits(number);
+        }
+    }
+
+    fn check_commits(&mut self, number: usize) {
+        let replica = &self.hosts[number].replica;
+        for index in (replica.log().mark().index + 1)..=replica.commit() {
+            let record = replica.log().record(index);
+            let record = record.unwrap_or_else(|| panic!("committed record {index} is missing"));
+            let known = self.committed.entry(index).or_insert_with(|| record.clone());
+            assert_eq!(known, record, "two records are committed at {index}");
+        }
+    }
+}
+
+fn store(stored: &mut StoredReplica, entry: JournalEntry) {
+    match entry {
+        JournalEntry::HardState { state } => stored.hard = state,
+        JournalEntry::Records { from, records } => {
+            stored.records.retain(|record| record.index < from);
+            let covered = stored.mark.index;
+            stored.records.extend(records.into_iter().filter(|r| r.index > covered));
+        }
+        JournalEntry::Snapshot { mark, rest, hard_state, .. } => {
+            stored.mark = mark;
+            stored.records = rest;
+            stored.hard = hard_state;
+        }
+    }
+}
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -1,10 +1,14 @@
 //! All features' tests, one file each, in one program.
 
+mod log_model;
 mod support;
 
 mod bad_input;
 mod graceful_drain;
 mod job_path;
+mod journal_recovery;
+mod log_agreement;
+mod log_exploration;
 mod request_path;
 mod ring_bounds;
 mod settings_mistakes;
