--- a/crates/cactuswing/src/cli.rs
+++ b/crates/cactuswing/src/cli.rs
@@ -58,6 +58,7 @@
         Some(("status", matches)) => commands::inspect::status(matches),
         Some(("explain", matches)) => commands::inspect::explain(matches),
         Some(("figures", matches)) => commands::inspect::figures(matches),
+        Some(("load", matches)) => commands::load::run(matches),
         Some(("replay", matches)) => commands::replay::run(matches),
         _ => ExitKind::BadInput,
     }
@@ -190,6 +191,22 @@
                 .arg(controls())
                 .arg(json()),
         )
+        .subcommand(
+            Command::new("load")
+                .about("Send equal requests at a steady rate and measure the system's own share")
+                .arg(number("rate", "1000", "Requests a second"))
+                .arg(number("seconds", "5", "Seconds"))
+                .arg(number("entries", "2", "Entries"))
+                .arg(number("run-ms", "1", "Run time of each task in milliseconds"))
+                .arg(
+                    Arg::new("durable")
+                        .long("durable")
+                        .action(ArgAction::SetTrue)
+                        .help("Requests that may not be repeated, through the ledger"),
+                )
+                .arg(hosts())
+                .arg(json()),
+        )
         .subcommand(
             Command::new("replay")
                 .about("Play a recorded trace and compare with its stated outcomes")
@@ -207,14 +224,7 @@
                         .action(ArgAction::Append)
                         .help("Routing policy instead of the text's; `all` for each in turn"),
                 )
-                .arg(
-                    Arg::new("controls")
-                        .long("controls")
-                        .value_name("HOSTS")
-                        .default_value("3")
-                        .value_parser(value_parser!(usize))
-                        .help("Control hosts: 1, 3 or 5"),
-                )
+                .arg(hosts())
                 .arg(
                     Arg::new("log")
                         .long("log")
@@ -235,6 +245,24 @@
     )
 }
 
+fn hosts() -> Arg {
+    Arg::new("controls")
+        .long("controls")
+        .value_name("HOSTS")
+        .default_value("3")
+        .value_parser(value_parser!(usize))
+        .help("Control hosts: 1, 3 or 5")
+}
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("NUMBER")
+        .default_value(default)
+        .value_parser(value_parser!(u64))
+        .help(help)
+}
+
 fn text() -> Arg {
     Arg::new("text").required(true).value_name("TEXT").help("Operators' text, a JSON file")
 }
--- a/crates/cactuswing/src/commands/mod.rs
+++ b/crates/cactuswing/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod example;
 pub mod inspect;
+pub mod load;
 pub mod replay;
 pub mod serve;
 pub mod text;
--- a/crates/cactuswing/src/replay/local_cluster.rs
+++ b/crates/cactuswing/src/replay/local_cluster.rs
@@ -73,6 +73,8 @@
     pub lease_ms: u64,
     /// Tasks that may wait at one entry.
     pub queue_limit: usize,
+    /// Whether agents are reached through links that can be made to fail.
+    pub faulty_links: bool,
 }
 
 impl ClusterShape {
@@ -87,6 +89,7 @@
             election_ms: 300,
             lease_ms: 10_000,
             queue_limit: 20_000,
+            faulty_links: true,
         }
     }
 }
@@ -321,7 +324,7 @@
         link.lead_to(*control);
         control_links.push(link);
     }
-    let settings = agent_settings(shape, instance, &peer_link, &control_links);
+    let settings = agent_settings(shape, instance, &peer_link, &control_links, controls);
     let agent = start_agent(&settings, clock)?;
     peer_link.lead_to(agent.address);
     let backend_shape = BackendShape {
@@ -343,15 +346,17 @@
     instance: &InstanceLine,
     peer_link: &FaultyLink,
     control_links: &[FaultyLink],
+    controls: &[SocketAddr],
 ) -> AgentSettings {
+    let linked = control_links.iter().map(FaultyLink::address).collect();
     AgentSettings {
         worker: instance.worker.as_str().into(),
         domain: instance.domain.as_str().into(),
         rack: instance.rack.as_str().into(),
         listen: loopback(),
-        advertise: Some(peer_link.address()),
+        advertise: shape.faulty_links.then(|| peer_link.address()),
         announce_listen: loopback(),
-        controls: control_links.iter().map(FaultyLink::address).collect(),
+        controls: if shape.faulty_links { linked } else { controls.to_vec() },
         cores: instance.cores,
         memory_mb: instance.memory_mb,
         accelerators: 0,
--- a/crates/cactuswing/src/replay/outcome.rs
+++ b/crates/cactuswing/src/replay/outcome.rs
@@ -38,6 +38,12 @@
 }
 
 impl CallOutcome {
+    /// Response time less the ideal, in milliseconds.
+    pub fn excess_ms(&self) -> f64 {
+        let response = self.answered_at.saturating_duration_since(self.sent_at);
+        response.saturating_sub(self.ideal).as_secs_f64() * 1e3
+    }
+
     /// Response time over the ideal.
     pub fn slowdown(&self) -> f64 {
         let response = self.answered_at.saturating_duration_since(self.sent_at);
@@ -56,26 +62,43 @@
     pub p999: f64,
     /// Mean.
     pub mean: f64,
+    /// Median of the response time less the ideal, in milliseconds.
+    pub excess_p50_ms: f64,
+    /// 99th percentile of the same.
+    pub excess_p99_ms: f64,
 }
 
-/// Slowdowns are counted in thousandths.
+/// Values are counted in thousandths.
 const SCALE: f64 = 1_000.0;
-const MOST_SLOWDOWN: u64 = 10_000_000;
+const MOST_SCALED: u64 = 1_000_000_000;
 
 impl Slowdowns {
-    /// Percentiles of these calls.
+    /// Percentiles of the calls that were answered in full.
     pub fn of(calls: &[CallOutcome]) -> Slowdowns {
-        let Ok(mut histogram) = Histogram::<u64>::new_with_bounds(1, MOST_SLOWDOWN, 3) else {
-            return Slowdowns::default();
-        };
-        for call in calls.iter().filter(|call| matches!(call.answer, CallAnswer::Whole(_))) {
-            histogram.saturating_record((call.slowdown() * SCALE) as u64);
+        let whole = || calls.iter().filter(|call| matches!(call.answer, CallAnswer::Whole(_)));
+        let ratios = scaled_histogram(whole().map(CallOutcome::slowdown));
+        let excess = scaled_histogram(whole().map(CallOutcome::excess_ms));
+        Slowdowns {
+            p50: quantile(&ratios, 0.5),
+            p99: quantile(&ratios, 0.99),
+            p999: quantile(&ratios, 0.999),
+            mean: ratios.as_ref().map_or(0.0, |ratios| ratios.mean() / SCALE),
+            excess_p50_ms: quantile(&excess, 0.5),
+            excess_p99_ms: quantile(&excess, 0.99),
         }
-        let at = |quantile: f64| histogram.value_at_quantile(quantile) as f64 / SCALE;
-        Slowdowns { p50: at(0.5), p99: at(0.99), p999: at(0.999), mean: histogram.mean() / SCALE }
     }
 }
 
+fn scaled_histogram(values: impl Iterator<Item = f64>) -> Option<Histogram<u64>> {
+    let mut histogram = Histogram::<u64>::new_with_bounds(1, MOST_SCALED, 3).ok()?;
+    values.for_each(|value| histogram.saturating_record((value * SCALE) as u64));
+    Some(histogram)
+}
+
+fn quantile(histogram: &Option<Histogram<u64>>, quantile: f64) -> f64 {
+    histogram.as_ref().map_or(0.0, |known| known.value_at_quantile(quantile) as f64 / SCALE)
+}
+
 /// What a replay came to.
 #[derive(Debug, Clone, Serialize)]
 pub struct ReplayReport {
--- a/crates/cactuswing/src/replay/player.rs
+++ b/crates/cactuswing/src/replay/player.rs
@@ -8,7 +8,8 @@
 use model::{JobOrder, LogSettings, MessageKind, OperatorText, Payload, RoutingPolicy, TaskSpec};
 use serde::Deserialize;
 use standin::{
-    BackendServer, CallFailure, CallReply, Caller, LinkFault, Trace, TraceStep, task_payload,
+    BackendServer, CallFailure, CallReply, Caller, LinkFault, Trace, TraceStep, precise_sleep,
+    task_payload,
 };
 use strum::IntoEnumIterator;
 use tokio::sync::mpsc;
@@ -48,6 +49,7 @@
     shape.controls = options.controls;
     shape.entries = trace.header.entries;
     shape.log = options.log;
+    shape.faulty_links = trace.events.iter().any(|event| is_link_fault(&event.step));
     let mut cluster = LocalCluster::start(&shape)?;
     let before = message_counts(&cluster);
     let started = Instant::now();
@@ -62,6 +64,10 @@
     Ok(build_report(trace, policy, &calls, starts.len(), messages, violations, seconds))
 }
 
+fn is_link_fault(step: &TraceStep) -> bool {
+    matches!(step, TraceStep::CutWorker { .. } | TraceStep::SilenceLinks { .. })
+}
+
 fn message_counts(cluster: &LocalCluster) -> IndexMap<MessageKind, u64> {
     MessageKind::iter().map(|kind| (kind, cluster.messages(kind))).collect()
 }
@@ -336,12 +342,12 @@
 
 async fn send(caller: Caller, call: PlannedCall) -> CallOutcome {
     let sent_at = Instant::now();
-    tokio::time::sleep(call.delay).await;
+    precise_sleep(call.delay).await;
     let headers: Vec<(&str, &str)> =
         call.headers.iter().map(|(name, value)| (*name, value.as_str())).collect();
     let sending = caller.post(call.entry, &call.path, &headers, call.body.clone());
     let reply = tokio::time::timeout(LONGEST_WAIT, sending).await;
-    tokio::time::sleep(call.delay).await;
+    precise_sleep(call.delay).await;
     let answer = match reply {
         Ok(reply) => read_answer(reply, call.single),
         Err(_late) => CallAnswer::None("no answer in time".to_owned()),
--- a/crates/cactuswing/src/report.rs
+++ b/crates/cactuswing/src/report.rs
@@ -50,6 +50,8 @@
         "p99",
         "p99.9",
         "mean",
+        "excess p50 ms",
+        "excess p99 ms",
         "waste/call",
         "seconds",
     ];
@@ -64,6 +66,8 @@
             format!("{:.3}", report.slowdown.p99),
             format!("{:.3}", report.slowdown.p999),
             format!("{:.3}", report.slowdown.mean),
+            format!("{:.1}", report.slowdown.excess_p50_ms),
+            format!("{:.1}", report.slowdown.excess_p99_ms),
             format!("{:.4}", report.wasted_per_completed),
             format!("{:.1}", report.seconds),
         ]
--- a/crates/decisions/src/agent/start_table.rs
+++ b/crates/decisions/src/agent/start_table.rs
@@ -15,8 +15,8 @@
 use indexmap::IndexMap;
 use model::{
     AgentAnswer, AgentReply, AgentView, Announcement, AttemptId, CallId, Incarnation, MessageKind,
-    NodeId, NotStartedReason, RecallFate, RecallOrder, RunEnd, ServiceId, ServiceSlots, StartOrder,
-    TaskFate, TaskKey, TaskOutcome, TaskQuestion, TaskReport,
+    NodeId, NotStartedReason, RecallAnswer, RecallFate, RecallOrder, RunEnd, ServiceId,
+    ServiceSlots, StartOrder, TaskFate, TaskKey, TaskOutcome, TaskQuestion, TaskReport,
 };
 
 use super::instance_pool::{InstancePool, PoolChange};
@@ -278,7 +278,8 @@
             }
             fates.push(RecallFate { question: question.clone(), fate });
         }
-        steps.push(StartStep::Answer(AgentReply { call, answer: AgentAnswer::Fates(fates) }));
+        let answer = RecallAnswer { incarnation: self.incarnation, fates };
+        steps.push(StartStep::Answer(AgentReply { call, answer: AgentAnswer::Fates(answer) }));
         steps
     }
 
--- a/crates/decisions/src/control/control_state.rs
+++ b/crates/decisions/src/control/control_state.rs
@@ -35,7 +35,9 @@
             Command::ApplyText { request, base, text } => {
                 self.configs.apply(request, *base, text, record.at_ms)
             }
-            Command::Claim { order } => self.ledger.claim(record.index, order),
+            Command::Claim { order } => {
+                self.ledger.claim(record.index, order, self.members.agents())
+            }
             Command::Peek { key, fingerprint } => self.ledger.peek(key, *fingerprint),
             Command::Finish { key, epoch, owner, answer } => {
                 self.ledger.finish(key, *epoch, owner, answer, record.at_ms)
--- a/crates/decisions/src/control/ledger.rs
+++ b/crates/decisions/src/control/ledger.rs
@@ -3,8 +3,8 @@
 //! Invariants:
 //! - at any time a submission has one owner at most, and its epoch grows with
 //!   each new owner;
-//! - a submission that was answered is not run again, unless its answer
-//!   proved that nothing of it ran;
+//! - a submission that was answered is not run again, unless nothing of it
+//!   ran and its answer invited another try;
 //! - an id whose answer has been forgotten stays known as expired.
 
 use std::collections::VecDeque;
@@ -12,7 +12,7 @@
 use indexmap::{IndexMap, IndexSet};
 use model::{
     ClaimEpoch, ClaimOrder, CommandResult, Fingerprint, Incarnation, JobAnswer, JobKey, LogIndex,
-    NodeId, OwnerRef, Ran, Takeover, fingerprint,
+    NodeId, OwnerRef, Takeover, WorkerId, fingerprint,
 };
 use serde::{Deserialize, Serialize};
 
@@ -59,8 +59,13 @@
 }
 
 impl Ledger {
-    /// Decides on a claim at log position `index`.
-    pub fn claim(&mut self, index: LogIndex, order: &ClaimOrder) -> CommandResult {
+    /// Decides on a claim at log position `index`, while these agents live.
+    pub fn claim(
+        &mut self,
+        index: LogIndex,
+        order: &ClaimOrder,
+        agents: &IndexMap<WorkerId, Incarnation>,
+    ) -> CommandResult {
         if is_at_most(&self.lapsed, &order.owner) {
             return CommandResult::OwnerFenced;
         }
@@ -81,7 +86,7 @@
                 record.epoch += 1;
                 record.owner = order.owner.clone();
                 let memory_lost = self.agent_lost > record.since;
-                let takeover = Takeover::Collect { memory_lost };
+                let takeover = Takeover::Collect { memory_lost, agents: agents.clone() };
                 CommandResult::Claimed { epoch: record.epoch, takeover }
             }
             ClaimState::Ended { .. } => {
@@ -117,7 +122,7 @@
             return Some(CommandResult::ContentConflict);
         }
         match &record.state {
-            ClaimState::Ended { answer, .. } if !proves_nothing_ran(answer) => {
+            ClaimState::Ended { answer, .. } if !allows_rerun(answer) => {
                 Some(CommandResult::Recorded { answer: answer.clone() })
             }
             _ => None,
@@ -201,7 +206,7 @@
         if *at_ms != ended_ms {
             return;
         }
-        if !proves_nothing_ran(answer) {
+        if !allows_rerun(answer) {
             self.expired.insert(expired_mark(key));
         }
         self.claims.swap_remove(key);
@@ -221,6 +226,6 @@
     }
 }
 
-fn proves_nothing_ran(answer: &JobAnswer) -> bool {
-    matches!(answer, JobAnswer::Failed { failure } if failure.ran() == Ran::No)
+fn allows_rerun(answer: &JobAnswer) -> bool {
+    matches!(answer, JobAnswer::Failed { failure } if failure.allows_rerun())
 }
--- a/crates/decisions/src/control/member_book.rs
+++ b/crates/decisions/src/control/member_book.rs
@@ -27,6 +27,8 @@
 pub struct MemberBook {
     version: MembersVersion,
     members: IndexMap<NodeId, MemberRecord>,
+    /// Incarnations of those members that are agents.
+    agents: IndexMap<NodeId, Incarnation>,
     ended: IndexMap<NodeId, Incarnation>,
     fences: IndexMap<NodeId, Incarnation>,
     pending: Vec<PendingFence>,
@@ -43,6 +45,11 @@
         &self.members
     }
 
+    /// Incarnations of the agents.
+    pub fn agents(&self) -> &IndexMap<NodeId, Incarnation> {
+        &self.agents
+    }
+
     /// Highest ended incarnation of each node that has one.
     pub fn ended(&self) -> &IndexMap<NodeId, Incarnation> {
         &self.ended
@@ -75,6 +82,9 @@
         };
         self.version += 1;
         self.members.insert(member.node.clone(), member.clone());
+        if member.role == NodeRole::Agent {
+            self.agents.insert(member.node.clone(), member.incarnation);
+        }
         change
     }
 
@@ -85,6 +95,7 @@
             return MemberChange::None;
         }
         self.members.shift_remove(node);
+        self.agents.shift_remove(node);
         self.end(&known)
     }
 
--- a/crates/decisions/src/control/membership.rs
+++ b/crates/decisions/src/control/membership.rs
@@ -22,7 +22,8 @@
 
 /// Clocks of two hosts drift apart by less than this share.
 const DRIFT_SHARE: f64 = 0.05;
-/// A watch without news is answered after this share of the lease.
+/// A watch without news is answered after this share of the lease. A lease
+/// counts from when its watch was sent, so two such waits must fit into one.
 const ANSWER_SHARE: f64 = 0.4;
 /// How often leases are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/decisions/src/control/replica/group.rs
+++ b/crates/decisions/src/control/replica/group.rs
@@ -36,32 +36,41 @@
             return Vec::new();
         }
         self.hello_at = now + HELLO_INTERVAL;
+        let fresh = self.is_fresh();
         let others = self.others().into_iter();
-        others.map(|to| self.send(to, ReplicaMessage::Hello { formed: false })).collect()
+        others.map(|to| self.send(to, ReplicaMessage::Hello { fresh, asks: true })).collect()
     }
 
-    /// A group is new when every host says that it has nothing. A host that
-    /// finds others with data has lost its disk, and waits to be caught up.
-    pub(super) fn on_hello(&mut self, from: &NodeId, formed: bool) -> Vec<ReplicaStep> {
+    /// Whether this replica has promised nothing yet, as far as it knows.
+    fn is_fresh(&self) -> bool {
+        self.hard.term == 0 && self.log.last_index() == 0
+    }
+
+    /// A group is new when no other host has promised anything: a majority of
+    /// any earlier history would be known to one of them. A host that finds
+    /// others with history has lost its disk, and waits to be caught up.
+    pub(super) fn on_hello(&mut self, from: &NodeId, fresh: bool, asks: bool) -> Vec<ReplicaStep> {
         if !self.is_voter(&self.name) || !self.is_voter(from) {
             return Vec::new();
         }
+        let mut steps = Vec::new();
+        if asks {
+            let answer = ReplicaMessage::Hello { fresh: self.is_fresh(), asks: false };
+            steps.push(self.send(from.clone(), answer));
+        }
         if self.hard.formed {
-            return match formed {
-                true => Vec::new(),
-                false => vec![self.send(from.clone(), ReplicaMessage::Hello { formed: true })],
-            };
+            return steps;
         }
-        if formed || self.log.last_index() > 0 {
-            self.unformed.clear();
-            return Vec::new();
+        if !fresh || !self.is_fresh() {
+            self.fresh.clear();
+            return steps;
         }
-        self.unformed.insert(from.clone());
-        if self.unformed.len() < self.others().len() {
-            return Vec::new();
+        self.fresh.insert(from.clone());
+        if self.fresh.len() == self.others().len() {
+            self.hard.formed = true;
+            steps.push(ReplicaStep::PersistHardState(self.hard.clone()));
         }
-        self.hard.formed = true;
-        vec![ReplicaStep::PersistHardState(self.hard.clone())]
+        steps
     }
 
     /// Wishes another group. A host that is added catches up first; only then
--- a/crates/decisions/src/control/replica/lead.rs
+++ b/crates/decisions/src/control/replica/lead.rs
@@ -29,6 +29,9 @@
     /// When the latest round that it acknowledged was sent.
     acked_at: Option<Instant>,
     sent_at: Option<Instant>,
+    /// Since when records are on their way; the next ones wait for the answer
+    /// and then go together.
+    waiting_since: Option<Instant>,
     snapshot_until: Option<Instant>,
 }
 
@@ -42,6 +45,7 @@
             proof_from: None,
             acked_at: None,
             sent_at: None,
+            waiting_since: None,
             snapshot_until: None,
         }
     }
@@ -178,6 +182,7 @@
     /// Sends a follower what it lacks, or a heartbeat.
     fn replicate(&mut self, now: Instant, name: &NodeId, round: u64) -> Option<ReplicaStep> {
         let batch = self.limits.batch_records;
+        let heartbeat = self.limits.heartbeat;
         let (first_kept, commit) = (self.log.mark().index + 1, self.commit);
         let may_count = match &self.role {
             Role::Leader(leader) => leader.peers.get(name).is_some_and(|peer| self.may_count(peer)),
@@ -185,6 +190,9 @@
         };
         let Role::Leader(leader) = &mut self.role else { return None };
         let peer = leader.peers.get_mut(name)?;
+        if peer.waiting_since.is_some_and(|since| now < since + heartbeat) {
+            return None;
+        }
         peer.sent_at = Some(now);
         if peer.next < first_kept {
             if peer.snapshot_until.is_some_and(|until| now < until) {
@@ -197,6 +205,7 @@
         let prev_term = self.log.term_at(prev_index)?;
         let records = self.log.slice(peer.next, batch);
         peer.next += records.len() as LogIndex;
+        peer.waiting_since = (!records.is_empty()).then_some(now);
         let message =
             ReplicaMessage::Append { prev_index, prev_term, records, commit, round, may_count };
         Some(self.send(name.clone(), message))
@@ -238,6 +247,7 @@
             peer.matched = 0;
             peer.proof_from = None;
         }
+        peer.waiting_since = None;
         peer.boot = ack.boot;
         peer.counts = ack.counts;
         peer.acked_at = peer.acked_at.max(sent_at);
--- a/crates/decisions/src/control/replica/mod.rs
+++ b/crates/decisions/src/control/replica/mod.rs
@@ -129,7 +129,7 @@
     election_at: Instant,
     owed_votes: Vec<(NodeId, ReplicaMessage)>,
     owed_ack: Option<OwedAck>,
-    unformed: IndexSet<NodeId>,
+    fresh: IndexSet<NodeId>,
     hello_at: Instant,
     failed: bool,
 }
@@ -168,7 +168,7 @@
             election_at: now,
             owed_votes: Vec::new(),
             owed_ack: None,
-            unformed: IndexSet::new(),
+            fresh: IndexSet::new(),
             hello_at: now,
             failed: false,
         };
@@ -183,7 +183,7 @@
         }
         let ReplicaEnvelope { from, term, boot, message } = envelope;
         match message {
-            ReplicaMessage::Hello { formed } => self.on_hello(&from, formed),
+            ReplicaMessage::Hello { fresh, asks } => self.on_hello(&from, fresh, asks),
             ReplicaMessage::VoteRequest { trial, last_index, last_term } => {
                 self.on_vote_request(now, from, term, trial, (last_term, last_index))
             }
--- a/crates/decisions/src/entry/dispatcher/answers.rs
+++ b/crates/decisions/src/entry/dispatcher/answers.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use model::{
-    AgentView, AttemptId, ErrorKind, MessageKind, NotStartedReason, RecallFate, TaskEnd, TaskFate,
-    TaskKey, TaskNote, TaskOutcome, TaskReport, WorkerId,
+    AgentView, AttemptId, ErrorKind, MessageKind, NotStartedReason, RecallAnswer, RecallFate,
+    TaskEnd, TaskFate, TaskKey, TaskNote, TaskOutcome, TaskReport, WorkerId,
 };
 
 use super::super::retry_budget::backoff_delay;
@@ -293,11 +293,12 @@
         &mut self,
         now: Instant,
         worker: &WorkerId,
-        fates: &[RecallFate],
+        answer: &RecallAnswer,
     ) -> Vec<DispatchStep> {
+        let fates = &answer.fates;
         let ended = |fate: &&RecallFate| matches!(fate.fate, TaskFate::Ended { .. });
         let late = fates.iter().filter(ended).count();
-        let mut steps = self.on_collected(now, worker, fates);
+        let mut steps = self.on_collected(now, worker, answer);
         if late > 0 && late == fates.len() {
             steps.push(DispatchStep::Count(MessageKind::LateCancel));
         }
--- a/crates/decisions/src/entry/dispatcher/intake.rs
+++ b/crates/decisions/src/entry/dispatcher/intake.rs
@@ -11,7 +11,7 @@
 
 use super::super::admission::{AdmissionCheck, ServiceLoad, check_admission};
 use super::super::fair_queue::{FairQueue, QueuedTask};
-use super::super::task_table::{JobSlot, TaskPhase, TaskSlot};
+use super::super::task_table::{Collection, JobSlot, TaskPhase, TaskSlot};
 use super::{DispatchStep, Dispatcher};
 
 impl Dispatcher {
@@ -134,7 +134,7 @@
     fn release(&mut self, now: Instant, key: &JobKey, order: ReleaseOrder) -> Vec<DispatchStep> {
         let Some(job) = self.tasks.jobs.get_mut(key) else { return Vec::new() };
         let service = job.service.clone();
-        let takeover = order.takeover;
+        let takeover = order.takeover.clone();
         job.order = Some(order);
         if let Some(budget) = self.budgets.get_mut(&service) {
             budget.on_first_try();
@@ -146,7 +146,9 @@
                 }
                 self.place(now, &service)
             }
-            Takeover::Collect { memory_lost } => self.start_collection(now, key, memory_lost),
+            Takeover::Collect { memory_lost, agents } => {
+                self.start_collection(now, key, Collection { unheard: agents, memory_lost })
+            }
         }
     }
 
--- a/crates/decisions/src/entry/dispatcher/mod.rs
+++ b/crates/decisions/src/entry/dispatcher/mod.rs
@@ -210,7 +210,7 @@
             LinkEvent::CallLost { key, attempt, sent } => {
                 self.on_call_lost(now, worker, &key, attempt, sent)
             }
-            LinkEvent::Recalled { fates } => self.on_recalled(now, worker, &fates),
+            LinkEvent::Recalled { answer } => self.on_recalled(now, worker, &answer),
             LinkEvent::RecallLost { questions } => self.on_recall_lost(worker, &questions),
             LinkEvent::Silent => self.on_silent(now, worker),
         }
--- a/crates/decisions/src/entry/dispatcher/placing.rs
+++ b/crates/decisions/src/entry/dispatcher/placing.rs
@@ -137,9 +137,9 @@
         let kind = if self.health.on_placed(worker) { MessageKind::Probe } else { kind };
         let note = TaskNote::Placed { worker: worker.clone(), attempt: order.attempt };
         vec![
+            DispatchStep::Start { worker: worker.clone(), order: Box::new(order) },
             DispatchStep::Count(kind),
             DispatchStep::Note { key: key.clone(), note },
-            DispatchStep::Start { worker: worker.clone(), order: Box::new(order) },
         ]
     }
 }
--- a/crates/decisions/src/entry/dispatcher/takeover.rs
+++ b/crates/decisions/src/entry/dispatcher/takeover.rs
@@ -3,8 +3,8 @@
 use std::time::Instant;
 
 use model::{
-    JobKey, MessageKind, RecallFate, RecallOrder, TaskEnd, TaskFate, TaskKey, TaskOutcome,
-    TaskQuestion, WorkerId,
+    Incarnation, JobKey, MessageKind, RecallAnswer, RecallFate, RecallOrder, TaskEnd, TaskFate,
+    TaskKey, TaskOutcome, TaskQuestion, WorkerId,
 };
 
 use super::super::task_table::{Collection, TaskPhase};
@@ -17,11 +17,15 @@
         &mut self,
         now: Instant,
         key: &JobKey,
-        memory_lost: bool,
+        mut collection: Collection,
     ) -> Vec<DispatchStep> {
-        let unheard = self.workers.names();
+        // A worker that is not known here can't be asked.
+        let listed = collection.unheard.len();
+        collection.unheard.retain(|worker, _| self.workers.get(worker).is_some());
+        collection.memory_lost |= collection.unheard.len() < listed;
+        let unheard: Vec<WorkerId> = collection.unheard.keys().cloned().collect();
         let Some(job) = self.tasks.jobs.get_mut(key) else { return Vec::new() };
-        job.collection = Some(Collection { unheard: unheard.clone(), memory_lost });
+        job.collection = Some(collection);
         for slot in &mut job.tasks {
             slot.phase = TaskPhase::Collecting;
         }
@@ -58,7 +62,9 @@
 
     fn jobs_waiting_for(&self, worker: &WorkerId) -> Vec<JobKey> {
         let waiting = self.tasks.jobs.iter().filter(|(_, job)| {
-            job.collection.as_ref().is_some_and(|collection| collection.unheard.contains(worker))
+            job.collection
+                .as_ref()
+                .is_some_and(|collection| collection.unheard.contains_key(worker))
         });
         waiting.map(|(key, _)| key.clone()).collect()
     }
@@ -76,14 +82,15 @@
         &mut self,
         now: Instant,
         worker: &WorkerId,
-        fates: &[RecallFate],
+        answer: &RecallAnswer,
     ) -> Vec<DispatchStep> {
         let mut steps = Vec::new();
-        for fate in fates {
+        for fate in &answer.fates {
             steps.extend(self.take_fate(worker, fate));
         }
-        let Some(first) = fates.first() else { return steps };
-        steps.extend(self.heard_from(now, &first.question.key.job, worker));
+        let Some(first) = answer.fates.first() else { return steps };
+        let job = &first.question.key.job;
+        steps.extend(self.heard_from(now, job, worker, Some(answer.incarnation)));
         steps
     }
 
@@ -124,10 +131,19 @@
         ]
     }
 
-    fn heard_from(&mut self, now: Instant, job: &JobKey, worker: &WorkerId) -> Vec<DispatchStep> {
+    /// A worker has answered, or is gone (`None`). Only the incarnation that
+    /// may have started tasks can tell that it did not.
+    fn heard_from(
+        &mut self,
+        now: Instant,
+        job: &JobKey,
+        worker: &WorkerId,
+        incarnation: Option<Incarnation>,
+    ) -> Vec<DispatchStep> {
         let Some(slot) = self.tasks.jobs.get_mut(job) else { return Vec::new() };
         let Some(collection) = &mut slot.collection else { return Vec::new() };
-        collection.unheard.retain(|unheard| unheard != worker);
+        let Some(expected) = collection.unheard.shift_remove(worker) else { return Vec::new() };
+        collection.memory_lost |= incarnation != Some(expected);
         if collection.unheard.is_empty() { self.finish_collection(now, job) } else { Vec::new() }
     }
 
@@ -139,12 +155,7 @@
     ) -> Vec<DispatchStep> {
         let mut steps = Vec::new();
         for job in self.jobs_waiting_for(worker) {
-            if let Some(slot) = self.tasks.jobs.get_mut(&job)
-                && let Some(collection) = &mut slot.collection
-            {
-                collection.memory_lost = true;
-            }
-            steps.extend(self.heard_from(now, &job, worker));
+            steps.extend(self.heard_from(now, &job, worker, None));
         }
         steps
     }
--- a/crates/decisions/src/entry/job_tracker/ends.rs
+++ b/crates/decisions/src/entry/job_tracker/ends.rs
@@ -49,13 +49,16 @@
     /// All tasks have ended: the answer is recorded, or given at once when the
     /// ledger need not know it.
     pub(super) fn finish(&mut self, now: Instant, key: &JobKey) -> Vec<JobStep> {
-        let owner = self.owner.clone();
         let Some(job) = self.jobs.get_mut(key) else { return Vec::new() };
         let ends: Vec<TaskEnd> = job.ends.iter().flatten().cloned().collect();
         let answer = build_answer(&ends, job.cancelled);
-        if !job.durable {
-            return self.end(now, key, answer);
-        }
+        if job.durable { self.record(now, key, answer) } else { self.end(now, key, answer) }
+    }
+
+    /// Asks control to record the answer.
+    pub(super) fn record(&mut self, now: Instant, key: &JobKey, answer: JobAnswer) -> Vec<JobStep> {
+        let owner = self.owner.clone();
+        let Some(job) = self.jobs.get_mut(key) else { return Vec::new() };
         job.note(now, "recording the answer".to_owned());
         let epoch = job.epoch;
         let deadline = job.deadline;
--- a/crates/decisions/src/entry/job_tracker/intake.rs
+++ b/crates/decisions/src/entry/job_tracker/intake.rs
@@ -6,8 +6,8 @@
 use compact_str::{CompactString, format_compact};
 use model::{
     AdmitRequest, AdmitTask, CallId, CallerAnswer, ErrorKind, Failure, Fingerprint, JobAnswer,
-    JobKey, JobOrder, Payload, Ran, ReleaseOrder, RequestIntake, ServiceText, SubmissionId,
-    Takeover, TaskSpec, WorkerSize, fingerprint, is_name,
+    JobKey, JobOrder, Payload, ReleaseOrder, RequestIntake, ServiceText, SubmissionId, Takeover,
+    TaskSpec, WorkerSize, fingerprint, is_name,
 };
 
 use super::job::{Job, JobPhase, NewJob};
@@ -170,9 +170,7 @@
             return Some(vec![refuse(call, conflict(key))]);
         }
         match &job.phase {
-            JobPhase::Ended { answer: JobAnswer::Failed { failure } }
-                if failure.ran() == Ran::No =>
-            {
+            JobPhase::Ended { answer: JobAnswer::Failed { failure } } if failure.allows_rerun() => {
                 None
             }
             JobPhase::Ended { answer } => {
--- a/crates/decisions/src/entry/job_tracker/ledger.rs
+++ b/crates/decisions/src/entry/job_tracker/ledger.rs
@@ -167,7 +167,7 @@
             .map(|call| JobStep::Answer { call, answer: answer.clone() })
             .collect();
         if job.open == 0 {
-            steps.extend(self.finish(now, key));
+            steps.extend(self.finish_unreleased(now, key, takeover));
             return steps;
         }
         let order = ReleaseOrder { epoch, owner, takeover };
@@ -175,6 +175,24 @@
         steps
     }
 
+    /// Its tasks were given up while the claim was on its way. Of an earlier
+    /// owner's work nothing is known then.
+    fn finish_unreleased(
+        &mut self,
+        now: Instant,
+        key: &JobKey,
+        takeover: Takeover,
+    ) -> Vec<JobStep> {
+        match takeover {
+            Takeover::Fresh => self.finish(now, key),
+            Takeover::Collect { .. } => {
+                let detail = "given up before it was known what an earlier owner had started";
+                let failure = Failure::new(ErrorKind::OutcomeUnknown, detail);
+                self.record(now, key, JobAnswer::Failed { failure })
+            }
+        }
+    }
+
     fn on_record_word(
         &mut self,
         now: Instant,
--- a/crates/decisions/src/entry/placement.rs
+++ b/crates/decisions/src/entry/placement.rs
@@ -35,11 +35,13 @@
     }
 
     /// Expected time to completion for a task of `base_us`, when waiting tasks
-    /// take `mean_us` each, all on a worker of speed 1.
+    /// take `mean_us` each, all on a worker of speed 1. A free slot may be
+    /// taken by another entry meanwhile, the likelier the fuller the worker.
     fn completion_us(&self, base_us: f64, mean_us: f64) -> f64 {
-        let ahead = (self.load + 1).saturating_sub(self.slots);
-        let wait_us = f64::from(ahead) / f64::from(self.slots.max(1)) * mean_us;
-        (wait_us + base_us) * self.speed
+        let slots = f64::from(self.slots.max(1));
+        let share = f64::from(self.load + 1) / slots;
+        let turns = if share <= 1.0 { share.powf(slots) } else { f64::from(self.load + 1) - slots };
+        (turns / slots * mean_us + base_us) * self.speed
     }
 }
 
@@ -81,7 +83,7 @@
     /// Chooses for a task of `base_us` where the mean task takes `mean_us`.
     pub fn choose(&mut self, candidates: &[Candidate], base_us: f64, mean_us: f64) -> Placement {
         match self.policy {
-            RoutingPolicy::ExpectedCompletion => by_completion(candidates, base_us, mean_us),
+            RoutingPolicy::ExpectedCompletion => self.by_completion(candidates, base_us, mean_us),
             RoutingPolicy::Random => self.random(candidates),
             RoutingPolicy::RoundRobin => self.round_robin(candidates),
             RoutingPolicy::LeastOutstanding => least_outstanding(candidates),
@@ -90,6 +92,29 @@
         }
     }
 
+    /// Least expected completion; when that is at a worker without a free slot,
+    /// the task waits at the entry, where it can still go elsewhere. The look
+    /// begins anywhere, so that entries do not all take the same of equals.
+    fn by_completion(&mut self, candidates: &[Candidate], base_us: f64, mean_us: f64) -> Placement {
+        let count = candidates.len();
+        if count == 0 {
+            return Placement::Nowhere;
+        }
+        let offset = self.generator.random_range(0..count);
+        let completion_us = |position: usize| candidates[position].completion_us(base_us, mean_us);
+        let mut best = (offset, completion_us(offset));
+        for position in (offset + 1..count).chain(0..offset) {
+            let time_us = completion_us(position);
+            if time_us < best.1 {
+                best = (position, time_us);
+            }
+        }
+        match candidates[best.0].has_free_slot() {
+            true => Placement::At(best.0),
+            false => Placement::HoldFor(best.0),
+        }
+    }
+
     fn random(&mut self, candidates: &[Candidate]) -> Placement {
         let open = open_positions(candidates);
         if open.is_empty() {
@@ -127,24 +152,6 @@
     (0..candidates.len()).filter(|position| candidates[*position].has_room()).collect()
 }
 
-/// Least expected completion; when that is at a worker without a free slot,
-/// the task waits at the entry, where it can still go elsewhere.
-fn by_completion(candidates: &[Candidate], base_us: f64, mean_us: f64) -> Placement {
-    let mut best: Option<(usize, f64)> = None;
-    for (position, candidate) in candidates.iter().enumerate() {
-        let completion_us = candidate.completion_us(base_us, mean_us);
-        let better = best.is_none_or(|(_, least_us)| completion_us < least_us);
-        if better {
-            best = Some((position, completion_us));
-        }
-    }
-    match best {
-        Some((position, _)) if candidates[position].has_free_slot() => Placement::At(position),
-        Some((position, _)) => Placement::HoldFor(position),
-        None => Placement::Nowhere,
-    }
-}
-
 fn least_outstanding(candidates: &[Candidate]) -> Placement {
     let open = candidates.iter().enumerate().filter(|(_, candidate)| candidate.has_room());
     match open.min_by_key(|(_, candidate)| candidate.own) {
--- a/crates/decisions/src/entry/run_times.rs
+++ b/crates/decisions/src/entry/run_times.rs
@@ -8,27 +8,45 @@
 use indexmap::IndexMap;
 use model::{ServiceId, WorkerId};
 
-const LEAST_GAIN: f64 = 0.02;
+/// Weight of a new sample once many have been seen. Run times spread widely,
+/// so a worker's speed is told apart from chance only over hundreds of runs.
+const LEAST_GAIN: f64 = 0.005;
+/// Weight of a new sample in the recent average, which notices change.
+const RECENT_GAIN: f64 = 0.08;
+/// The recent average has left the long one behind by this factor: what was
+/// learnt before is out of date.
+const CHANGE_FACTOR: f64 = 2.0;
+/// Samples before the recent average is trusted.
+const LEAST_SAMPLES: u32 = 20;
 const LEAST_SPEED: f64 = 0.02;
 const MOST_SPEED: f64 = 50.0;
 const LEAST_RUN_US: f64 = 1.0;
 
-/// Running mean that turns into an exponential average.
+/// Running mean that turns into a slow exponential average, and starts anew
+/// when recent samples have moved away from it.
 #[derive(Debug, Clone, Copy)]
 struct LearntMean {
     value: f64,
+    recent: f64,
     samples: u32,
 }
 
 impl LearntMean {
     fn new(prior: f64) -> LearntMean {
-        LearntMean { value: prior, samples: 1 }
+        LearntMean { value: prior, recent: prior, samples: 1 }
     }
 
     fn learn(&mut self, sample: f64) {
         self.samples = self.samples.saturating_add(1);
-        let gain = (1.0 / f64::from(self.samples)).max(LEAST_GAIN);
-        self.value += gain * (sample - self.value);
+        let share = 1.0 / f64::from(self.samples);
+        self.value += share.max(LEAST_GAIN) * (sample - self.value);
+        self.recent += share.max(RECENT_GAIN) * (sample - self.recent);
+        let factor = self.recent / self.value.max(f64::MIN_POSITIVE);
+        let changed = !(1.0 / CHANGE_FACTOR..=CHANGE_FACTOR).contains(&factor);
+        if changed && self.samples >= LEAST_SAMPLES {
+            self.value = self.recent;
+            self.samples = LEAST_SAMPLES / 2;
+        }
     }
 }
 
--- a/crates/decisions/src/entry/task_table.rs
+++ b/crates/decisions/src/entry/task_table.rs
@@ -59,7 +59,8 @@
 /// What is still to be heard before a taken-over submission goes on.
 #[derive(Debug, Clone)]
 pub(super) struct Collection {
-    pub(super) unheard: Vec<WorkerId>,
+    /// Agents that have not answered, by the incarnation that must.
+    pub(super) unheard: IndexMap<WorkerId, Incarnation>,
     pub(super) memory_lost: bool,
 }
 
--- a/crates/decisions/src/entry/worker_table.rs
+++ b/crates/decisions/src/entry/worker_table.rs
@@ -145,10 +145,6 @@
         self.workers.get(worker)
     }
 
-    pub(super) fn names(&self) -> Vec<WorkerId> {
-        self.workers.keys().cloned().collect()
-    }
-
     /// Counts a task that was sent.
     pub(super) fn add_task(&mut self, worker: &WorkerId, service: &ServiceId, size: &WorkerSize) {
         let Some(state) = self.workers.get_mut(worker) else { return };
--- a/crates/edges/src/agent_edge.rs
+++ b/crates/edges/src/agent_edge.rs
@@ -4,7 +4,7 @@
 use jsonrpsee::server::{Server, ServerConfig};
 use kernel::{Registry, RingReceiver, RingSender};
 use model::{
-    AgentAnswer, AgentReply, AgentView, AgentWatch, CallId, RecallFate, RecallOrder, ServiceName,
+    AgentAnswer, AgentReply, AgentView, AgentWatch, CallId, RecallAnswer, RecallOrder, ServiceName,
     StartMessage, StartOrder, TaskQuestion, TaskReport,
 };
 
@@ -81,9 +81,9 @@
         }
     }
 
-    async fn recall(&self, order: RecallOrder) -> RpcResult<Vec<RecallFate>> {
+    async fn recall(&self, order: RecallOrder) -> RpcResult<RecallAnswer> {
         match self.ask(|call, reply| StartMessage::Recall { call, order, reply }).await? {
-            AgentAnswer::Fates(fates) => Ok(fates),
+            AgentAnswer::Fates(answer) => Ok(answer),
             _ => Err(wrong_answer()),
         }
     }
--- a/crates/edges/src/agent_link.rs
+++ b/crates/edges/src/agent_link.rs
@@ -2,7 +2,8 @@
 //! silence.
 //!
 //! Invariants:
-//! - a link on which nothing is heard is asked for a sign of life; without one
+//! - a link on which nothing is heard while calls are open is asked for a sign
+//!   of life, an idle one rarely; without one
 //!   the connection ends, and with it every call that was open on it;
 //! - a link in use is never asked: its answers are signs of life;
 //! - each job's reserved room is used exactly once.
@@ -23,6 +24,7 @@
 };
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use crate::agent_links::report;
 use crate::peer_api::{AgentApiClient, MOST_MESSAGE_BYTES, NOT_TAKEN};
@@ -34,6 +36,8 @@
 const WATCH_WAIT: Duration = Duration::from_secs(30);
 /// How long ended calls may take to report after the connection is gone.
 const LAST_REPORTS: Duration = Duration::from_secs(1);
+/// How long a link may be quiet while nothing depends on it.
+const IDLE_QUIET: Duration = Duration::from_secs(15);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 const MOST_CALLS: usize = 65_536;
@@ -180,9 +184,10 @@
         let counters = self.counters.clone();
         async move {
             loop {
-                let quiet_at = heard.at() + plans.borrow().interval;
-                tokio::time::sleep_until(quiet_at).await;
-                if heard.at() + plans.borrow().interval > tokio::time::Instant::now() {
+                let interval = plans.borrow().interval;
+                tokio::time::sleep_until(heard.at().max(heard.checked_at()) + interval).await;
+                heard.check();
+                if !heard.is_overdue(interval) {
                     continue;
                 }
                 counters.count_exchange(MessageKind::Heartbeat);
@@ -227,48 +232,75 @@
     }
 }
 
-/// When anything was last heard on a connection.
+/// When anything was last heard on a connection, and whether calls are open.
 #[derive(Clone)]
 struct LastHeard {
-    at: Rc<Cell<tokio::time::Instant>>,
+    at: Rc<Cell<Instant>>,
+    checked_at: Rc<Cell<Instant>>,
+    open_calls: Rc<Cell<usize>>,
 }
 
 impl LastHeard {
     fn new() -> LastHeard {
-        LastHeard { at: Rc::new(Cell::new(tokio::time::Instant::now())) }
+        let now = Instant::now();
+        LastHeard {
+            at: Rc::new(Cell::new(now)),
+            checked_at: Rc::new(Cell::new(now)),
+            open_calls: Rc::default(),
+        }
     }
 
     fn note(&self) {
-        self.at.set(tokio::time::Instant::now());
+        self.at.set(Instant::now());
+    }
+
+    fn check(&self) {
+        self.checked_at.set(Instant::now());
+    }
+
+    fn at(&self) -> Instant {
+        self.at.get()
     }
 
-    fn note_if(&self, answered: bool) {
+    fn checked_at(&self) -> Instant {
+        self.checked_at.get()
+    }
+
+    fn call_opened(&self) {
+        self.open_calls.set(self.open_calls.get() + 1);
+    }
+
+    fn call_closed(&self, answered: bool) {
+        self.open_calls.set(self.open_calls.get() - 1);
         if answered {
             self.note();
         }
     }
 
-    fn at(&self) -> tokio::time::Instant {
-        self.at.get()
+    /// Whether a sign of life is due.
+    fn is_overdue(&self, interval: Duration) -> bool {
+        let allowed = if self.open_calls.get() > 0 { interval } else { IDLE_QUIET };
+        Instant::now() >= self.at() + allowed
     }
 }
 
 /// Carries one job and reports its answer, or that none came.
 async fn carry(client: Arc<WsClient>, heard: LastHeard, worker: WorkerId, job: LinkJob) {
+    heard.call_opened();
     match job {
         LinkJob::Start { order, reply } => {
             let TaskQuestion { key, attempt } =
                 TaskQuestion { key: order.key.clone(), attempt: order.attempt };
             let answer = client.start(*order).await;
             drop(client);
-            heard.note_if(answer.is_ok());
+            heard.call_closed(answer.is_ok());
             report(reply, &worker, report_event(key, attempt, answer));
         }
         LinkJob::Attach { question, reply } => {
             let TaskQuestion { key, attempt } = question.clone();
             let answer = client.attach(question).await;
             drop(client);
-            heard.note_if(answer.is_ok());
+            heard.call_closed(answer.is_ok());
             let event = match answer {
                 Ok(answer) => LinkEvent::Report { report: answer },
                 Err(_) => LinkEvent::CallLost { key, attempt, sent: true },
@@ -279,9 +311,9 @@
             let questions = order.questions.clone();
             let answer = client.recall(order).await;
             drop(client);
-            heard.note_if(answer.is_ok());
+            heard.call_closed(answer.is_ok());
             let event = match answer {
-                Ok(fates) => LinkEvent::Recalled { fates },
+                Ok(answer) => LinkEvent::Recalled { answer },
                 Err(_) => LinkEvent::RecallLost { questions },
             };
             report(reply, &worker, event);
--- a/crates/edges/src/control_link.rs
+++ b/crates/edges/src/control_link.rs
@@ -26,7 +26,7 @@
 
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 /// Longer than any lease lets a watch wait.
-const ANSWER_LIMIT: Duration = Duration::from_secs(7);
+const ANSWER_LIMIT: Duration = Duration::from_secs(8);
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 const FULL_RING_PAUSE: Duration = Duration::from_millis(5);
 const MOST_CALLS: usize = 1_024;
--- a/crates/edges/src/peer_api.rs
+++ b/crates/edges/src/peer_api.rs
@@ -4,7 +4,7 @@
 use jsonrpsee::proc_macros::rpc;
 use jsonrpsee::types::ErrorObjectOwned;
 use model::{
-    AgentView, AgentWatch, Command, ControlQuery, ControlReplyBody, NodeWatch, RecallFate,
+    AgentView, AgentWatch, Command, ControlQuery, ControlReplyBody, NodeWatch, RecallAnswer,
     RecallOrder, ReplicaEnvelope, StartOrder, TaskQuestion, TaskReport,
 };
 
@@ -26,7 +26,7 @@
 
     /// Takes back tasks that have not started.
     #[method(name = "recall")]
-    async fn recall(&self, order: RecallOrder) -> RpcResult<Vec<RecallFate>>;
+    async fn recall(&self, order: RecallOrder) -> RpcResult<RecallAnswer>;
 
     /// Answers when there is news, or after the asked time.
     #[method(name = "watch")]
--- a/crates/model/src/command.rs
+++ b/crates/model/src/command.rs
@@ -10,7 +10,7 @@
 use crate::cluster::MemberRecord;
 use crate::ids::{
     ClaimEpoch, ConfigVersion, Fingerprint, Incarnation, LogIndex, MembersVersion, NodeId,
-    RequestId, ServiceId, TeamId,
+    RequestId, ServiceId, TeamId, WorkerId,
 };
 use crate::settings::ControlPeer;
 use crate::text::OperatorText;
@@ -155,7 +155,7 @@
 }
 
 /// What a new owner must know of the work of the one before.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Takeover {
     /// Nobody owned the submission before, or nothing of it ever started.
@@ -165,6 +165,8 @@
         /// Whether an agent was lost since the first claim: a task that no
         /// agent knows may then have run.
         memory_lost: bool,
+        /// The agents, by incarnation, that may have started tasks.
+        agents: IndexMap<WorkerId, Incarnation>,
     },
 }
 
--- a/crates/model/src/error.rs
+++ b/crates/model/src/error.rs
@@ -173,6 +173,13 @@
     pub fn ran(&self) -> Ran {
         self.kind.answer_row().ran
     }
+
+    /// Whether the same submission may be run anew: nothing of it ran, and
+    /// trying again makes sense.
+    pub fn allows_rerun(&self) -> bool {
+        let row = self.kind.answer_row();
+        row.ran == Ran::No && row.retry_after.is_some()
+    }
 }
 
 /// The body of a failed answer, as `application/problem+json`.
--- a/crates/model/src/messages.rs
+++ b/crates/model/src/messages.rs
@@ -367,8 +367,8 @@
     },
     /// A recall was answered.
     Recalled {
-        /// Each task's fate.
-        fates: Vec<RecallFate>,
+        /// The answer.
+        answer: RecallAnswer,
     },
     /// A recall ended without an answer.
     RecallLost {
@@ -446,6 +446,15 @@
     pub fate: TaskFate,
 }
 
+/// An agent's answer to a recall.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecallAnswer {
+    /// The agent's incarnation: it knows nothing of what an earlier one did.
+    pub incarnation: Incarnation,
+    /// Each task's fate.
+    pub fates: Vec<RecallFate>,
+}
+
 /// An agent's answer to a start or attach call.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskReport {
@@ -583,7 +592,7 @@
     /// To a start order or a question.
     Report(TaskReport),
     /// To a recall.
-    Fates(Vec<RecallFate>),
+    Fates(RecallAnswer),
     /// To a question for news.
     View(AgentView),
 }
--- a/crates/model/src/replica.rs
+++ b/crates/model/src/replica.rs
@@ -66,8 +66,10 @@
     /// Sent by a replica that finds no data of its own, to learn whether its
     /// group is new or it has lost its disk.
     Hello {
-        /// Whether the sender counts in its group.
-        formed: bool,
+        /// Whether the sender has promised nothing yet: no term, no record.
+        fresh: bool,
+        /// Whether the sender wants to know the same of the receiver.
+        asks: bool,
     },
     /// Asks for a vote. A trial vote changes nothing at the voter.
     VoteRequest {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 mod caller;
 mod faulty_link;
 mod memory_disk;
+mod precise_sleep;
 mod standin_host;
 mod start_records;
 mod trace;
@@ -16,6 +17,7 @@
 pub use caller::{CallFailure, CallReply, Caller};
 pub use faulty_link::{FaultyLink, LinkFault};
 pub use memory_disk::{CrashTail, MemoryDisk};
+pub use precise_sleep::precise_sleep;
 pub use standin_host::StandinHost;
 pub use start_records::{StartRecord, StartRecords};
 pub use trace::{
--- /dev/null
+++ b/tests/job_promises.rs
@@ -0,0 +1,111 @@
+//! The promises to callers under lost, doubled and late messages, restarts of
+//! agents, and entries that lapse while their process goes on.
+
+use std::time::Duration;
+
+use model::CallerAnswer;
+use proptest::prelude::*;
+
+use crate::job_model::{JobModel, Packet, ToAgent};
+
+#[derive(Debug, Clone)]
+enum Action {
+    Submit(usize, usize),
+    Cancel(usize, usize),
+    Deliver(usize),
+    DoubleOrder(usize),
+    Lose(usize, bool),
+    EndRun(usize, usize, usize),
+    RestartAgent(usize),
+    LapseEntry(usize),
+    SpreadFences,
+    Views,
+    Advance(u64),
+}
+
+fn action() -> impl Strategy<Value = Action> {
+    prop_oneof![
+        6 => (0_usize..4, 0_usize..4).prop_map(|(e, n)| Action::Submit(e, n)),
+        1 => (0_usize..4, 0_usize..4).prop_map(|(e, n)| Action::Cancel(e, n)),
+        40 => (0_usize..8).prop_map(Action::Deliver),
+        3 => (0_usize..8).prop_map(Action::DoubleOrder),
+        3 => (0_usize..8, any::<bool>()).prop_map(|(p, a)| Action::Lose(p, a)),
+        8 => (0_usize..2, 0_usize..2, 0_usize..5).prop_map(|(a, p, h)| Action::EndRun(a, p, h)),
+        1 => (0_usize..2).prop_map(Action::RestartAgent),
+        1 => (0_usize..4).prop_map(Action::LapseEntry),
+        2 => Just(Action::SpreadFences),
+        2 => Just(Action::Views),
+        5 => (1_u64..200).prop_map(Action::Advance),
+    ]
+}
+
+fn act(model: &mut JobModel, action: &Action) {
+    let entries = model.entries.len();
+    match action {
+        // The same number always has the same content.
+        Action::Submit(entry, number) => model.submit(entry % entries, *number, 1 + number % 3),
+        Action::Cancel(entry, number) => model.cancel(entry % entries, *number),
+        Action::Deliver(position) => model.deliver(*position, false),
+        Action::DoubleOrder(position) => {
+            let order = model.network.get(*position);
+            if matches!(order, Some(Packet::Call { what: ToAgent::Order(_), .. })) {
+                model.deliver(*position, true);
+            }
+        }
+        Action::Lose(position, applied) => model.lose(*position, *applied),
+        Action::EndRun(agent, position, how) => {
+            model.end_run(*agent, *position, how.saturating_sub(1));
+        }
+        Action::RestartAgent(agent) => model.restart_agent(*agent),
+        Action::LapseEntry(entry) if entries < 6 => model.lapse_entry(entry % entries),
+        Action::LapseEntry(_) => {}
+        Action::SpreadFences => model.spread_fences(),
+        Action::Views => model.views(),
+        Action::Advance(ms) => model.advance(Duration::from_millis(*ms)),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: crate::support::cases(300),
+        rng_seed: proptest::test_runner::RngSeed::Fixed(4_122_026),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn promises_hold(actions in prop::collection::vec(action(), 1..250)) {
+        let mut model = JobModel::new(2);
+        for action in &actions {
+            act(&mut model, action);
+        }
+        model.calm();
+        prop_assert_eq!(model.unanswered(), 0, "every call is answered");
+    }
+}
+
+#[test]
+fn calm_system_completes() {
+    let mut model = JobModel::new(2);
+    for number in 0..4 {
+        model.submit(number % 2, number, 1 + number % 3);
+    }
+    model.calm();
+    let whole = |(_, answer): &&(_, CallerAnswer)| matches!(answer, CallerAnswer::Job { .. });
+    assert_eq!(model.answers.iter().filter(whole).count(), 4);
+}
+
+#[test]
+fn resubmitted_after_owner_died() {
+    let mut model = JobModel::new(2);
+    model.submit(0, 2, 3);
+    for _ in 0..40 {
+        model.deliver(0, false);
+    }
+    assert!(!model.starts.is_empty(), "tasks run when the owner dies");
+    model.lapse_entry(0);
+    model.submit(1, 2, 3);
+    model.calm();
+    let last = model.answers.iter().filter(|(_, a)| matches!(a, CallerAnswer::Job { .. })).count();
+    assert!(last >= 1, "the new owner finishes the job: {:?}", model.answers);
+}
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -1,11 +1,13 @@
 //! All features' tests, one file each, in one program.
 
+mod job_model;
 mod log_model;
 mod support;
 
 mod bad_input;
 mod graceful_drain;
 mod job_path;
+mod job_promises;
 mod journal_recovery;
 mod log_agreement;
 mod log_exploration;
--- a/tests/support.rs
+++ b/tests/support.rs
@@ -86,3 +86,9 @@
 pub(crate) fn problem(reply: &CallReply) -> Problem {
     reply.problem().unwrap_or_else(|| panic!("a problem, not {reply:?}"))
 }
+
+/// Cases of a property test; `CACTUSWING_CASES` asks for a longer run.
+pub(crate) fn cases(usual: u32) -> u32 {
+    let asked = std::env::var("CACTUSWING_CASES").ok().and_then(|text| text.parse().ok());
+    asked.unwrap_or(usual)
+}
