Run the failures on real processes; refuse keyed calls only with proof

Cause: a cold start under load showed an entry without configuration telling a resubmission 'not run' although its order had run before. Change: whatever refuses a client-chosen id (no configuration, unknown service, too many tasks) asks the ledger first. Real processes under load: kill -9 of entry, agent and leading control host, an entry paused beyond its lease, a drained agent, a second control host lost during a repair, a cold start; every answer is checked against the starts that backend servers saw. Waits are weighed against the harmonic mean of run times where a task declares none, since slowdown is a ratio. Messages split by the process they belong to.

--- a/crates/cactuswing/src/cli.rs
+++ b/crates/cactuswing/src/cli.rs
@@ -204,6 +204,12 @@
                         .action(ArgAction::SetTrue)
                         .help("Requests that may not be repeated, through the ledger"),
                 )
+                .arg(
+                    Arg::new("slopes")
+                        .long("slopes")
+                        .action(ArgAction::SetTrue)
+                        .help("Measure what each duty costs, over several rates and sizes"),
+                )
                 .arg(hosts())
                 .arg(json()),
         )
--- a/crates/cactuswing/src/commands/load.rs
+++ b/crates/cactuswing/src/commands/load.rs
@@ -2,12 +2,14 @@
 //! to measure the system's own share of a response.
 
 use clap::ArgMatches;
+use indexmap::IndexMap;
 use model::{LogSettings, OperatorText, read_operator_text};
 use standin::{Expectation, InstanceLine, Trace, TraceEvent, TraceHeader, TraceStep};
 
 use super::replay::{finish, play_once};
 use super::{show_mistakes, wants_json};
 use crate::cli::ExitKind;
+use crate::replay::ReplayReport;
 
 const WORKERS: usize = 11;
 const TEXT: &str = r#"{
@@ -15,49 +17,95 @@
   "teams": { "load": { "task_quota": 100000 } }
 }"#;
 
+/// What is sent, and against how many processes.
+struct LoadPlan {
+    service: &'static str,
+    rate: u64,
+    seconds: u64,
+    entries: usize,
+    agents: usize,
+    run_ms: f64,
+    controls: usize,
+}
+
 /// Sends the stream and prints what came of it.
 pub fn run(matches: &ArgMatches) -> ExitKind {
+    if matches.get_flag("slopes") {
+        return super::slopes::run(wants_json(matches));
+    }
     let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or(1).max(1);
-    let service = if matches.get_flag("durable") { "write" } else { "read" };
-    let trace = steady_trace(
-        service,
-        number("rate"),
-        number("seconds"),
-        number("entries"),
-        number("run-ms") as f64,
-    );
-    let text: OperatorText = match read_operator_text(TEXT) {
-        Ok(text) => text,
-        Err(mistakes) => return show_mistakes("load", &mistakes, false),
+    let plan = LoadPlan {
+        service: if matches.get_flag("durable") { "write" } else { "read" },
+        rate: number("rate"),
+        seconds: number("seconds"),
+        entries: number("entries") as usize,
+        agents: WORKERS,
+        run_ms: number("run-ms") as f64,
+        controls: matches.get_one::<usize>("controls").copied().unwrap_or(1),
     };
-    let log = LogSettings { level: "error".into(), file: None };
-    let controls = matches.get_one::<usize>("controls").copied().unwrap_or(1);
-    match play_once(&trace, text, None, controls, &log) {
+    match play_plan(&plan) {
         Ok(report) => finish(&[report], wants_json(matches)),
         Err(exit) => exit,
     }
 }
 
-fn steady_trace(service: &str, rate: u64, seconds: u64, entries: u64, run_ms: f64) -> Trace {
+fn play_plan(plan: &LoadPlan) -> Result<ReplayReport, ExitKind> {
+    let text: OperatorText =
+        read_operator_text(TEXT).map_err(|mistakes| show_mistakes("load", &mistakes, false))?;
+    let log = LogSettings { level: "error".into(), file: None };
+    play_once(&steady_trace(plan), text, None, plan.controls, &log)
+}
+
+/// Seconds of processor time a second, by duty, at a steady rate.
+pub(super) fn play_steady(
+    service: &'static str,
+    rate: u64,
+    seconds: u64,
+) -> Result<IndexMap<String, f64>, ExitKind> {
+    let plan =
+        LoadPlan { service, rate, seconds, entries: 2, agents: WORKERS, run_ms: 1.0, controls: 3 };
+    play_plan(&plan).map(|report| a_second(&report))
+}
+
+/// The same beside so many agents that have nothing to do.
+pub(super) fn play_idle(agents: usize, seconds: u64) -> Result<IndexMap<String, f64>, ExitKind> {
+    let plan = LoadPlan {
+        service: "read",
+        rate: 1,
+        seconds,
+        entries: 1,
+        agents,
+        run_ms: 1.0,
+        controls: 3,
+    };
+    play_plan(&plan).map(|report| a_second(&report))
+}
+
+fn a_second(report: &ReplayReport) -> IndexMap<String, f64> {
+    let used = report.duty_seconds.iter();
+    used.map(|(duty, seconds)| (duty.clone(), seconds / report.seconds)).collect()
+}
+
+fn steady_trace(plan: &LoadPlan) -> Trace {
     let request = |number: u64| TraceEvent {
-        at_ms: number * 1_000 / rate,
+        at_ms: number * 1_000 / plan.rate,
         step: TraceStep::Request {
-            service: service.into(),
+            service: plan.service.into(),
             team: "load".into(),
-            key: (service == "write").then(|| format!("w-{number}").into()),
-            run_ms,
+            key: (plan.service == "write").then(|| format!("w-{number}").into()),
+            run_ms: plan.run_ms,
             deadline_ms: None,
         },
     };
     let header = TraceHeader {
-        trace: format!("load-{service}-{rate}"),
+        trace: format!("load-{}-{}", plan.service, plan.rate),
         about: "equal requests at a steady rate".to_owned(),
         text: String::new(),
-        entries: entries as usize,
+        entries: plan.entries,
         client_delay_ms: 0.0,
-        instances: (0..WORKERS).map(|number| instance(service, number)).collect(),
+        instances: (0..plan.agents).map(|number| instance(plan.service, number)).collect(),
     };
-    let events = (0..rate * seconds).map(request).collect();
+    let events = (0..plan.rate * plan.seconds).map(request).collect();
     let expect = Expectation { least_completed_share: Some(1.0), ..Expectation::default() };
     Trace { header, events, expect }
 }
--- a/crates/cactuswing/src/commands/mod.rs
+++ b/crates/cactuswing/src/commands/mod.rs
@@ -5,6 +5,7 @@
 pub mod load;
 pub mod replay;
 pub mod serve;
+mod slopes;
 pub mod text;
 pub mod try_out;
 
--- a/crates/cactuswing/src/replay/mod.rs
+++ b/crates/cactuswing/src/replay/mod.rs
@@ -2,6 +2,7 @@
 //! stand-in backend servers, and checks what comes out.
 
 mod checks;
+mod duty_time;
 mod ideal;
 mod local_cluster;
 mod outcome;
--- a/crates/cactuswing/src/replay/outcome.rs
+++ b/crates/cactuswing/src/replay/outcome.rs
@@ -126,6 +126,8 @@
     pub violations: Vec<String>,
     /// Seconds that the replay took.
     pub seconds: f64,
+    /// Seconds of processor time by duty.
+    pub duty_seconds: IndexMap<String, f64>,
 }
 
 /// Counts failures by kind and whether they ran.
--- a/crates/cactuswing/src/replay/player.rs
+++ b/crates/cactuswing/src/replay/player.rs
@@ -16,6 +16,7 @@
 use tokio::task::JoinSet;
 
 use super::checks::find_violations;
+use super::duty_time::{duty_seconds, used_between};
 use super::ideal::IdealTimes;
 use super::local_cluster::{ClusterError, ClusterShape, LocalCluster};
 use super::outcome::{CallAnswer, CallOutcome, ReplayReport, Slowdowns, count_failures};
@@ -52,6 +53,7 @@
     shape.faulty_links = trace.events.iter().any(|event| is_link_fault(&event.step));
     let mut cluster = LocalCluster::start(&shape)?;
     let before = message_counts(&cluster);
+    let time_before = duty_seconds();
     let started = Instant::now();
     let calls = play_events(trace, &mut cluster, options.progress);
     let last_event = trace.events.last().map_or(0, |event| event.at_ms);
@@ -60,8 +62,13 @@
     let violations = find_violations(&calls, &starts, &trace.expect, last_event);
     let messages = difference(&before, &message_counts(&cluster));
     let seconds = started.elapsed().as_secs_f64();
+    let used = used_between(&time_before, &duty_seconds());
     cluster.stop();
-    Ok(build_report(trace, policy, &calls, starts.len(), messages, violations, seconds))
+    let mut report = build_report(trace, policy, &calls, starts.len(), messages);
+    report.violations = violations;
+    report.seconds = seconds;
+    report.duty_seconds = used;
+    Ok(report)
 }
 
 fn is_link_fault(step: &TraceStep) -> bool {
@@ -87,8 +94,6 @@
     calls: &[CallOutcome],
     starts: usize,
     messages: IndexMap<MessageKind, u64>,
-    violations: Vec<String>,
-    seconds: f64,
 ) -> ReplayReport {
     let completed = calls.iter().filter(|call| matches!(call.answer, CallAnswer::Whole(_))).count();
     let unanswered = calls.iter().filter(|call| matches!(call.answer, CallAnswer::None(_))).count();
@@ -105,8 +110,9 @@
         slowdown: Slowdowns::of(calls),
         messages: messages.into_iter().map(|(kind, count)| (kind.to_string(), count)).collect(),
         wasted_per_completed: wasted as f64 / completed.max(1) as f64,
-        violations,
-        seconds,
+        violations: Vec::new(),
+        seconds: 0.0,
+        duty_seconds: IndexMap::new(),
     }
 }
 
--- a/crates/decisions/src/entry/dispatcher/placing.rs
+++ b/crates/decisions/src/entry/dispatcher/placing.rs
@@ -86,10 +86,11 @@
         }
         let Some(slot) = job.tasks.get(queued.key.task as usize) else { return Placement::Nowhere };
         let size = slot.task.size;
+        let typical_us = self.times.typical_us(&job.service, slot.task.declared);
         let fitting = self.fitting(offers, &size);
         let candidates: Vec<Candidate> =
             fitting.iter().map(|position| offers[*position].candidate).collect();
-        match self.chooser.choose(&candidates, queued.cost_us, mean_us) {
+        match self.chooser.choose(&candidates, typical_us, mean_us) {
             Placement::At(choice) => Placement::At(fitting[choice]),
             Placement::HoldFor(choice) => Placement::HoldFor(fitting[choice]),
             Placement::Nowhere => Placement::Nowhere,
--- a/crates/decisions/src/entry/job_tracker/intake.rs
+++ b/crates/decisions/src/entry/job_tracker/intake.rs
@@ -6,8 +6,8 @@
 use compact_str::{CompactString, format_compact};
 use model::{
     AdmitRequest, AdmitTask, CallId, CallerAnswer, ErrorKind, Failure, Fingerprint, JobAnswer,
-    JobKey, JobOrder, Payload, ReleaseOrder, RequestIntake, ServiceText, SubmissionId, Takeover,
-    TaskSpec, WorkerSize, fingerprint, is_name,
+    JobKey, JobOrder, Payload, ReleaseOrder, RequestIntake, ServiceId, ServiceText, SubmissionId,
+    Takeover, TaskSpec, WorkerSize, fingerprint, is_name,
 };
 
 use super::job::{Job, JobPhase, NewJob};
@@ -25,16 +25,20 @@
         call: CallId,
         intake: RequestIntake,
     ) -> Vec<JobStep> {
+        let content = fingerprint([intake.service.as_bytes(), intake.payload.text().as_bytes()]);
         let service_text = match self.service_text(&intake.service) {
             Ok(text) => text,
-            Err(failure) => return vec![refuse(call, failure)],
+            Err(failure) => {
+                let key =
+                    intake.submission.map(|submission| JobKey { team: intake.team, submission });
+                return self.refuse_early(now, call, key, intake.service, content, failure);
+            }
         };
         let (submission, durable) = match self.submission_of(&intake, &service_text) {
             Ok(identity) => identity,
             Err(failure) => return vec![refuse(call, failure)],
         };
         let key = JobKey { team: intake.team, submission };
-        let content = fingerprint([intake.service.as_bytes(), intake.payload.text().as_bytes()]);
         let new = NewJob {
             service: intake.service,
             single: true,
@@ -47,6 +51,36 @@
         self.submit(now, call, key, new, true)
     }
 
+    /// Refuses what can't be tracked. Of an id that the client chose, the
+    /// ledger is asked first: an earlier submission of it may have run.
+    fn refuse_early(
+        &mut self,
+        now: Instant,
+        call: CallId,
+        key: Option<JobKey>,
+        service: ServiceId,
+        fingerprint: Fingerprint,
+        failure: Failure,
+    ) -> Vec<JobStep> {
+        let Some(key) = key else { return vec![refuse(call, failure)] };
+        if let Some(steps) = self.attach(call, &key, fingerprint, true) {
+            return steps;
+        }
+        let new = NewJob {
+            service,
+            single: false,
+            durable: true,
+            idempotent: false,
+            fingerprint,
+            deadline: now + PEEK_LIMIT,
+            tasks: Vec::new(),
+        };
+        let mut job = Job::new(now, new);
+        job.waiters.push(call);
+        self.jobs.insert(key.clone(), job);
+        self.on_refused(now, &key, failure)
+    }
+
     /// The request's submission id, and whether the ledger must know it. A
     /// request that may be repeated gets an id of its own, in a form that no
     /// client can choose.
@@ -75,13 +109,19 @@
         order: JobOrder,
         wait: bool,
     ) -> Vec<JobStep> {
-        let checked = self.check_job(&order).and_then(|()| self.service_text(&order.service));
+        if let Err(failure) = check_submission(&order.submission) {
+            return vec![refuse(call, failure)];
+        }
+        let key = order.key();
+        let fingerprint = order.fingerprint();
+        let checked = self.check_tasks(&order).and_then(|()| self.service_text(&order.service));
         let service_text = match checked {
             Ok(text) => text,
-            Err(failure) => return vec![refuse(call, failure)],
+            Err(failure) => {
+                let service = order.service;
+                return self.refuse_early(now, call, Some(key), service, fingerprint, failure);
+            }
         };
-        let key = order.key();
-        let fingerprint = order.fingerprint();
         let limit = order.deadline_ms.map(Duration::from_millis);
         let new = NewJob {
             service: order.service,
@@ -95,8 +135,7 @@
         self.submit(now, call, key, new, wait)
     }
 
-    fn check_job(&self, order: &JobOrder) -> Result<(), Failure> {
-        check_submission(&order.submission)?;
+    fn check_tasks(&self, order: &JobOrder) -> Result<(), Failure> {
         if order.tasks.is_empty() {
             return Err(Failure::new(ErrorKind::MalformedRequest, "a job needs at least one task"));
         }
--- a/crates/decisions/src/entry/run_times.rs
+++ b/crates/decisions/src/entry/run_times.rs
@@ -53,6 +53,8 @@
 #[derive(Debug, Clone)]
 struct ServiceTimes {
     mean_us: LearntMean,
+    /// Mean of one over the run time: a wait weighs more on short tasks.
+    inverse_us: LearntMean,
     /// Run time over declared run time.
     declared_ratio: LearntMean,
     /// Mean square of the relative error of declared run times.
@@ -64,6 +66,7 @@
     fn new(declared: Duration) -> ServiceTimes {
         ServiceTimes {
             mean_us: LearntMean::new(declared.as_micros() as f64),
+            inverse_us: LearntMean::new(1.0 / (declared.as_micros() as f64).max(LEAST_RUN_US)),
             declared_ratio: LearntMean::new(1.0),
             declared_error: LearntMean::new(0.5),
             speeds: IndexMap::new(),
@@ -97,6 +100,18 @@
         self.services.get(service).map_or(LEAST_RUN_US, |times| times.base_us(declared))
     }
 
+    /// Run time against which a wait is weighed, in microseconds: the expected
+    /// one where a task declares it, the harmonic mean otherwise. Slowdown is
+    /// a ratio, so of unknown tasks the short ones count for most.
+    pub fn typical_us(&self, service: &ServiceId, declared: Option<Duration>) -> f64 {
+        match self.services.get(service) {
+            Some(times) if declared.is_none() => {
+                (1.0 / times.inverse_us.value.max(f64::MIN_POSITIVE)).max(LEAST_RUN_US)
+            }
+            _ => self.base_us(service, declared),
+        }
+    }
+
     /// Run time of `worker` relative to the mean; above 1 is slower.
     pub fn speed(&self, service: &ServiceId, worker: &WorkerId) -> f64 {
         let times = self.services.get(service);
@@ -119,6 +134,7 @@
         let usual_run_us = run_us / speed.value.clamp(LEAST_SPEED, MOST_SPEED);
         speed.learn(run_us / expected_us);
         times.mean_us.learn(usual_run_us);
+        times.inverse_us.learn(1.0 / usual_run_us);
         if let Some(declared) = declared {
             let declared_us = (declared.as_micros() as f64).max(LEAST_RUN_US);
             times.declared_ratio.learn((usual_run_us / declared_us).min(MOST_SPEED));
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -7,14 +7,18 @@
 //!   bytes of the wire;
 //! - settings and texts are used only after every check has passed.
 
+mod agent_messages;
 mod cluster;
 mod command;
+mod control_messages;
 mod counters;
+mod entry_messages;
 mod error;
 mod event_log;
 mod ids;
-mod messages;
+mod journal_messages;
 mod payload;
+mod peer_messages;
 mod replica;
 mod schema;
 mod settings;
@@ -23,14 +27,18 @@
 mod waste;
 mod work;
 
+pub use agent_messages::*;
 pub use cluster::*;
 pub use command::*;
+pub use control_messages::*;
 pub use counters::*;
+pub use entry_messages::*;
 pub use error::*;
 pub use event_log::*;
 pub use ids::*;
-pub use messages::*;
+pub use journal_messages::*;
 pub use payload::*;
+pub use peer_messages::*;
 pub use replica::*;
 pub use schema::*;
 pub use settings::*;
--- a/crates/standin/src/precise_sleep.rs
+++ b/crates/standin/src/precise_sleep.rs
@@ -9,14 +9,17 @@
 
 use tokio::sync::oneshot;
 
+/// Sleepers by when they are due, the next one last.
+type Sleepers = BTreeMap<Reverse<(Instant, u64)>, oneshot::Sender<()>>;
+
 #[derive(Default)]
 struct TimerCore {
-    sleepers: Mutex<BTreeMap<Reverse<(Instant, u64)>, oneshot::Sender<()>>>,
+    sleepers: Mutex<Sleepers>,
     earlier: Condvar,
 }
 
 impl TimerCore {
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<Reverse<(Instant, u64)>, oneshot::Sender<()>>> {
+    fn lock(&self) -> MutexGuard<'_, Sleepers> {
         self.sleepers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- /dev/null
+++ b/tests/process_group.rs
@@ -0,0 +1,215 @@
+//! Real processes of the binary on loopback, started and ended by their ids.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+
+static NEXT_FOLDER: AtomicU64 = AtomicU64::new(0);
+
+/// A running process with the settings it was started from.
+pub(crate) struct Process {
+    role: &'static str,
+    settings: PathBuf,
+    child: Option<Child>,
+    pub(crate) address: SocketAddr,
+    pub(crate) announce: Option<SocketAddr>,
+}
+
+impl Process {
+    fn start(role: &'static str, settings: PathBuf) -> Process {
+        let mut process = Process {
+            role,
+            settings,
+            child: None,
+            address: ([127, 0, 0, 1], 0).into(),
+            announce: None,
+        };
+        process.start_again();
+        process
+    }
+
+    /// Starts the process, after it has ended, from the same settings.
+    pub(crate) fn start_again(&mut self) {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_cactuswing"))
+            .arg(self.role)
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the binary starts");
+        let output = child.stdout.take().expect("its output is piped");
+        let mut line = String::new();
+        BufReader::new(output).read_line(&mut line).expect("it says where it listens");
+        let field = |name: &str| {
+            let value = line.split_whitespace().find_map(|word| word.strip_prefix(name));
+            value.and_then(|value| value.parse().ok())
+        };
+        self.address = field("address=").unwrap_or_else(|| panic!("no address in {line:?}"));
+        self.announce = field("announce=");
+        self.child = Some(child);
+        self.keep_ports();
+    }
+
+    /// A process that starts again must be found where it was.
+    fn keep_ports(&self) {
+        let text = std::fs::read_to_string(&self.settings).expect("settings");
+        let mut settings: Value = serde_json::from_str(&text).expect("JSON");
+        settings["listen"] = json!(self.address);
+        if let Some(announce) = self.announce {
+            settings["announce_listen"] = json!(announce);
+        }
+        std::fs::write(&self.settings, settings.to_string()).expect("written");
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) {
+        let child = self.child.as_ref().expect("the process runs");
+        let id = Pid::from_child(child);
+        kill_process(id, signal).expect("the process is ours");
+    }
+
+    /// Ends the process at once.
+    pub(crate) fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().expect("the process is ours");
+            child.wait().expect("it ends");
+        }
+    }
+
+    /// Asks the process to end and waits; gives its exit code.
+    pub(crate) fn terminate(&mut self) -> Option<i32> {
+        self.signal(Signal::TERM);
+        let mut child = self.child.take().expect("the process runs");
+        child.wait().expect("it ends").code()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // The test is over, one way or another.
+            let _ended = child.kill();
+            let _reaped = child.wait();
+        }
+    }
+}
+
+/// A system of real processes.
+pub(crate) struct ProcessGroup {
+    pub(crate) controls: Vec<Process>,
+    pub(crate) entries: Vec<Process>,
+    pub(crate) agents: Vec<Process>,
+    pub(crate) control_addresses: Vec<SocketAddr>,
+    folder: PathBuf,
+}
+
+impl ProcessGroup {
+    pub(crate) fn start(controls: usize, entries: usize, agents: usize) -> ProcessGroup {
+        let number = NEXT_FOLDER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("cactuswing-processes-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let control_addresses = free_addresses(controls);
+        let mut group = ProcessGroup {
+            controls: Vec::new(),
+            entries: Vec::new(),
+            agents: Vec::new(),
+            control_addresses,
+            folder,
+        };
+        for number in 0..controls {
+            let settings = group.control_settings(number);
+            group.controls.push(group.launch("control", &format!("control-{number}"), &settings));
+        }
+        for number in 0..agents {
+            let settings = group.agent_settings(number);
+            group.agents.push(group.launch("agent", &format!("agent-{number}"), &settings));
+        }
+        for number in 0..entries {
+            let settings = group.entry_settings(number);
+            group.entries.push(group.launch("entry", &format!("entry-{number}"), &settings));
+        }
+        group
+    }
+
+    fn launch(&self, role: &'static str, name: &str, settings: &Value) -> Process {
+        let path = self.folder.join(format!("{name}.json"));
+        std::fs::write(&path, settings.to_string()).expect("written");
+        Process::start(role, path)
+    }
+
+    fn log(&self, name: &str) -> Value {
+        json!({ "level": "info", "file": self.folder.join(format!("{name}.log")) })
+    }
+
+    fn control_settings(&self, number: usize) -> Value {
+        let peer = |(number, address): (usize, &SocketAddr)| json!({ "name": format!("control-{number}"), "address": address });
+        let group: Vec<Value> = self.control_addresses.iter().enumerate().map(peer).collect();
+        json!({
+            "name": format!("control-{number}"),
+            "domain": format!("d{number}"),
+            "listen": self.control_addresses[number],
+            "data_folder": self.folder.join(format!("data-{number}")),
+            "group": group,
+            "election_ms": 300,
+            "lease_ms": 2_000,
+            "log": self.log(&format!("control-{number}")),
+        })
+    }
+
+    fn agent_settings(&self, number: usize) -> Value {
+        json!({
+            "worker": format!("worker-{number}"),
+            "domain": format!("d{}", number % 3),
+            "rack": "r",
+            "listen": "127.0.0.1:0",
+            "announce_listen": "127.0.0.1:0",
+            "controls": self.control_addresses,
+            "cores": 16,
+            "memory_mb": 32_768,
+            "log": self.log(&format!("agent-{number}")),
+        })
+    }
+
+    fn entry_settings(&self, number: usize) -> Value {
+        json!({
+            "name": format!("entry-{number}"),
+            "domain": format!("d{}", number % 3),
+            "listen": "127.0.0.1:0",
+            "controls": self.control_addresses,
+            "seed": number,
+            "log": self.log(&format!("entry-{number}")),
+        })
+    }
+
+    /// Empties the data folder of a control host that has ended.
+    pub(crate) fn lose_disk(&self, number: usize) {
+        let folder = self.folder.join(format!("data-{number}"));
+        std::fs::remove_dir_all(folder).expect("the folder is there");
+    }
+
+    pub(crate) fn folder(&self) -> &Path {
+        &self.folder
+    }
+}
+
+impl Drop for ProcessGroup {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            // What is left of a run that held is of no use.
+            let _gone = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// Addresses that are free now, for a group whose members must know each other
+/// before they start.
+fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    let bind = |_| std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let listeners: Vec<std::net::TcpListener> = (0..count).map(bind).collect();
+    listeners.iter().map(|listener| listener.local_addr().expect("an address")).collect()
+}
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -2,6 +2,7 @@
 
 mod job_model;
 mod log_model;
+mod process_group;
 mod support;
 
 mod bad_input;
@@ -11,6 +12,7 @@
 mod journal_recovery;
 mod log_agreement;
 mod log_exploration;
+mod process_failures;
 mod request_path;
 mod ring_bounds;
 mod settings_mistakes;
