Give a record its time after the deadline; log ends without outcome

Cause: an answer that ended at its deadline was reported as not recorded at once, which hid why the task had ended so late. Change: callers wait a quarter of a second for the record; task_not_started and task_unknown lines name the task and why; a word on other entries' load fades, since an entry without tasks at a worker is told nothing of slots that became free there. Conclusion: why tasks stay away for 15 s is still looked for.

--- a/crates/decisions/src/entry/dispatcher/answers.rs
+++ b/crates/decisions/src/entry/dispatcher/answers.rs
@@ -31,7 +31,7 @@
     ) -> Vec<DispatchStep> {
         let incarnation = view.incarnation;
         let mut steps = Vec::new();
-        if self.workers.set_view(worker, view) == ViewChange::Restarted {
+        if self.workers.set_view(now, worker, view) == ViewChange::Restarted {
             self.health.forget(worker);
             steps.extend(self.lose_incarnations(now, worker, incarnation));
         }
@@ -100,7 +100,7 @@
             TaskFate::Queued | TaskFate::Running => Vec::new(),
         };
         if let Some(service) = service {
-            self.workers.set_load(worker, &service, load);
+            self.workers.set_load(now, worker, &service, load);
             steps.extend(self.place(now, &service));
         }
         steps.extend(self.drop_departed(now));
--- a/crates/decisions/src/entry/job_tracker/ends.rs
+++ b/crates/decisions/src/entry/job_tracker/ends.rs
@@ -1,6 +1,6 @@
 //! Ends of tasks and of submissions.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use model::{ErrorKind, Failure, JobAnswer, JobKey, TaskEnd, TaskKey, caller_answer};
 
@@ -8,6 +8,10 @@
 use super::job::{Job, JobPhase};
 use super::{FigureEvent, JobStep, JobTracker};
 
+/// How long a record may take after the deadline before callers are told that
+/// the outcome is unknown.
+const RECORD_GRACE: Duration = Duration::from_millis(250);
+
 impl JobTracker {
     /// A task ended.
     pub fn on_task_ended(&mut self, now: Instant, key: &TaskKey, end: TaskEnd) -> Vec<JobStep> {
@@ -63,7 +67,7 @@
         let epoch = job.epoch;
         let deadline = job.deadline;
         job.phase = JobPhase::Recording { answer: answer.clone() };
-        self.set_timer(deadline.max(now), key);
+        self.set_timer(deadline.max(now + RECORD_GRACE), key);
         vec![JobStep::Record { key: key.clone(), epoch, owner, answer }]
     }
 
--- a/crates/decisions/src/entry/worker_table.rs
+++ b/crates/decisions/src/entry/worker_table.rs
@@ -22,7 +22,25 @@
 #[derive(Debug, Clone, Default)]
 struct ServiceUse {
     own: u32,
+    /// Tasks of other entries, by the latest word.
     foreign: u32,
+    heard_at: Option<Instant>,
+}
+
+impl ServiceUse {
+    fn hear(&mut self, now: Instant, load: u32) {
+        self.foreign = load.saturating_sub(self.own);
+        self.heard_at = Some(now);
+    }
+
+    /// Tasks of other entries that may still be there. They end like any
+    /// other; a word that is old says little.
+    fn foreign_at(&self, now: Instant, mean_us: f64) -> u32 {
+        let age =
+            self.heard_at.map_or(0.0, |at| now.saturating_duration_since(at).as_secs_f64() * 1e6);
+        let left = f64::from(self.foreign) * 0.5_f64.powf(age / mean_us.max(1.0));
+        left.round() as u32
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -122,16 +140,21 @@
     }
 
     /// Takes a view.
-    pub(super) fn set_view(&mut self, worker: &WorkerId, view: AgentView) -> ViewChange {
+    pub(super) fn set_view(
+        &mut self,
+        now: Instant,
+        worker: &WorkerId,
+        view: AgentView,
+    ) -> ViewChange {
         let state = self.workers.entry(worker.clone()).or_insert_with(WorkerState::new);
         state.silent = false;
         for row in &view.services {
             let usage = state.uses.entry(row.service.clone()).or_default();
-            usage.foreign = (row.running + row.queued).saturating_sub(usage.own);
+            usage.hear(now, row.running + row.queued);
         }
         let known = state.view.replace(view).map(|before| before.incarnation);
-        let now = state.view.as_ref().map(|view| view.incarnation);
-        if known.is_some() && known != now { ViewChange::Restarted } else { ViewChange::Same }
+        let current = state.view.as_ref().map(|view| view.incarnation);
+        if known.is_some() && known != current { ViewChange::Restarted } else { ViewChange::Same }
     }
 
     /// Marks a worker as silent.
@@ -171,10 +194,15 @@
 
     /// Takes the load that an answer carried; `own` no longer counts the task
     /// that the answer ends.
-    pub(super) fn set_load(&mut self, worker: &WorkerId, service: &ServiceId, load: u32) {
+    pub(super) fn set_load(
+        &mut self,
+        now: Instant,
+        worker: &WorkerId,
+        service: &ServiceId,
+        load: u32,
+    ) {
         let Some(state) = self.workers.get_mut(worker) else { return };
-        let usage = state.uses.entry(service.clone()).or_default();
-        usage.foreign = load.saturating_sub(usage.own);
+        state.uses.entry(service.clone()).or_default().hear(now, load);
     }
 
     /// Workers that can be given tasks of `service` now.
@@ -189,11 +217,12 @@
             .workers
             .iter()
             .filter(|(worker, state)| state.slots(service) > 0 && health.takes_work(now, worker));
-        open.filter_map(|(worker, state)| self.offer(service, worker, state, times)).collect()
+        open.filter_map(|(worker, state)| self.offer(now, service, worker, state, times)).collect()
     }
 
     fn offer(
         &self,
+        now: Instant,
         service: &ServiceId,
         worker: &WorkerId,
         state: &WorkerState,
@@ -203,7 +232,7 @@
         let usage = state.uses.get(service).cloned().unwrap_or_default();
         let candidate = Candidate {
             slots,
-            load: usage.own + usage.foreign,
+            load: usage.own + usage.foreign_at(now, times.base_us(service, None)),
             own: usage.own,
             speed: times.speed(service, worker),
             queue_room: AGENT_QUEUE,
--- a/crates/services/src/job_tracking.rs
+++ b/crates/services/src/job_tracking.rs
@@ -104,7 +104,10 @@
                 self.tracker.on_note(now, &key, &note);
                 Vec::new()
             }
-            JobMessage::Ledger { key, word } => self.tracker.on_ledger(now, &key, word),
+            JobMessage::Ledger { key, word } => {
+                self.log_word(&key, &word);
+                self.tracker.on_ledger(now, &key, word)
+            }
             JobMessage::Config { config } => {
                 self.time_zone = config.text.time_zone.to_string();
                 self.tracker.on_config(config);
@@ -122,6 +125,15 @@
         }
     }
 
+    fn log_word(&self, key: &JobKey, word: &LedgerWord) {
+        let event = match word {
+            LedgerWord::Applied { .. } => return,
+            LedgerWord::NotSent => "ledger_not_reached",
+            LedgerWord::AnswerLost => "ledger_answer_lost",
+        };
+        self.log.warn(EventLine::new(event).with("submission", key));
+    }
+
     fn on_lease(&mut self, now: Instant, state: LeaseState) -> Vec<JobStep> {
         match state {
             LeaseState::HeldUntil(_) => Vec::new(),
--- a/crates/services/src/task_dispatch.rs
+++ b/crates/services/src/task_dispatch.rs
@@ -6,7 +6,7 @@
 use kernel::{DutyState, KernelError, Registry, RingReceiver, RingSender, serve};
 use model::{
     DispatchMessage, EventLine, EventLog, JobMessage, LinkEvent, LinkMessage, MemberRecord,
-    RecallOrder, ServiceName, StartOrder, TaskKey, TaskNote, TaskQuestion, WorkerId,
+    RecallOrder, ServiceName, StartOrder, TaskEnd, TaskKey, TaskNote, TaskQuestion, WorkerId,
 };
 
 use crate::context::ServiceContext;
@@ -131,7 +131,10 @@
             DispatchStep::Start { worker, order } => self.start(now, worker, order),
             DispatchStep::Attach { worker, question } => self.attach(now, worker, question),
             DispatchStep::Recall { worker, order } => self.recall(worker, order),
-            DispatchStep::End { key, end } => self.tell_jobs(JobMessage::TaskEnded { key, end }),
+            DispatchStep::End { key, end } => {
+                self.log_end(&key, &end);
+                self.tell_jobs(JobMessage::TaskEnded { key, end });
+            }
             DispatchStep::Note { key, note } => {
                 self.log_note(&key, &note);
                 self.tell_jobs(JobMessage::Noted { key, note });
@@ -197,6 +200,20 @@
         }
     }
 
+    /// Ends without an outcome; the others are in the answers.
+    fn log_end(&self, key: &TaskKey, end: &TaskEnd) {
+        let line = match end {
+            TaskEnd::Ran { .. } => return,
+            TaskEnd::NotStarted { failure } => {
+                EventLine::new("task_not_started").with("task", key).with("kind", failure.kind)
+            }
+            TaskEnd::Unknown { reason } => {
+                EventLine::new("task_unknown").with("task", key).with("reason", reason)
+            }
+        };
+        self.log.info(line);
+    }
+
     fn log_note(&self, key: &TaskKey, note: &TaskNote) {
         let line = match note {
             TaskNote::Placed { worker, attempt } => EventLine::new("placement")
