--- a/crates/decisions/benches/routing.rs
+++ b/crates/decisions/benches/routing.rs
@@ -18,6 +18,7 @@
         own: number % 5,
         speed: 1.0 + f64::from(number % 7) / 10.0,
         queue_room: 64,
+        prefetch: 2,
         credits: 4,
     };
     (0..INSTANCES).map(candidate).collect()
--- a/crates/decisions/src/entry/placement.rs
+++ b/crates/decisions/src/entry/placement.rs
@@ -7,6 +7,10 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
+/// What a wait weighs against run time: slots do not come free evenly, and
+/// what this entry knows of others' tasks is old.
+const WAIT_WEIGHT: f64 = 4.0;
+
 /// A worker that could run the task, as this entry sees it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Candidate {
@@ -20,6 +24,9 @@
     pub speed: f64,
     /// Tasks that may wait at the agent.
     pub queue_room: u32,
+    /// Tasks that may wait at the agent under the policy that waits at the
+    /// entry.
+    pub prefetch: u32,
     /// This entry's share of the slots.
     pub credits: u32,
 }
@@ -30,6 +37,10 @@
         self.load < self.slots
     }
 
+    fn has_prefetch_room(&self) -> bool {
+        self.load < self.slots + self.prefetch
+    }
+
     fn has_room(&self) -> bool {
         self.load < self.slots + self.queue_room
     }
@@ -41,7 +52,7 @@
         let slots = f64::from(self.slots.max(1));
         let share = f64::from(self.load + 1) / slots;
         let turns = if share <= 1.0 { share.powf(slots) } else { f64::from(self.load + 1) - slots };
-        (turns / slots * mean_us + base_us) * self.speed
+        (WAIT_WEIGHT * turns / slots * mean_us + base_us) * self.speed
     }
 }
 
@@ -92,8 +103,9 @@
         }
     }
 
-    /// Least expected completion; when that is at a worker without a free slot,
-    /// the task waits at the entry, where it can still go elsewhere. The look
+    /// Least expected completion; when that is at a worker with neither a free
+    /// slot nor room to wait there, the task waits at the entry, where it can
+    /// still go elsewhere. The look
     /// begins anywhere, so that entries do not all take the same of equals.
     fn by_completion(&mut self, candidates: &[Candidate], base_us: f64, mean_us: f64) -> Placement {
         let count = candidates.len();
@@ -109,7 +121,7 @@
                 best = (position, time_us);
             }
         }
-        match candidates[best.0].has_free_slot() {
+        match candidates[best.0].has_prefetch_room() {
             true => Placement::At(best.0),
             false => Placement::HoldFor(best.0),
         }
--- a/crates/decisions/src/entry/worker_table.rs
+++ b/crates/decisions/src/entry/worker_table.rs
@@ -18,6 +18,13 @@
 /// Most tasks that one entry lets wait at an agent, for policies that do not
 /// wait at the entry.
 const AGENT_QUEUE: u32 = 64;
+/// Tasks that may wait at an agent so that no slot stands idle between a
+/// task's end and the next order: one for so many slots.
+const PREFETCH_DIVISOR: u32 = 4;
+
+/// How far a word on other entries' load is trusted that has just come: it was
+/// true when the agent sent it, and the others act on such words too.
+const FRESH_TRUST: f64 = 0.3;
 
 #[derive(Debug, Clone, Default)]
 struct ServiceUse {
@@ -33,13 +40,14 @@
         self.heard_at = Some(now);
     }
 
-    /// Tasks of other entries that may still be there. They end like any
-    /// other; a word that is old says little.
-    fn foreign_at(&self, now: Instant, mean_us: f64) -> u32 {
+    /// Tasks of other entries that may be there. A word that is old says little;
+    /// then the others are taken to send as much as this entry.
+    fn foreign_at(&self, now: Instant, mean_us: f64, entries: u32) -> u32 {
         let age =
             self.heard_at.map_or(0.0, |at| now.saturating_duration_since(at).as_secs_f64() * 1e6);
-        let left = f64::from(self.foreign) * 0.5_f64.powf(age / mean_us.max(1.0));
-        left.round() as u32
+        let trust = FRESH_TRUST * 0.5_f64.powf(age / mean_us.max(1.0));
+        let usual = f64::from(self.own * (entries - 1));
+        (trust * f64::from(self.foreign) + (1.0 - trust) * usual).round() as u32
     }
 }
 
@@ -107,12 +115,19 @@
 }
 
 /// Workers by id.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub(super) struct WorkerTable {
     workers: IndexMap<WorkerId, WorkerState>,
+    /// Live entries, this one included; at least 1.
     entries: u32,
 }
 
+impl Default for WorkerTable {
+    fn default() -> WorkerTable {
+        WorkerTable { workers: IndexMap::new(), entries: 1 }
+    }
+}
+
 impl WorkerTable {
     /// Takes the member list; returns workers that are gone for good.
     pub(super) fn set_members(&mut self, agents: &[MemberRecord], entries: u32) -> Vec<WorkerId> {
@@ -232,10 +247,11 @@
         let usage = state.uses.get(service).cloned().unwrap_or_default();
         let candidate = Candidate {
             slots,
-            load: usage.own + usage.foreign_at(now, times.base_us(service, None)),
+            load: usage.own + usage.foreign_at(now, times.base_us(service, None), self.entries),
             own: usage.own,
             speed: times.speed(service, worker),
             queue_room: AGENT_QUEUE,
+            prefetch: slots.div_ceil(PREFETCH_DIVISOR),
             credits: (slots / self.entries).max(1),
         };
         let incarnation = state.view.as_ref()?.incarnation;
