Give a resent claim its takeover again; keep one task a slot ahead

Cause: with more work at the agents the model test found a double start: a claim that took a submission over was sent again after its answer was lost, and the ledger then called it fresh, so the new owner asked no agent. It also showed that a task reported as running by an agent's earlier incarnation was waited for at the new one. Change: the ledger remembers that a run was taken over and gives the same answer however often it is asked; a fate counts only for the incarnation that gave it. One task for each slot may wait at an agent, so that none stands idle.

--- a/crates/cactuswing/src/roles/agent.rs
+++ b/crates/cactuswing/src/roles/agent.rs
@@ -12,7 +12,10 @@
 };
 use services::task_starts::StartSettings;
 
-use super::{DUTY_RING, RoleError, RunningRole, assembled, context, local_address, with_log};
+use super::{
+    DUTY_RING, RoleError, RunningRole, assembled, context, local_address, with_control_link,
+    with_log,
+};
 
 /// Starts an agent.
 ///
@@ -45,11 +48,7 @@
         controls: settings.controls.clone(),
         ready: Arc::new(AtomicBool::new(false)),
     };
-    let log_context = context.clone();
-    kernel.register(ServiceName::ControlLink, DUTY_RING, move |ring, registry| {
-        let log = log_context.event_log(&registry).expect("the log writer is registered");
-        edges::control_link::run(&ring, &registry, link, log);
-    })?;
+    with_control_link(&mut kernel, &context, link)?;
 
     let edge = BackendEdge {
         clock: clock.clone(),
--- a/crates/cactuswing/src/roles/entry.rs
+++ b/crates/cactuswing/src/roles/entry.rs
@@ -12,7 +12,10 @@
 use model::{EntrySettings, JobMessage, MemberRecord, NodeRole, ServiceName};
 use services::job_tracking::JobSettings;
 
-use super::{DUTY_RING, RoleError, RunningRole, assembled, context, local_address, with_log};
+use super::{
+    DUTY_RING, RoleError, RunningRole, assembled, context, local_address, with_control_link,
+    with_log,
+};
 
 /// How long an entry itself remembers ended submissions.
 const KEEP_ENDED: Duration = Duration::from_secs(60);
@@ -47,11 +50,7 @@
         controls: settings.controls.clone(),
         ready: Arc::clone(&ready),
     };
-    let log_context = context.clone();
-    kernel.register(ServiceName::ControlLink, DUTY_RING, move |ring, registry| {
-        let log = log_context.event_log(&registry).expect("the log writer is registered");
-        edges::control_link::run(&ring, &registry, link, log);
-    })?;
+    with_control_link(&mut kernel, &context, link)?;
 
     let links = AgentLinks {
         entry: settings.name.clone(),
--- a/crates/cactuswing/src/roles/mod.rs
+++ b/crates/cactuswing/src/roles/mod.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use edges::EdgeError;
+use edges::control_link::ControlLink;
 use kernel::{DrainGate, Kernel, KernelError, SharedClock, StopSignal};
 use model::{LogLine, ProcessCounters, ServiceName};
 use services::ServiceContext;
@@ -110,6 +111,19 @@
     })
 }
 
+/// The connection to control, which entries and agents have.
+fn with_control_link(
+    kernel: &mut Kernel<ServiceName>,
+    context: &ServiceContext,
+    link: ControlLink,
+) -> Result<(), KernelError> {
+    let context = context.clone();
+    kernel.register(ServiceName::ControlLink, DUTY_RING, move |ring, registry| {
+        let log = context.event_log(&registry).expect("the log writer is registered");
+        edges::control_link::run(&ring, &registry, link, log);
+    })
+}
+
 fn context(clock: &SharedClock) -> ServiceContext {
     ServiceContext {
         clock: clock.clone(),
--- a/crates/decisions/src/control/ledger.rs
+++ b/crates/decisions/src/control/ledger.rs
@@ -32,6 +32,8 @@
     epoch: ClaimEpoch,
     /// Where in the log the first owner of this run claimed it.
     since: LogIndex,
+    /// Whether an earlier owner of this run may have started tasks.
+    taken_over: bool,
     state: ClaimState,
 }
 
@@ -50,6 +52,24 @@
     agent_lost: LogIndex,
 }
 
+impl ClaimRecord {
+    /// What the owner is told, however often it asks.
+    fn claimed(
+        &self,
+        agent_lost: LogIndex,
+        agents: &IndexMap<WorkerId, Incarnation>,
+    ) -> CommandResult {
+        let takeover = match self.taken_over {
+            true => {
+                let memory_lost = agent_lost > self.since;
+                Takeover::Collect { memory_lost, agents: agents.clone() }
+            }
+            false => Takeover::Fresh,
+        };
+        CommandResult::Claimed { epoch: self.epoch, takeover }
+    }
+}
+
 fn is_at_most(known: &IndexMap<NodeId, Incarnation>, owner: &OwnerRef) -> bool {
     known.get(&owner.entry).is_some_and(|incarnation| owner.incarnation <= *incarnation)
 }
@@ -76,7 +96,8 @@
             return self.first_claim(index, order);
         };
         if record.owner == order.owner && record.state == ClaimState::Running {
-            return CommandResult::Claimed { epoch: record.epoch, takeover: Takeover::Fresh };
+            // The answer to the same claim was lost; it is given again.
+            return record.claimed(self.agent_lost, agents);
         }
         match &record.state {
             ClaimState::Running if !is_at_most(&self.fenced, &record.owner) => {
@@ -85,16 +106,16 @@
             ClaimState::Running => {
                 record.epoch += 1;
                 record.owner = order.owner.clone();
-                let memory_lost = self.agent_lost > record.since;
-                let takeover = Takeover::Collect { memory_lost, agents: agents.clone() };
-                CommandResult::Claimed { epoch: record.epoch, takeover }
+                record.taken_over = true;
+                record.claimed(self.agent_lost, agents)
             }
             ClaimState::Ended { .. } => {
                 record.epoch += 1;
                 record.owner = order.owner.clone();
                 record.since = index;
+                record.taken_over = false;
                 record.state = ClaimState::Running;
-                CommandResult::Claimed { epoch: record.epoch, takeover: Takeover::Fresh }
+                record.claimed(self.agent_lost, agents)
             }
         }
     }
@@ -105,6 +126,7 @@
             owner: order.owner.clone(),
             epoch: 1,
             since: index,
+            taken_over: false,
             state: ClaimState::Running,
         };
         self.claims.insert(order.key.clone(), record);
--- a/crates/decisions/src/entry/dispatcher/takeover.rs
+++ b/crates/decisions/src/entry/dispatcher/takeover.rs
@@ -86,7 +86,7 @@
     ) -> Vec<DispatchStep> {
         let mut steps = Vec::new();
         for fate in &answer.fates {
-            steps.extend(self.take_fate(worker, fate));
+            steps.extend(self.take_fate(worker, answer.incarnation, fate));
         }
         let Some(first) = answer.fates.first() else { return steps };
         let job = &first.question.key.job;
@@ -96,7 +96,12 @@
 
     /// One task's fate at one worker. Only what started matters here: "not
     /// started" counts once every worker has said so.
-    fn take_fate(&mut self, worker: &WorkerId, fate: &RecallFate) -> Vec<DispatchStep> {
+    fn take_fate(
+        &mut self,
+        worker: &WorkerId,
+        incarnation: Incarnation,
+        fate: &RecallFate,
+    ) -> Vec<DispatchStep> {
         let key = &fate.question.key;
         let collecting = self.tasks.slot(key).is_some_and(|s| s.phase == TaskPhase::Collecting);
         if !collecting {
@@ -104,7 +109,7 @@
         }
         match &fate.fate {
             TaskFate::NotStarted { .. } | TaskFate::Queued => Vec::new(),
-            TaskFate::Running => self.attach_to(key, worker),
+            TaskFate::Running => self.attach_to(key, worker, incarnation),
             TaskFate::Ended { outcome: TaskOutcome::Unknown { reason } } => {
                 self.end_unknown(key, reason)
             }
@@ -115,9 +120,18 @@
         }
     }
 
-    fn attach_to(&mut self, key: &TaskKey, worker: &WorkerId) -> Vec<DispatchStep> {
+    /// Waits for the end of a task that runs. An agent that was restarted since
+    /// it said so knows nothing of it any more.
+    fn attach_to(
+        &mut self,
+        key: &TaskKey,
+        worker: &WorkerId,
+        incarnation: Incarnation,
+    ) -> Vec<DispatchStep> {
         let view = self.workers.get(worker).and_then(|state| state.view.as_ref());
-        let Some(incarnation) = view.map(|view| view.incarnation) else { return Vec::new() };
+        if view.is_none_or(|view| view.incarnation != incarnation) {
+            return self.end_unknown(key, "the worker's agent was restarted");
+        }
         let Some(job) = self.tasks.jobs.get_mut(&key.job) else { return Vec::new() };
         let service = job.service.clone();
         let Some(slot) = job.tasks.get_mut(key.task as usize) else { return Vec::new() };
--- a/crates/decisions/src/entry/worker_table.rs
+++ b/crates/decisions/src/entry/worker_table.rs
@@ -18,9 +18,6 @@
 /// Most tasks that one entry lets wait at an agent, for policies that do not
 /// wait at the entry.
 const AGENT_QUEUE: u32 = 64;
-/// Tasks that may wait at an agent so that no slot stands idle between a
-/// task's end and the next order: one for so many slots.
-const PREFETCH_DIVISOR: u32 = 4;
 
 /// How far a word on other entries' load is trusted that has just come: it was
 /// true when the agent sent it, and the others act on such words too.
@@ -251,7 +248,8 @@
             own: usage.own,
             speed: times.speed(service, worker),
             queue_room: AGENT_QUEUE,
-            prefetch: slots.div_ceil(PREFETCH_DIVISOR),
+            // One waiting task for each slot: none stands idle until the next order.
+            prefetch: slots,
             credits: (slots / self.entries).max(1),
         };
         let incarnation = state.view.as_ref()?.incarnation;
--- a/crates/edges/src/agent_edge.rs
+++ b/crates/edges/src/agent_edge.rs
@@ -1,7 +1,6 @@
 //! The RPC server of an agent.
 
 use jsonrpsee::core::{RpcResult, async_trait};
-use jsonrpsee::server::{Server, ServerConfig};
 use kernel::{Registry, RingReceiver, RingSender};
 use model::{
     AgentAnswer, AgentReply, AgentView, AgentWatch, CallId, RecallAnswer, RecallOrder, ServiceName,
@@ -10,7 +9,7 @@
 
 use crate::call_book::CallBook;
 use crate::edge_runtime::block_on;
-use crate::peer_api::{AgentApiServer, MOST_MESSAGE_BYTES, not_taken};
+use crate::peer_api::{AgentApiServer, not_taken, start_server};
 
 /// Entries that may be connected at a time.
 const MOST_CONNECTIONS: u32 = 1_024;
@@ -110,13 +109,7 @@
     let calls = CallBook::default();
     let desk = AgentDesk { calls: calls.clone(), own, starts };
     block_on(async move {
-        let config = ServerConfig::builder()
-            .max_connections(MOST_CONNECTIONS)
-            .max_request_body_size(MOST_MESSAGE_BYTES)
-            .max_response_body_size(MOST_MESSAGE_BYTES)
-            .build();
-        let server = Server::builder().set_config(config).build_from_tcp(listener);
-        let handle = server.expect("the listener is non-blocking").start(desk.into_rpc());
+        let handle = start_server(listener, MOST_CONNECTIONS, desk.into_rpc());
         while let Some(reply) = ring.next().await {
             calls.answer(reply.call, reply.answer);
         }
--- a/crates/edges/src/caller_routes.rs
+++ b/crates/edges/src/caller_routes.rs
@@ -41,11 +41,14 @@
     tasks: Option<usize>,
 }
 
+/// Gives a route what all routes share.
+type DeskFilter = warp::filters::BoxedFilter<(CallerDesk,)>;
+
 /// All routes of an entry.
 pub(crate) fn routes(
     desk: CallerDesk,
 ) -> impl Filter<Extract = (impl Reply + use<>,), Error = std::convert::Infallible> + Clone {
-    let with_desk = warp::any().map(move || desk.clone());
+    let with_desk: DeskFilter = warp::any().map(move || desk.clone()).boxed();
     request_route(with_desk.clone())
         .or(job_route(with_desk.clone()))
         .unify()
@@ -56,13 +59,7 @@
         .recover(refuse_unmatched)
 }
 
-fn request_route(
-    desk: impl Filter<Extract = (CallerDesk,), Error = std::convert::Infallible>
-    + Clone
-    + Send
-    + Sync
-    + 'static,
-) -> warp::filters::BoxedFilter<(Response,)> {
+fn request_route(desk: DeskFilter) -> warp::filters::BoxedFilter<(Response,)> {
     warp::path!("v1" / "services" / String / "requests")
         .and(warp::post())
         .and(warp::header::headers_cloned())
@@ -77,13 +74,7 @@
         .boxed()
 }
 
-fn job_route(
-    desk: impl Filter<Extract = (CallerDesk,), Error = std::convert::Infallible>
-    + Clone
-    + Send
-    + Sync
-    + 'static,
-) -> warp::filters::BoxedFilter<(Response,)> {
+fn job_route(desk: DeskFilter) -> warp::filters::BoxedFilter<(Response,)> {
     warp::path!("v1" / "jobs")
         .and(warp::post())
         .and(warp::query::<JobQuery>())
@@ -93,13 +84,7 @@
         .boxed()
 }
 
-fn key_routes(
-    desk: impl Filter<Extract = (CallerDesk,), Error = std::convert::Infallible>
-    + Clone
-    + Send
-    + Sync
-    + 'static,
-) -> warp::filters::BoxedFilter<(Response,)> {
+fn key_routes(desk: DeskFilter) -> warp::filters::BoxedFilter<(Response,)> {
     let explain = warp::path!("v1" / "jobs" / String / String / "explain")
         .and(warp::get())
         .and(desk.clone())
@@ -120,13 +105,7 @@
     explain.or(lookup).unify().or(cancel).unify().boxed()
 }
 
-fn page_routes(
-    desk: impl Filter<Extract = (CallerDesk,), Error = std::convert::Infallible>
-    + Clone
-    + Send
-    + Sync
-    + 'static,
-) -> warp::filters::BoxedFilter<(Response,)> {
+fn page_routes(desk: DeskFilter) -> warp::filters::BoxedFilter<(Response,)> {
     let health = warp::path!("healthz").and(warp::get()).map(|| "ok\n".into_response());
     let ready = warp::path!("readyz").and(warp::get()).and(desk.clone()).map(readiness);
     let metrics = warp::path!("metrics")
--- a/crates/edges/src/control_edge.rs
+++ b/crates/edges/src/control_edge.rs
@@ -1,7 +1,6 @@
 //! The RPC server of a control host.
 
 use jsonrpsee::core::{RpcResult, async_trait};
-use jsonrpsee::server::{Server, ServerConfig};
 use kernel::{Registry, Reservation, RingReceiver, RingSender};
 use model::{
     CallId, Command, ControlQuery, ControlReply, ControlReplyBody, LogMessage, MembershipMessage,
@@ -10,7 +9,7 @@
 
 use crate::call_book::CallBook;
 use crate::edge_runtime::block_on;
-use crate::peer_api::{ControlApiServer, MOST_MESSAGE_BYTES, not_taken};
+use crate::peer_api::{ControlApiServer, not_taken, start_server};
 
 /// Nodes, operators and replicas that may be connected at a time.
 const MOST_CONNECTIONS: u32 = 4_096;
@@ -86,13 +85,7 @@
         membership: registry.find(ServiceName::Membership).expect("membership is registered"),
     };
     block_on(async move {
-        let config = ServerConfig::builder()
-            .max_connections(MOST_CONNECTIONS)
-            .max_request_body_size(MOST_MESSAGE_BYTES)
-            .max_response_body_size(MOST_MESSAGE_BYTES)
-            .build();
-        let server = Server::builder().set_config(config).build_from_tcp(listener);
-        let handle = server.expect("the listener is non-blocking").start(desk.into_rpc());
+        let handle = start_server(listener, MOST_CONNECTIONS, desk.into_rpc());
         while let Some(reply) = ring.next().await {
             calls.answer(reply.call, reply.body);
         }
--- a/crates/edges/src/peer_api.rs
+++ b/crates/edges/src/peer_api.rs
@@ -1,7 +1,9 @@
 //! Owns the protocol between the processes: JSON-RPC over WebSocket.
 
+use jsonrpsee::RpcModule;
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
+use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
 use model::{
     AgentView, AgentWatch, Command, ControlQuery, ControlReplyBody, NodeWatch, RecallAnswer,
@@ -59,3 +61,21 @@
 pub(crate) fn not_taken() -> ErrorObjectOwned {
     ErrorObjectOwned::owned(NOT_TAKEN, "no room; the message was not taken", None::<()>)
 }
+
+/// Serves a module on a listener.
+///
+/// # Panics
+/// When the listener is not usable.
+pub(crate) fn start_server<C: Send + Sync + 'static>(
+    listener: std::net::TcpListener,
+    most_connections: u32,
+    module: RpcModule<C>,
+) -> ServerHandle {
+    let config = ServerConfig::builder()
+        .max_connections(most_connections)
+        .max_request_body_size(MOST_MESSAGE_BYTES)
+        .max_response_body_size(MOST_MESSAGE_BYTES)
+        .build();
+    let server = Server::builder().set_config(config).build_from_tcp(listener);
+    server.expect("the listener is non-blocking").start(module)
+}
--- /dev/null
+++ b/tests/config_versions.rs
@@ -0,0 +1,76 @@
+//! Configurations: compare-and-set, resent requests, differences that lead to
+//! the same text, versions that never go back.
+
+use assert_matches::assert_matches;
+use decisions::control::ConfigStore;
+use model::{CommandResult, OperatorText, TextDelta, sorted};
+use proptest::prelude::*;
+
+use crate::support::small_text;
+
+fn text_with_weight(weight: u32) -> OperatorText {
+    let mut text = small_text();
+    text.teams.get_mut("south").expect("a team").weight = weight;
+    text
+}
+
+#[test]
+fn operators_race() {
+    let mut store = ConfigStore::default();
+    store.apply(&"r1".into(), 0, &text_with_weight(1), 1);
+    let first = store.apply(&"a".into(), 1, &text_with_weight(2), 2);
+    assert_matches!(first, CommandResult::TextAccepted { version: 2 });
+    let second = store.apply(&"b".into(), 1, &text_with_weight(3), 3);
+    assert_matches!(second, CommandResult::VersionConflict { current: 2, lines }
+        if lines == ["~ team south {\"weight\":2,\"task_quota\":5000}"]);
+    assert_eq!(store.version(), 2);
+}
+
+#[test]
+fn resend_is_harmless() {
+    let mut store = ConfigStore::default();
+    store.apply(&"r1".into(), 0, &text_with_weight(1), 1);
+    store.apply(&"r2".into(), 1, &text_with_weight(2), 2);
+    let again = store.apply(&"r1".into(), 0, &text_with_weight(1), 3);
+    assert_matches!(again, CommandResult::TextAccepted { version: 1 });
+    assert_eq!(store.version(), 2, "the answer is repeated, the change is not");
+}
+
+fn some_text() -> impl Strategy<Value = OperatorText> {
+    let weights = prop::collection::btree_map("[a-d]", 1_u32..5, 0..4);
+    let drained = prop::collection::vec("[wx]", 0..2);
+    (weights, drained, any::<bool>()).prop_map(|(weights, drained, keep)| {
+        let mut text = small_text();
+        if !keep {
+            text.services.shift_remove("ledgerless");
+        }
+        for (team, weight) in weights {
+            let mut team_text = text.teams["north"].clone();
+            team_text.weight = weight;
+            text.teams.insert(team.into(), team_text);
+        }
+        text.drained_workers = drained.into_iter().map(Into::into).collect();
+        text
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: crate::support::cases(300),
+        rng_seed: proptest::test_runner::RngSeed::Fixed(9_000),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn differences_lead_there(before in some_text(), after in some_text()) {
+        let (before, after) = (sorted(&before), sorted(&after));
+        let delta = TextDelta::between(&before, &after);
+        prop_assert_eq!(delta.apply(&before), Some(after.clone()));
+        prop_assert_eq!(delta.lines().is_empty(), before == after);
+        // A difference that is applied to another text is noticed.
+        let mut other = before.clone();
+        other.teams.insert("stranger".into(), before.teams["north"].clone());
+        prop_assert_eq!(delta.apply(&other), None);
+    }
+}
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -6,12 +6,17 @@
 mod support;
 
 mod bad_input;
+mod config_versions;
+mod fair_sharing;
 mod graceful_drain;
 mod job_path;
 mod job_promises;
 mod journal_recovery;
+mod lease_renewal;
+mod ledger_claims;
 mod log_agreement;
 mod log_exploration;
+mod monthly_figures;
 mod process_failures;
 mod request_path;
 mod ring_bounds;
