Answer open calls of a silent connection; refuse by all the work ahead

Cause: the traces showed calls that ended only at their deadline. A link that had gone silent was dropped, but each open call kept its client alive, so nobody learned that its answer would not come. Admission counted only what waited at its own entry. Declared run times that were off by 20 kept a fifth of their weight. Change: an open call is given up with its connection and becomes a question; work ahead counts what was sent and what other entries do; declarations lose all weight as their error grows; the stand-in leaves as a server should.

--- a/crates/cactuswing/src/replay/local_cluster.rs
+++ b/crates/cactuswing/src/replay/local_cluster.rs
@@ -106,6 +106,8 @@
     pub backend: BackendServer,
     /// What the backend server is like.
     pub shape: BackendShape,
+    /// Earlier backend servers, which finish what they run.
+    pub retired: Vec<BackendServer>,
 }
 
 /// A whole system.
@@ -338,7 +340,8 @@
     let starting = BackendServer::start(backend_shape.clone(), announce, records.clone());
     let backend = host.block_on(starting).context(StandinSnafu)?;
     let agent = Some(agent);
-    Ok(LocalWorker { agent, peer_link, control_links, backend, shape: backend_shape })
+    let retired = Vec::new();
+    Ok(LocalWorker { agent, peer_link, control_links, backend, shape: backend_shape, retired })
 }
 
 fn agent_settings(
--- a/crates/cactuswing/src/replay/player.rs
+++ b/crates/cactuswing/src/replay/player.rs
@@ -195,7 +195,7 @@
         return;
     };
     if let Ok(backend) = BackendServer::start(worker.shape.clone(), announce, records).await {
-        worker.backend = backend;
+        worker.retired.push(std::mem::replace(&mut worker.backend, backend));
     }
 }
 
--- a/crates/decisions/src/entry/dispatcher/intake.rs
+++ b/crates/decisions/src/entry/dispatcher/intake.rs
@@ -53,7 +53,7 @@
         ServiceLoad {
             slots: self.workers.total_slots(&request.service),
             waiting: self.waiting(),
-            waiting_us: self.queues.get(&request.service).map_or(0.0, FairQueue::cost_us),
+            waiting_us: self.work_ahead_us(&request.service),
             longest_us: costs.iter().copied().fold(0.0, f64::max),
             total_us: costs.iter().sum(),
             sizes: self.workers.sizes(&request.service),
@@ -62,6 +62,15 @@
         }
     }
 
+    /// Expected run time of what is ahead of a new task: what waits here and
+    /// half of what was sent, and as much again at every other entry.
+    fn work_ahead_us(&self, service: &ServiceId) -> f64 {
+        let queued_us = self.queues.get(service).map_or(0.0, FairQueue::cost_us);
+        let sent = f64::from(self.workers.own_tasks(service));
+        let sent_us = sent * self.times.base_us(service, None) / 2.0;
+        (queued_us + sent_us) * f64::from(self.workers.entries())
+    }
+
     fn insert(&mut self, request: AdmitRequest) {
         let slots = request.tasks.into_iter().map(|task| TaskSlot {
             task,
--- a/crates/decisions/src/entry/run_times.rs
+++ b/crates/decisions/src/entry/run_times.rs
@@ -78,7 +78,7 @@
         let mean = self.mean_us.value;
         let Some(declared) = declared else { return mean.max(LEAST_RUN_US) };
         let corrected = declared.as_micros() as f64 * self.declared_ratio.value;
-        let trust = 1.0 / (1.0 + 4.0 * self.declared_error.value);
+        let trust = (1.0 - self.declared_error.value).clamp(0.0, 1.0).powi(2);
         (trust * corrected + (1.0 - trust) * mean).max(LEAST_RUN_US)
     }
 }
--- a/crates/decisions/src/entry/worker_table.rs
+++ b/crates/decisions/src/entry/worker_table.rs
@@ -271,6 +271,17 @@
         views.flat_map(|view| view.services.iter()).map(|row| row.slots).sum()
     }
 
+    /// Tasks of `service` that this entry has sent and that have not ended.
+    pub(super) fn own_tasks(&self, service: &ServiceId) -> u32 {
+        let uses = self.workers.values().filter_map(|state| state.uses.get(service));
+        uses.map(|usage| usage.own).sum()
+    }
+
+    /// Live entries, this one included.
+    pub(super) fn entries(&self) -> u32 {
+        self.entries
+    }
+
     /// Sizes of the workers that serve `service`.
     pub(super) fn sizes(&self, service: &ServiceId) -> Vec<WorkerSize> {
         let open = self.workers.values().filter(|state| state.slots(service) > 0);
--- a/crates/edges/src/agent_link.rs
+++ b/crates/edges/src/agent_link.rs
@@ -34,8 +34,6 @@
 const SIGN_LIMIT: Duration = Duration::from_millis(1_000);
 /// How long an agent waits for news before it answers a watch all the same.
 const WATCH_WAIT: Duration = Duration::from_secs(30);
-/// How long ended calls may take to report after the connection is gone.
-const LAST_REPORTS: Duration = Duration::from_secs(1);
 /// How long a link may be quiet while nothing depends on it.
 const IDLE_QUIET: Duration = Duration::from_secs(15);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
@@ -126,6 +124,7 @@
     /// Carries calls until the agent gives no sign of life any more.
     async fn use_connection(&mut self, client: Arc<WsClient>) {
         let heard = LastHeard::new();
+        let (close, closed) = watch::channel(());
         let mut calls = JoinSet::new();
         let watching = self.watch_agent(Arc::clone(&client), heard.clone());
         let checking = self.check_life(Arc::clone(&client), heard.clone());
@@ -136,16 +135,20 @@
                 () = &mut checking => break,
                 Some(job) = self.queue.recv() => {
                     let worker = self.worker.clone();
-                    calls.spawn_local(carry(Arc::clone(&client), heard.clone(), worker, job));
+                    let call = OpenCall {
+                        client: Arc::clone(&client),
+                        heard: heard.clone(),
+                        worker,
+                        closed: closed.clone(),
+                    };
+                    calls.spawn_local(call.carry(job));
                 }
                 Some(_ended) = calls.join_next() => {}
             }
         }
-        // Without the connection every open call ends with an error of its own.
-        drop(client);
-        let ending = async { while calls.join_next().await.is_some() {} };
-        let _late = tokio::time::timeout(LAST_REPORTS, ending).await;
-        calls.detach_all();
+        // Every open call learns that no answer will come.
+        drop(close);
+        while calls.join_next().await.is_some() {}
     }
 
     /// Asks the agent for news again and again; returns when the connection
@@ -284,53 +287,68 @@
     }
 }
 
-/// Carries one job and reports its answer, or that none came.
-async fn carry(client: Arc<WsClient>, heard: LastHeard, worker: WorkerId, job: LinkJob) {
-    heard.call_opened();
-    match job {
-        LinkJob::Start { order, reply } => {
-            let TaskQuestion { key, attempt } =
-                TaskQuestion { key: order.key.clone(), attempt: order.attempt };
-            let answer = client.start(*order).await;
-            drop(client);
-            heard.call_closed(answer.is_ok());
-            report(reply, &worker, report_event(key, attempt, answer));
-        }
-        LinkJob::Attach { question, reply } => {
-            let TaskQuestion { key, attempt } = question.clone();
-            let answer = client.attach(question).await;
-            drop(client);
-            heard.call_closed(answer.is_ok());
-            let event = match answer {
-                Ok(answer) => LinkEvent::Report { report: answer },
-                Err(_) => LinkEvent::CallLost { key, attempt, sent: true },
-            };
-            report(reply, &worker, event);
-        }
-        LinkJob::Recall { order, reply } => {
-            let questions = order.questions.clone();
-            let answer = client.recall(order).await;
-            drop(client);
-            heard.call_closed(answer.is_ok());
-            let event = match answer {
-                Ok(answer) => LinkEvent::Recalled { answer },
-                Err(_) => LinkEvent::RecallLost { questions },
-            };
-            report(reply, &worker, event);
+/// A call on a connection, which may be given up before its answer comes.
+struct OpenCall {
+    client: Arc<WsClient>,
+    heard: LastHeard,
+    worker: WorkerId,
+    closed: watch::Receiver<()>,
+}
+
+impl OpenCall {
+    /// Carries one job and reports its answer, or that none came.
+    async fn carry(mut self, job: LinkJob) {
+        self.heard.call_opened();
+        let client = Arc::clone(&self.client);
+        match job {
+            LinkJob::Start { order, reply } => {
+                let (key, attempt) = (order.key.clone(), order.attempt);
+                let answer = self.wait(client.start(*order)).await;
+                report(reply, &self.worker, report_event(key, attempt, answer));
+            }
+            LinkJob::Attach { question, reply } => {
+                let TaskQuestion { key, attempt } = question.clone();
+                let event = match self.wait(client.attach(question)).await {
+                    Some(Ok(answer)) => LinkEvent::Report { report: answer },
+                    _ => LinkEvent::CallLost { key, attempt, sent: true },
+                };
+                report(reply, &self.worker, event);
+            }
+            LinkJob::Recall { order, reply } => {
+                let questions = order.questions.clone();
+                let event = match self.wait(client.recall(order)).await {
+                    Some(Ok(answer)) => LinkEvent::Recalled { answer },
+                    _ => LinkEvent::RecallLost { questions },
+                };
+                report(reply, &self.worker, event);
+            }
         }
     }
+
+    /// The answer, or nothing once the connection is given up.
+    async fn wait<T>(
+        &mut self,
+        asking: impl Future<Output = Result<T, ClientError>>,
+    ) -> Option<Result<T, ClientError>> {
+        let answer = tokio::select! {
+            answer = asking => Some(answer),
+            _closed = self.closed.changed() => None,
+        };
+        self.heard.call_closed(matches!(answer, Some(Ok(_))));
+        answer
+    }
 }
 
 fn report_event(
     key: model::TaskKey,
     attempt: model::AttemptId,
-    answer: Result<TaskReport, ClientError>,
+    answer: Option<Result<TaskReport, ClientError>>,
 ) -> LinkEvent {
     match answer {
-        Ok(report) => LinkEvent::Report { report },
-        Err(ClientError::Call(error)) if error.code() == NOT_TAKEN => {
+        Some(Ok(report)) => LinkEvent::Report { report },
+        Some(Err(ClientError::Call(error))) if error.code() == NOT_TAKEN => {
             LinkEvent::CallLost { key, attempt, sent: false }
         }
-        Err(_) => LinkEvent::CallLost { key, attempt, sent: true },
+        Some(Err(_)) | None => LinkEvent::CallLost { key, attempt, sent: true },
     }
 }
--- a/crates/standin/src/backend_server.rs
+++ b/crates/standin/src/backend_server.rs
@@ -2,6 +2,7 @@
 //! and can be told to misbehave.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -74,6 +75,7 @@
     shape: BackendShape,
     records: StartRecords,
     behaviour: Mutex<Behaviour>,
+    leaving: AtomicBool,
 }
 
 /// A running stand-in backend server; dropping it ends it at once.
@@ -98,7 +100,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let behaviour = Mutex::new(Behaviour::Normal);
-        let core = Arc::new(BackendCore { shape, records, behaviour });
+        let core =
+            Arc::new(BackendCore { shape, records, behaviour, leaving: AtomicBool::new(false) });
         let (stop, stopped) = oneshot::channel();
         let caller = Caller::new();
         let announcing = announce_again(caller.clone(), Arc::clone(&core), agent, address);
@@ -130,6 +133,7 @@
 
     /// Tells the agent that it leaves; tasks that run go on.
     pub async fn leave(&mut self) {
+        self.core.leaving.store(true, Ordering::Release);
         let notice = LeaveNotice { address: self.address };
         let body = serde_json::to_string(&notice).unwrap_or_default();
         let _reply = self.caller.post(self.agent, "/v1/leave", &[], body).await;
@@ -154,11 +158,13 @@
         connections: core.shape.connections,
     };
     let body = serde_json::to_string(&announcement).unwrap_or_default();
-    loop {
+    while !core.leaving.load(Ordering::Acquire) {
         // An announcement that is lost is repeated.
         let _reply = caller.post(agent, "/v1/announce", &[], body.clone()).await;
         tokio::time::sleep(ANNOUNCE_INTERVAL).await;
     }
+    // It goes on serving what it was given.
+    std::future::pending::<()>().await;
 }
 
 async fn serve(listener: TcpListener, core: Arc<BackendCore>) {
--- /dev/null
+++ b/tests/start_order.rs
@@ -0,0 +1,99 @@
+//! The start table: a task starts once, and "not started" binds.
+
+use std::time::{Duration, Instant};
+
+use decisions::agent::{StartLimits, StartStep, StartTable};
+use model::{
+    AgentAnswer, Announcement, JobKey, NotStartedReason, OwnerRef, Payload, RecallOrder,
+    StartOrder, TaskFate, TaskKey, TaskQuestion, attempt_id,
+};
+
+fn table(now: Instant, slots: u32) -> StartTable {
+    let limits = StartLimits {
+        queue_limit: 4,
+        retention: Duration::from_secs(600),
+        announce_ttl: Duration::from_secs(3),
+    };
+    let mut table = StartTable::new(1, limits);
+    table.on_lease(Some(now + Duration::from_secs(60)));
+    if slots > 0 {
+        let address = ([127, 0, 0, 1], 9).into();
+        let announcement =
+            Announcement { service: "order".into(), address, slots, connections: slots };
+        table.on_announced(now, &announcement);
+    }
+    table
+}
+
+fn key() -> TaskKey {
+    TaskKey { job: JobKey { team: "north".into(), submission: "s".into() }, task: 0 }
+}
+
+fn order(number: u32) -> Box<StartOrder> {
+    Box::new(StartOrder {
+        key: key(),
+        attempt: attempt_id(1, number),
+        owner: OwnerRef { entry: "e".into(), incarnation: 1 },
+        service: "order".into(),
+        idempotent: false,
+        left_ms: 1_000,
+        payload: Payload::null(),
+    })
+}
+
+fn runs(steps: &[StartStep]) -> usize {
+    steps.iter().filter(|step| matches!(step, StartStep::Run { .. })).count()
+}
+
+fn refusal(steps: &[StartStep]) -> Option<NotStartedReason> {
+    steps.iter().find_map(|step| match step {
+        StartStep::Answer(reply) => match &reply.answer {
+            AgentAnswer::Report(report) => match report.fate {
+                TaskFate::NotStarted { reason } => Some(reason),
+                _ => None,
+            },
+            _ => None,
+        },
+        _ => None,
+    })
+}
+
+#[test]
+fn late_order_is_barred() {
+    let now = Instant::now();
+    let mut table = table(now, 1);
+    let question = TaskQuestion { key: key(), attempt: attempt_id(1, 2) };
+    let recall = RecallOrder { questions: vec![question], stop_running: false };
+    table.on_recall(now, 1, &recall);
+    for number in [1, 2] {
+        let steps = table.on_order(now, 2, order(number));
+        assert_eq!((runs(&steps), refusal(&steps)), (0, Some(NotStartedReason::Recalled)));
+    }
+    assert_eq!(runs(&table.on_order(now, 3, order(3))), 1, "a later attempt may start");
+    assert_eq!(runs(&table.on_order(now, 4, order(4))), 0, "but only one");
+}
+
+#[test]
+fn refusal_binds_too() {
+    let now = Instant::now();
+    let mut table = table(now, 0);
+    let steps = table.on_order(now, 1, order(1));
+    assert_eq!(refusal(&steps), Some(NotStartedReason::NoInstance));
+    let address = ([127, 0, 0, 1], 9).into();
+    let announcement = Announcement { service: "order".into(), address, slots: 1, connections: 1 };
+    table.on_announced(now, &announcement);
+    assert_eq!(runs(&table.on_order(now, 2, order(1))), 0, "the refused order came twice");
+    assert_eq!(runs(&table.on_order(now, 3, order(2))), 1);
+}
+
+#[test]
+fn no_lease_no_start() {
+    let now = Instant::now();
+    let mut table = table(now, 1);
+    let later = now + Duration::from_secs(61);
+    let address = ([127, 0, 0, 1], 9).into();
+    let announcement = Announcement { service: "order".into(), address, slots: 1, connections: 1 };
+    table.on_announced(later, &announcement);
+    let steps = table.on_order(later, 1, order(1));
+    assert_eq!(refusal(&steps), Some(NotStartedReason::NoLease));
+}
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -21,3 +21,4 @@
 mod request_path;
 mod ring_bounds;
 mod settings_mistakes;
+mod start_order;
