--- a/crates/cactuswing/src/roles/agent.rs
+++ b/crates/cactuswing/src/roles/agent.rs
@@ -12,6 +12,7 @@
 };
 use services::task_starts::StartSettings;
 
+use super::server_agent::start_server_agent;
 use super::{
     DUTY_RING, RoleError, RunningRole, assembled, context, local_address, with_control_link,
     with_log,
@@ -25,6 +26,9 @@
     settings: &AgentSettings,
     clock: &SharedClock,
 ) -> Result<RunningRole, RoleError> {
+    if let Some(server) = &settings.server {
+        return start_server_agent(settings, server, clock);
+    }
     let context = context(clock);
     let stop = StopSignal::default();
     let listener = edges::caller_edge::listen(settings.listen)?;
@@ -45,7 +49,7 @@
             address: settings.advertise.unwrap_or(address),
             domain: settings.domain.clone(),
         },
-        controls: settings.controls.clone(),
+        controls: settings.control_addresses(),
         ready: Arc::new(AtomicBool::new(false)),
     };
     with_control_link(&mut kernel, &context, link)?;
--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -4,17 +4,25 @@
 use std::time::Duration;
 
 use decisions::control::{ControlState, StoredReplica};
+use decisions::schedule::ScheduleLimits;
 use edges::control_link::incarnation_at;
 use edges::disk::HostFolder;
 use edges::journal::{Journal, RecoveredJournal};
 use kernel::{Kernel, SharedClock, StopSignal};
-use model::{ControlSettings, ServiceName};
+use model::{ControlReply, ControlSettings, ServiceName, host_name};
 use services::replicated_log::LogSetup;
 
 use super::{DUTY_RING, RoleError, RunningRole, assembled, context, local_address, with_log};
 
 /// Calls of nodes, operators and replicas that may wait at a time.
 const CALL_RING: usize = 16_384;
+/// How long an agent may keep runs at work after it asked for orders; longer
+/// than an election takes.
+const RUN_GRANT: Duration = Duration::from_secs(4);
+/// How long an agent's question waits for orders.
+const POLL_WAIT: Duration = Duration::from_millis(700);
+/// How long word of recorded ends waits for an order to go with.
+const NOTED_WAIT: Duration = Duration::from_millis(150);
 
 /// Starts a control host.
 ///
@@ -41,12 +49,18 @@
         edges::journal_writer::run(&ring, &registry, journal);
     })?;
 
-    let own = settings.name.clone();
+    let own = own_name(settings);
     let counters = context.counters.clone();
     kernel.register(ServiceName::ReplicaLinks, DUTY_RING, move |ring, registry| {
         edges::replica_links::run(&ring, &registry, &own, &counters);
     })?;
 
+    let limits = schedule_limits(settings);
+    let schedule_context = context.clone();
+    kernel.register(ServiceName::JobScheduling, DUTY_RING, move |ring, registry| {
+        assembled(services::job_scheduling::run(&ring, &registry, &schedule_context, limits));
+    })?;
+
     let setup = log_setup(settings, clock, found)?;
     let log_context = context.clone();
     kernel.register(ServiceName::ReplicatedLog, DUTY_RING, move |ring, registry| {
@@ -57,6 +71,20 @@
         edges::control_edge::run(&ring, &registry, listener);
     })?;
 
+    if let Some(address) = settings.operators {
+        let listener = edges::caller_edge::listen(address)?;
+        let front = platform::OperatorFront { port: address.port() };
+        let front_context = context.clone();
+        kernel.register::<ControlReply, _>(
+            ServiceName::OperatorFront,
+            CALL_RING,
+            move |ring, registry| {
+                let log = front_context.event_log(&registry).expect("the log writer is registered");
+                front.run(&ring, &registry, log, listener);
+            },
+        )?;
+    }
+
     kernel.start()?;
     Ok(RunningRole {
         kernel,
@@ -71,6 +99,21 @@
     })
 }
 
+/// A host whose group is formed from addresses is named by its own.
+fn own_name(settings: &ControlSettings) -> model::NodeId {
+    if settings.seeds.is_empty() { settings.name.clone() } else { host_name(settings.listen) }
+}
+
+fn schedule_limits(settings: &ControlSettings) -> ScheduleLimits {
+    ScheduleLimits {
+        grant: RUN_GRANT,
+        lease: settings.run_lease(),
+        poll_wait: POLL_WAIT,
+        noted_wait: NOTED_WAIT,
+        remote_factor: settings.remote_factor,
+    }
+}
+
 fn open_journal(settings: &ControlSettings) -> Result<(Journal, RecoveredJournal), RoleError> {
     let data = |error: String| RoleError::Data {
         reason: format!("data folder {}: {error}", settings.data_folder),
@@ -93,9 +136,10 @@
         })?,
     };
     Ok(LogSetup {
-        name: settings.name.clone(),
+        name: own_name(settings),
         boot: incarnation_at(clock.calendar()),
-        group: settings.group.clone(),
+        group: settings.first_group(),
+        found: settings.found,
         election: settings.election(),
         retention: settings.retention(),
         snapshot_records: settings.snapshot_records,
--- a/crates/cactuswing/src/roles/entry.rs
+++ b/crates/cactuswing/src/roles/entry.rs
@@ -12,6 +12,7 @@
 use model::{EntrySettings, JobMessage, MemberRecord, NodeRole, ServiceName};
 use services::job_tracking::JobSettings;
 
+use super::queue_entry::start_queue_entry;
 use super::{
     DUTY_RING, RoleError, RunningRole, assembled, context, local_address, with_control_link,
     with_log,
@@ -28,6 +29,9 @@
     settings: &EntrySettings,
     clock: &SharedClock,
 ) -> Result<RunningRole, RoleError> {
+    if let Some(front) = &settings.front {
+        return start_queue_entry(settings, front, clock);
+    }
     let context = context(clock);
     let stop = StopSignal::default();
     let ready = Arc::new(AtomicBool::new(false));
@@ -47,7 +51,7 @@
             address,
             domain: settings.domain.clone(),
         },
-        controls: settings.controls.clone(),
+        controls: settings.control_addresses(),
         ready: Arc::clone(&ready),
     };
     with_control_link(&mut kernel, &context, link)?;
--- a/crates/cactuswing/src/roles/mod.rs
+++ b/crates/cactuswing/src/roles/mod.rs
@@ -6,6 +6,8 @@
 mod agent;
 mod control;
 mod entry;
+mod queue_entry;
+mod server_agent;
 
 pub use agent::start_agent;
 pub use control::start_control;
--- a/crates/decisions/src/agent/mod.rs
+++ b/crates/decisions/src/agent/mod.rs
@@ -2,7 +2,10 @@
 //! may start at all.
 
 mod instance_pool;
+mod run_table;
+mod server_life;
 mod start_table;
 
 pub use instance_pool::{InstancePool, PoolChange};
+pub use run_table::{RunLimits, RunStep, RunTable};
 pub use start_table::{StartLimits, StartStep, StartTable};
--- a/crates/decisions/src/control/control_state.rs
+++ b/crates/decisions/src/control/control_state.rs
@@ -12,6 +12,7 @@
 
 use super::config_store::ConfigStore;
 use super::figure_book::FigureBook;
+use super::job_book::JobBook;
 use super::ledger::Ledger;
 use super::member_book::{MemberBook, MemberChange};
 
@@ -23,6 +24,7 @@
     ledger: Ledger,
     members: MemberBook,
     figures: FigureBook,
+    jobs: JobBook,
 }
 
 impl ControlState {
@@ -59,6 +61,20 @@
                 self.figures.add(record.at_ms, increment);
                 CommandResult::Done
             }
+            Command::CancelJob { job } => {
+                let known = self.jobs.job(job).is_some();
+                self.jobs.apply(record);
+                if known { CommandResult::Done } else { CommandResult::Unclaimed }
+            }
+            Command::SetCatalog { .. }
+            | Command::AcceptJob { .. }
+            | Command::EndRuns { .. }
+            | Command::SeatAgent { .. }
+            | Command::UnseatAgent { .. }
+            | Command::ForgetJobs { .. } => {
+                self.jobs.apply(record);
+                CommandResult::Done
+            }
             Command::Expire { before_ms } => {
                 self.ledger.expire(*before_ms);
                 CommandResult::Done
@@ -91,6 +107,11 @@
         self.ledger.peek(key, fingerprint)
     }
 
+    /// Queued jobs, agents with work, and the catalog of queues.
+    pub fn jobs(&self) -> &JobBook {
+        &self.jobs
+    }
+
     /// Versions that watchers wait for.
     pub fn versions(&self) -> StateVersions {
         StateVersions {
--- a/crates/decisions/src/control/mod.rs
+++ b/crates/decisions/src/control/mod.rs
@@ -1,17 +1,21 @@
 //! Control's decisions: the state that the replicated log builds, and who is a
 //! member.
 
+mod catalog_store;
 mod config_store;
 mod control_state;
 mod figure_book;
+mod job_book;
 mod ledger;
 mod member_book;
 mod membership;
 mod replica;
 
+pub use catalog_store::CatalogStore;
 pub use config_store::ConfigStore;
 pub use control_state::ControlState;
 pub use figure_book::FigureBook;
+pub use job_book::{JobBook, JobChange};
 pub use ledger::Ledger;
 pub use member_book::MemberBook;
 pub use membership::{MembershipDesk, MembershipStep};
--- a/crates/decisions/src/control/replica/group.rs
+++ b/crates/decisions/src/control/replica/group.rs
@@ -43,7 +43,7 @@
 
     /// Whether this replica has promised nothing yet, as far as it knows.
     fn is_fresh(&self) -> bool {
-        self.hard.term == 0 && self.log.last_index() == 0
+        self.may_found && self.hard.term == 0 && self.log.last_index() == 0
     }
 
     /// A group is new when no other host has promised anything: a majority of
--- a/crates/decisions/src/control/replica/mod.rs
+++ b/crates/decisions/src/control/replica/mod.rs
@@ -131,6 +131,7 @@
     owed_ack: Option<OwedAck>,
     fresh: IndexSet<NodeId>,
     hello_at: Instant,
+    may_found: bool,
     failed: bool,
 }
 
@@ -170,12 +171,18 @@
             owed_ack: None,
             fresh: IndexSet::new(),
             hello_at: now,
+            may_found: true,
             failed: false,
         };
         replica.set_election_timer(now);
         replica
     }
 
+    /// Sets whether a replica without data may take part in founding a group.
+    pub fn set_may_found(&mut self, may_found: bool) {
+        self.may_found = may_found;
+    }
+
     /// A message of another replica.
     pub fn on_message(&mut self, now: Instant, envelope: ReplicaEnvelope) -> Vec<ReplicaStep> {
         if self.failed {
--- /dev/null
+++ b/crates/decisions/src/entry/queue_routes.rs
@@ -0,0 +1,78 @@
+//! Decides which queue a caller's request is for.
+//!
+//! Invariant: of the prefixes that a path begins with, the longest wins.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use indexmap::IndexMap;
+use model::{ConfigVersion, QueueCatalog, QueueId};
+
+#[derive(Debug, Clone)]
+struct PrefixRoute {
+    prefix: CompactString,
+    queue: QueueId,
+    timeout: Duration,
+}
+
+/// Queues by host name and path prefix.
+#[derive(Debug, Clone)]
+pub struct QueueRoutes {
+    version: ConfigVersion,
+    body_limit_bytes: u64,
+    /// Prefixes by host, longest first.
+    hosts: IndexMap<CompactString, Vec<PrefixRoute>>,
+}
+
+/// The queue that a request is for.
+#[derive(Debug, Clone, PartialEq)]
+pub struct QueuePlace<'a> {
+    /// The queue.
+    pub queue: &'a QueueId,
+    /// What follows the prefix in the path.
+    pub rest: &'a str,
+    /// How long a call may take.
+    pub timeout: Duration,
+}
+
+impl QueueRoutes {
+    /// The routes of a catalog.
+    pub fn new(catalog: &QueueCatalog) -> QueueRoutes {
+        let mut hosts: IndexMap<CompactString, Vec<PrefixRoute>> = IndexMap::new();
+        for (name, queue) in &catalog.queues {
+            let host = queue.host.to_ascii_lowercase();
+            hosts.entry(host.into()).or_default().push(PrefixRoute {
+                prefix: queue.path_prefix.clone(),
+                queue: name.clone(),
+                timeout: Duration::from_millis(queue.timeout_ms),
+            });
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        QueueRoutes {
+            version: catalog.version,
+            body_limit_bytes: catalog.body_limit_bytes,
+            hosts,
+        }
+    }
+
+    /// The catalog's version.
+    pub fn version(&self) -> ConfigVersion {
+        self.version
+    }
+
+    /// Largest body of a request, in bytes.
+    pub fn body_limit_bytes(&self) -> u64 {
+        self.body_limit_bytes
+    }
+
+    /// The queue of a request; a port in `host` is ignored.
+    pub fn find<'a>(&'a self, host: &str, path: &'a str) -> Option<QueuePlace<'a>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+        let routes = self.hosts.get(name.as_str())?;
+        let route = routes.iter().find(|route| path.starts_with(route.prefix.as_str()))?;
+        let rest = &path[route.prefix.len()..];
+        Some(QueuePlace { queue: &route.queue, rest, timeout: route.timeout })
+    }
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -8,5 +8,5 @@
 
 pub mod agent;
 pub mod control;
-
 pub mod entry;
+pub mod schedule;
--- /dev/null
+++ b/crates/decisions/src/schedule/mod.rs
@@ -0,0 +1,19 @@
+//! Decisions of the control host that schedules: which task runs where, and
+//! who is refused.
+//!
+//! Invariants:
+//! - a task has at most one placement, and none once it is done;
+//! - a task is placed again only after its earlier run surely ended, surely
+//!   never started, or its agent's grant and lease are surely over;
+//! - nothing of this survives a change of leader: a new one rebuilds it from
+//!   the record of jobs and from what the agents report.
+
+mod agent_seat;
+mod placing;
+mod ready_queue;
+mod reports;
+mod scheduler;
+mod takeover;
+
+pub use agent_seat::AgentSeat;
+pub use scheduler::{JobDecision, ScheduleLimits, ScheduleStep, Scheduler};
--- /dev/null
+++ b/crates/decisions/src/schedule/placing.rs
@@ -0,0 +1,281 @@
+//! Placing: which tasks may start, and on which agent each of them does.
+
+use std::time::{Duration, Instant};
+
+use indexmap::{IndexMap, IndexSet};
+use model::{
+    AgentOrder, EventLine, JobId, JobPhase, JobStep, NodeId, QueuedJob, RunNumber, ServiceId,
+    StepIndex, TaskName, TaskRun,
+};
+
+use super::agent_seat::AgentSeat;
+use super::scheduler::{LiveJob, Placement, ScheduleStep, Scheduler};
+use crate::control::JobBook;
+
+/// Groups without room that are passed over in one round before it ends.
+const MOST_PASSED_OVER: usize = 24;
+/// Run numbers that each term of leadership has to itself, for each task.
+const RUNS_PER_TERM: RunNumber = 64;
+/// A job earns nothing more beyond this multiple of its objective.
+const WORTHLESS_FACTOR: u32 = 3;
+/// Share of a worker's room that counts against it, so that equals share.
+const CROWDING_WEIGHT: f64 = 0.25;
+
+impl Scheduler {
+    /// Lets the first steps of a job in.
+    pub(super) fn activate(&mut self, now: Instant, id: &JobId) {
+        if self.make_live(now, id) {
+            self.let_steps_in(id);
+        }
+    }
+
+    pub(super) fn make_live(&mut self, now: Instant, id: &JobId) -> bool {
+        let Some(record) = self.book.job(id) else { return false };
+        let Some(job) = record.job.clone() else { return false };
+        let catalog = self.book.catalog();
+        let queue = catalog.as_ref().and_then(|catalog| catalog.queues.get(&job.queue));
+        let chain = job.longest_chain();
+        let objective = queue.map_or(chain, |queue| queue.objective(chain));
+        let terms = self.term.unwrap_or_default().saturating_sub(record.accepted_term);
+        let live = LiveJob {
+            job,
+            due: now + objective,
+            since: now,
+            started: !record.done.is_empty(),
+            steps_in: IndexSet::new(),
+            last_runs: IndexMap::new(),
+            first_run: terms * RUNS_PER_TERM + 1,
+        };
+        self.live.insert(id.clone(), live);
+        true
+    }
+
+    /// Lets in every task whose turn has come and that nobody runs.
+    pub(super) fn let_steps_in(&mut self, id: &JobId) {
+        let Some(live) = self.live.get_mut(id) else { return };
+        let Some(record) = self.book.job(id) else { return };
+        let job = live.job.clone();
+        for step in 0..job.steps.len() as StepIndex {
+            if live.steps_in.contains(&step) || !JobBook::is_step_due(record, &job, step) {
+                continue;
+            }
+            live.steps_in.insert(step);
+            let work = core_millis(&job.steps[step as usize]);
+            for task in job.tasks_of(step) {
+                if !record.is_done(&task) && !self.placements.contains_key(&task) {
+                    self.ready.push(id, step, task.index, live.due, work);
+                }
+            }
+        }
+    }
+
+    /// A task whose run is over without being done waits again.
+    pub(super) fn make_ready_again(&mut self, task: &TaskName) {
+        let Some(live) = self.live.get(&task.job) else { return };
+        let Some(step) = live.job.steps.get(task.step as usize) else { return };
+        let done = self.book.job(&task.job).is_none_or(|record| record.is_done(task));
+        if !done && live.steps_in.contains(&task.step) && !self.placements.contains_key(task) {
+            self.ready.push(&task.job, task.step, task.index, live.due, core_millis(step));
+        }
+    }
+
+    /// Nothing more of a job starts; what runs is stopped.
+    pub(super) fn close_job(&mut self, now: Instant, id: &JobId, phase: JobPhase) {
+        let Some(live) = self.live.swap_remove(id) else { return };
+        self.ready.remove_job(id, live.job.steps.len() as StepIndex);
+        let line = EventLine::new("job_closed")
+            .with("job", id)
+            .with("queue", &live.job.queue)
+            .with("phase", phase)
+            .with("after_ms", now.saturating_duration_since(live.since).as_millis())
+            .with("objective_ms", live.due.saturating_duration_since(live.since).as_millis());
+        self.steps.push(ScheduleStep::Note(line));
+        if phase == JobPhase::Completed {
+            return;
+        }
+        let runs: Vec<(TaskName, Placement)> = self
+            .placements
+            .iter()
+            .filter(|(task, placed)| task.job == *id && !placed.ended)
+            .map(|(task, placed)| (task.clone(), placed.clone()))
+            .collect();
+        for (task, placed) in runs {
+            let run = TaskRun { task, run: placed.run };
+            if let Some(seat) = self.seats.get_mut(&placed.agent) {
+                seat.outbox.push(AgentOrder::Stop { run });
+            }
+        }
+    }
+
+    /// Gives room to waiting tasks, in the queue's order.
+    pub(super) fn place_ready(&mut self, now: Instant) {
+        if self.ready.is_empty() {
+            return;
+        }
+        let mut passed_over = 0;
+        for key in self.ready.order(now) {
+            let Some(group) = self.ready.group(key) else { continue };
+            let (id, step) = (group.job.clone(), group.step);
+            let Some(job) = self.live.get(&id).map(|live| live.job.clone()) else { continue };
+            let mut starts: IndexMap<NodeId, Vec<TaskRun>> = IndexMap::new();
+            while self.ready.group(key).is_some() {
+                let Some(agent) = self.choose_agent(now, &job, step) else { break };
+                let Some(index) = self.ready.take(key) else { break };
+                let task = TaskName { job: id.clone(), occurrence: 0, step, index };
+                let run = self.place(now, &job, task, &agent);
+                starts.entry(agent).or_default().push(run);
+            }
+            self.order_starts(now, &job, step, starts);
+            if self.ready.group(key).is_some() {
+                passed_over += 1;
+                if passed_over >= MOST_PASSED_OVER {
+                    return;
+                }
+            }
+        }
+    }
+
+    /// The open agent with room on which the task likely ends first.
+    fn choose_agent(&self, now: Instant, job: &QueuedJob, step: StepIndex) -> Option<NodeId> {
+        let wanted = job.steps.get(step as usize)?;
+        let service = self.service_of(job)?;
+        let fits = |(agent, seat): &(&NodeId, &AgentSeat)| {
+            self.book.seats().contains(*agent)
+                && seat.is_open(now)
+                && suits(seat, wanted, &service)
+                && seat.free_room().holds(&wanted.size)
+                && self.is_below_limit(job, step, wanted, agent)
+        };
+        let cost = |seat: &AgentSeat| self.relative_run_time(seat, wanted);
+        self.seats
+            .iter()
+            .filter(fits)
+            .min_by(|(_, one), (_, other)| cost(one).total_cmp(&cost(other)))
+            .map(|(agent, _)| agent.clone())
+    }
+
+    fn service_of(&self, job: &QueuedJob) -> Option<ServiceId> {
+        let catalog = self.book.catalog()?;
+        catalog.queues.get(&job.queue).map(|queue| queue.service.clone())
+    }
+
+    fn is_below_limit(
+        &self,
+        job: &QueuedJob,
+        step: StepIndex,
+        wanted: &JobStep,
+        agent: &NodeId,
+    ) -> bool {
+        if wanted.most_per_server == 0 {
+            return true;
+        }
+        let there = job.tasks_of(step).filter(|task| {
+            self.placements.get(task).is_some_and(|placed| placed.agent == *agent)
+        });
+        there.count() < wanted.most_per_server as usize
+    }
+
+    fn relative_run_time(&self, seat: &AgentSeat, wanted: &JobStep) -> f64 {
+        let Some(server) = &seat.server else { return f64::INFINITY };
+        let far = wanted.data_rack.as_ref().is_some_and(|rack| !server.labels.contains(rack));
+        let distance = if far { self.limits.remote_factor } else { 1.0 };
+        let all = server.room.cpu_milli.max(1) as f64;
+        let crowding = seat.taken.cpu_milli as f64 / all;
+        seat.slowness() * distance * (1.0 + CROWDING_WEIGHT * crowding)
+    }
+
+    fn place(
+        &mut self,
+        now: Instant,
+        job: &QueuedJob,
+        task: TaskName,
+        agent: &NodeId,
+    ) -> TaskRun {
+        let size = job.steps[task.step as usize].size;
+        let mut run = 1;
+        if let Some(live) = self.live.get_mut(&task.job) {
+            let last = live.last_runs.get(&task).copied().unwrap_or(0);
+            run = (last + 1).max(live.first_run);
+            live.last_runs.insert(task.clone(), run);
+            live.started = true;
+        }
+        let mut life = Default::default();
+        if let Some(seat) = self.seats.get_mut(agent) {
+            seat.taken = seat.taken.with(&size);
+            life = seat.life().cloned().unwrap_or_default();
+        }
+        let placed = Placement { agent: agent.clone(), life, run, size, since: now, ended: false };
+        self.placements.insert(task.clone(), placed);
+        TaskRun { task, run }
+    }
+
+    fn order_starts(
+        &mut self,
+        now: Instant,
+        job: &QueuedJob,
+        step: StepIndex,
+        starts: IndexMap<NodeId, Vec<TaskRun>>,
+    ) {
+        for (agent, runs) in starts {
+            let waited = self.live.get(&job.id).map_or(Duration::ZERO, |live| {
+                now.saturating_duration_since(live.since)
+            });
+            let Some(seat) = self.seats.get_mut(&agent) else { continue };
+            let Some(life) = seat.life().cloned() else { continue };
+            let names: Vec<String> =
+                runs.iter().map(|run| format!("{}#{}", run.task.index, run.run)).collect();
+            let line = EventLine::new("tasks_placed")
+                .with("job", &job.id)
+                .with("step", step)
+                .with("tasks", names.join(","))
+                .with("agent", &agent)
+                .with("life", &life)
+                .with("slowness", format_args!("{:.2}", seat.slowness()))
+                .with("free_cpu_milli", seat.free_room().cpu_milli)
+                .with("waited_ms", waited.as_millis());
+            self.steps.push(ScheduleStep::Note(line));
+            let size = job.steps[step as usize].size;
+            let spec = job.spec.clone();
+            seat.outbox.push(AgentOrder::Start { life, runs, spec, size });
+        }
+    }
+
+    /// Time until room is free for work that comes now.
+    pub(super) fn expected_wait(&self) -> Duration {
+        let speed: f64 = self
+            .seats
+            .values()
+            .filter_map(|seat| {
+                let server = seat.server.as_ref().filter(|server| !server.draining)?;
+                Some(server.room.cpu_milli as f64 / 1_000.0 / seat.slowness())
+            })
+            .sum();
+        if self.ready.is_empty() || speed <= 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64(self.ready.work() as f64 / speed / 1_000.0)
+    }
+
+    /// Whether a job that waits so long can't earn anything any more.
+    pub(super) fn is_hopeless(
+        &self,
+        wait: Duration,
+        objective: Duration,
+        chain: Duration,
+    ) -> bool {
+        wait + chain > objective * WORTHLESS_FACTOR
+    }
+}
+
+/// Whether a backend server may run tasks of a step at all.
+fn suits(seat: &AgentSeat, wanted: &JobStep, service: &ServiceId) -> bool {
+    let Some(server) = &seat.server else { return false };
+    let labelled =
+        wanted.required_label.as_ref().is_none_or(|label| server.labels.contains(label));
+    server.service == *service && labelled
+}
+
+/// Processor time of one task, in core-milliseconds.
+fn core_millis(step: &JobStep) -> u64 {
+    step.size.cpu_milli * step.estimate_ms / 1_000
+}
--- /dev/null
+++ b/crates/decisions/src/schedule/ready_queue.rs
@@ -0,0 +1,103 @@
+//! Owns the order in which tasks that may start are given room.
+//!
+//! Answers the pattern *short urgent work behind long work that is already
+//! late*: a job that can still meet its objective goes before one that can't,
+//! among those the earliest due first; late jobs follow, least late first.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use model::{JobId, StepIndex, TaskIndex};
+
+/// Tasks of one step that wait for room.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct ReadyGroup {
+    pub(super) job: JobId,
+    pub(super) step: StepIndex,
+    pub(super) tasks: VecDeque<TaskIndex>,
+    /// Processor time that one task needs, in core-milliseconds.
+    pub(super) work: u64,
+}
+
+type GroupKey = (Instant, u64);
+
+/// Tasks that wait for room.
+#[derive(Debug, Clone, Default)]
+pub(super) struct ReadyQueue {
+    groups: BTreeMap<GroupKey, ReadyGroup>,
+    keys: IndexMap<(JobId, StepIndex), GroupKey>,
+    counter: u64,
+    work: u64,
+}
+
+impl ReadyQueue {
+    /// Adds a task; `due` is when its job is best completed.
+    pub(super) fn push(
+        &mut self,
+        job: &JobId,
+        step: StepIndex,
+        task: TaskIndex,
+        due: Instant,
+        work: u64,
+    ) {
+        let name = (job.clone(), step);
+        let key = *self.keys.entry(name).or_insert_with(|| {
+            self.counter += 1;
+            (due, self.counter)
+        });
+        let group = self.groups.entry(key).or_insert_with(|| ReadyGroup {
+            job: job.clone(),
+            step,
+            tasks: VecDeque::new(),
+            work,
+        });
+        group.tasks.push_back(task);
+        self.work += group.work;
+    }
+
+    /// Groups in the order in which they are given room.
+    pub(super) fn order(&self, now: Instant) -> Vec<GroupKey> {
+        let in_time = self.groups.range((now, 0)..).map(|(key, _)| *key);
+        let late = self.groups.range(..(now, 0)).rev().map(|(key, _)| *key);
+        in_time.chain(late).collect()
+    }
+
+    pub(super) fn group(&self, key: GroupKey) -> Option<&ReadyGroup> {
+        self.groups.get(&key)
+    }
+
+    /// Takes the first task of a group.
+    pub(super) fn take(&mut self, key: GroupKey) -> Option<TaskIndex> {
+        let group = self.groups.get_mut(&key)?;
+        let task = group.tasks.pop_front();
+        if task.is_some() {
+            self.work -= group.work;
+        }
+        if group.tasks.is_empty() {
+            let name = (group.job.clone(), group.step);
+            self.keys.swap_remove(&name);
+            self.groups.remove(&key);
+        }
+        task
+    }
+
+    /// Drops everything of a job.
+    pub(super) fn remove_job(&mut self, job: &JobId, steps: StepIndex) {
+        for step in 0..steps {
+            let Some(key) = self.keys.swap_remove(&(job.clone(), step)) else { continue };
+            if let Some(group) = self.groups.remove(&key) {
+                self.work -= group.work * group.tasks.len() as u64;
+            }
+        }
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.groups.is_empty()
+    }
+
+    /// Processor time of all that waits, in core-milliseconds.
+    pub(super) fn work(&self) -> u64 {
+        self.work
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/schedule/reports.rs
@@ -0,0 +1,301 @@
+//! What agents report: their sessions, their backend server's lives, runs that
+//! were refused and runs that ended.
+
+use std::time::{Duration, Instant};
+
+use model::{
+    AgentOrder, AgentPoll, AgentReport, CallId, Command, EndKind, EndedRun, EventLine, NodeId,
+    RoomSize, RunNews, StartRefusal, TaskName, TaskRun,
+};
+
+use super::agent_seat::{AgentSeat, ParkedPoll};
+use super::scheduler::{Placement, ScheduleStep, Scheduler};
+
+/// Pause of a backend server that says it has no room, or is unhealthy.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(100);
+
+impl Scheduler {
+    /// An agent's news; `false` when they are of an earlier session.
+    pub fn on_report(&mut self, now: Instant, report: &AgentReport) -> (bool, Vec<ScheduleStep>) {
+        if self.term.is_none() || !self.enter_session(now, report) {
+            return (false, Vec::new());
+        }
+        self.follow_life(report);
+        if let Some(runs) = &report.runs {
+            self.compare_runs(now, report, runs);
+        }
+        self.take_news(now, report);
+        self.unheard.swap_remove(&report.agent);
+        self.end_takeover_if_complete(now);
+        (true, self.finish(now))
+    }
+
+    /// An agent's question for orders.
+    pub fn on_poll(&mut self, now: Instant, call: CallId, poll: &AgentPoll) -> Vec<ScheduleStep> {
+        let known = self.term.is_some()
+            && self.seats.get(&poll.agent).is_some_and(|seat| {
+                seat.session == poll.session && seat.incarnation == poll.incarnation
+            });
+        if !known {
+            return vec![ScheduleStep::DropPoll { call }];
+        }
+        if let Some(seat) = self.seats.get_mut(&poll.agent) {
+            seat.heard_at = now;
+            if let Some(earlier) = seat.parked.replace(ParkedPoll { call, since: now }) {
+                self.steps.push(ScheduleStep::DropPoll { call: earlier.call });
+            }
+        }
+        self.finish(now)
+    }
+
+    /// A session begins with the whole list of runs.
+    fn enter_session(&mut self, now: Instant, report: &AgentReport) -> bool {
+        let agent = &report.agent;
+        let named = (report.incarnation, report.session);
+        let known = self.seats.get(agent).map(|seat| (seat.incarnation, seat.session));
+        if known == Some(named) {
+            self.seats[agent].heard_at = now;
+            return true;
+        }
+        if known.is_some_and(|known| known > named) || report.runs.is_none() {
+            return false;
+        }
+        if !self.book.seats().contains(agent) {
+            let agent = agent.clone();
+            self.steps.push(ScheduleStep::Propose(vec![Command::SeatAgent { agent }]));
+        }
+        let (incarnation, session) = named;
+        let seat = self.seats.entry(agent.clone());
+        let seat = seat.or_insert_with(|| AgentSeat::new(now, incarnation, session));
+        if let Some(earlier) = seat.parked.take() {
+            self.steps.push(ScheduleStep::DropPoll { call: earlier.call });
+        }
+        seat.begin_session(incarnation, session);
+        seat.heard_at = now;
+        let line = EventLine::new("agent_session")
+            .with("agent", agent)
+            .with("incarnation", incarnation)
+            .with("session", session)
+            .with("runs", report.runs.as_ref().map_or(0, Vec::len));
+        self.steps.push(ScheduleStep::Note(line));
+        true
+    }
+
+    fn follow_life(&mut self, report: &AgentReport) {
+        let Some(seat) = self.seats.get_mut(&report.agent) else { return };
+        let new_life = report.server.as_ref().map(|server| &server.life) != seat.life();
+        let changed = seat.server != report.server;
+        seat.server = report.server.clone();
+        if new_life {
+            seat.begin_life();
+        }
+        if changed {
+            let line = EventLine::new("server_view").with("agent", &report.agent);
+            let line = match &report.server {
+                None => line.with("life", "none"),
+                Some(server) => line
+                    .with("life", &server.life)
+                    .with("cpu_milli", server.room.cpu_milli)
+                    .with("draining", server.draining),
+            };
+            self.steps.push(ScheduleStep::Note(line));
+        }
+    }
+
+    /// What was placed there and is not listed never arrived, or is over with
+    /// its life. What is listed and should not run there is stopped.
+    fn compare_runs(&mut self, now: Instant, report: &AgentReport, runs: &[TaskRun]) {
+        let agent = &report.agent;
+        let gone: Vec<TaskName> = self
+            .placements
+            .iter()
+            .filter(|(task, placed)| {
+                let listed = runs.iter().any(|run| run.task == **task && run.run == placed.run);
+                placed.agent == *agent && !placed.ended && !listed
+            })
+            .map(|(task, _)| task.clone())
+            .collect();
+        let news: Vec<&TaskRun> = report.news.iter().map(run_of).collect();
+        for task in gone {
+            if !news.iter().any(|run| run.task == task) {
+                self.placements.swap_remove(&task);
+                self.make_ready_again(&task);
+            }
+        }
+        for run in runs {
+            self.adopt(now, report, run);
+        }
+        self.recount_room(agent);
+    }
+
+    fn adopt(&mut self, now: Instant, report: &AgentReport, run: &TaskRun) {
+        let known = self.placements.get(&run.task);
+        if known.is_some_and(|placed| placed.agent == report.agent && placed.run == run.run) {
+            return;
+        }
+        let size = self.size_of(&run.task);
+        let record = self.book.job(&run.task.job);
+        let open = record.is_some_and(|record| !record.is_done(&run.task));
+        let (Some(size), true, true, Some(server)) = (size, open, known.is_none(), &report.server)
+        else {
+            if let Some(seat) = self.seats.get_mut(&report.agent) {
+                seat.outbox.push(AgentOrder::Stop { run: run.clone() });
+            }
+            return;
+        };
+        let placed = Placement {
+            agent: report.agent.clone(),
+            life: server.life.clone(),
+            run: run.run,
+            size,
+            since: now,
+            ended: false,
+        };
+        self.placements.insert(run.task.clone(), placed);
+        if let Some(live) = self.live.get_mut(&run.task.job) {
+            live.started = true;
+            let last = live.last_runs.entry(run.task.clone()).or_insert(0);
+            *last = (*last).max(run.run);
+        }
+    }
+
+    fn size_of(&self, task: &TaskName) -> Option<RoomSize> {
+        let live = self.live.get(&task.job)?;
+        live.job.steps.get(task.step as usize).map(|step| step.size)
+    }
+
+    fn recount_room(&mut self, agent: &NodeId) {
+        let placed = self.placements.values();
+        let here = placed.filter(|placed| placed.agent == *agent && !placed.ended);
+        let taken = here.fold(RoomSize::default(), |sum, placed| sum.with(&placed.size));
+        if let Some(seat) = self.seats.get_mut(agent) {
+            seat.taken = taken;
+        }
+    }
+
+    fn take_news(&mut self, now: Instant, report: &AgentReport) {
+        let mut ends = Vec::new();
+        for news in &report.news {
+            match news {
+                RunNews::Refused { run, refusal } => {
+                    self.on_refused(now, &report.agent, run, *refusal);
+                }
+                RunNews::Ended { number, run, kind } => {
+                    let Some(seat) = self.seats.get_mut(&report.agent) else { continue };
+                    if seat.list_end(*number, run) {
+                        self.on_ended(now, &report.agent, run, *kind);
+                        ends.push(EndedRun { run: run.clone(), kind: *kind });
+                    }
+                }
+            }
+        }
+        if !ends.is_empty() {
+            self.steps.push(ScheduleStep::Propose(vec![Command::EndRuns { ends }]));
+        }
+    }
+
+    fn on_refused(
+        &mut self,
+        now: Instant,
+        agent: &NodeId,
+        run: &TaskRun,
+        refusal: StartRefusal,
+    ) {
+        let line = EventLine::new("start_refused")
+            .with("run", run)
+            .with("agent", agent)
+            .with("cause", refusal);
+        self.steps.push(ScheduleStep::Note(line));
+        if let Some(seat) = self.seats.get_mut(agent) {
+            match refusal {
+                StartRefusal::Room => seat.pause(now + REFUSAL_PAUSE),
+                StartRefusal::Unhealthy => {
+                    seat.pause(now + REFUSAL_PAUSE);
+                    seat.learn_failure(now);
+                }
+                _ => {}
+            }
+        }
+        if self.remove_placement(agent, run) {
+            self.make_ready_again(&run.task);
+        }
+    }
+
+    fn remove_placement(&mut self, agent: &NodeId, run: &TaskRun) -> bool {
+        let placed = self.placements.get(&run.task);
+        if !placed.is_some_and(|placed| placed.agent == *agent && placed.run == run.run) {
+            return false;
+        }
+        if let Some(placed) = self.placements.swap_remove(&run.task) {
+            self.free_room(&placed);
+        }
+        true
+    }
+
+    fn free_room(&mut self, placed: &Placement) {
+        if let Some(seat) = self.seats.get_mut(&placed.agent)
+            && seat.life() == Some(&placed.life)
+            && !placed.ended
+        {
+            seat.taken = seat.taken.without(&placed.size);
+        }
+    }
+
+    /// A listed end frees its room at once; the task goes on only when the end
+    /// is recorded.
+    fn on_ended(&mut self, now: Instant, agent: &NodeId, run: &TaskRun, kind: EndKind) {
+        let placed = self.placements.get(&run.task).cloned();
+        let Some(placed) = placed.filter(|placed| placed.agent == *agent && placed.run == run.run)
+        else {
+            return;
+        };
+        self.free_room(&placed);
+        let ran = now.saturating_duration_since(placed.since);
+        let estimate = self.live.get(&run.task.job).and_then(|live| {
+            live.job.steps.get(run.task.step as usize).map(model::JobStep::estimate)
+        });
+        if let Some(seat) = self.seats.get_mut(agent) {
+            match (kind, estimate) {
+                (EndKind::Done, Some(estimate)) => seat.learn_run_time(ran, estimate),
+                (EndKind::Failed, _) => seat.learn_failure(now),
+                _ => {}
+            }
+        }
+        if let Some(placed) = self.placements.get_mut(&run.task) {
+            placed.ended = true;
+        }
+        if kind != EndKind::Done {
+            let line = EventLine::new("run_ended")
+                .with("run", run)
+                .with("agent", agent)
+                .with("kind", kind)
+                .with("ran_ms", ran.as_millis());
+            self.steps.push(ScheduleStep::Note(line));
+        }
+    }
+
+    /// The end is durable: its list entry may be forgotten, and the job goes on.
+    pub(super) fn on_end_recorded(&mut self, _now: Instant, end: &EndedRun) {
+        let task = &end.run.task;
+        for seat in self.seats.values_mut() {
+            seat.record_end(&end.run);
+        }
+        let current = self.placements.get(task).is_some_and(|placed| placed.run == end.run.run);
+        if current {
+            self.placements.swap_remove(task);
+        }
+        match end.kind {
+            EndKind::Done => self.let_steps_in(&task.job),
+            EndKind::Failed | EndKind::Stopped | EndKind::Lapsed if current => {
+                self.make_ready_again(task);
+            }
+            _ => {}
+        }
+    }
+}
+
+fn run_of(news: &RunNews) -> &TaskRun {
+    match news {
+        RunNews::Refused { run, .. } | RunNews::Ended { run, .. } => run,
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -0,0 +1,331 @@
+//! The scheduler's state and its inputs.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use indexmap::{IndexMap, IndexSet};
+use model::{
+    AgentOrders, CallId, Command, EventLine, JobCall, JobId, JobPhase, JobReply, LifeId,
+    LogRecord, NodeId, QueueCatalog, QueuedJob, RefusalCause, RoomSize, RunNumber, ScheduleState,
+    TaskName, Term,
+};
+
+use super::agent_seat::AgentSeat;
+use super::ready_queue::ReadyQueue;
+use crate::control::{JobBook, JobChange};
+
+/// Times that the scheduler goes by.
+#[derive(Debug, Clone, Copy)]
+pub struct ScheduleLimits {
+    /// How long an agent may keep runs at work after it sent a poll.
+    pub grant: Duration,
+    /// How long a backend server keeps runs at work without a renewal.
+    pub lease: Duration,
+    /// How long a poll without orders waits.
+    pub poll_wait: Duration,
+    /// How long word of recorded ends may wait for an order to go with.
+    pub noted_wait: Duration,
+    /// How much longer a task runs on another rack than that of its data.
+    pub remote_factor: f64,
+}
+
+/// Clocks of two hosts drift apart by less than this share.
+const DRIFT_SHARE: f64 = 0.05;
+/// A stop takes less than this, and messages on their way as long.
+const STOP_MARGIN: Duration = Duration::from_millis(300);
+
+impl ScheduleLimits {
+    /// How long after its last poll a silent agent's runs are surely over.
+    pub(super) fn silence(&self) -> Duration {
+        (self.grant + self.lease).mul_f64(1.0 + DRIFT_SHARE) + STOP_MARGIN
+    }
+}
+
+/// What the scheduling duty does next.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ScheduleStep {
+    /// Puts commands into the log.
+    Propose(Vec<Command>),
+    /// Answers an agent's poll.
+    Orders {
+        /// The poll.
+        call: CallId,
+        /// The orders.
+        orders: AgentOrders,
+    },
+    /// Lets a poll of an earlier session go.
+    DropPoll {
+        /// The poll.
+        call: CallId,
+    },
+    /// Writes a log line.
+    Note(EventLine),
+}
+
+/// What becomes of a call about a job.
+#[derive(Debug, Clone, PartialEq)]
+pub enum JobDecision {
+    /// It is answered now.
+    Reply(JobReply),
+    /// It is answered when this command is committed.
+    Commit(Command),
+    /// This host does not lead.
+    NotLeader,
+}
+
+/// Where a task runs.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Placement {
+    pub(super) agent: NodeId,
+    pub(super) life: LifeId,
+    pub(super) run: RunNumber,
+    pub(super) size: RoomSize,
+    pub(super) since: Instant,
+    /// Whether its end was listed and is being recorded.
+    pub(super) ended: bool,
+}
+
+/// A job that has not ended.
+#[derive(Debug, Clone)]
+pub(super) struct LiveJob {
+    pub(super) job: Arc<QueuedJob>,
+    pub(super) due: Instant,
+    pub(super) since: Instant,
+    pub(super) started: bool,
+    /// Steps whose tasks were let in.
+    pub(super) steps_in: IndexSet<u32>,
+    pub(super) last_runs: IndexMap<TaskName, RunNumber>,
+    pub(super) first_run: RunNumber,
+}
+
+/// The scheduler.
+#[derive(Debug, Clone)]
+pub struct Scheduler {
+    pub(super) limits: ScheduleLimits,
+    pub(super) book: JobBook,
+    pub(super) term: Option<Term>,
+    pub(super) led_since: Instant,
+    pub(super) seats: IndexMap<NodeId, AgentSeat>,
+    pub(super) live: IndexMap<JobId, LiveJob>,
+    pub(super) placements: IndexMap<TaskName, Placement>,
+    pub(super) ready: ReadyQueue,
+    /// Agents that a new leader has yet to hear of.
+    pub(super) unheard: IndexSet<NodeId>,
+    /// Jobs from before this leader, until it knows what runs.
+    pub(super) held: Vec<JobId>,
+    pub(super) steps: Vec<ScheduleStep>,
+}
+
+impl Scheduler {
+    /// A scheduler that knows nothing.
+    pub fn new(now: Instant, limits: ScheduleLimits) -> Scheduler {
+        Scheduler {
+            limits,
+            book: JobBook::default(),
+            term: None,
+            led_since: now,
+            seats: IndexMap::new(),
+            live: IndexMap::new(),
+            placements: IndexMap::new(),
+            ready: ReadyQueue::default(),
+            unheard: IndexSet::new(),
+            held: Vec::new(),
+            steps: Vec::new(),
+        }
+    }
+
+    /// The replicated state was replaced as a whole.
+    pub fn on_restored(&mut self, state: ScheduleState) {
+        self.book = JobBook::from(state);
+    }
+
+    /// The catalog in force.
+    pub fn catalog(&self) -> Option<Arc<QueueCatalog>> {
+        self.book.catalog()
+    }
+
+    /// The term in which this host leads.
+    pub fn term(&self) -> Option<Term> {
+        self.term
+    }
+
+    /// Records were committed.
+    pub fn on_applied(&mut self, now: Instant, records: &[LogRecord]) -> Vec<ScheduleStep> {
+        for record in records {
+            let change = self.book.apply(record);
+            if self.term.is_some() {
+                self.on_change(now, change);
+            }
+        }
+        self.finish(now)
+    }
+
+    fn on_change(&mut self, now: Instant, change: JobChange) {
+        match change {
+            JobChange::None | JobChange::Catalog => {}
+            JobChange::Seats => self.seat_again(),
+            JobChange::Accepted { job } => self.activate(now, &job),
+            JobChange::Closed { job, phase } => self.close_job(now, &job, phase),
+            JobChange::RunsEnded { ends, closed } => {
+                for end in &ends {
+                    self.on_end_recorded(now, end);
+                }
+                for (job, phase) in closed {
+                    self.close_job(now, &job, phase);
+                }
+            }
+        }
+    }
+
+    /// An agent that was given up as silent may have come back meanwhile.
+    fn seat_again(&mut self) {
+        let lacking = self.seats.keys().filter(|agent| !self.book.seats().contains(*agent));
+        let commands: Vec<Command> =
+            lacking.map(|agent| Command::SeatAgent { agent: agent.clone() }).collect();
+        if !commands.is_empty() {
+            self.steps.push(ScheduleStep::Propose(commands));
+        }
+    }
+
+    /// A call about a job.
+    pub fn on_job_call(&mut self, call: &JobCall) -> JobDecision {
+        if self.term.is_none() {
+            return JobDecision::NotLeader;
+        }
+        match call {
+            JobCall::Accept { job } => self.admit(job),
+            JobCall::Cancel { queue, job } => match self.book.job(job) {
+                None => JobDecision::Reply(JobReply::UnknownJob),
+                Some(record) if record.queue != *queue => {
+                    JobDecision::Reply(JobReply::UnknownJob)
+                }
+                Some(record) if record.ended.is_some() => JobDecision::Reply(JobReply::Cancelled),
+                Some(_) => JobDecision::Commit(Command::CancelJob { job: job.clone() }),
+            },
+            JobCall::Phase { queue, job } => JobDecision::Reply(self.phase(queue, job)),
+            JobCall::Waiting { queue } => JobDecision::Reply(self.waiting(queue)),
+        }
+    }
+
+    fn phase(&self, queue: &str, id: &JobId) -> JobReply {
+        let Some(record) = self.book.job(id).filter(|record| record.queue == queue) else {
+            return JobReply::UnknownJob;
+        };
+        if let Some(phase) = record.ended {
+            return JobReply::Phase(phase);
+        }
+        let started = self.live.get(id).is_none_or(|live| live.started);
+        JobReply::Phase(if started { JobPhase::Running } else { JobPhase::Queued })
+    }
+
+    fn waiting(&self, queue: &str) -> JobReply {
+        let waits = |live: &&LiveJob| !live.started && live.job.queue == queue;
+        JobReply::Waiting(self.live.values().filter(waits).count() as u64)
+    }
+
+    /// Decides on a job that a caller hands in. One that is known is accepted
+    /// again, whatever the load.
+    fn admit(&mut self, job: &Arc<QueuedJob>) -> JobDecision {
+        if self.book.job(&job.id).is_some() {
+            return JobDecision::Reply(JobReply::Accepted);
+        }
+        let catalog = self.book.catalog();
+        let queue = catalog.as_ref().and_then(|catalog| catalog.queues.get(&job.queue));
+        let Some(queue) = queue else {
+            let cause = RefusalCause::UnknownQueue;
+            return JobDecision::Reply(JobReply::Refused { cause, retry_after_ms: 0 });
+        };
+        let objective = queue.objective(job.longest_chain());
+        let wait = self.expected_wait();
+        if self.is_hopeless(wait, objective, job.longest_chain()) {
+            let retry_after_ms = wait.as_millis() as u64;
+            let cause = RefusalCause::QueueFull;
+            let line = EventLine::new("job_refused")
+                .with("job", &job.id)
+                .with("queue", &job.queue)
+                .with("cause", cause)
+                .with("wait_ms", wait.as_millis())
+                .with("objective_ms", objective.as_millis())
+                .with("term", self.term.unwrap_or_default());
+            self.steps.push(ScheduleStep::Note(line));
+            return JobDecision::Reply(JobReply::Refused { cause, retry_after_ms });
+        }
+        JobDecision::Commit(Command::AcceptJob { job: Arc::clone(job) })
+    }
+
+    /// A leader is known, or it is this host, or neither.
+    pub fn on_leading(&mut self, now: Instant, term: Option<Term>) -> Vec<ScheduleStep> {
+        if term == self.term {
+            return Vec::new();
+        }
+        self.term = term;
+        self.forget_volatile();
+        if term.is_some() {
+            self.take_over(now);
+        }
+        self.finish(now)
+    }
+
+    /// Deals with what time alone brings.
+    pub fn on_tick(&mut self, now: Instant) -> Vec<ScheduleStep> {
+        self.end_takeover_in_time(now);
+        self.drop_silent_agents(now);
+        self.finish(now)
+    }
+
+    /// When [`Scheduler::on_tick`] is next needed.
+    pub fn next_deadline(&self) -> Option<Instant> {
+        self.term?;
+        let polls = self.seats.values().filter_map(|seat| self.poll_due(seat));
+        let silent = self.seats.values().map(|seat| seat.heard_at + self.limits.silence());
+        let takeover = (!self.held.is_empty() || !self.unheard.is_empty())
+            .then(|| self.led_since + self.limits.silence());
+        let paused = (!self.ready.is_empty())
+            .then(|| self.seats.values().filter_map(|seat| seat.paused_until).min())
+            .flatten();
+        polls.chain(silent).chain(takeover).chain(paused).min()
+    }
+
+    pub(super) fn poll_due(&self, seat: &AgentSeat) -> Option<Instant> {
+        let parked = seat.parked?;
+        let wait = match seat.has_news() {
+            true => self.limits.noted_wait,
+            false => self.limits.poll_wait,
+        };
+        Some(parked.since + wait)
+    }
+
+    /// Places what can be placed and answers the polls that are due.
+    pub(super) fn finish(&mut self, now: Instant) -> Vec<ScheduleStep> {
+        if self.term.is_some() {
+            for seat in self.seats.values_mut() {
+                seat.paused_until.take_if(|until| *until <= now);
+            }
+            self.place_ready(now);
+            self.answer_polls(now);
+        }
+        std::mem::take(&mut self.steps)
+    }
+
+    fn answer_polls(&mut self, now: Instant) {
+        let Some(term) = self.term else { return };
+        let grant_ms = self.limits.grant.as_millis() as u64;
+        let due: Vec<NodeId> = self
+            .seats
+            .iter()
+            .filter(|(_, seat)| {
+                let late = self.poll_due(seat).is_some_and(|at| at <= now);
+                seat.parked.is_some() && (late || !seat.outbox.is_empty())
+            })
+            .map(|(agent, _)| agent.clone())
+            .collect();
+        for agent in due {
+            let Some(seat) = self.seats.get_mut(&agent) else { continue };
+            let Some(parked) = seat.parked.take() else { continue };
+            let orders = std::mem::take(&mut seat.outbox);
+            let noted = seat.tell_noted();
+            let orders = AgentOrders { term, grant_ms, noted, orders };
+            self.steps.push(ScheduleStep::Orders { call: parked.call, orders });
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/schedule/takeover.rs
@@ -0,0 +1,101 @@
+//! A new leader learns what runs before it starts anything of old jobs, and
+//! gives up agents that stay silent.
+
+use std::time::Instant;
+
+use indexmap::IndexSet;
+use model::{Command, EventLine, JobId, NodeId, TaskName};
+
+use super::ready_queue::ReadyQueue;
+use super::scheduler::{ScheduleStep, Scheduler};
+
+impl Scheduler {
+    pub(super) fn forget_volatile(&mut self) {
+        for seat in self.seats.values_mut() {
+            if let Some(parked) = seat.parked.take() {
+                self.steps.push(ScheduleStep::DropPoll { call: parked.call });
+            }
+        }
+        self.seats.clear();
+        self.live.clear();
+        self.placements.clear();
+        self.ready = ReadyQueue::default();
+        self.unheard = IndexSet::new();
+        self.held.clear();
+    }
+
+    /// Old jobs wait until every agent that may hold work has reported, or its
+    /// grant and lease are surely over.
+    pub(super) fn take_over(&mut self, now: Instant) {
+        self.led_since = now;
+        self.unheard = self.book.seats().clone();
+        let open = self.book.jobs().iter().filter(|(_, record)| record.ended.is_none());
+        let open: Vec<JobId> = open.map(|(id, _)| id.clone()).collect();
+        for id in &open {
+            self.make_live(now, id);
+        }
+        let line = EventLine::new("takeover")
+            .with("term", self.term.unwrap_or_default())
+            .with("open_jobs", open.len())
+            .with("agents", self.unheard.len());
+        self.steps.push(ScheduleStep::Note(line));
+        self.held = open;
+        self.end_takeover_if_complete(now);
+    }
+
+    pub(super) fn end_takeover_if_complete(&mut self, now: Instant) {
+        if !self.unheard.is_empty() || self.held.is_empty() {
+            return;
+        }
+        let waited = now.saturating_duration_since(self.led_since);
+        let line = EventLine::new("takeover_complete")
+            .with("jobs", self.held.len())
+            .with("waited_ms", waited.as_millis());
+        self.steps.push(ScheduleStep::Note(line));
+        for id in std::mem::take(&mut self.held) {
+            self.let_steps_in(&id);
+        }
+    }
+
+    pub(super) fn end_takeover_in_time(&mut self, now: Instant) {
+        if self.unheard.is_empty() || now < self.led_since + self.limits.silence() {
+            return;
+        }
+        for agent in std::mem::take(&mut self.unheard) {
+            self.unseat(now, agent);
+        }
+        self.end_takeover_if_complete(now);
+    }
+
+    pub(super) fn drop_silent_agents(&mut self, now: Instant) {
+        let silence = self.limits.silence();
+        let silent = self.seats.iter().filter(|(_, seat)| seat.heard_at + silence <= now);
+        let silent: Vec<NodeId> = silent.map(|(agent, _)| agent.clone()).collect();
+        for agent in silent {
+            self.unseat(now, agent);
+        }
+    }
+
+    /// Everything at a silent agent is over: its grant and its lease are.
+    fn unseat(&mut self, now: Instant, agent: NodeId) {
+        let silent_ms = self.seats.get(&agent).map_or(0, |seat| {
+            now.saturating_duration_since(seat.heard_at).as_millis()
+        });
+        let line =
+            EventLine::new("agent_lost").with("agent", &agent).with("silent_ms", silent_ms);
+        self.steps.push(ScheduleStep::Note(line));
+        if let Some(seat) = self.seats.shift_remove(&agent)
+            && let Some(parked) = seat.parked
+        {
+            self.steps.push(ScheduleStep::DropPoll { call: parked.call });
+        }
+        let placed = self.placements.iter();
+        let here = placed.filter(|(_, placed)| placed.agent == agent && !placed.ended);
+        let lost: Vec<TaskName> = here.map(|(task, _)| task.clone()).collect();
+        for task in lost {
+            self.placements.swap_remove(&task);
+            self.make_ready_again(&task);
+        }
+        self.steps.push(ScheduleStep::Propose(vec![Command::UnseatAgent { agent }]));
+    }
+}
--- a/crates/edges/src/control_edge.rs
+++ b/crates/edges/src/control_edge.rs
@@ -3,8 +3,9 @@
 use jsonrpsee::core::{RpcResult, async_trait};
 use kernel::{Registry, Reservation, RingReceiver, RingSender};
 use model::{
-    CallId, Command, ControlQuery, ControlReply, ControlReplyBody, LogMessage, MembershipMessage,
-    NodeWatch, ReplicaEnvelope, ServiceName,
+    AgentPoll, AgentReport, CallId, Command, ConfigVersion, ControlQuery, ControlReply,
+    ControlReplyBody, JobCall, LogMessage, MembershipMessage, NodeWatch, ReplicaEnvelope,
+    SchedulingMessage, ServiceName,
 };
 
 use crate::call_book::CallBook;
@@ -19,6 +20,7 @@
     own: RingSender<ControlReply>,
     replicated: RingSender<LogMessage>,
     membership: RingSender<MembershipMessage>,
+    scheduling: RingSender<SchedulingMessage>,
 }
 
 impl ControlDesk {
@@ -35,6 +37,15 @@
     }
 }
 
+impl ControlDesk {
+    async fn ask_scheduling(
+        &self,
+        message: impl FnOnce(CallId, Reservation<ControlReply>) -> SchedulingMessage,
+    ) -> RpcResult<ControlReplyBody> {
+        self.ask(|call, reply| self.scheduling.push(message(call, reply)).is_ok()).await
+    }
+}
+
 #[async_trait]
 impl ControlApiServer for ControlDesk {
     async fn watch(&self, watch: NodeWatch) -> RpcResult<ControlReplyBody> {
@@ -58,6 +69,25 @@
         self.ask(send).await
     }
 
+    async fn job(&self, job: JobCall) -> RpcResult<ControlReplyBody> {
+        self.ask_scheduling(|call, reply| SchedulingMessage::Job { call, job, reply }).await
+    }
+
+    async fn report(&self, report: AgentReport) -> RpcResult<ControlReplyBody> {
+        let report = Box::new(report);
+        self.ask_scheduling(|call, reply| SchedulingMessage::Report { call, report, reply }).await
+    }
+
+    async fn poll(&self, poll: AgentPoll) -> RpcResult<ControlReplyBody> {
+        self.ask_scheduling(|call, reply| SchedulingMessage::Poll { call, poll, reply }).await
+    }
+
+    async fn catalog(&self, version: ConfigVersion) -> RpcResult<ControlReplyBody> {
+        let message =
+            |call, reply| SchedulingMessage::CatalogWatch { call, version, reply };
+        self.ask_scheduling(message).await
+    }
+
     async fn replica(&self, envelope: ReplicaEnvelope) -> RpcResult<ControlReplyBody> {
         let envelope = Box::new(envelope);
         let send = |call, reply| {
@@ -83,6 +113,7 @@
         own: registry.find(ServiceName::ControlEdge).expect("the control edge is registered"),
         replicated: registry.find(ServiceName::ReplicatedLog).expect("the log is registered"),
         membership: registry.find(ServiceName::Membership).expect("membership is registered"),
+        scheduling: registry.find(ServiceName::JobScheduling).expect("scheduling is registered"),
     };
     block_on(async move {
         let handle = start_server(listener, MOST_CONNECTIONS, desk.into_rpc());
--- a/crates/edges/src/edge_runtime.rs
+++ b/crates/edges/src/edge_runtime.rs
@@ -9,7 +9,7 @@
 ///
 /// # Panics
 /// When the operating system refuses the event queue that a runtime needs.
-pub(crate) fn block_on(body: impl Future<Output = ()>) {
+pub fn block_on(body: impl Future<Output = ()>) {
     let runtime = Builder::new_current_thread().enable_all().build();
     let runtime = runtime.expect("the operating system gives an event queue");
     LocalSet::new().block_on(&runtime, body);
--- a/crates/edges/src/lib.rs
+++ b/crates/edges/src/lib.rs
@@ -14,11 +14,13 @@
 pub mod control_edge;
 pub mod control_link;
 pub mod disk;
+pub mod job_calls;
 pub mod journal;
 pub mod journal_writer;
 pub mod log_writer;
 pub mod metrics;
 pub mod replica_links;
+pub mod schedule_link;
 
 mod agent_link;
 mod announce_routes;
@@ -27,10 +29,12 @@
 mod edge_error;
 mod edge_runtime;
 mod journal_frame;
+mod leader_finder;
 mod ledger_batches;
 mod peer_api;
 mod view_merge;
 
 pub use call_book::CallBook;
 pub use edge_error::EdgeError;
+pub use edge_runtime::block_on;
 pub use peer_api::{AgentApiClient, AgentApiServer, ControlApiClient, ControlApiServer};
--- a/crates/edges/src/log_writer.rs
+++ b/crates/edges/src/log_writer.rs
@@ -26,7 +26,7 @@
             Box::new(file.map_err(|error| EdgeError::Log { reason: format!("{path}: {error}") })?)
         }
         None => {
-            Box::new(ConsoleAppender::builder().encoder(encoder).target(Target::Stderr).build())
+            Box::new(ConsoleAppender::builder().encoder(encoder).target(Target::Stdout).build())
         }
     };
     let root = Root::builder().appender(APPENDER).build(level(&settings.level));
--- a/crates/edges/src/peer_api.rs
+++ b/crates/edges/src/peer_api.rs
@@ -6,8 +6,8 @@
 use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
 use model::{
-    AgentView, AgentWatch, Command, ControlQuery, ControlReplyBody, NodeWatch, RecallAnswer,
-    RecallOrder, ReplicaEnvelope, StartOrder, TaskQuestion, TaskReport,
+    AgentPoll, AgentReport, AgentView, AgentWatch, Command, ConfigVersion, ControlQuery,
+    ControlReplyBody, JobCall, NodeWatch, RecallAnswer, RecallOrder, ReplicaEnvelope, StartOrder, TaskQuestion, TaskReport,
 };
 
 /// Largest message between processes, in bytes.
@@ -51,6 +51,22 @@
     #[method(name = "query")]
     async fn query(&self, query: ControlQuery) -> RpcResult<ControlReplyBody>;
 
+    /// Carries a call about a queued job.
+    #[method(name = "job")]
+    async fn job(&self, job: JobCall) -> RpcResult<ControlReplyBody>;
+
+    /// Takes an agent's news.
+    #[method(name = "report")]
+    async fn report(&self, report: AgentReport) -> RpcResult<ControlReplyBody>;
+
+    /// Answers when there are orders for an agent, or after a while.
+    #[method(name = "poll")]
+    async fn poll(&self, poll: AgentPoll) -> RpcResult<ControlReplyBody>;
+
+    /// Answers when a catalog is newer than this version, or after a while.
+    #[method(name = "catalog")]
+    async fn catalog(&self, version: ConfigVersion) -> RpcResult<ControlReplyBody>;
+
     /// Takes a message of another replica; answers when what it promises is
     /// synced.
     #[method(name = "replica")]
--- a/crates/model/src/command.rs
+++ b/crates/model/src/command.rs
@@ -3,15 +3,19 @@
 //! Invariant: applying the same commands in the same order gives every
 //! replica the same state; whatever depends on time is in the command.
 
+use std::sync::Arc;
+
 use compact_str::CompactString;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 use crate::cluster::MemberRecord;
 use crate::ids::{
-    ClaimEpoch, ConfigVersion, Fingerprint, Incarnation, LogIndex, MembersVersion, NodeId,
+    ClaimEpoch, ConfigVersion, Fingerprint, Incarnation, JobId, LogIndex, MembersVersion, NodeId,
     RequestId, ServiceId, TeamId, WorkerId,
 };
+use crate::queue_catalog::QueueCatalog;
+use crate::queue_jobs::{EndedRun, QueuedJob};
 use crate::settings::ControlPeer;
 use crate::text::OperatorText;
 use crate::work::{JobAnswer, JobKey, OwnerRef};
@@ -95,6 +99,41 @@
         /// The moment.
         before_ms: u64,
     },
+    /// Puts a catalog of queues in force, if its version is the highest.
+    SetCatalog {
+        /// The catalog.
+        catalog: Arc<QueueCatalog>,
+    },
+    /// Accepts a job; an id that is known stays the job that it is.
+    AcceptJob {
+        /// The job.
+        job: Arc<QueuedJob>,
+    },
+    /// Cancels a job.
+    CancelJob {
+        /// The job.
+        job: JobId,
+    },
+    /// Records ends of runs.
+    EndRuns {
+        /// The ends.
+        ends: Vec<EndedRun>,
+    },
+    /// An agent may be given work.
+    SeatAgent {
+        /// The agent.
+        agent: NodeId,
+    },
+    /// An agent holds nothing any more.
+    UnseatAgent {
+        /// The agent.
+        agent: NodeId,
+    },
+    /// Forgets jobs that ended before a moment, in milliseconds since 1970.
+    ForgetJobs {
+        /// The moment.
+        before_ms: u64,
+    },
     /// Replaces the group of control hosts by one that differs in one host.
     ChangeGroup {
         /// The whole new group.
@@ -102,6 +141,22 @@
     },
 }
 
+impl Command {
+    /// Whether it is about queues, their jobs, or the agents that run them.
+    pub fn is_about_queues(&self) -> bool {
+        matches!(
+            self,
+            Command::SetCatalog { .. }
+                | Command::AcceptJob { .. }
+                | Command::CancelJob { .. }
+                | Command::EndRuns { .. }
+                | Command::SeatAgent { .. }
+                | Command::UnseatAgent { .. }
+                | Command::ForgetJobs { .. }
+        )
+    }
+}
+
 /// What a command came to.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/model/src/control_messages.rs
+++ b/crates/model/src/control_messages.rs
@@ -20,7 +20,9 @@
     CallId, ConfigVersion, Incarnation, LogIndex, MembersVersion, NodeId, RequestId, Term,
 };
 use crate::journal_messages::SyncMark;
+use crate::queue_catalog::QueueCatalog;
 use crate::replica::ReplicaEnvelope;
+use crate::schedule_messages::{AgentOrders, JobReply};
 use crate::settings::ControlPeer;
 use crate::text_delta::TextDelta;
 use crate::work::JobKey;
@@ -64,6 +66,8 @@
     Status,
     /// The configuration.
     Config,
+    /// The catalog of queues.
+    Catalog,
     /// Earlier versions.
     History,
     /// A month's figures, as `2026-12`.
@@ -81,6 +85,8 @@
     Status(ControlStatus),
     /// To `Config`; `None` before the first text.
     Config(Option<ConfigInForce>),
+    /// To `Catalog`; `None` before the first.
+    Catalog(Option<Arc<QueueCatalog>>),
     /// To `History`: version, time in milliseconds since 1970, request id.
     History(Vec<HistoryLine>),
     /// To `Figures`.
@@ -151,6 +157,14 @@
     View(Box<ControlView>),
     /// The answer to a question.
     Answer(Box<ControlAnswer>),
+    /// The answer to a call about a queued job.
+    Job(JobReply),
+    /// The answer to an agent's poll.
+    Orders(Box<AgentOrders>),
+    /// An agent's report was taken.
+    ReportTaken,
+    /// The catalog in force; `None` when it is the one that was named.
+    Catalog(Option<Arc<QueueCatalog>>),
     /// The answer to another replica, if there is one to this message.
     Replica(Option<Box<ReplicaEnvelope>>),
     /// This host does not lead; nothing was changed.
--- a/crates/model/src/event_log.rs
+++ b/crates/model/src/event_log.rs
@@ -33,7 +33,7 @@
 }
 
 /// A line in the making.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EventLine {
     text: String,
 }
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -38,6 +38,24 @@
 pub type Fingerprint = u64;
 /// Election term of the replicated log.
 pub type Term = u64;
+/// A job of a queue; its caller chooses it.
+pub type JobId = CompactString;
+/// A queue that callers hand jobs to.
+pub type QueueId = CompactString;
+/// Position of a step within its job, from 0.
+pub type StepIndex = u32;
+/// Occurrence of a repeated job, from 0.
+pub type Occurrence = u64;
+/// Counts the starts of one task, from 1.
+pub type RunNumber = u64;
+/// A label of a backend server: its kind or its rack.
+pub type LabelId = CompactString;
+/// One life of a backend server: from its start to its end.
+pub type LifeId = CompactString;
+/// Position in a backend server's list of ended runs, from 1.
+pub type EndNumber = u64;
+/// Counts the connections of one agent to control.
+pub type SessionId = u64;
 /// Position in the replicated log, from 1; 0 is before the first record.
 pub type LogIndex = u64;
 
@@ -78,4 +96,18 @@
     ControlEdge,
     /// Control: connections to the other replicas.
     ReplicaLinks,
+    /// Control: where the tasks of queued jobs run.
+    JobScheduling,
+    /// Control: the operators' HTTP server.
+    OperatorFront,
+    /// Entry: the queues' callers.
+    QueueFront,
+    /// Entry: calls about queued jobs, on their way to control.
+    JobCalls,
+    /// Agent: runs on its backend server, their lease and their ends.
+    ServerRuns,
+    /// Agent: HTTP calls from and to its backend server.
+    ServerFront,
+    /// Agent: connection to the scheduling control host.
+    ScheduleLink,
 }
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -21,7 +21,7 @@
 pub struct LogSettings {
     /// Least level that is written: `error`, `warn`, `info`, `debug` or `trace`.
     pub level: CompactString,
-    /// File to append to; standard error when absent.
+    /// File to append to; standard output when absent.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub file: Option<String>,
 }
@@ -59,6 +59,13 @@
     /// How long a drain may take, in milliseconds.
     #[serde(default = "default_drain_limit")]
     pub drain_limit_ms: u64,
+    /// Port of the control hosts' RPC servers, when `controls` names them by
+    /// the address of another of their servers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub control_port: Option<u16>,
+    /// Where callers of queues are served, if they are.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub front: Option<FrontSettings>,
     /// How many agents this entry connects to at most.
     #[serde(default = "default_agent_limit")]
     pub agent_limit: usize,
@@ -94,7 +101,36 @@
     256
 }
 
+/// Where an entry serves callers of queues.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FrontSettings {
+    /// Address of the callers' HTTP server.
+    pub listen: SocketAddr,
+    /// Address at which readiness is asked for.
+    pub ready: SocketAddr,
+    /// How long new requests are still served after readiness fails, in
+    /// milliseconds.
+    #[serde(default = "default_linger")]
+    pub linger_ms: u64,
+}
+
+fn default_linger() -> u64 {
+    2_500
+}
+
+/// The addresses with another port, if one is named.
+fn with_port(addresses: &[SocketAddr], port: Option<u16>) -> Vec<SocketAddr> {
+    let moved = |address: &SocketAddr| SocketAddr::new(address.ip(), port.unwrap_or(address.port()));
+    addresses.iter().map(moved).collect()
+}
+
 impl EntrySettings {
+    /// Addresses of the control hosts' RPC servers.
+    pub fn control_addresses(&self) -> Vec<SocketAddr> {
+        with_port(&self.controls, self.control_port)
+    }
+
     /// How long a drain may take.
     pub fn drain_limit(&self) -> Duration {
         Duration::from_millis(self.drain_limit_ms)
@@ -120,6 +156,13 @@
     pub announce_listen: SocketAddr,
     /// Addresses of the control hosts.
     pub controls: Vec<SocketAddr>,
+    /// Port of the control hosts' RPC servers, when `controls` names them by
+    /// the address of another of their servers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub control_port: Option<u16>,
+    /// The one backend server that runs tasks of queues, if there is one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub server: Option<ServerSettings>,
     /// Processor cores of the worker.
     pub cores: u32,
     /// Memory of the worker in MB.
@@ -156,7 +199,22 @@
     600_000
 }
 
+/// The backend server that runs tasks of queues.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServerSettings {
+    /// Where it takes calls.
+    pub address: SocketAddr,
+    /// How long it keeps runs at work without a renewal, in milliseconds.
+    pub lease_ms: u64,
+}
+
 impl AgentSettings {
+    /// Addresses of the control hosts' RPC servers.
+    pub fn control_addresses(&self) -> Vec<SocketAddr> {
+        with_port(&self.controls, self.control_port)
+    }
+
     /// How long an announcement holds without being repeated.
     pub fn announce_ttl(&self) -> Duration {
         Duration::from_millis(self.announce_ttl_ms)
@@ -184,7 +242,7 @@
 }
 
 /// Settings of a control host.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ControlSettings {
     /// The control host's name.
@@ -197,7 +255,29 @@
     pub data_folder: String,
     /// The whole first group, this host included. A host that joins later
     /// names the group it joins and is not in it.
+    #[serde(default)]
     pub group: Vec<ControlPeer>,
+    /// Addresses of the first group's hosts in place of `group`; each host is
+    /// then named by its IP address.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub seeds: Vec<SocketAddr>,
+    /// Port of the seeds' RPC servers, when they are named by the address of
+    /// another of their servers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub seed_port: Option<u16>,
+    /// Whether an empty data folder may found a new group.
+    #[serde(default = "default_found")]
+    pub found: bool,
+    /// Address of the HTTP server for operators of queues, if there is one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub operators: Option<SocketAddr>,
+    /// How long a backend server keeps runs at work without a renewal, in
+    /// milliseconds.
+    #[serde(default = "default_run_lease")]
+    pub run_lease_ms: u64,
+    /// How much longer a task runs on another rack than that of its data.
+    #[serde(default = "default_remote_factor")]
+    pub remote_factor: f64,
     /// Least election timeout in milliseconds; the longest is twice that.
     #[serde(default = "default_election")]
     pub election_ms: u64,
@@ -227,7 +307,34 @@
     50_000
 }
 
+fn default_found() -> bool {
+    true
+}
+
+fn default_run_lease() -> u64 {
+    1_000
+}
+
+fn default_remote_factor() -> f64 {
+    1.5
+}
+
 impl ControlSettings {
+    /// The first group.
+    pub fn first_group(&self) -> Vec<ControlPeer> {
+        if self.seeds.is_empty() {
+            return self.group.clone();
+        }
+        let addresses = with_port(&self.seeds, self.seed_port);
+        let named = |address| ControlPeer { name: crate::host_name(address), address };
+        addresses.into_iter().map(named).collect()
+    }
+
+    /// How long a backend server keeps runs at work without a renewal.
+    pub fn run_lease(&self) -> Duration {
+        Duration::from_millis(self.run_lease_ms)
+    }
+
     /// Least election timeout.
     pub fn election(&self) -> Duration {
         Duration::from_millis(self.election_ms)
@@ -249,6 +356,14 @@
     &[optional("level", Shape::Word(LEVELS)), optional("file", Shape::Text)];
 const MILLIS: Shape = Shape::Count(1, MAX_MILLIS);
 const RETENTION: Shape = Shape::Count(1_000, 24 * MAX_MILLIS);
+const PORT: Shape = Shape::Count(1, 65_535);
+const FRONT_FIELDS: &[FieldRule] = &[
+    required("listen", Shape::Address),
+    required("ready", Shape::Address),
+    optional("linger_ms", MILLIS),
+];
+const SERVER_FIELDS: &[FieldRule] =
+    &[required("address", Shape::Address), required("lease_ms", MILLIS)];
 const ADDRESSES: Shape = Shape::List(&Shape::Address);
 const PEER_FIELDS: &[FieldRule] =
     &[required("name", Shape::Name), required("address", Shape::Address)];
@@ -263,6 +378,8 @@
     optional("body_limit_bytes", Shape::Count(1, MAX_BODY_BYTES)),
     optional("task_limit", Shape::Count(1, 10_000)),
     optional("drain_limit_ms", MILLIS),
+    optional("control_port", PORT),
+    optional("front", Shape::Object(FRONT_FIELDS)),
     optional("agent_limit", Shape::Count(1, 10_000)),
     optional("seed", Shape::Count(0, u64::MAX)),
     optional("log", Shape::Object(LOG_FIELDS)),
@@ -276,6 +393,8 @@
     optional("advertise", Shape::Address),
     required("announce_listen", Shape::Address),
     required("controls", ADDRESSES),
+    optional("control_port", PORT),
+    optional("server", Shape::Object(SERVER_FIELDS)),
     required("cores", Shape::Count(1, 4_096)),
     required("memory_mb", Shape::Count(1, 16_000_000)),
     optional("accelerators", Shape::Count(0, 64)),
@@ -291,7 +410,13 @@
     required("domain", Shape::Name),
     required("listen", Shape::Address),
     required("data_folder", Shape::Text),
-    required("group", Shape::List(&Shape::Object(PEER_FIELDS))),
+    optional("group", Shape::List(&Shape::Object(PEER_FIELDS))),
+    optional("seeds", ADDRESSES),
+    optional("seed_port", PORT),
+    optional("found", Shape::Flag),
+    optional("operators", Shape::Address),
+    optional("run_lease_ms", MILLIS),
+    optional("remote_factor", Shape::Ratio(1.0, 100.0)),
     optional("election_ms", Shape::Count(50, 60_000)),
     optional("lease_ms", Shape::Count(500, 15_000)),
     optional("retention_ms", RETENTION),
@@ -326,7 +451,7 @@
 pub fn read_control_settings(text: &str) -> Result<ControlSettings, Vec<Mistake>> {
     let settings: ControlSettings = read_document(text, &CONTROL_SHAPE)?;
     let mut mistakes = Vec::new();
-    if settings.group.is_empty() {
+    if settings.group.is_empty() && settings.seeds.is_empty() {
         mistakes.push(group_mistake("$.group", "expected at least one control host"));
     }
     for (position, peer) in settings.group.iter().enumerate() {
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -6,9 +6,11 @@
 //! - what a decision returns is carried out in order and in full;
 //! - no service blocks on a full ring.
 
+pub mod job_scheduling;
 pub mod job_tracking;
 pub mod membership;
 pub mod replicated_log;
+pub mod server_runs;
 pub mod task_dispatch;
 pub mod task_starts;
 
--- a/crates/services/src/replicated_log.rs
+++ b/crates/services/src/replicated_log.rs
@@ -18,7 +18,8 @@
     CallId, Command, CommandResult, ControlAnswer, ControlPeer, ControlQuery, ControlReply,
     ControlReplyBody, ControlStatus, EventLine, EventLog, Incarnation, JournalEntry,
     JournalMessage, LineLevel, LogIndex, LogMessage, MemberStatus, MembershipMessage, NodeId,
-    ReplicaEnvelope, ReplicaLinkMessage, ReplicaMessage, ServiceName, SnapshotMark, SyncMark, Term,
+    ReplicaEnvelope, ReplicaLinkMessage, ReplicaMessage, SchedulingMessage, ServiceName,
+    SnapshotMark, SyncMark, Term,
 };
 
 use crate::context::ServiceContext;
@@ -38,6 +39,8 @@
     pub boot: Incarnation,
     /// The first group.
     pub group: Vec<ControlPeer>,
+    /// Whether an empty data folder may found a new group.
+    pub found: bool,
     /// Least election timeout.
     pub election: Duration,
     /// How long answers are kept.
@@ -76,6 +79,7 @@
     journal: RingSender<JournalMessage>,
     links: RingSender<ReplicaLinkMessage>,
     membership: RingSender<MembershipMessage>,
+    scheduling: RingSender<SchedulingMessage>,
 }
 
 /// Runs the duty until its ring is closed.
@@ -95,7 +99,8 @@
         heartbeat: setup.election.mul_f64(HEARTBEAT_SHARE),
         batch_records: BATCH_RECORDS,
     };
-    let replica = Replica::new(now, setup.name, setup.boot, limits, setup.group, setup.stored);
+    let mut replica = Replica::new(now, setup.name, setup.boot, limits, setup.group, setup.stored);
+    replica.set_may_found(setup.found);
     let state = ReplicatedLog {
         log: context.event_log(registry)?,
         replica,
@@ -112,9 +117,11 @@
         journal: registry.find(ServiceName::JournalWriter)?,
         links: registry.find(ServiceName::ReplicaLinks)?,
         membership: registry.find(ServiceName::Membership)?,
+        scheduling: registry.find(ServiceName::JobScheduling)?,
         context,
     };
     state.tell_applied();
+    state.tell_restored();
     serve(ring, &clock, DutyState { state, handle, next_deadline });
     Ok(())
 }
@@ -290,6 +297,7 @@
             ControlQuery::Config => {
                 ControlAnswer::Config(self.state.config().map(|config| (*config).clone()))
             }
+            ControlQuery::Catalog => ControlAnswer::Catalog(self.state.jobs().catalog()),
             ControlQuery::History => ControlAnswer::History(self.state.history()),
             ControlQuery::Figures { month } => ControlAnswer::Figures(self.state.month(month)),
         }
@@ -371,6 +379,7 @@
         }
         self.log.info(EventLine::new("snapshot_installed").with("index", mark.index));
         self.tell_applied();
+        self.tell_restored();
         self.write_snapshot(mark, state);
     }
 
@@ -382,11 +391,18 @@
 
     fn apply_committed(&mut self) {
         let before = self.state.versions();
+        let mut records = Vec::new();
         while self.state.versions().applied < self.replica.commit() {
             let index = self.state.versions().applied + 1;
             let Some(record) = self.replica.log().record(index).cloned() else { break };
             let result = self.state.apply(&record);
             self.give_result(index, result, &record.command);
+            if record.command.is_about_queues() {
+                records.push(record);
+            }
+        }
+        if !records.is_empty() {
+            self.tell_scheduling(SchedulingMessage::Applied { records });
         }
         let after = self.state.versions();
         if before.config != after.config || before.members != after.members {
@@ -472,6 +488,18 @@
         }
         self.told = told;
         self.tell_membership(MembershipMessage::Leading { term: told.0, leader: told.1 });
+        self.tell_scheduling(SchedulingMessage::Leading { term: told.0, leader: told.1 });
+    }
+
+    fn tell_restored(&self) {
+        let state = Box::new(self.state.jobs().state());
+        self.tell_scheduling(SchedulingMessage::Restored { state });
+    }
+
+    fn tell_scheduling(&self, message: SchedulingMessage) {
+        if self.scheduling.push(message).is_err() {
+            self.log.warn(EventLine::new("ring_full").with("ring", ServiceName::JobScheduling));
+        }
     }
 
     fn tell_group(&mut self) {
--- /dev/null
+++ b/crates/services/src/server_runs.rs
@@ -0,0 +1,145 @@
+//! The duty that keeps the runs of an agent's backend server.
+//!
+//! Invariant: a heartbeat that says the backend server drains is acknowledged
+//! only after this duty has stopped starting work there.
+
+use std::time::Instant;
+
+use decisions::agent::{RunLimits, RunStep, RunTable};
+use kernel::{DutyState, KernelError, Registry, Reservation, RingReceiver, RingSender, serve};
+use model::{
+    CallId, EventLine, EventLog, Incarnation, NodeId, ScheduleLinkMessage, ServerFrontMessage,
+    ServerRunsMessage, ServiceName,
+};
+
+use crate::context::ServiceContext;
+
+/// What the run service is given besides the context.
+#[derive(Debug, Clone)]
+pub struct RunSettings {
+    /// The agent.
+    pub agent: NodeId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Times.
+    pub limits: RunLimits,
+}
+
+struct ServerRuns {
+    context: ServiceContext,
+    log: EventLog,
+    table: RunTable,
+    own: RingSender<ServerRunsMessage>,
+    front: RingSender<ServerFrontMessage>,
+    link: RingSender<ScheduleLinkMessage>,
+}
+
+/// Runs the duty until its ring is closed.
+///
+/// # Errors
+/// When a service that it needs is not registered.
+pub fn run(
+    ring: &RingReceiver<ServerRunsMessage>,
+    registry: &Registry<ServiceName>,
+    context: ServiceContext,
+    settings: RunSettings,
+) -> Result<(), KernelError> {
+    let clock = context.clock.clone();
+    let RunSettings { agent, incarnation, limits } = settings;
+    let state = ServerRuns {
+        log: context.event_log(registry)?,
+        table: RunTable::new(clock.now(), agent, incarnation, limits),
+        own: registry.find(ServiceName::ServerRuns)?,
+        front: registry.find(ServiceName::ServerFront)?,
+        link: registry.find(ServiceName::ScheduleLink)?,
+        context,
+    };
+    serve(ring, &clock, DutyState { state, handle, next_deadline });
+    Ok(())
+}
+
+fn next_deadline(state: &ServerRuns) -> Option<Instant> {
+    state.table.next_deadline()
+}
+
+fn handle(state: &mut ServerRuns, now: Instant, message: Option<ServerRunsMessage>) {
+    match message {
+        Some(message) => state.on_message(now, message),
+        None => {
+            let steps = state.table.on_tick(now);
+            state.carry_out(steps);
+        }
+    }
+    state.context.counters.set_in_progress(state.table.runs());
+}
+
+impl ServerRuns {
+    fn on_message(&mut self, now: Instant, message: ServerRunsMessage) {
+        let steps = match message {
+            ServerRunsMessage::Beat { call, beat, reply } => {
+                let steps = self.table.on_beat(now, &beat);
+                acknowledge(call, reply);
+                steps
+            }
+            ServerRunsMessage::Leave { call, instance, reply } => {
+                let steps = self.table.on_leave(now, &instance);
+                acknowledge(call, reply);
+                steps
+            }
+            ServerRunsMessage::Answer { call, clock, answer } => {
+                self.table.on_answer(now, &call, clock, answer)
+            }
+            ServerRunsMessage::SessionOpened { session } => {
+                self.table.on_session(now, Some(session))
+            }
+            ServerRunsMessage::SessionClosed { .. } => self.table.on_session(now, None),
+            ServerRunsMessage::ReportTaken { session } => {
+                self.table.on_report_taken(now, session)
+            }
+            ServerRunsMessage::Orders { session, asked_at, orders } => {
+                self.table.on_orders(now, session, asked_at, *orders)
+            }
+            ServerRunsMessage::Drain => Vec::new(),
+        };
+        self.carry_out(steps);
+    }
+
+    fn carry_out(&mut self, steps: Vec<RunStep>) {
+        for step in steps {
+            match step {
+                RunStep::Call(call) => self.call(call),
+                RunStep::Report(report) => {
+                    let message = ScheduleLinkMessage::Report { report: Box::new(report) };
+                    if self.link.push(message).is_err() {
+                        self.note_full(ServiceName::ScheduleLink);
+                    }
+                }
+                RunStep::Note(line) => self.log.info(line),
+            }
+        }
+    }
+
+    /// A call that finds no room was not made: it ends as one without answer,
+    /// which is always safe.
+    fn call(&mut self, call: model::ServerCall) {
+        let Some(done) = self.own.reserve() else { return self.note_full(ServiceName::ServerRuns) };
+        let message = ServerFrontMessage::Call { call: Box::new(call), done };
+        if let Err(error) = self.front.push(message) {
+            let (kernel::PushError::Full { message } | kernel::PushError::Closed { message }) =
+                error;
+            self.note_full(ServiceName::ServerFront);
+            if let ServerFrontMessage::Call { call, done } = message {
+                let answer = model::ServerAnswer::NoAnswer;
+                done.push(ServerRunsMessage::Answer { call, clock: None, answer });
+            }
+        }
+    }
+
+    fn note_full(&self, ring: ServiceName) {
+        self.log.warn(EventLine::new("ring_full").with("ring", ring));
+    }
+}
+
+fn acknowledge(call: CallId, reply: Reservation<ServerFrontMessage>) {
+    reply.push(ServerFrontMessage::Acknowledge { call });
+}
