Serve best-effort jobs from the leader's memory

Cause: all kinds of request of both sites hand in jobs that need not be stored. Change: the leader schedules them without a record; their caller's call waits for the end.

--- a/crates/decisions/src/control/job_book.rs
+++ b/crates/decisions/src/control/job_book.rs
@@ -120,6 +120,16 @@
         }
     }
 
+    /// Puts a catalog in force here, if it is newer.
+    pub fn set_catalog(&mut self, catalog: &Arc<QueueCatalog>) {
+        self.catalog.set(catalog);
+    }
+
+    /// Forgets a job.
+    pub fn forget(&mut self, id: &JobId) {
+        self.jobs.swap_remove(id);
+    }
+
     fn seat_change(
         &mut self,
         known: bool,
@@ -132,7 +142,8 @@
         JobChange::Seats
     }
 
-    fn accept(&mut self, job: &Arc<QueuedJob>, at_ms: u64, term: Term) -> JobChange {
+    /// Accepts a job; one that is known stays as it is.
+    pub fn accept(&mut self, job: &Arc<QueuedJob>, at_ms: u64, term: Term) -> JobChange {
         if self.jobs.contains_key(&job.id) {
             return JobChange::None;
         }
@@ -150,7 +161,8 @@
         JobChange::Accepted { job: job.id.clone() }
     }
 
-    fn close(&mut self, id: &JobId, phase: JobPhase, at_ms: u64) -> JobChange {
+    /// Ends a job that has not ended.
+    pub fn close(&mut self, id: &JobId, phase: JobPhase, at_ms: u64) -> JobChange {
         let Some(record) = self.jobs.get_mut(id) else { return JobChange::None };
         if record.ended.is_some() {
             return JobChange::None;
@@ -163,7 +175,8 @@
         JobChange::Closed { job: id.clone(), phase }
     }
 
-    fn end_runs(&mut self, ends: &[EndedRun], at_ms: u64) -> JobChange {
+    /// Notes ends of runs.
+    pub fn end_runs(&mut self, ends: &[EndedRun], at_ms: u64) -> JobChange {
         let mut closed = Vec::new();
         for end in ends {
             let Some(phase) = self.end_run(end) else { continue };
--- /dev/null
+++ b/crates/decisions/src/schedule/admitting.rs
@@ -0,0 +1,124 @@
+//! Who is let in and who is refused, and how long best-effort jobs may take.
+//!
+//! Answers the pattern *burst above capacity*: a job that the work ahead of it
+//! would keep waiting until it is worth nothing is refused at once, with the
+//! time after which the queue will have room.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use model::{Command, EventLine, JobId, JobPhase, JobReply, QueuedJob, RefusalCause};
+
+use super::scheduler::{JobDecision, JobWaiter, ScheduleStep, Scheduler};
+use crate::control::JobChange;
+
+/// A job earns nothing more beyond this multiple of its objective.
+const WORTHLESS_FACTOR: u32 = 3;
+
+impl Scheduler {
+    /// Decides on a job that is to be stored. One that is known is accepted
+    /// again, whatever the load.
+    pub(super) fn admit(&mut self, job: &Arc<QueuedJob>) -> JobDecision {
+        if self.book.job(&job.id).is_some() {
+            return JobDecision::Reply(JobReply::Accepted);
+        }
+        match self.refusal(job, None) {
+            Some(reply) => JobDecision::Reply(reply),
+            None => JobDecision::Commit(Command::AcceptJob { job: Arc::clone(job) }),
+        }
+    }
+
+    /// Decides on a best-effort job. One that is handed in again while it runs
+    /// goes on, for the caller that asked last.
+    pub(super) fn admit_loose(
+        &mut self,
+        now: Instant,
+        job: &Arc<QueuedJob>,
+        waiter: JobWaiter,
+    ) -> JobDecision {
+        if let Some(live) = self.live.get_mut(&job.id) {
+            if let Some(earlier) = live.waiter.replace(waiter) {
+                let reply = JobReply::Unclear;
+                self.steps.push(ScheduleStep::JobEnd { call: earlier.call, reply });
+            }
+            return JobDecision::Wait;
+        }
+        let wait = waiter.until.saturating_duration_since(now);
+        if let Some(reply) = self.refusal(job, Some(wait)) {
+            return JobDecision::Reply(reply);
+        }
+        let change = self.loose.accept(job, 0, self.term.unwrap_or_default());
+        if change == JobChange::None {
+            // It ended a moment ago; the same answer is still true.
+            return JobDecision::Reply(JobReply::Unclear);
+        }
+        if self.make_live(now, &job.id) {
+            if let Some(live) = self.live.get_mut(&job.id) {
+                live.waiter = Some(waiter);
+            }
+            if self.unheard.is_empty() {
+                self.let_steps_in(&job.id);
+            } else {
+                self.held.push(job.id.clone());
+            }
+        }
+        JobDecision::Wait
+    }
+
+    /// The answer to a job that can't be served in time.
+    fn refusal(&mut self, job: &QueuedJob, limit: Option<Duration>) -> Option<JobReply> {
+        let catalog = self.book.catalog();
+        let queue = catalog.as_ref().and_then(|catalog| catalog.queues.get(&job.queue));
+        let Some(queue) = queue else {
+            let cause = RefusalCause::UnknownQueue;
+            return Some(JobReply::Refused { cause, retry_after_ms: 0 });
+        };
+        let chain = job.longest_chain();
+        let objective = queue.objective(chain);
+        let wait = self.expected_wait();
+        let worthless = objective * WORTHLESS_FACTOR;
+        let limit = limit.map_or(worthless, |limit| limit.min(worthless));
+        if wait + chain <= limit {
+            return None;
+        }
+        let cause = RefusalCause::QueueFull;
+        let line = EventLine::new("job_refused")
+            .with("job", &job.id)
+            .with("queue", &job.queue)
+            .with("cause", cause)
+            .with("wait_ms", wait.as_millis())
+            .with("chain_ms", chain.as_millis())
+            .with("limit_ms", limit.as_millis())
+            .with("term", self.term.unwrap_or_default());
+        self.steps.push(ScheduleStep::Note(line));
+        let retry_after_ms = wait.as_millis() as u64;
+        Some(JobReply::Refused { cause, retry_after_ms })
+    }
+
+    /// Best-effort jobs whose callers wait no longer end. One of which nothing
+    /// started is refused: it surely did not run.
+    pub(super) fn end_overdue_jobs(&mut self, now: Instant) {
+        let overdue = self.live.iter().filter(|(_, live)| {
+            live.waiter.is_some_and(|waiter| waiter.until <= now)
+        });
+        let overdue: Vec<(JobId, bool)> =
+            overdue.map(|(id, live)| (id.clone(), live.started)).collect();
+        for (id, started) in overdue {
+            let reply = if started {
+                JobReply::Unclear
+            } else {
+                JobReply::Refused { cause: RefusalCause::TimeOver, retry_after_ms: 0 }
+            };
+            self.answer_waiter(&id, reply);
+            let change = self.loose.close(&id, JobPhase::Cancelled, 0);
+            self.on_change(now, change);
+        }
+    }
+
+    pub(super) fn answer_waiter(&mut self, id: &JobId, reply: JobReply) {
+        let waiter = self.live.get_mut(id).and_then(|live| live.waiter.take());
+        if let Some(JobWaiter { call, .. }) = waiter {
+            self.steps.push(ScheduleStep::JobEnd { call, reply });
+        }
+    }
+}
--- a/crates/decisions/src/schedule/mod.rs
+++ b/crates/decisions/src/schedule/mod.rs
@@ -8,6 +8,7 @@
 //! - nothing of this survives a change of leader: a new one rebuilds it from
 //!   the record of jobs and from what the agents report.
 
+mod admitting;
 mod agent_seat;
 mod placing;
 mod ready_queue;
--- a/crates/decisions/src/schedule/placing.rs
+++ b/crates/decisions/src/schedule/placing.rs
@@ -4,7 +4,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use model::{
-    AgentOrder, EventLine, JobId, JobPhase, JobStep, NodeId, QueuedJob, RunNumber, ServiceId,
+    AgentOrder, EventLine, JobId, JobPhase, JobReply, JobStep, NodeId, QueuedJob, RunNumber, ServiceId,
     StepIndex, TaskName, TaskRun,
 };
 
@@ -16,8 +16,6 @@
 const MOST_PASSED_OVER: usize = 24;
 /// Run numbers that each term of leadership has to itself, for each task.
 const RUNS_PER_TERM: RunNumber = 64;
-/// A job earns nothing more beyond this multiple of its objective.
-const WORTHLESS_FACTOR: u32 = 3;
 /// Share of a worker's room that counts against it, so that equals share.
 const CROWDING_WEIGHT: f64 = 0.25;
 
@@ -30,7 +28,7 @@
     }
 
     pub(super) fn make_live(&mut self, now: Instant, id: &JobId) -> bool {
-        let Some(record) = self.book.job(id) else { return false };
+        let Some(record) = self.record(id) else { return false };
         let Some(job) = record.job.clone() else { return false };
         let catalog = self.book.catalog();
         let queue = catalog.as_ref().and_then(|catalog| catalog.queues.get(&job.queue));
@@ -45,6 +43,7 @@
             steps_in: IndexSet::new(),
             last_runs: IndexMap::new(),
             first_run: terms * RUNS_PER_TERM + 1,
+            waiter: None,
         };
         self.live.insert(id.clone(), live);
         true
@@ -53,7 +52,8 @@
     /// Lets in every task whose turn has come and that nobody runs.
     pub(super) fn let_steps_in(&mut self, id: &JobId) {
         let Some(live) = self.live.get_mut(id) else { return };
-        let Some(record) = self.book.job(id) else { return };
+        let record = self.loose.job(id).or_else(|| self.book.job(id));
+        let Some(record) = record else { return };
         let job = live.job.clone();
         for step in 0..job.steps.len() as StepIndex {
             if live.steps_in.contains(&step) || !JobBook::is_step_due(record, &job, step) {
@@ -73,7 +73,7 @@
     pub(super) fn make_ready_again(&mut self, task: &TaskName) {
         let Some(live) = self.live.get(&task.job) else { return };
         let Some(step) = live.job.steps.get(task.step as usize) else { return };
-        let done = self.book.job(&task.job).is_none_or(|record| record.is_done(task));
+        let done = self.record(&task.job).is_none_or(|record| record.is_done(task));
         if !done && live.steps_in.contains(&task.step) && !self.placements.contains_key(task) {
             self.ready.push(&task.job, task.step, task.index, live.due, core_millis(step));
         }
@@ -81,7 +81,9 @@
 
     /// Nothing more of a job starts; what runs is stopped.
     pub(super) fn close_job(&mut self, now: Instant, id: &JobId, phase: JobPhase) {
+        self.answer_waiter(id, JobReply::Phase(phase));
         let Some(live) = self.live.swap_remove(id) else { return };
+        self.loose.forget(id);
         self.ready.remove_job(id, live.job.steps.len() as StepIndex);
         let line = EventLine::new("job_closed")
             .with("job", id)
@@ -255,16 +257,6 @@
         }
         Duration::from_secs_f64(self.ready.work() as f64 / speed / 1_000.0)
     }
-
-    /// Whether a job that waits so long can't earn anything any more.
-    pub(super) fn is_hopeless(
-        &self,
-        wait: Duration,
-        objective: Duration,
-        chain: Duration,
-    ) -> bool {
-        wait + chain > objective * WORTHLESS_FACTOR
-    }
 }
 
 /// Whether a backend server may run tasks of a step at all.
--- a/crates/decisions/src/schedule/reports.rs
+++ b/crates/decisions/src/schedule/reports.rs
@@ -134,7 +134,7 @@
             return;
         }
         let size = self.size_of(&run.task);
-        let record = self.book.job(&run.task.job);
+        let record = self.record(&run.task.job);
         let open = record.is_some_and(|record| !record.is_done(&run.task));
         let (Some(size), true, true, Some(server)) = (size, open, known.is_none(), &report.server)
         else {
@@ -189,11 +189,22 @@
                 }
             }
         }
+        let (loose, ends): (Vec<EndedRun>, Vec<EndedRun>) =
+            ends.into_iter().partition(|end| !self.is_stored(&end.run));
+        if !loose.is_empty() {
+            let change = self.loose.end_runs(&loose, 0);
+            self.on_change(now, change);
+        }
         if !ends.is_empty() {
             self.steps.push(ScheduleStep::Propose(vec![Command::EndRuns { ends }]));
         }
     }
 
+    /// Ends of jobs that are not stored need no record.
+    fn is_stored(&self, run: &TaskRun) -> bool {
+        self.book.job(&run.task.job).is_some()
+    }
+
     fn on_refused(
         &mut self,
         now: Instant,
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -5,8 +5,8 @@
 
 use indexmap::{IndexMap, IndexSet};
 use model::{
-    AgentOrders, CallId, Command, EventLine, JobCall, JobId, JobPhase, JobReply, LifeId,
-    LogRecord, NodeId, QueueCatalog, QueuedJob, RefusalCause, RoomSize, RunNumber, ScheduleState,
+    AgentOrders, CallId, Command, EventLine, JobCall, JobId, JobPhase, JobRecord, JobReply, LifeId,
+    LogRecord, NodeId, QueueCatalog, QueuedJob, RoomSize, RunNumber, ScheduleState,
     TaskName, Term,
 };
 
@@ -53,6 +53,13 @@
         /// The orders.
         orders: AgentOrders,
     },
+    /// Tells the caller of a best-effort job how it ended.
+    JobEnd {
+        /// The caller's call.
+        call: CallId,
+        /// The answer.
+        reply: JobReply,
+    },
     /// Lets a poll of an earlier session go.
     DropPoll {
         /// The poll.
@@ -69,6 +76,8 @@
     Reply(JobReply),
     /// It is answered when this command is committed.
     Commit(Command),
+    /// It is answered when the job has ended.
+    Wait,
     /// This host does not lead.
     NotLeader,
 }
@@ -96,6 +105,15 @@
     pub(super) steps_in: IndexSet<u32>,
     pub(super) last_runs: IndexMap<TaskName, RunNumber>,
     pub(super) first_run: RunNumber,
+    /// Who waits for the end of a best-effort job.
+    pub(super) waiter: Option<JobWaiter>,
+}
+
+/// The caller of a best-effort job.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct JobWaiter {
+    pub(super) call: CallId,
+    pub(super) until: Instant,
 }
 
 /// The scheduler.
@@ -103,6 +121,8 @@
 pub struct Scheduler {
     pub(super) limits: ScheduleLimits,
     pub(super) book: JobBook,
+    /// Best-effort jobs; they are kept by this leader only.
+    pub(super) loose: JobBook,
     pub(super) term: Option<Term>,
     pub(super) led_since: Instant,
     pub(super) seats: IndexMap<NodeId, AgentSeat>,
@@ -122,6 +142,7 @@
         Scheduler {
             limits,
             book: JobBook::default(),
+            loose: JobBook::default(),
             term: None,
             led_since: now,
             seats: IndexMap::new(),
@@ -137,6 +158,18 @@
     /// The replicated state was replaced as a whole.
     pub fn on_restored(&mut self, state: ScheduleState) {
         self.book = JobBook::from(state);
+        self.share_catalog();
+    }
+
+    fn share_catalog(&mut self) {
+        if let Some(catalog) = self.book.catalog() {
+            self.loose.set_catalog(&catalog);
+        }
+    }
+
+    /// What is known of a job of either kind.
+    pub(super) fn record(&self, id: &JobId) -> Option<&JobRecord> {
+        self.loose.job(id).or_else(|| self.book.job(id))
     }
 
     /// The catalog in force.
@@ -153,6 +186,9 @@
     pub fn on_applied(&mut self, now: Instant, records: &[LogRecord]) -> Vec<ScheduleStep> {
         for record in records {
             let change = self.book.apply(record);
+            if change == JobChange::Catalog {
+                self.share_catalog();
+            }
             if self.term.is_some() {
                 self.on_change(now, change);
             }
@@ -160,7 +196,7 @@
         self.finish(now)
     }
 
-    fn on_change(&mut self, now: Instant, change: JobChange) {
+    pub(super) fn on_change(&mut self, now: Instant, change: JobChange) {
         match change {
             JobChange::None | JobChange::Catalog => {}
             JobChange::Seats => self.seat_again(),
@@ -188,12 +224,16 @@
     }
 
     /// A call about a job.
-    pub fn on_job_call(&mut self, call: &JobCall) -> JobDecision {
+    pub fn on_job_call(&mut self, now: Instant, id: CallId, call: &JobCall) -> JobDecision {
         if self.term.is_none() {
             return JobDecision::NotLeader;
         }
         match call {
-            JobCall::Accept { job } => self.admit(job),
+            JobCall::Accept { job, wait_ms } if job.best_effort => {
+                let until = now + Duration::from_millis(*wait_ms);
+                self.admit_loose(now, job, JobWaiter { call: id, until })
+            }
+            JobCall::Accept { job, .. } => self.admit(job),
             JobCall::Cancel { queue, job } => match self.book.job(job) {
                 None => JobDecision::Reply(JobReply::UnknownJob),
                 Some(record) if record.queue != *queue => {
@@ -207,6 +247,11 @@
         }
     }
 
+    /// What follows once a call is decided on.
+    pub fn after_job_call(&mut self, now: Instant) -> Vec<ScheduleStep> {
+        self.finish(now)
+    }
+
     fn phase(&self, queue: &str, id: &JobId) -> JobReply {
         let Some(record) = self.book.job(id).filter(|record| record.queue == queue) else {
             return JobReply::UnknownJob;
@@ -223,36 +268,6 @@
         JobReply::Waiting(self.live.values().filter(waits).count() as u64)
     }
 
-    /// Decides on a job that a caller hands in. One that is known is accepted
-    /// again, whatever the load.
-    fn admit(&mut self, job: &Arc<QueuedJob>) -> JobDecision {
-        if self.book.job(&job.id).is_some() {
-            return JobDecision::Reply(JobReply::Accepted);
-        }
-        let catalog = self.book.catalog();
-        let queue = catalog.as_ref().and_then(|catalog| catalog.queues.get(&job.queue));
-        let Some(queue) = queue else {
-            let cause = RefusalCause::UnknownQueue;
-            return JobDecision::Reply(JobReply::Refused { cause, retry_after_ms: 0 });
-        };
-        let objective = queue.objective(job.longest_chain());
-        let wait = self.expected_wait();
-        if self.is_hopeless(wait, objective, job.longest_chain()) {
-            let retry_after_ms = wait.as_millis() as u64;
-            let cause = RefusalCause::QueueFull;
-            let line = EventLine::new("job_refused")
-                .with("job", &job.id)
-                .with("queue", &job.queue)
-                .with("cause", cause)
-                .with("wait_ms", wait.as_millis())
-                .with("objective_ms", objective.as_millis())
-                .with("term", self.term.unwrap_or_default());
-            self.steps.push(ScheduleStep::Note(line));
-            return JobDecision::Reply(JobReply::Refused { cause, retry_after_ms });
-        }
-        JobDecision::Commit(Command::AcceptJob { job: Arc::clone(job) })
-    }
-
     /// A leader is known, or it is this host, or neither.
     pub fn on_leading(&mut self, now: Instant, term: Option<Term>) -> Vec<ScheduleStep> {
         if term == self.term {
@@ -270,6 +285,7 @@
     pub fn on_tick(&mut self, now: Instant) -> Vec<ScheduleStep> {
         self.end_takeover_in_time(now);
         self.drop_silent_agents(now);
+        self.end_overdue_jobs(now);
         self.finish(now)
     }
 
@@ -283,7 +299,9 @@
         let paused = (!self.ready.is_empty())
             .then(|| self.seats.values().filter_map(|seat| seat.paused_until).min())
             .flatten();
-        polls.chain(silent).chain(takeover).chain(paused).min()
+        let waiters = self.live.values().filter_map(|live| live.waiter);
+        let waiters = waiters.map(|waiter| waiter.until);
+        polls.chain(waiters).chain(silent).chain(takeover).chain(paused).min()
     }
 
     pub(super) fn poll_due(&self, seat: &AgentSeat) -> Option<Instant> {
--- a/crates/decisions/src/schedule/takeover.rs
+++ b/crates/decisions/src/schedule/takeover.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use indexmap::IndexSet;
-use model::{Command, EventLine, JobId, NodeId, TaskName};
+use model::{Command, EventLine, JobId, JobReply, NodeId, TaskName};
 
 use super::ready_queue::ReadyQueue;
 use super::scheduler::{ScheduleStep, Scheduler};
@@ -17,6 +17,11 @@
             }
         }
         self.seats.clear();
+        let waiting: Vec<JobId> = self.live.keys().cloned().collect();
+        for id in waiting {
+            self.answer_waiter(&id, JobReply::Unclear);
+            self.loose.forget(&id);
+        }
         self.live.clear();
         self.placements.clear();
         self.ready = ReadyQueue::default();
--- a/crates/edges/src/job_calls.rs
+++ b/crates/edges/src/job_calls.rs
@@ -22,7 +22,7 @@
 use crate::peer_api::ControlApiClient;
 
 /// Longer than a question for a newer catalog waits.
-const WATCH_LIMIT: Duration = Duration::from_secs(5);
+const WATCH_LIMIT: Duration = Duration::from_millis(1_500);
 /// How long one attempt of a call may take.
 const ATTEMPT_LIMIT: Duration = Duration::from_millis(700);
 /// Pause before a call is tried again while no leader is known.
@@ -175,10 +175,14 @@
 
     async fn attempt(&self, job: &JobCall, deadline: Instant) -> Attempt {
         let Some(client) = self.connection.borrow().clone() else { return Attempt::NotTaken };
-        let left = deadline.saturating_duration_since(self.clock.now()).min(ATTEMPT_LIMIT);
-        match tokio::time::timeout(left, client.job(job.clone())).await {
+        let left = deadline.saturating_duration_since(self.clock.now());
+        let (job, limit) = with_time_left(job, left);
+        match tokio::time::timeout(limit, client.job(job.clone())).await {
+            Ok(Ok(ControlReplyBody::Job(JobReply::Unclear))) => Attempt::InDoubt,
             Ok(Ok(ControlReplyBody::Job(reply))) => Attempt::Answered(reply),
-            Ok(Ok(ControlReplyBody::Results(results))) => Attempt::Answered(committed(job, &results)),
+            Ok(Ok(ControlReplyBody::Results(results))) => {
+                Attempt::Answered(committed(&job, &results))
+            },
             Ok(Ok(ControlReplyBody::NotLeader { .. })) => Attempt::NotTaken,
             _ => Attempt::InDoubt,
         }
@@ -194,6 +198,18 @@
     }
 }
 
+/// The call as it is sent now, and how long its answer may take: the end of a
+/// best-effort job is waited for.
+fn with_time_left(job: &JobCall, left: Duration) -> (JobCall, Duration) {
+    match job {
+        JobCall::Accept { job, .. } if job.best_effort => {
+            let wait_ms = left.as_millis() as u64;
+            (JobCall::Accept { job: Arc::clone(job), wait_ms }, left)
+        }
+        other => (other.clone(), left.min(ATTEMPT_LIMIT)),
+    }
+}
+
 /// What a committed command means for its caller.
 fn committed(job: &JobCall, results: &[CommandResult]) -> JobReply {
     match (job, results.first()) {
--- a/crates/edges/src/log_writer.rs
+++ b/crates/edges/src/log_writer.rs
@@ -5,7 +5,7 @@
 use log4rs::Config;
 use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::append::file::FileAppender;
-use log4rs::config::{Appender, Root};
+use log4rs::config::{Appender, Logger, Root};
 use log4rs::encode::pattern::PatternEncoder;
 use model::{LineLevel, LogLine, LogSettings};
 
@@ -13,6 +13,8 @@
 
 const PATTERN: &str = "time={d(%Y-%m-%dT%H:%M:%S%.6fZ)(utc)} level={l} {m}{n}";
 const APPENDER: &str = "lines";
+/// Target of our own lines: this crate writes all of them.
+const OWN_TARGET: &str = "edges";
 
 /// Opens the log once for the whole process; a later call changes nothing.
 ///
@@ -29,9 +31,11 @@
             Box::new(ConsoleAppender::builder().encoder(encoder).target(Target::Stdout).build())
         }
     };
-    let root = Root::builder().appender(APPENDER).build(level(&settings.level));
+    // What libraries say is of interest only when something is wrong.
+    let root = Root::builder().appender(APPENDER).build(LevelFilter::Warn);
     let config = Config::builder()
         .appender(Appender::builder().build(APPENDER, appender))
+        .logger(Logger::builder().build(OWN_TARGET, level(&settings.level)))
         .build(root)
         .map_err(|error| EdgeError::Log { reason: error.to_string() })?;
     // Tests and `try` assemble several roles in one process; the first opens the log.
--- a/crates/model/src/queue_jobs.rs
+++ b/crates/model/src/queue_jobs.rs
@@ -99,6 +99,10 @@
     pub spec: String,
     /// The steps.
     pub steps: Vec<JobStep>,
+    /// Whether it need not be stored: its caller waits for its end, and may
+    /// hand it in again when no answer comes.
+    #[serde(default)]
+    pub best_effort: bool,
 }
 
 impl QueuedJob {
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -32,6 +32,9 @@
     Accept {
         /// The job.
         job: Arc<QueuedJob>,
+        /// How long the caller of a best-effort job waits for its end, in
+        /// milliseconds.
+        wait_ms: u64,
     },
     /// Cancels a job.
     Cancel {
@@ -58,7 +61,7 @@
     /// The job that the call is about, if it is about one.
     pub fn job(&self) -> Option<&JobId> {
         match self {
-            JobCall::Accept { job } => Some(&job.id),
+            JobCall::Accept { job, .. } => Some(&job.id),
             JobCall::Cancel { job, .. } | JobCall::Phase { job, .. } => Some(job),
             JobCall::Waiting { .. } => None,
         }
@@ -84,6 +87,8 @@
 pub enum RefusalCause {
     /// The work ahead of it leaves no time for it.
     QueueFull,
+    /// It waited, and there is no time left for it; nothing of it ran.
+    TimeOver,
     /// No such queue is in force.
     UnknownQueue,
     /// The scheduling host's queues of messages are full.
--- a/crates/services/src/job_scheduling.rs
+++ b/crates/services/src/job_scheduling.rs
@@ -18,7 +18,7 @@
 use crate::context::ServiceContext;
 
 /// How long an entry's question for a newer catalog waits.
-const CATALOG_WAIT: Duration = Duration::from_secs(3);
+const CATALOG_WAIT: Duration = Duration::from_millis(700);
 
 struct CatalogWatcher {
     call: CallId,
@@ -31,7 +31,8 @@
     log: EventLog,
     scheduler: Scheduler,
     leader: Option<SocketAddr>,
-    polls: IndexMap<CallId, Reservation<ControlReply>>,
+    /// Polls and callers of best-effort jobs that wait.
+    waiting: IndexMap<CallId, Reservation<ControlReply>>,
     watchers: Vec<CatalogWatcher>,
     replicated: RingSender<LogMessage>,
 }
@@ -51,7 +52,7 @@
         log: context.event_log(registry)?,
         scheduler: Scheduler::new(clock.now(), limits),
         leader: None,
-        polls: IndexMap::new(),
+        waiting: IndexMap::new(),
         watchers: Vec::new(),
         replicated: registry.find(ServiceName::ReplicatedLog)?,
     };
@@ -78,7 +79,7 @@
 impl JobScheduling {
     fn on_message(&mut self, now: Instant, message: SchedulingMessage) {
         match message {
-            SchedulingMessage::Job { call, job, reply } => self.on_job(call, &job, reply),
+            SchedulingMessage::Job { call, job, reply } => self.on_job(now, call, &job, reply),
             SchedulingMessage::Report { call, report, reply } => {
                 let (taken, steps) = self.scheduler.on_report(now, &report);
                 let body = if taken { ControlReplyBody::ReportTaken } else { self.not_leader() };
@@ -86,7 +87,7 @@
                 self.carry_out(steps);
             }
             SchedulingMessage::Poll { call, poll, reply } => {
-                self.polls.insert(call, reply);
+                self.waiting.insert(call, reply);
                 let steps = self.scheduler.on_poll(now, call, &poll);
                 self.carry_out(steps);
             }
@@ -107,8 +108,18 @@
         }
     }
 
-    fn on_job(&mut self, call: CallId, job: &JobCall, reply: Reservation<ControlReply>) {
-        match self.scheduler.on_job_call(job) {
+    fn on_job(
+        &mut self,
+        now: Instant,
+        call: CallId,
+        job: &JobCall,
+        reply: Reservation<ControlReply>,
+    ) {
+        let decision = self.scheduler.on_job_call(now, call, job);
+        match decision {
+            JobDecision::Wait => {
+                self.waiting.insert(call, reply);
+            }
             JobDecision::Reply(body) => answer(reply, call, ControlReplyBody::Job(body)),
             JobDecision::NotLeader => answer(reply, call, self.not_leader()),
             JobDecision::Commit(command) => {
@@ -118,6 +129,8 @@
                 }
             }
         }
+        let steps = self.scheduler.after_job_call(now);
+        self.carry_out(steps);
     }
 
     /// The log has no room: nothing was proposed.
@@ -144,12 +157,17 @@
                     }
                 }
                 ScheduleStep::Orders { call, orders } => {
-                    if let Some(reply) = self.polls.swap_remove(&call) {
+                    if let Some(reply) = self.waiting.swap_remove(&call) {
                         answer(reply, call, ControlReplyBody::Orders(Box::new(orders)));
                     }
                 }
+                ScheduleStep::JobEnd { call, reply: body } => {
+                    if let Some(reply) = self.waiting.swap_remove(&call) {
+                        answer(reply, call, ControlReplyBody::Job(body));
+                    }
+                }
                 ScheduleStep::DropPoll { call } => {
-                    if let Some(reply) = self.polls.swap_remove(&call) {
+                    if let Some(reply) = self.waiting.swap_remove(&call) {
                         answer(reply, call, self.not_leader());
                     }
                 }
