--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -291,7 +291,11 @@
                 state.phase = RunPhase::Stopping { retry_at: None };
                 self.call(now, ServerWish::Stop { run: run.clone() });
             }
-            _ => state.phase = RunPhase::Running { since_hold: life.holds_sent },
+            _ => {
+                state.phase = RunPhase::Running { since_hold: life.holds_sent };
+                let line = EventLine::new("run_started").with("run", run);
+                self.steps.push(RunStep::Note(line));
+            }
         }
     }
 
@@ -323,6 +327,9 @@
         }
         let fresh = life.take_lists(&running, ended);
         life.hold_at = if fresh.is_empty() { now + gap } else { now };
+        for news in &fresh {
+            self.steps.push(RunStep::Note(news_line(news)));
+        }
         self.news.extend(fresh);
     }
 
@@ -438,6 +445,17 @@
     }
 }
 
+fn news_line(news: &RunNews) -> EventLine {
+    match news {
+        RunNews::Ended { number, run, kind } => {
+            EventLine::new("run_ended").with("run", run).with("kind", kind).with("number", number)
+        }
+        RunNews::Refused { run, refusal } => {
+            EventLine::new("run_not_started").with("run", run).with("cause", refusal)
+        }
+    }
+}
+
 /// An end as it is reported.
 fn news_of(end: &ListedEnd) -> RunNews {
     RunNews::Ended { number: end.number, run: end.run.clone(), kind: end.kind }
