--- a/crates/decisions/src/schedule/admitting.rs
+++ b/crates/decisions/src/schedule/admitting.rs
@@ -78,7 +78,9 @@
         let wait = self.expected_wait();
         let worthless = objective * WORTHLESS_FACTOR;
         let limit = limit.map_or(worthless, |limit| limit.min(worthless));
-        if wait + chain <= limit {
+        // Estimates are rough: with room free, trying costs nobody anything.
+        let run = chain.mul_f64(self.least_slowness());
+        if wait.is_zero() || wait + run <= limit {
             return None;
         }
         let cause = RefusalCause::QueueFull;
@@ -87,7 +89,7 @@
             .with("queue", &job.queue)
             .with("cause", cause)
             .with("wait_ms", wait.as_millis())
-            .with("chain_ms", chain.as_millis())
+            .with("run_ms", run.as_millis())
             .with("limit_ms", limit.as_millis())
             .with("term", self.term.unwrap_or_default());
         self.steps.push(ScheduleStep::Note(line));
--- a/crates/decisions/src/schedule/placing.rs
+++ b/crates/decisions/src/schedule/placing.rs
@@ -242,6 +242,12 @@
         }
     }
 
+    /// Run time over the estimate on the fastest backend server.
+    pub(super) fn least_slowness(&self) -> f64 {
+        let open = self.seats.values().filter(|seat| seat.server.is_some());
+        open.map(AgentSeat::slowness).min_by(f64::total_cmp).unwrap_or(1.0)
+    }
+
     /// Time until room is free for work that comes now.
     pub(super) fn expected_wait(&self) -> Duration {
         let speed: f64 = self
