Let tasks in a hurry have the fastest workers

Cause: long tasks were placed on workers nearly twice as slow while short tasks with slack took the fast ones' room; the slowness learnt late (weight 0.15 from the first run). Change: a full worker counts against itself the more slack the task has; the first runs weigh more in the learnt slowness.

--- a/crates/decisions/src/schedule/agent_seat.rs
+++ b/crates/decisions/src/schedule/agent_seat.rs
@@ -9,8 +9,8 @@
     TaskRun,
 };
 
-/// Weight of the latest run in the learnt slowness.
-const SLOWNESS_WEIGHT: f64 = 0.15;
+/// Runs that the learnt slowness goes by, the latest most.
+const SLOWNESS_RUNS: u32 = 8;
 /// Slowness learnt from one run stays within these bounds.
 const SLOWNESS_BOUNDS: (f64, f64) = (0.1, 20.0);
 /// Failed runs in a row after which a backend server is given a pause.
@@ -45,6 +45,7 @@
     pub(super) outbox: Vec<AgentOrder>,
     pub(super) paused_until: Option<Instant>,
     slowness: f64,
+    runs_seen: u32,
     failures_in_row: u32,
     pending: VecDeque<PendingEnd>,
     noted: EndNumber,
@@ -63,6 +64,7 @@
             outbox: Vec::new(),
             paused_until: None,
             slowness: 1.0,
+            runs_seen: 0,
             failures_in_row: 0,
             pending: VecDeque::new(),
             noted: 0,
@@ -100,6 +102,7 @@
         self.failures_in_row = 0;
         self.paused_until = None;
         self.slowness = 1.0;
+        self.runs_seen = 0;
     }
 
     /// Gives up everything that belongs to a connection.
@@ -117,7 +120,8 @@
         }
         let (least, most) = SLOWNESS_BOUNDS;
         let seen = (ran.as_secs_f64() / estimate.as_secs_f64()).clamp(least, most);
-        self.slowness += (seen - self.slowness) * SLOWNESS_WEIGHT;
+        self.runs_seen = (self.runs_seen + 1).min(SLOWNESS_RUNS);
+        self.slowness += (seen - self.slowness) / f64::from(self.runs_seen);
         self.failures_in_row = 0;
     }
 
--- a/crates/decisions/src/schedule/placing.rs
+++ b/crates/decisions/src/schedule/placing.rs
@@ -16,8 +16,12 @@
 const MOST_PASSED_OVER: usize = 24;
 /// Run numbers that each term of leadership has to itself, for each task.
 const RUNS_PER_TERM: RunNumber = 64;
-/// Share of a worker's room that counts against it, so that equals share.
-const CROWDING_WEIGHT: f64 = 0.25;
+/// How much a full worker counts against itself, for each run time of slack
+/// that a task has: what is in a hurry goes to the fastest worker, what has
+/// time leaves its room free.
+const CROWDING_WEIGHT: f64 = 2.0;
+/// Least slack that counts, so that equal workers share.
+const LEAST_SLACK: f64 = 0.1;
 
 impl Scheduler {
     /// Lets the first steps of a job in.
@@ -148,7 +152,8 @@
                 && seat.free_room().holds(&wanted.size)
                 && self.is_below_limit(job, step, wanted, agent)
         };
-        let cost = |seat: &AgentSeat| self.relative_run_time(seat, wanted);
+        let slack = self.slack(now, job, wanted);
+        let cost = |seat: &AgentSeat| self.relative_run_time(seat, wanted, slack);
         self.seats
             .iter()
             .filter(fits)
@@ -177,13 +182,22 @@
         there.count() < wanted.most_per_server as usize
     }
 
-    fn relative_run_time(&self, seat: &AgentSeat, wanted: &JobStep) -> f64 {
+    /// Time that a task has beyond its run time, in run times.
+    fn slack(&self, now: Instant, job: &QueuedJob, wanted: &JobStep) -> f64 {
+        let Some(live) = self.live.get(&job.id) else { return LEAST_SLACK };
+        let until = live.waiter.map_or(live.due, |waiter| waiter.until.min(live.due));
+        let left = until.saturating_duration_since(now).as_secs_f64();
+        let run = wanted.estimate().as_secs_f64().max(f64::MIN_POSITIVE);
+        (left / run - 1.0).max(LEAST_SLACK)
+    }
+
+    fn relative_run_time(&self, seat: &AgentSeat, wanted: &JobStep, slack: f64) -> f64 {
         let Some(server) = &seat.server else { return f64::INFINITY };
         let far = wanted.data_rack.as_ref().is_some_and(|rack| !server.labels.contains(rack));
         let distance = if far { self.limits.remote_factor } else { 1.0 };
         let all = server.room.cpu_milli.max(1) as f64;
         let crowding = seat.taken.cpu_milli as f64 / all;
-        seat.slowness() * distance * (1.0 + CROWDING_WEIGHT * crowding)
+        seat.slowness() * distance * (1.0 + CROWDING_WEIGHT * slack * crowding)
     }
 
     fn place(
