--- a/crates/cactuswing/src/commands/serve.rs
+++ b/crates/cactuswing/src/commands/serve.rs
@@ -57,7 +57,10 @@
         return ExitKind::BadInput;
     }
     match started {
-        Ok(running) => run_until_signal(role, running),
+        Ok(running) => {
+            let reload = || note_reload(path, &text, |text| read(text).map(drop));
+            run_until_signal(role, running, &reload)
+        }
         Err(error) => {
             eprintln!("{role} did not start: {error}");
             ExitKind::Refused
@@ -66,7 +69,7 @@
 }
 
 /// Prints where the role listens, then waits for the signal to end.
-fn run_until_signal(role: &str, running: RunningRole) -> ExitKind {
+fn run_until_signal(role: &str, running: RunningRole, reload: &dyn Fn()) -> ExitKind {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let signals = runtime.and_then(|runtime| {
         let signals = {
@@ -84,7 +87,11 @@
         }
     };
     announce(role, &running);
-    runtime.block_on(signals.next());
+    runtime.block_on(async {
+        while signals.next_wish().await == ProcessWish::Reload {
+            reload();
+        }
+    });
     running.begin_drain();
     let gate = running.gate();
     let ending = std::thread::spawn(move || running.drain());
@@ -117,9 +124,34 @@
     }
 }
 
+/// Reads the settings file again. What is in it takes effect at the next
+/// start; a file with mistakes is reported and changes nothing.
+fn note_reload(path: &str, before: &str, read: impl Fn(&str) -> Result<(), Vec<Mistake>>) {
+    let outcome = match std::fs::read_to_string(path) {
+        Err(error) => format!("unreadable reason={:?}", error.to_string()),
+        Ok(text) if text == before => "unchanged".to_owned(),
+        Ok(text) => match read(&text) {
+            Ok(()) => "changed in_force=next_start".to_owned(),
+            Err(mistakes) => {
+                let mistakes: Vec<String> = mistakes.iter().map(ToString::to_string).collect();
+                format!("invalid reason={:?}", mistakes.join("; "))
+            }
+        },
+    };
+    println!("event=reload path={path} outcome={outcome}");
+}
+
+/// What the platform or a person wants of the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ProcessWish {
+    End,
+    Reload,
+}
+
 struct StopSignals {
     terminate: Signal,
     interrupt: Signal,
+    hangup: Signal,
 }
 
 impl StopSignals {
@@ -127,9 +159,19 @@
         Ok(StopSignals {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
         })
     }
 
+    async fn next_wish(&mut self) -> ProcessWish {
+        tokio::select! {
+            _ = self.terminate.recv() => ProcessWish::End,
+            _ = self.interrupt.recv() => ProcessWish::End,
+            _ = self.hangup.recv() => ProcessWish::Reload,
+        }
+    }
+
+    /// The next signal to end.
     async fn next(&mut self) {
         tokio::select! {
             _ = self.terminate.recv() => {}
