--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use decisions::control::{ControlState, StoredReplica};
-use decisions::schedule::ScheduleLimits;
+use decisions::schedule::{ScheduleLimits, SchedulerKind};
 use edges::control_link::incarnation_at;
 use edges::disk::HostFolder;
 use edges::journal::{Journal, RecoveredJournal};
@@ -55,10 +55,11 @@
         edges::replica_links::run(&ring, &registry, &own, &counters);
     })?;
 
+    let kind = SchedulerKind::Control;
     let limits = schedule_limits(settings);
     let schedule_context = context.clone();
     kernel.register(ServiceName::JobScheduling, DUTY_RING, move |ring, registry| {
-        assembled(services::job_scheduling::run(&ring, &registry, &schedule_context, limits));
+        assembled(services::job_scheduling::run(&ring, &registry, &schedule_context, kind, limits));
     })?;
 
     let setup = log_setup(settings, clock, found)?;
--- a/crates/cactuswing/src/roles/queue_entry.rs
+++ b/crates/cactuswing/src/roles/queue_entry.rs
@@ -1,11 +1,20 @@
 //! The services of an entry for callers of queues.
 
+use std::time::Duration;
+
+use decisions::schedule::{ScheduleLimits, SchedulerKind};
 use edges::job_calls::JobCalls;
 use kernel::{Kernel, SharedClock, StopSignal};
-use model::{EntrySettings, FrontSettings, QueueFrontMessage, ServiceName};
+use model::{EntryHost, EntrySettings, FrontSettings, QueueFrontMessage, ServiceName};
 use platform::QueueFront;
 
-use super::{RoleError, RunningRole, context, local_address, with_log};
+use super::{DUTY_RING, RoleError, RunningRole, assembled, context, local_address, with_log};
+
+/// How long an agent may keep an entry's runs at work after it asked for
+/// orders; shorter than a caller waits before it hands a job in again.
+const RUN_GRANT: Duration = Duration::from_millis(1_000);
+/// How long an agent's question waits for orders.
+const POLL_WAIT: Duration = Duration::from_millis(350);
 
 /// Starts an entry for callers of queues.
 ///
@@ -23,7 +32,29 @@
     let mut kernel = Kernel::default();
     with_log(&mut kernel)?;
 
-    let calls = JobCalls { clock: clock.clone(), controls: settings.control_addresses() };
+    let agents = edges::caller_edge::listen(settings.listen)?;
+    let entry = EntryHost {
+        name: settings.name.clone(),
+        address: local_address(&agents, settings.listen)?,
+    };
+    let limits = ScheduleLimits {
+        grant: RUN_GRANT,
+        lease: Duration::from_millis(front.run_lease_ms),
+        poll_wait: POLL_WAIT,
+        noted_wait: POLL_WAIT,
+        remote_factor: front.remote_factor,
+    };
+    let schedule_context = context.clone();
+    kernel.register(ServiceName::JobScheduling, DUTY_RING, move |ring, registry| {
+        let kind = SchedulerKind::Entry;
+        assembled(services::job_scheduling::run(&ring, &registry, &schedule_context, kind, limits));
+    })?;
+    kernel.register(ServiceName::ScheduleEdge, DUTY_RING, move |ring, registry| {
+        edges::schedule_edge::run(&ring, &registry, agents);
+    })?;
+
+    let controls = settings.control_addresses();
+    let calls = JobCalls { clock: clock.clone(), controls, entry };
     let call_context = context.clone();
     kernel.register(ServiceName::JobCalls, settings.call_limit, move |ring, registry| {
         let log = call_context.event_log(&registry).expect("the log writer is registered");
@@ -34,7 +65,7 @@
         clock: clock.clone(),
         counters: context.counters.clone(),
         gate: context.gate.clone(),
-        linger: std::time::Duration::from_millis(front.linger_ms),
+        linger: Duration::from_millis(front.linger_ms),
     };
     let front_context = context.clone();
     kernel.register(ServiceName::QueueFront, settings.call_limit, move |ring, registry| {
--- a/crates/cactuswing/src/roles/server_agent.rs
+++ b/crates/cactuswing/src/roles/server_agent.rs
@@ -19,6 +19,8 @@
 const HOLD_GAP: Duration = Duration::from_millis(15);
 /// Pause before a call without an answer is made again.
 const RETRY_GAP: Duration = Duration::from_millis(100);
+/// How long a run of an unknown scheduler waits for one to claim it.
+const CLAIM_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Starts an agent beside one backend server.
 ///
@@ -64,6 +66,7 @@
             hold_wait: lease.mul_f64(HOLD_SHARE),
             hold_gap: HOLD_GAP,
             retry_gap: RETRY_GAP,
+            claim_wait: CLAIM_WAIT,
         },
     };
     let run_context = context.clone();
--- a/crates/decisions/src/agent/mod.rs
+++ b/crates/decisions/src/agent/mod.rs
@@ -3,6 +3,7 @@
 
 mod instance_pool;
 mod run_table;
+mod scheduler_session;
 mod server_life;
 mod start_table;
 
--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -1,25 +1,27 @@
 //! Decides what an agent asks of its backend server: runs start and stop on
-//! the scheduling host's orders, and their lease is renewed only while that
-//! host's grant lasts.
+//! the orders of schedulers, and each is kept at work only while its
+//! scheduler's grant lasts.
 //!
 //! Invariants:
 //! - orders of an earlier term, or for another life, start nothing;
 //! - what is being stopped takes room until its end is listed;
 //! - a start without an answer is barred by a stop, and reported as not
 //!   started only when a later list shows neither run nor end of it;
-//! - ends are reported until the scheduling host has recorded them.
+//! - a run is stopped when the grant of its scheduler is over;
+//! - ends are reported until control has recorded those that concern it.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 use model::{
-    AgentOrder, AgentOrders, AgentReport, EndKind, EndNumber, EventLine, Incarnation, LifeId,
-    ListedEnd, NodeId, RoomSize, RunNews, ServerAnswer, ServerBeat, ServerCall, ServerWish,
-    SessionId, StartRefusal, TaskRun, Term,
+    AgentOrder, AgentOrders, AgentReport, EntryHost, EventLine, FenceNumber, Incarnation, LifeId,
+    NodeId, RoomSize, RunNews, SchedulerKey, ServerAnswer, ServerBeat, ServerCall, ServerWish,
+    SessionId, StartRefusal, TaskRun,
 };
 
-use super::server_life::{RunPhase, ServerLife};
+use super::scheduler_session::SchedulerSession;
+use super::server_life::{OwnedNews, RunPhase, RunState, ServerLife};
 
 /// Times that the run table goes by.
 #[derive(Debug, Clone, Copy)]
@@ -32,19 +34,26 @@
     pub hold_gap: Duration,
     /// Pause before a call without an answer is made again.
     pub retry_gap: Duration,
+    /// How long a run of an unknown scheduler waits for one to claim it.
+    pub claim_wait: Duration,
 }
 
 /// Clocks of two hosts, or of a host and its backend server, drift apart by
 /// less than this share.
 pub(super) const DRIFT_SHARE: f64 = 0.05;
+/// How far a fencing token jumps when the backend server has seen a higher
+/// one: this host's calendar was set back since the agent before this one.
+const FENCE_JUMP: FenceNumber = 3_600_000;
 
 /// What an agent's run service does next.
 #[derive(Debug, Clone, PartialEq)]
 pub enum RunStep {
     /// Calls the backend server.
     Call(ServerCall),
-    /// Reports to the scheduling host.
-    Report(AgentReport),
+    /// Reports to a scheduler.
+    Report(SchedulerKey, AgentReport),
+    /// Connects to these entries.
+    Connect(Vec<EntryHost>),
     /// Writes a log line.
     Note(EventLine),
 }
@@ -57,14 +66,10 @@
     limits: RunLimits,
     started_at: Instant,
     life: Option<ServerLife>,
-    session: Option<SessionId>,
-    /// Whether the next report must list every run.
-    owes_runs: bool,
-    report_out: bool,
-    owes_report: bool,
-    term: Term,
-    grant_until: Option<Instant>,
-    news: Vec<RunNews>,
+    schedulers: IndexMap<SchedulerKey, SchedulerSession>,
+    /// The agent alone calls its backend server: the token rises with each
+    /// start of the agent.
+    fence: FenceNumber,
     steps: Vec<RunStep>,
 }
 
@@ -82,13 +87,8 @@
             limits,
             started_at: now,
             life: None,
-            session: None,
-            owes_runs: true,
-            report_out: false,
-            owes_report: false,
-            term: 0,
-            grant_until: None,
-            news: Vec::new(),
+            schedulers: IndexMap::new(),
+            fence: incarnation,
             steps: Vec::new(),
         }
     }
@@ -99,9 +99,10 @@
             Some(life) if life.instance == beat.instance && life.born == beat.born => {
                 if life.sequence < beat.sequence {
                     life.sequence = beat.sequence;
-                    self.owes_report |= life.view != beat.view;
+                    let changed = life.view != beat.view;
                     life.view = beat.view.clone();
                     life.address = beat.address;
+                    self.owe_reports(changed);
                 }
             }
             Some(life) if beat.born < life.born => {}
@@ -110,6 +111,12 @@
         self.finish(now)
     }
 
+    fn owe_reports(&mut self, owed: bool) {
+        for session in self.schedulers.values_mut() {
+            session.owes_report |= owed;
+        }
+    }
+
     fn begin_life(&mut self, now: Instant, beat: &ServerBeat) {
         self.end_life("another life began");
         let line = EventLine::new("server_life")
@@ -130,65 +137,121 @@
 
     /// Nothing of a life that ended is at work any more.
     fn end_life(&mut self, reason: &str) {
-        let Some(life) = self.life.take() else { return };
+        let Some(mut life) = self.life.take() else { return };
         let line = EventLine::new("server_life_ended")
             .with("life", &life.view.life)
             .with("reason", reason)
             .with("runs", life.runs.len());
         self.steps.push(RunStep::Note(line));
-        for run in life.runs.into_keys() {
-            self.news.push(RunNews::Ended { number: 0, run, kind: EndKind::Lapsed });
+        self.tell(life.take_lapsed());
+        for session in self.schedulers.values_mut() {
+            session.owes_runs = true;
+            session.owes_report = true;
+        }
+    }
+
+    /// Hands news to the schedulers that they are for; what is nobody's goes
+    /// to all.
+    fn tell(&mut self, news: Vec<OwnedNews>) {
+        for (owner, what) in news {
+            self.steps.push(RunStep::Note(news_line(&what)));
+            match owner {
+                Some(owner) => self.tell_one(&owner, what),
+                None => {
+                    for session in self.schedulers.values_mut() {
+                        session.news.push(what.clone());
+                    }
+                }
+            }
         }
-        self.owes_runs = true;
-        self.owes_report = true;
-    }
-
-    /// A connection to the scheduling host was opened.
-    pub fn on_session(&mut self, now: Instant, session: Option<SessionId>) -> Vec<RunStep> {
-        self.session = session;
-        self.report_out = false;
-        self.owes_runs = true;
-        self.owes_report = true;
-        self.news.clear();
-        if let Some(life) = &self.life {
-            self.news.extend(life.unnoted.iter().map(news_of));
+    }
+
+    fn tell_one(&mut self, scheduler: &SchedulerKey, news: RunNews) {
+        if let Some(session) = self.schedulers.get_mut(scheduler)
+            && session.session.is_some()
+        {
+            session.news.push(news);
+        }
+    }
+
+    /// A connection to a scheduler was opened.
+    pub fn on_opened(
+        &mut self,
+        now: Instant,
+        scheduler: SchedulerKey,
+        session: SessionId,
+    ) -> Vec<RunStep> {
+        let life = self.life.as_ref();
+        let news = life.map(|life| life.unnoted_of(&scheduler)).unwrap_or_default();
+        self.schedulers.entry(scheduler).or_default().open(session, news);
+        self.finish(now)
+    }
+
+    /// A connection to a scheduler is gone.
+    pub fn on_closed(
+        &mut self,
+        now: Instant,
+        scheduler: &SchedulerKey,
+        session: SessionId,
+    ) -> Vec<RunStep> {
+        if let Some(known) = self.schedulers.get_mut(scheduler) {
+            known.close(session);
         }
         self.finish(now)
     }
 
-    /// The scheduling host took the latest report.
-    pub fn on_report_taken(&mut self, now: Instant, session: SessionId) -> Vec<RunStep> {
-        if self.session == Some(session) {
-            self.report_out = false;
+    /// A scheduler took the latest report.
+    pub fn on_report_taken(
+        &mut self,
+        now: Instant,
+        scheduler: &SchedulerKey,
+        session: SessionId,
+    ) -> Vec<RunStep> {
+        if let Some(known) = self.session_mut(scheduler, session) {
+            known.report_out = false;
         }
         self.finish(now)
     }
 
-    /// The scheduling host's orders.
+    fn session_mut(
+        &mut self,
+        scheduler: &SchedulerKey,
+        session: SessionId,
+    ) -> Option<&mut SchedulerSession> {
+        self.schedulers.get_mut(scheduler).filter(|known| known.session == Some(session))
+    }
+
+    /// A scheduler's orders.
     pub fn on_orders(
         &mut self,
         now: Instant,
+        scheduler: &SchedulerKey,
         session: SessionId,
         asked_at: Instant,
         orders: AgentOrders,
     ) -> Vec<RunStep> {
-        if self.session != Some(session) || orders.term < self.term {
+        let Some(known) = self.session_mut(scheduler, session) else { return Vec::new() };
+        if orders.term < known.term {
             return Vec::new();
         }
-        self.term = orders.term;
+        known.term = orders.term;
         let grant = Duration::from_millis(orders.grant_ms).mul_f64(1.0 - DRIFT_SHARE);
-        self.grant_until = self.grant_until.max(Some(asked_at + grant));
+        known.grant_until = known.grant_until.max(Some(asked_at + grant));
         if let (Some(noted), Some(life)) = (&orders.noted, &mut self.life)
             && noted.life == life.view.life
         {
             life.note_upto(noted.upto);
         }
+        if let Some(entries) = orders.entries {
+            self.steps.push(RunStep::Connect(entries));
+        }
         for order in orders.orders {
             match order {
                 AgentOrder::Start { life, runs, spec, size } => {
-                    self.start(now, &life, runs, &Arc::from(spec), size);
+                    self.start(now, scheduler, &life, runs, &Arc::from(spec), size);
                 }
                 AgentOrder::Stop { run } => self.stop(now, run),
+                AgentOrder::Keep { run } => self.keep(scheduler, &run),
             }
         }
         self.finish(now)
@@ -197,22 +260,24 @@
     fn start(
         &mut self,
         now: Instant,
+        scheduler: &SchedulerKey,
         life: &LifeId,
         runs: Vec<TaskRun>,
         spec: &Arc<str>,
         size: RoomSize,
     ) {
         for run in runs {
-            match self.refusal(life, &size) {
-                Some(refusal) => self.news.push(RunNews::Refused { run, refusal }),
-                None => {
-                    let wish = ServerWish::Start { run: run.clone(), spec: Arc::clone(spec) };
-                    if let Some(life) = &mut self.life {
-                        life.add_run(run, size, RunPhase::Starting);
-                    }
-                    self.call(now, wish);
-                }
+            if let Some(refusal) = self.refusal(life, &size) {
+                self.tell_one(scheduler, RunNews::Refused { run, refusal });
+                continue;
+            }
+            let wish = ServerWish::Start { run: run.clone(), spec: Arc::clone(spec) };
+            if let Some(life) = &mut self.life {
+                let owner = Some(scheduler.clone());
+                let state = RunState { phase: RunPhase::Starting, size, owner, since: now };
+                life.runs.insert(run, state);
             }
+            self.call(now, wish);
         }
     }
 
@@ -226,24 +291,35 @@
         (!life.free_room().holds(size)).then_some(StartRefusal::Room)
     }
 
+    /// Stops a run; one that is not known here needs no stop.
     fn stop(&mut self, now: Instant, run: TaskRun) {
-        let Some(life) = &mut self.life else { return };
-        life.add_run(run.clone(), RoomSize::default(), RunPhase::Stopping { retry_at: None });
-        self.call(now, ServerWish::Stop { run });
+        let Some(state) = self.life.as_mut().and_then(|life| life.runs.get_mut(&run)) else {
+            return;
+        };
+        if matches!(state.phase, RunPhase::Starting | RunPhase::Running { .. }) {
+            state.phase = RunPhase::Stopping { retry_at: None };
+            self.call(now, ServerWish::Stop { run });
+        }
     }
 
-    /// Makes a call; what it lets run is covered by the grant.
+    fn keep(&mut self, scheduler: &SchedulerKey, run: &TaskRun) {
+        let state = self.life.as_mut().and_then(|life| life.runs.get_mut(run));
+        if let Some(state) = state.filter(|state| state.owner.is_none()) {
+            state.owner = Some(scheduler.clone());
+        }
+    }
+
+    /// Makes a call; what it lets run is covered by the longest grant.
     fn call(&mut self, now: Instant, wish: ServerWish) {
-        let grant_left =
-            self.grant_until.map(|until| until.saturating_duration_since(now)).unwrap_or_default();
-        let lease = self.limits.lease.min(grant_left);
+        let grants = self.schedulers.values().map(|session| session.grant_left(now));
+        let lease = grants.max().unwrap_or_default().min(self.limits.lease);
         let Some(life) = &mut self.life else { return };
         let lease_until = life.extend_lease(now, lease);
         let call = ServerCall {
             address: life.address,
             life: life.view.life.clone(),
             instance: life.instance.clone(),
-            fence: self.term,
+            fence: self.fence,
             lease_until,
             wish,
         };
@@ -262,9 +338,17 @@
             return Vec::new();
         };
         life.learn_clock(clock);
-        if answer == ServerAnswer::Refused(StartRefusal::Gone) {
-            self.end_life("another instance answered");
-            return self.finish(now);
+        match answer {
+            ServerAnswer::Refused(StartRefusal::Gone) => {
+                self.end_life("another instance answered");
+                return self.finish(now);
+            }
+            ServerAnswer::Refused(StartRefusal::Fence) if call.fence == self.fence => {
+                self.fence += FENCE_JUMP;
+                let line = EventLine::new("fence_raised").with("fence", self.fence);
+                self.steps.push(RunStep::Note(line));
+            }
+            _ => {}
         }
         match &call.wish {
             ServerWish::Start { run, .. } => self.on_start_answer(now, run, &answer),
@@ -277,14 +361,13 @@
     fn on_start_answer(&mut self, now: Instant, run: &TaskRun, answer: &ServerAnswer) {
         let Some(life) = &mut self.life else { return };
         let Some(state) = life.runs.get_mut(run) else { return };
-        if state.phase != RunPhase::Starting {
-            return;
-        }
         match answer {
             ServerAnswer::Refused(refusal) => {
-                life.runs.swap_remove(run);
-                self.news.push(RunNews::Refused { run: run.clone(), refusal: *refusal });
+                let owner = life.runs.swap_remove(run).and_then(|state| state.owner);
+                let news = RunNews::Refused { run: run.clone(), refusal: *refusal };
+                self.tell(vec![(owner, news)]);
             }
+            _ if state.phase != RunPhase::Starting => {}
             ServerAnswer::NoAnswer => {
                 let line = EventLine::new("start_in_doubt").with("run", run);
                 self.steps.push(RunStep::Note(line));
@@ -301,13 +384,11 @@
 
     fn on_stop_answer(&mut self, now: Instant, run: &TaskRun, answer: &ServerAnswer) {
         let Some(life) = &mut self.life else { return };
-        let holds_sent = life.holds_sent;
+        let since_hold = life.holds_sent;
         let Some(state) = life.runs.get_mut(run) else { return };
         state.phase = match answer {
-            ServerAnswer::NoAnswer => {
-                RunPhase::Stopping { retry_at: Some(now + self.limits.retry_gap) }
-            }
-            _ => RunPhase::Barred { since_hold: holds_sent },
+            ServerAnswer::Done => RunPhase::Barred { since_hold },
+            _ => RunPhase::Stopping { retry_at: Some(now + self.limits.retry_gap) },
         };
     }
 
@@ -321,16 +402,11 @@
             return;
         };
         life.hold_failed = false;
-        if !life.listed {
-            life.listed = true;
-            self.owes_report = true;
-        }
-        let fresh = life.take_lists(&running, ended);
+        let found = !std::mem::replace(&mut life.listed, true);
+        let fresh = life.take_lists(now, &running, ended);
         life.hold_at = if fresh.is_empty() { now + gap } else { now };
-        for news in &fresh {
-            self.steps.push(RunStep::Note(news_line(news)));
-        }
-        self.news.extend(fresh);
+        self.owe_reports(found);
+        self.tell(fresh);
     }
 
     /// Deals with what time alone brings.
@@ -340,6 +416,7 @@
 
     fn finish(&mut self, now: Instant) -> Vec<RunStep> {
         self.lapse_if_over(now);
+        self.stop_ungranted(now);
         self.retry_stops(now);
         self.hold_if_due(now);
         self.report_if_due(now);
@@ -351,16 +428,37 @@
         let Some(life) = self.life.as_mut().filter(|life| life.has_lapsed(now)) else { return };
         life.listed = false;
         life.lease_over_at = None;
-        let runs: IndexMap<TaskRun, _> = std::mem::take(&mut life.runs);
         let line = EventLine::new("lease_lapsed")
             .with("life", &life.view.life)
-            .with("runs", runs.len())
+            .with("runs", life.runs.len())
             .with("hold_failed", life.hold_failed);
         self.steps.push(RunStep::Note(line));
-        for run in runs.into_keys() {
-            self.news.push(RunNews::Ended { number: 0, run, kind: EndKind::Lapsed });
+        let lapsed = life.take_lapsed();
+        self.tell(lapsed);
+        self.owe_reports(true);
+    }
+
+    /// Runs whose scheduler's grant is over are stopped, and so are those that
+    /// no scheduler claims.
+    fn stop_ungranted(&mut self, now: Instant) {
+        let Some(life) = &self.life else { return };
+        let over = life.runs.iter().filter(|(_, state)| {
+            matches!(state.phase, RunPhase::Starting | RunPhase::Running { .. })
+                && self.granted_until(state).is_none_or(|until| until <= now)
+        });
+        let over: Vec<TaskRun> = over.map(|(run, _)| run.clone()).collect();
+        for run in over {
+            let line = EventLine::new("run_ungranted").with("run", &run);
+            self.steps.push(RunStep::Note(line));
+            self.stop(now, run);
+        }
+    }
+
+    fn granted_until(&self, state: &RunState) -> Option<Instant> {
+        match &state.owner {
+            None => Some(state.since + self.limits.claim_wait),
+            Some(owner) => self.schedulers.get(owner)?.grant_until,
         }
-        self.owes_report = true;
     }
 
     fn retry_stops(&mut self, now: Instant) {
@@ -391,52 +489,69 @@
         } else {
             self.limits.hold_wait
         };
-        let noted = life.noted;
+        let noted = life.noted();
         self.call(now, ServerWish::Hold { noted, wait });
     }
 
-    /// One report is on its way at a time; what is new meanwhile goes with the
-    /// next.
+    /// One report to each scheduler is on its way at a time; what is new
+    /// meanwhile goes with the next.
     fn report_if_due(&mut self, now: Instant) {
-        let Some(session) = self.session else { return };
-        if self.report_out || !(self.owes_report || !self.news.is_empty()) {
-            return;
-        }
         if !self.knows_runs(now) {
             return;
         }
         let life = self.life.as_ref().filter(|life| life.listed);
-        let runs = self.owes_runs.then(|| {
-            self.life.as_ref().map(|life| life.runs.keys().cloned().collect()).unwrap_or_default()
-        });
-        let report = AgentReport {
-            agent: self.agent.clone(),
-            incarnation: self.incarnation,
-            session,
-            server: life.map(|life| life.view.clone()),
-            runs,
-            news: std::mem::take(&mut self.news),
-        };
-        self.owes_runs = false;
-        self.owes_report = false;
-        self.report_out = true;
-        self.steps.push(RunStep::Report(report));
+        for (scheduler, session) in &mut self.schedulers {
+            let others = life.map(|life| life.others_room(scheduler)).unwrap_or_default();
+            if !session.wants_report(now, &others) {
+                continue;
+            }
+            let Some(number) = session.session else { continue };
+            let listed = |owner| life.map(|life| life.runs_of(owner)).unwrap_or_default();
+            let report = AgentReport {
+                agent: self.agent.clone(),
+                incarnation: self.incarnation,
+                session: number,
+                server: life.map(|life| life.view.clone()),
+                runs: session.owes_runs.then(|| listed(Some(scheduler))),
+                unowned: if session.owes_runs { listed(None) } else { Vec::new() },
+                news: std::mem::take(&mut session.news),
+                others,
+            };
+            session.note_report(now, others);
+            self.steps.push(RunStep::Report(scheduler.clone(), report));
+        }
     }
 
     /// A new agent may say what runs once the backend server listed it, or
     /// once everything that ran before has surely lapsed.
     fn knows_runs(&self, now: Instant) -> bool {
-        let lapsed_at = self.started_at + self.limits.lease.mul_f64(1.0 + DRIFT_SHARE) * 2;
-        self.life.as_ref().is_some_and(|life| life.listed) || now >= lapsed_at
+        self.life.as_ref().is_some_and(|life| life.listed) || now >= self.lapsed_at()
+    }
+
+    fn lapsed_at(&self) -> Instant {
+        self.started_at + self.limits.lease.mul_f64(1.0 + DRIFT_SHARE) * 2
     }
 
     /// When [`RunTable::on_tick`] is next needed.
     pub fn next_deadline(&self) -> Option<Instant> {
-        let start = self.started_at + self.limits.lease.mul_f64(1.0 + DRIFT_SHARE) * 2;
-        let first = (self.session.is_some() && self.owes_runs && !self.report_out)
-            .then_some(start);
-        let life = self.life.as_ref().and_then(ServerLife::next_deadline);
-        [first, life].into_iter().flatten().min()
+        let owed = self.schedulers.values().any(|session| {
+            session.session.is_some() && session.owes_report && !session.report_out
+        });
+        let first = owed.then(|| self.lapsed_at());
+        let life = self.life.as_ref();
+        let granted = life.into_iter().flat_map(|life| {
+            let active = life.runs.values().filter(|state| {
+                matches!(state.phase, RunPhase::Starting | RunPhase::Running { .. })
+            });
+            active.filter_map(|state| self.granted_until(state))
+        });
+        let listed = life.filter(|life| life.listed);
+        let reports = self.schedulers.iter().filter_map(|(scheduler, session)| {
+            let others = listed.map(|life| life.others_room(scheduler)).unwrap_or_default();
+            session.next_report(&others)
+        });
+        let life = life.and_then(ServerLife::next_deadline);
+        first.into_iter().chain(granted).chain(reports).chain(life).min()
     }
 
     /// Runs that may be at work.
@@ -455,13 +570,3 @@
         }
     }
 }
-
-/// An end as it is reported.
-fn news_of(end: &ListedEnd) -> RunNews {
-    RunNews::Ended { number: end.number, run: end.run.clone(), kind: end.kind }
-}
-
-/// Positions of ends rise without gaps within a life.
-pub(super) fn is_new(end: &ListedEnd, seen: EndNumber) -> bool {
-    end.number > seen
-}
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -4,10 +4,12 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use model::{EndKind, EndNumber, LifeId, ListedEnd, RoomSize, RunNews, ServerBeat, ServerView,
-    StartRefusal, TaskRun};
+use model::{
+    EndKind, EndNumber, LifeId, ListedEnd, RoomSize, RunNews, SchedulerKey, ServerBeat, ServerView,
+    StartRefusal, TaskRun,
+};
 
-use super::run_table::{DRIFT_SHARE, is_new};
+use super::run_table::DRIFT_SHARE;
 
 /// Ends in one list at most; a list that is full may leave some out.
 const FULL_LIST: usize = 500;
@@ -31,6 +33,20 @@
 pub(super) struct RunState {
     pub(super) phase: RunPhase,
     pub(super) size: RoomSize,
+    /// The scheduler whose run it is; `None` when this agent was started
+    /// after the run and nobody has claimed it.
+    pub(super) owner: Option<SchedulerKey>,
+    pub(super) since: Instant,
+}
+
+/// News about a run, and whom they are for.
+pub(super) type OwnedNews = (Option<SchedulerKey>, RunNews);
+
+/// An end that its scheduler has yet to record.
+#[derive(Debug, Clone)]
+struct UnnotedEnd {
+    end: ListedEnd,
+    owner: Option<SchedulerKey>,
 }
 
 #[derive(Debug, Clone)]
@@ -47,10 +63,8 @@
     /// Whether it has listed its runs since contact was made.
     pub(super) listed: bool,
     pub(super) runs: IndexMap<TaskRun, RunState>,
-    /// Ends that are not recorded yet.
-    pub(super) unnoted: Vec<ListedEnd>,
+    unnoted: Vec<UnnotedEnd>,
     seen: EndNumber,
-    pub(super) noted: EndNumber,
     pub(super) hold_out: bool,
     pub(super) hold_at: Instant,
     pub(super) hold_failed: bool,
@@ -71,7 +85,6 @@
             runs: IndexMap::new(),
             unnoted: Vec::new(),
             seen: 0,
-            noted: 0,
             hold_out: false,
             hold_at: now,
             hold_failed: false,
@@ -80,17 +93,23 @@
     }
 
     pub(super) fn free_room(&self) -> RoomSize {
-        let sizes = self.runs.values().map(|run| run.size);
-        let taken = sizes.fold(RoomSize::default(), |sum, size| sum.with(&size));
-        self.view.room.without(&taken)
+        self.view.room.without(&self.room_of(|_| true))
+    }
+
+    /// Room that the runs of other schedulers take.
+    pub(super) fn others_room(&self, scheduler: &SchedulerKey) -> RoomSize {
+        self.room_of(|run| run.owner.as_ref() != Some(scheduler))
+    }
+
+    fn room_of(&self, counts: impl Fn(&RunState) -> bool) -> RoomSize {
+        let runs = self.runs.values().filter(|run| counts(run));
+        runs.fold(RoomSize::default(), |sum, run| sum.with(&run.size))
     }
 
-    /// Adds a run; one that is known keeps its room.
-    pub(super) fn add_run(&mut self, run: TaskRun, size: RoomSize, phase: RunPhase) {
-        self.runs
-            .entry(run)
-            .and_modify(|state| state.phase = phase)
-            .or_insert(RunState { phase, size });
+    /// Runs of a scheduler.
+    pub(super) fn runs_of(&self, scheduler: Option<&SchedulerKey>) -> Vec<TaskRun> {
+        let owned = self.runs.iter().filter(|(_, run)| run.owner.as_ref() == scheduler);
+        owned.map(|(run, _)| run.clone()).collect()
     }
 
     /// The clock's latest reading is the one least off.
@@ -115,38 +134,53 @@
         self.lease_over_at.is_some_and(|at| at <= now)
     }
 
-    /// Ends up to this one are recorded.
+    /// Control has recorded the ends up to this one that concern it.
     pub(super) fn note_upto(&mut self, upto: EndNumber) {
-        self.noted = self.noted.max(upto);
-        let noted = self.noted;
-        self.unnoted.retain(|end| is_new(end, noted));
+        self.unnoted.retain(|unnoted| unnoted.end.number > upto);
+    }
+
+    /// Ends up to this one concern nobody any more.
+    pub(super) fn noted(&self) -> EndNumber {
+        self.unnoted.first().map_or(self.seen, |unnoted| unnoted.end.number - 1)
+    }
+
+    /// Ends that a scheduler has yet to record.
+    pub(super) fn unnoted_of(&self, scheduler: &SchedulerKey) -> Vec<RunNews> {
+        let concerns = |owner: &Option<SchedulerKey>| {
+            owner.as_ref().is_none_or(|owner| owner == scheduler)
+        };
+        let unnoted = self.unnoted.iter().filter(|unnoted| concerns(&unnoted.owner));
+        unnoted.map(|unnoted| news_of(&unnoted.end)).collect()
     }
 
     /// Takes the lists of the latest hold; gives what is new.
     pub(super) fn take_lists(
         &mut self,
+        now: Instant,
         running: &[TaskRun],
         ended: Vec<ListedEnd>,
-    ) -> Vec<RunNews> {
+    ) -> Vec<OwnedNews> {
         let is_full = ended.len() >= FULL_LIST;
         let mut news = Vec::new();
         for end in ended {
-            if !is_new(&end, self.seen) {
+            if end.number <= self.seen {
                 continue;
             }
             self.seen = end.number;
-            self.runs.swap_remove(&end.run);
-            news.push(RunNews::Ended {
-                number: end.number,
-                run: end.run.clone(),
-                kind: end.kind,
-            });
-            self.unnoted.push(end);
+            let owner = self.runs.swap_remove(&end.run).and_then(|run| run.owner);
+            news.push((owner.clone(), news_of(&end)));
+            // Best-effort jobs need no record of their ends.
+            if !matches!(owner, Some(SchedulerKey::Entry(_))) {
+                self.unnoted.push(UnnotedEnd { end, owner });
+            }
         }
         for run in running {
-            let phase = RunPhase::Running { since_hold: self.holds_sent };
-            let state = RunState { phase, size: RoomSize::default() };
-            self.runs.entry(run.clone()).or_insert(state);
+            self.runs.entry(run.clone()).or_insert(RunState {
+                phase: RunPhase::Running { since_hold: self.holds_sent },
+                size: RoomSize::default(),
+                owner: None,
+                since: now,
+            });
         }
         if !is_full {
             news.extend(self.drop_unlisted(running));
@@ -156,30 +190,37 @@
 
     /// A run that the list of a later hold does not show is over, or never
     /// began.
-    fn drop_unlisted(&mut self, running: &[TaskRun]) -> Vec<RunNews> {
+    fn drop_unlisted(&mut self, running: &[TaskRun]) -> Vec<OwnedNews> {
         let holds_sent = self.holds_sent;
         let mut news = Vec::new();
         self.runs.retain(|run, state| {
             if running.contains(run) {
                 return true;
             }
-            match state.phase {
+            let what = match state.phase {
                 RunPhase::Running { since_hold } if since_hold < holds_sent => {
-                    let kind = EndKind::Lapsed;
-                    news.push(RunNews::Ended { number: 0, run: run.clone(), kind });
-                    false
+                    RunNews::Ended { number: 0, run: run.clone(), kind: EndKind::Lapsed }
                 }
                 RunPhase::Barred { since_hold } if since_hold < holds_sent => {
-                    let refusal = StartRefusal::Barred;
-                    news.push(RunNews::Refused { run: run.clone(), refusal });
-                    false
+                    RunNews::Refused { run: run.clone(), refusal: StartRefusal::Barred }
                 }
-                _ => true,
-            }
+                _ => return true,
+            };
+            news.push((state.owner.clone(), what));
+            false
         });
         news
     }
 
+    /// Everything there is over.
+    pub(super) fn take_lapsed(&mut self) -> Vec<OwnedNews> {
+        let runs = std::mem::take(&mut self.runs).into_iter();
+        runs.map(|(run, state)| {
+            (state.owner, RunNews::Ended { number: 0, run, kind: EndKind::Lapsed })
+        })
+        .collect()
+    }
+
     pub(super) fn next_deadline(&self) -> Option<Instant> {
         let hold = (!self.hold_out).then_some(self.hold_at);
         let retries = self.runs.values().filter_map(|state| match state.phase {
@@ -189,3 +230,8 @@
         [hold, self.lease_over_at].into_iter().flatten().chain(retries).min()
     }
 }
+
+/// An end as it is reported.
+fn news_of(end: &ListedEnd) -> RunNews {
+    RunNews::Ended { number: end.number, run: end.run.clone(), kind: end.kind }
+}
--- a/crates/decisions/src/schedule/agent_seat.rs
+++ b/crates/decisions/src/schedule/agent_seat.rs
@@ -41,6 +41,10 @@
     pub(super) heard_at: Instant,
     pub(super) server: Option<ServerView>,
     pub(super) taken: RoomSize,
+    /// Room that other schedulers' runs take, as last reported.
+    pub(super) others: RoomSize,
+    /// Version of the entries' list that the agent has.
+    pub(super) entries_told: u64,
     pub(super) parked: Option<ParkedPoll>,
     pub(super) outbox: Vec<AgentOrder>,
     pub(super) paused_until: Option<Instant>,
@@ -60,6 +64,8 @@
             heard_at: now,
             server: None,
             taken: RoomSize::default(),
+            others: RoomSize::default(),
+            entries_told: 0,
             parked: None,
             outbox: Vec::new(),
             paused_until: None,
@@ -75,7 +81,7 @@
     /// Room that no run takes.
     pub fn free_room(&self) -> RoomSize {
         let all = self.server.as_ref().map(|server| server.room).unwrap_or_default();
-        all.without(&self.taken)
+        all.without(&self.taken).without(&self.others)
     }
 
     /// Run time here over the estimate, as learnt from what ran.
@@ -112,6 +118,7 @@
         self.outbox.clear();
         self.parked = None;
         self.noted_told = 0;
+        self.entries_told = 0;
     }
 
     pub(super) fn learn_run_time(&mut self, ran: Duration, estimate: Duration) {
--- a/crates/decisions/src/schedule/mod.rs
+++ b/crates/decisions/src/schedule/mod.rs
@@ -1,5 +1,6 @@
-//! Decisions of the control host that schedules: which task runs where, and
-//! who is refused.
+//! Decisions of a scheduler: which task runs where, and who is refused. The
+//! control host that leads schedules jobs that are stored; each entry schedules
+//! its own callers' best-effort jobs.
 //!
 //! Invariants:
 //! - a task has at most one placement, and none once it is done;
@@ -10,6 +11,7 @@
 
 mod admitting;
 mod agent_seat;
+mod entry_list;
 mod placing;
 mod ready_queue;
 mod reports;
@@ -17,4 +19,4 @@
 mod takeover;
 
 pub use agent_seat::AgentSeat;
-pub use scheduler::{JobDecision, ScheduleLimits, ScheduleStep, Scheduler};
+pub use scheduler::{JobDecision, ScheduleLimits, ScheduleStep, Scheduler, SchedulerKind};
--- a/crates/decisions/src/schedule/placing.rs
+++ b/crates/decisions/src/schedule/placing.rs
@@ -146,7 +146,7 @@
         let wanted = job.steps.get(step as usize)?;
         let service = self.service_of(job)?;
         let fits = |(agent, seat): &(&NodeId, &AgentSeat)| {
-            self.book.seats().contains(*agent)
+            self.is_seated(agent)
                 && seat.is_open(now)
                 && suits(seat, wanted, &service)
                 && seat.free_room().holds(&wanted.size)
@@ -196,7 +196,7 @@
         let far = wanted.data_rack.as_ref().is_some_and(|rack| !server.labels.contains(rack));
         let distance = if far { self.limits.remote_factor } else { 1.0 };
         let all = server.room.cpu_milli.max(1) as f64;
-        let crowding = seat.taken.cpu_milli as f64 / all;
+        let crowding = 1.0 - seat.free_room().cpu_milli as f64 / all;
         seat.slowness() * distance * (1.0 + CROWDING_WEIGHT * slack * crowding)
     }
 
--- a/crates/decisions/src/schedule/reports.rs
+++ b/crates/decisions/src/schedule/reports.rs
@@ -9,7 +9,7 @@
 };
 
 use super::agent_seat::{AgentSeat, ParkedPoll};
-use super::scheduler::{Placement, ScheduleStep, Scheduler};
+use super::scheduler::{Placement, ScheduleStep, Scheduler, SchedulerKind};
 
 /// Pause of a backend server that says it has no room, or is unhealthy.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(100);
@@ -60,7 +60,7 @@
         if known.is_some_and(|known| known > named) || report.runs.is_none() {
             return false;
         }
-        if !self.book.seats().contains(agent) {
+        if !self.is_seated(agent) {
             let agent = agent.clone();
             self.steps.push(ScheduleStep::Propose(vec![Command::SeatAgent { agent }]));
         }
@@ -86,6 +86,7 @@
         let new_life = report.server.as_ref().map(|server| &server.life) != seat.life();
         let changed = seat.server != report.server;
         seat.server = report.server.clone();
+        seat.others = report.others;
         if new_life {
             seat.begin_life();
         }
@@ -110,7 +111,8 @@
             .placements
             .iter()
             .filter(|(task, placed)| {
-                let listed = runs.iter().any(|run| run.task == **task && run.run == placed.run);
+                let mut listed = runs.iter().chain(&report.unowned);
+                let listed = listed.any(|run| run.task == **task && run.run == placed.run);
                 placed.agent == *agent && !placed.ended && !listed
             })
             .map(|(task, _)| task.clone())
@@ -123,25 +125,35 @@
             }
         }
         for run in runs {
-            self.adopt(now, report, run);
+            if !self.adopt(now, report, run) {
+                self.order(&report.agent, AgentOrder::Stop { run: run.clone() });
+            }
+        }
+        for run in &report.unowned {
+            if self.adopt(now, report, run) {
+                self.order(&report.agent, AgentOrder::Keep { run: run.clone() });
+            }
         }
         self.recount_room(agent);
     }
 
-    fn adopt(&mut self, now: Instant, report: &AgentReport, run: &TaskRun) {
-        let known = self.placements.get(&run.task);
-        if known.is_some_and(|placed| placed.agent == report.agent && placed.run == run.run) {
-            return;
+    fn order(&mut self, agent: &NodeId, order: AgentOrder) {
+        if let Some(seat) = self.seats.get_mut(agent) {
+            seat.outbox.push(order);
+        }
+    }
+
+    /// Takes over a run that this scheduler placed, or whose task is open and
+    /// placed nowhere; `false` when it should not run.
+    fn adopt(&mut self, now: Instant, report: &AgentReport, run: &TaskRun) -> bool {
+        if let Some(placed) = self.placements.get(&run.task) {
+            return placed.agent == report.agent && placed.run == run.run;
         }
-        let size = self.size_of(&run.task);
         let record = self.record(&run.task.job);
         let open = record.is_some_and(|record| !record.is_done(&run.task));
-        let (Some(size), true, true, Some(server)) = (size, open, known.is_none(), &report.server)
+        let (Some(size), true, Some(server)) = (self.size_of(&run.task), open, &report.server)
         else {
-            if let Some(seat) = self.seats.get_mut(&report.agent) {
-                seat.outbox.push(AgentOrder::Stop { run: run.clone() });
-            }
-            return;
+            return false;
         };
         let placed = Placement {
             agent: report.agent.clone(),
@@ -157,6 +169,7 @@
             let last = live.last_runs.entry(run.task.clone()).or_insert(0);
             *last = (*last).max(run.run);
         }
+        true
     }
 
     fn size_of(&self, task: &TaskName) -> Option<RoomSize> {
@@ -202,7 +215,7 @@
 
     /// Ends of jobs that are not stored need no record.
     fn is_stored(&self, run: &TaskRun) -> bool {
-        self.book.job(&run.task.job).is_some()
+        self.kind == SchedulerKind::Control && self.book.job(&run.task.job).is_some()
     }
 
     fn on_refused(
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -5,15 +5,25 @@
 
 use indexmap::{IndexMap, IndexSet};
 use model::{
-    AgentOrders, CallId, Command, EventLine, JobCall, JobId, JobPhase, JobRecord, JobReply, LifeId,
+    AgentOrders, CallId, Command, EntryHost, EventLine, JobCall, JobId, JobPhase, JobRecord, JobReply, LifeId,
     LogRecord, NodeId, QueueCatalog, QueuedJob, RoomSize, RunNumber, ScheduleState,
     TaskName, Term,
 };
 
 use super::agent_seat::AgentSeat;
+use super::entry_list::EntryList;
 use super::ready_queue::ReadyQueue;
 use crate::control::{JobBook, JobChange};
 
+/// Whose jobs a scheduler places.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SchedulerKind {
+    /// Control's, while this host leads: jobs that are stored.
+    Control,
+    /// An entry's: best-effort jobs of its own callers.
+    Entry,
+}
+
 /// Times that the scheduler goes by.
 #[derive(Debug, Clone, Copy)]
 pub struct ScheduleLimits {
@@ -119,6 +129,7 @@
 /// The scheduler.
 #[derive(Debug, Clone)]
 pub struct Scheduler {
+    pub(super) kind: SchedulerKind,
     pub(super) limits: ScheduleLimits,
     pub(super) book: JobBook,
     /// Best-effort jobs; they are kept by this leader only.
@@ -133,17 +144,20 @@
     pub(super) unheard: IndexSet<NodeId>,
     /// Jobs from before this leader, until it knows what runs.
     pub(super) held: Vec<JobId>,
+    pub(super) entries: EntryList,
     pub(super) steps: Vec<ScheduleStep>,
 }
 
 impl Scheduler {
-    /// A scheduler that knows nothing.
-    pub fn new(now: Instant, limits: ScheduleLimits) -> Scheduler {
+    /// A scheduler that knows nothing. An entry's begins at once, control's
+    /// when its host leads.
+    pub fn new(now: Instant, kind: SchedulerKind, limits: ScheduleLimits) -> Scheduler {
         Scheduler {
+            kind,
             limits,
             book: JobBook::default(),
             loose: JobBook::default(),
-            term: None,
+            term: (kind == SchedulerKind::Entry).then_some(0),
             led_since: now,
             seats: IndexMap::new(),
             live: IndexMap::new(),
@@ -151,6 +165,7 @@
             ready: ReadyQueue::default(),
             unheard: IndexSet::new(),
             held: Vec::new(),
+            entries: EntryList::default(),
             steps: Vec::new(),
         }
     }
@@ -161,6 +176,26 @@
         self.share_catalog();
     }
 
+    /// Control has confirmed a newer catalog; for an entry's scheduler.
+    pub fn on_catalog(&mut self, catalog: &Arc<QueueCatalog>) {
+        self.book.set_catalog(catalog);
+        self.share_catalog();
+    }
+
+    /// An entry asks control; agents are told where it is.
+    pub fn on_entry(&mut self, now: Instant, entry: &EntryHost) -> Vec<ScheduleStep> {
+        self.entries.note(now, entry);
+        self.finish(now)
+    }
+
+    /// Whether an agent may be given work: control's agents are recorded first.
+    pub(super) fn is_seated(&self, agent: &NodeId) -> bool {
+        match self.kind {
+            SchedulerKind::Control => self.book.seats().contains(agent),
+            SchedulerKind::Entry => true,
+        }
+    }
+
     fn share_catalog(&mut self) {
         if let Some(catalog) = self.book.catalog() {
             self.loose.set_catalog(&catalog);
@@ -306,6 +341,9 @@
 
     pub(super) fn poll_due(&self, seat: &AgentSeat) -> Option<Instant> {
         let parked = seat.parked?;
+        if seat.entries_told != self.entries.version() {
+            return Some(parked.since);
+        }
         let wait = match seat.has_news() {
             true => self.limits.noted_wait,
             false => self.limits.poll_wait,
@@ -342,7 +380,10 @@
             let Some(parked) = seat.parked.take() else { continue };
             let orders = std::mem::take(&mut seat.outbox);
             let noted = seat.tell_noted();
-            let orders = AgentOrders { term, grant_ms, noted, orders };
+            let news = seat.entries_told != self.entries.version();
+            seat.entries_told = self.entries.version();
+            let entries = news.then(|| self.entries.hosts());
+            let orders = AgentOrders { term, grant_ms, noted, orders, entries };
             self.steps.push(ScheduleStep::Orders { call: parked.call, orders });
         }
     }
--- a/crates/decisions/src/schedule/takeover.rs
+++ b/crates/decisions/src/schedule/takeover.rs
@@ -7,7 +7,7 @@
 use model::{Command, EventLine, JobId, JobReply, NodeId, TaskName};
 
 use super::ready_queue::ReadyQueue;
-use super::scheduler::{ScheduleStep, Scheduler};
+use super::scheduler::{ScheduleStep, Scheduler, SchedulerKind};
 
 impl Scheduler {
     pub(super) fn forget_volatile(&mut self) {
@@ -101,6 +101,8 @@
             self.placements.swap_remove(&task);
             self.make_ready_again(&task);
         }
-        self.steps.push(ScheduleStep::Propose(vec![Command::UnseatAgent { agent }]));
+        if self.kind == SchedulerKind::Control {
+            self.steps.push(ScheduleStep::Propose(vec![Command::UnseatAgent { agent }]));
+        }
     }
 }
--- a/crates/edges/src/control_edge.rs
+++ b/crates/edges/src/control_edge.rs
@@ -1,16 +1,19 @@
 //! The RPC server of a control host.
 
+use std::sync::Arc;
+
 use jsonrpsee::core::{RpcResult, async_trait};
 use kernel::{Registry, Reservation, RingReceiver, RingSender};
 use model::{
-    AgentPoll, AgentReport, CallId, Command, ConfigVersion, ControlQuery, ControlReply,
-    ControlReplyBody, JobCall, LogMessage, MembershipMessage, NodeWatch, ReplicaEnvelope,
+    AgentPoll, AgentReport, CallId, CatalogQuestion, Command, ControlQuery, ControlReply,
+    ControlReplyBody, JobCall, JobSlot, LogMessage, MembershipMessage, NodeWatch, ReplicaEnvelope,
     SchedulingMessage, ServiceName,
 };
 
 use crate::call_book::CallBook;
 use crate::edge_runtime::block_on;
-use crate::peer_api::{ControlApiServer, not_taken, start_server};
+use crate::peer_api::{ControlApiServer, ScheduleApiServer, not_taken, start_server};
+use crate::schedule_edge::ScheduleDesk;
 
 /// Nodes, operators and replicas that may be connected at a time.
 const MOST_CONNECTIONS: u32 = 4_096;
@@ -20,7 +23,7 @@
     own: RingSender<ControlReply>,
     replicated: RingSender<LogMessage>,
     membership: RingSender<MembershipMessage>,
-    scheduling: RingSender<SchedulingMessage>,
+    schedule: Arc<ScheduleDesk>,
 }
 
 impl ControlDesk {
@@ -37,15 +40,6 @@
     }
 }
 
-impl ControlDesk {
-    async fn ask_scheduling(
-        &self,
-        message: impl FnOnce(CallId, Reservation<ControlReply>) -> SchedulingMessage,
-    ) -> RpcResult<ControlReplyBody> {
-        self.ask(|call, reply| self.scheduling.push(message(call, reply)).is_ok()).await
-    }
-}
-
 #[async_trait]
 impl ControlApiServer for ControlDesk {
     async fn watch(&self, watch: NodeWatch) -> RpcResult<ControlReplyBody> {
@@ -70,22 +64,16 @@
     }
 
     async fn job(&self, job: JobCall) -> RpcResult<ControlReplyBody> {
-        self.ask_scheduling(|call, reply| SchedulingMessage::Job { call, job, reply }).await
-    }
-
-    async fn report(&self, report: AgentReport) -> RpcResult<ControlReplyBody> {
-        let report = Box::new(report);
-        self.ask_scheduling(|call, reply| SchedulingMessage::Report { call, report, reply }).await
-    }
-
-    async fn poll(&self, poll: AgentPoll) -> RpcResult<ControlReplyBody> {
-        self.ask_scheduling(|call, reply| SchedulingMessage::Poll { call, poll, reply }).await
+        let message = |call, reply| {
+            let reply = JobSlot::Peer(reply);
+            SchedulingMessage::Job { call, job, reply }
+        };
+        self.schedule.ask(message).await
     }
 
-    async fn catalog(&self, version: ConfigVersion) -> RpcResult<ControlReplyBody> {
-        let message =
-            |call, reply| SchedulingMessage::CatalogWatch { call, version, reply };
-        self.ask_scheduling(message).await
+    async fn catalog(&self, question: CatalogQuestion) -> RpcResult<ControlReplyBody> {
+        let message = |call, reply| SchedulingMessage::CatalogWatch { call, question, reply };
+        self.schedule.ask(message).await
     }
 
     async fn replica(&self, envelope: ReplicaEnvelope) -> RpcResult<ControlReplyBody> {
@@ -97,6 +85,22 @@
     }
 }
 
+/// Agents are served like an entry serves them.
+struct AgentsDesk {
+    schedule: Arc<ScheduleDesk>,
+}
+
+#[async_trait]
+impl ScheduleApiServer for AgentsDesk {
+    async fn report(&self, report: AgentReport) -> RpcResult<ControlReplyBody> {
+        ScheduleApiServer::report(self.schedule.as_ref(), report).await
+    }
+
+    async fn poll(&self, poll: AgentPoll) -> RpcResult<ControlReplyBody> {
+        ScheduleApiServer::poll(self.schedule.as_ref(), poll).await
+    }
+}
+
 /// Runs the duty until its ring is closed.
 ///
 /// # Panics
@@ -108,15 +112,23 @@
     listener: std::net::TcpListener,
 ) {
     let calls = CallBook::default();
+    let schedule = Arc::new(ScheduleDesk {
+        calls: calls.clone(),
+        own: registry.find(ServiceName::ControlEdge).expect("the control edge is registered"),
+        scheduling: registry.find(ServiceName::JobScheduling).expect("scheduling is registered"),
+    });
     let desk = ControlDesk {
         calls: calls.clone(),
         own: registry.find(ServiceName::ControlEdge).expect("the control edge is registered"),
         replicated: registry.find(ServiceName::ReplicatedLog).expect("the log is registered"),
         membership: registry.find(ServiceName::Membership).expect("membership is registered"),
-        scheduling: registry.find(ServiceName::JobScheduling).expect("scheduling is registered"),
+        schedule: Arc::clone(&schedule),
     };
     block_on(async move {
-        let handle = start_server(listener, MOST_CONNECTIONS, desk.into_rpc());
+        let mut module = desk.into_rpc().remove_context();
+        let agents = AgentsDesk { schedule }.into_rpc().remove_context();
+        module.merge(agents).expect("no two methods share a name");
+        let handle = start_server(listener, MOST_CONNECTIONS, module);
         while let Some(reply) = ring.next().await {
             calls.answer(reply.call, reply.body);
         }
--- a/crates/edges/src/job_calls.rs
+++ b/crates/edges/src/job_calls.rs
@@ -12,8 +12,9 @@
 use jsonrpsee::ws_client::WsClient;
 use kernel::{Registry, Reservation, RingReceiver, RingSender, SharedClock};
 use model::{
-    CallId, CommandResult, ConfigVersion, ControlReplyBody, EventLine, EventLog, JobCall,
-    JobCallMessage, JobReply, QueueFrontMessage, RefusalCause, ServiceName,
+    CallId, CatalogQuestion, CommandResult, ControlReplyBody, EntryHost, EventLine, EventLog,
+    JobCall, JobCallMessage, JobReply, QueueCatalog, QueueFrontMessage, RefusalCause,
+    SchedulingMessage, ServiceName,
 };
 use tokio::sync::watch;
 
@@ -36,6 +37,8 @@
     pub clock: SharedClock,
     /// Addresses of control hosts.
     pub controls: Vec<SocketAddr>,
+    /// Where agents find this entry.
+    pub entry: EntryHost,
 }
 
 /// Runs the duty until its ring is closed.
@@ -49,14 +52,17 @@
     log: EventLog,
 ) {
     let front = registry.find(ServiceName::QueueFront).expect("the queue front is registered");
+    let scheduling =
+        registry.find(ServiceName::JobScheduling).expect("the scheduling duty is registered");
     block_on(async move {
         let (set, connection) = watch::channel(None);
         let watcher = CatalogWatcher {
             finder: LeaderFinder::new(calls.controls.clone()),
             connection: set,
             front,
+            scheduling,
             log: log.clone(),
-            version: 0,
+            question: CatalogQuestion { version: 0, entry: calls.entry },
         };
         tokio::task::spawn_local(watcher.run());
         let desk = Rc::new(CallDesk { clock: calls.clock, connection, log });
@@ -74,8 +80,9 @@
     finder: LeaderFinder,
     connection: watch::Sender<Connection>,
     front: RingSender<QueueFrontMessage>,
+    scheduling: RingSender<SchedulingMessage>,
     log: EventLog,
-    version: ConfigVersion,
+    question: CatalogQuestion,
 }
 
 impl CatalogWatcher {
@@ -94,19 +101,10 @@
     /// Asks one host until it stops answering or does not lead.
     async fn watch(&mut self, address: SocketAddr, client: &Arc<WsClient>) -> Option<SocketAddr> {
         loop {
-            let answer = tokio::time::timeout(WATCH_LIMIT, client.catalog(self.version)).await;
+            let answer = tokio::time::timeout(WATCH_LIMIT, client.catalog(self.question.clone())).await;
             let Ok(Ok(body)) = answer else { return None };
             match body {
-                ControlReplyBody::Catalog(newer) => {
-                    if let Some(catalog) = newer
-                        && catalog.version > self.version
-                    {
-                        self.version = catalog.version;
-                        let line = EventLine::new("catalog_in_force").with("version", self.version);
-                        self.log.info(line);
-                        self.tell(QueueFrontMessage::Catalog { catalog });
-                    }
-                }
+                ControlReplyBody::Catalog(newer) => self.take_catalog(newer),
                 ControlReplyBody::NotLeader { leader } => return leader,
                 _ => return None,
             }
@@ -118,6 +116,21 @@
         }
     }
 
+    /// A catalog never gives way to an older one.
+    fn take_catalog(&mut self, newer: Option<Arc<QueueCatalog>>) {
+        let Some(catalog) = newer else { return };
+        if catalog.version <= self.question.version {
+            return;
+        }
+        self.question.version = catalog.version;
+        self.log.info(EventLine::new("catalog_in_force").with("version", catalog.version));
+        let message = SchedulingMessage::Catalog { catalog: Arc::clone(&catalog) };
+        if self.scheduling.push(message).is_err() {
+            self.log.warn(EventLine::new("ring_full").with("ring", ServiceName::JobScheduling));
+        }
+        self.tell(QueueFrontMessage::Catalog { catalog });
+    }
+
     fn tell(&self, message: QueueFrontMessage) {
         if self.front.push(message).is_err() {
             self.log.warn(EventLine::new("ring_full").with("ring", ServiceName::QueueFront));
@@ -175,13 +188,12 @@
 
     async fn attempt(&self, job: &JobCall, deadline: Instant) -> Attempt {
         let Some(client) = self.connection.borrow().clone() else { return Attempt::NotTaken };
-        let left = deadline.saturating_duration_since(self.clock.now());
-        let (job, limit) = with_time_left(job, left);
-        match tokio::time::timeout(limit, client.job(job.clone())).await {
+        let left = deadline.saturating_duration_since(self.clock.now()).min(ATTEMPT_LIMIT);
+        match tokio::time::timeout(left, client.job(job.clone())).await {
             Ok(Ok(ControlReplyBody::Job(JobReply::Unclear))) => Attempt::InDoubt,
             Ok(Ok(ControlReplyBody::Job(reply))) => Attempt::Answered(reply),
             Ok(Ok(ControlReplyBody::Results(results))) => {
-                Attempt::Answered(committed(&job, &results))
+                Attempt::Answered(committed(job, &results))
             },
             Ok(Ok(ControlReplyBody::NotLeader { .. })) => Attempt::NotTaken,
             _ => Attempt::InDoubt,
@@ -198,18 +210,6 @@
     }
 }
 
-/// The call as it is sent now, and how long its answer may take: the end of a
-/// best-effort job is waited for.
-fn with_time_left(job: &JobCall, left: Duration) -> (JobCall, Duration) {
-    match job {
-        JobCall::Accept { job, .. } if job.best_effort => {
-            let wait_ms = left.as_millis() as u64;
-            (JobCall::Accept { job: Arc::clone(job), wait_ms }, left)
-        }
-        other => (other.clone(), left.min(ATTEMPT_LIMIT)),
-    }
-}
-
 /// What a committed command means for its caller.
 fn committed(job: &JobCall, results: &[CommandResult]) -> JobReply {
     match (job, results.first()) {
--- a/crates/edges/src/lib.rs
+++ b/crates/edges/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod log_writer;
 pub mod metrics;
 pub mod replica_links;
+pub mod schedule_edge;
 pub mod schedule_link;
 
 mod agent_link;
--- a/crates/edges/src/peer_api.rs
+++ b/crates/edges/src/peer_api.rs
@@ -6,7 +6,7 @@
 use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
 use model::{
-    AgentPoll, AgentReport, AgentView, AgentWatch, Command, ConfigVersion, ControlQuery,
+    AgentPoll, AgentReport, AgentView, AgentWatch, CatalogQuestion, Command, ControlQuery,
     ControlReplyBody, JobCall, NodeWatch, RecallAnswer, RecallOrder, ReplicaEnvelope, StartOrder, TaskQuestion, TaskReport,
 };
 
@@ -55,6 +55,19 @@
     #[method(name = "job")]
     async fn job(&self, job: JobCall) -> RpcResult<ControlReplyBody>;
 
+    /// Answers when a catalog is newer than the entry's, or after a while.
+    #[method(name = "catalog")]
+    async fn catalog(&self, question: CatalogQuestion) -> RpcResult<ControlReplyBody>;
+
+    /// Takes a message of another replica; answers when what it promises is
+    /// synced.
+    #[method(name = "replica")]
+    async fn replica(&self, envelope: ReplicaEnvelope) -> RpcResult<ControlReplyBody>;
+}
+
+/// What schedulers, control hosts and entries alike, offer to agents.
+#[rpc(client, server, namespace = "schedule")]
+pub trait ScheduleApi {
     /// Takes an agent's news.
     #[method(name = "report")]
     async fn report(&self, report: AgentReport) -> RpcResult<ControlReplyBody>;
@@ -62,15 +75,6 @@
     /// Answers when there are orders for an agent, or after a while.
     #[method(name = "poll")]
     async fn poll(&self, poll: AgentPoll) -> RpcResult<ControlReplyBody>;
-
-    /// Answers when a catalog is newer than this version, or after a while.
-    #[method(name = "catalog")]
-    async fn catalog(&self, version: ConfigVersion) -> RpcResult<ControlReplyBody>;
-
-    /// Takes a message of another replica; answers when what it promises is
-    /// synced.
-    #[method(name = "replica")]
-    async fn replica(&self, envelope: ReplicaEnvelope) -> RpcResult<ControlReplyBody>;
 }
 
 /// The answer of a process that has no room for a message.
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -54,6 +54,9 @@
 pub type LifeId = CompactString;
 /// Position in a backend server's list of ended runs, from 1.
 pub type EndNumber = u64;
+/// Fencing token of the calls to a backend server; a lower one than it has
+/// seen does nothing there.
+pub type FenceNumber = u64;
 /// Counts the connections of one agent to control.
 pub type SessionId = u64;
 /// Position in the replicated log, from 1; 0 is before the first record.
@@ -96,7 +99,7 @@
     ControlEdge,
     /// Control: connections to the other replicas.
     ReplicaLinks,
-    /// Control: where the tasks of queued jobs run.
+    /// Control and entry: where the tasks of queued jobs run.
     JobScheduling,
     /// Control: the operators' HTTP server.
     OperatorFront,
@@ -108,6 +111,8 @@
     ServerRuns,
     /// Agent: HTTP calls from and to its backend server.
     ServerFront,
-    /// Agent: connection to the scheduling control host.
+    /// Agent: connections to schedulers.
     ScheduleLink,
+    /// Entry: the agents' RPC server.
+    ScheduleEdge,
 }
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -184,7 +184,35 @@
     },
 }
 
-/// What an agent tells the scheduling host.
+/// Who gives an agent orders.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum SchedulerKey {
+    /// The control host that leads: jobs that are stored.
+    Control,
+    /// An entry: its callers' best-effort jobs.
+    Entry(NodeId),
+}
+
+impl std::fmt::Display for SchedulerKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            SchedulerKey::Control => f.write_str("control"),
+            SchedulerKey::Entry(name) => f.write_str(name),
+        }
+    }
+}
+
+/// An entry that schedules, as agents find it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct EntryHost {
+    /// Its name.
+    pub name: NodeId,
+    /// Where agents reach it.
+    pub address: std::net::SocketAddr,
+}
+
+/// What an agent tells a scheduler.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AgentReport {
     /// The agent.
@@ -195,12 +223,18 @@
     pub session: SessionId,
     /// The backend server; `None` while none is known.
     pub server: Option<ServerView>,
-    /// Every run that may be at work there; in the first report of a session
-    /// and of each life.
+    /// Every run of this scheduler that may be at work there; in the first
+    /// report of a session and of each life.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub runs: Option<Vec<TaskRun>>,
+    /// Runs whose scheduler the agent does not know, since it was started
+    /// after them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unowned: Vec<TaskRun>,
     /// What is new.
     pub news: Vec<RunNews>,
+    /// Room that other schedulers' runs take.
+    pub others: RoomSize,
 }
 
 /// An agent's question for orders.
@@ -243,12 +277,18 @@
         /// The run.
         run: TaskRun,
     },
+    /// A run whose scheduler the agent did not know is this one's.
+    Keep {
+        /// The run.
+        run: TaskRun,
+    },
 }
 
 /// The scheduling host's answer to a poll.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AgentOrders {
-    /// The host's term; it is the fencing token of the orders.
+    /// The host's term; orders of an earlier one count for nothing. Entries
+    /// have none.
     pub term: Term,
     /// How long the agent may keep runs at work, in milliseconds from when it
     /// sent the poll.
@@ -257,6 +297,28 @@
     pub noted: Option<NotedEnds>,
     /// The orders, to be carried out in this order.
     pub orders: Vec<AgentOrder>,
+    /// Entries that schedule, when control names them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub entries: Option<Vec<EntryHost>>,
+}
+
+/// An entry's question for a newer catalog; it tells control where agents
+/// find the entry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CatalogQuestion {
+    /// The version that the entry has.
+    pub version: ConfigVersion,
+    /// The entry.
+    pub entry: EntryHost,
+}
+
+/// Room for the answer to a call about a job.
+#[derive(Debug)]
+pub enum JobSlot {
+    /// The caller is an entry, over control's edge.
+    Peer(Reservation<ControlReply>),
+    /// The caller is this entry's own front.
+    Front(Reservation<QueueFrontMessage>),
 }
 
 /// What the replicated log keeps of a job.
@@ -308,7 +370,7 @@
         /// What is asked.
         job: JobCall,
         /// Room for the answer.
-        reply: Reservation<ControlReply>,
+        reply: JobSlot,
     },
     /// An agent's news.
     Report {
@@ -332,11 +394,16 @@
     CatalogWatch {
         /// The call.
         call: CallId,
-        /// The version that the entry has.
-        version: ConfigVersion,
+        /// The question.
+        question: CatalogQuestion,
         /// Room for the answer.
         reply: Reservation<ControlReply>,
     },
+    /// Control has confirmed a newer catalog; for an entry.
+    Catalog {
+        /// The catalog.
+        catalog: Arc<QueueCatalog>,
+    },
     /// Records were committed.
     Applied {
         /// The records, in their order.
--- a/crates/model/src/server_messages.rs
+++ b/crates/model/src/server_messages.rs
@@ -9,9 +9,11 @@
 
 use kernel::Reservation;
 
-use crate::ids::{CallId, EndNumber, LifeId, SessionId, Term};
+use crate::ids::{CallId, EndNumber, FenceNumber, LifeId, SessionId};
 use crate::queue_jobs::{EndKind, TaskRun};
-use crate::schedule_messages::{AgentOrders, AgentReport, ServerView, StartRefusal};
+use crate::schedule_messages::{
+    AgentOrders, AgentReport, EntryHost, SchedulerKey, ServerView, StartRefusal,
+};
 
 /// A backend server's heartbeat.
 #[derive(Debug, Clone, PartialEq)]
@@ -40,7 +42,7 @@
     /// The name of that life in calls.
     pub instance: LifeId,
     /// Fencing token.
-    pub fence: Term,
+    pub fence: FenceNumber,
     /// Until when everything may run, on the backend server's clock.
     pub lease_until: Option<Duration>,
     /// What is asked.
@@ -100,6 +102,24 @@
     NoAnswer,
 }
 
+/// What happens on an agent's connection to a scheduler.
+#[derive(Debug)]
+pub enum ScheduleEvent {
+    /// It was opened.
+    Opened,
+    /// The scheduler took the latest report.
+    ReportTaken,
+    /// The scheduler's orders.
+    Orders {
+        /// When the poll was sent.
+        asked_at: Instant,
+        /// The orders.
+        orders: Box<AgentOrders>,
+    },
+    /// It is gone.
+    Closed,
+}
+
 /// Messages to the duty that keeps an agent's runs.
 #[derive(Debug)]
 pub enum ServerRunsMessage {
@@ -130,29 +150,14 @@
         /// What came of it.
         answer: ServerAnswer,
     },
-    /// A connection to the scheduling host was opened.
-    SessionOpened {
-        /// The session.
-        session: SessionId,
-    },
-    /// The scheduling host took the latest report.
-    ReportTaken {
-        /// The session.
+    /// Something happened on the connection to a scheduler.
+    Schedule {
+        /// The scheduler.
+        scheduler: SchedulerKey,
+        /// The connection.
         session: SessionId,
-    },
-    /// The connection is gone.
-    SessionClosed {
-        /// The session.
-        session: SessionId,
-    },
-    /// The scheduling host's orders.
-    Orders {
-        /// The session.
-        session: SessionId,
-        /// When the poll was sent.
-        asked_at: Instant,
-        /// The orders.
-        orders: Box<AgentOrders>,
+        /// What happened.
+        event: ScheduleEvent,
     },
     /// The process is told to end.
     Drain,
@@ -175,12 +180,19 @@
     },
 }
 
-/// Messages to an agent's connection to the scheduling host.
+/// Messages to an agent's connections to schedulers.
 #[derive(Debug)]
 pub enum ScheduleLinkMessage {
     /// Sends a report.
     Report {
+        /// To which scheduler.
+        scheduler: SchedulerKey,
         /// The report.
         report: Box<AgentReport>,
     },
+    /// Entries that schedule.
+    Entries {
+        /// The entries.
+        entries: Vec<EntryHost>,
+    },
 }
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -33,7 +33,7 @@
 }
 
 /// Settings of an entry.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EntrySettings {
     /// The entry's name.
@@ -102,7 +102,7 @@
 }
 
 /// Where an entry serves callers of queues.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct FrontSettings {
     /// Address of the callers' HTTP server.
@@ -113,6 +113,13 @@
     /// milliseconds.
     #[serde(default = "default_linger")]
     pub linger_ms: u64,
+    /// How long a backend server keeps runs at work without a renewal, in
+    /// milliseconds.
+    #[serde(default = "default_run_lease")]
+    pub run_lease_ms: u64,
+    /// How much longer a task runs on another rack than that of its data.
+    #[serde(default = "default_remote_factor")]
+    pub remote_factor: f64,
 }
 
 fn default_linger() -> u64 {
@@ -361,6 +368,8 @@
     required("listen", Shape::Address),
     required("ready", Shape::Address),
     optional("linger_ms", MILLIS),
+    optional("run_lease_ms", MILLIS),
+    optional("remote_factor", Shape::Ratio(1.0, 100.0)),
 ];
 const SERVER_FIELDS: &[FieldRule] =
     &[required("address", Shape::Address), required("lease_ms", MILLIS)];
--- a/crates/services/src/job_scheduling.rs
+++ b/crates/services/src/job_scheduling.rs
@@ -1,4 +1,5 @@
-//! The duty that schedules queued jobs while this host leads.
+//! The duty that schedules queued jobs: on a control host while it leads, on an
+//! entry for its own callers.
 //!
 //! Invariants:
 //! - a job is accepted only by a committed record;
@@ -7,12 +8,16 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use decisions::schedule::{JobDecision, ScheduleLimits, ScheduleStep, Scheduler};
+use decisions::schedule::{
+    JobDecision, ScheduleLimits, ScheduleStep, Scheduler, SchedulerKind,
+};
 use indexmap::IndexMap;
-use kernel::{DutyState, KernelError, Registry, Reservation, RingReceiver, RingSender, serve};
+use kernel::{
+    DutyState, KernelError, PushError, Registry, Reservation, RingReceiver, RingSender, serve,
+};
 use model::{
-    CallId, ConfigVersion, ControlReply, ControlReplyBody, EventLine, EventLog, JobCall,
-    LogMessage, SchedulingMessage, ServiceName,
+    CallId, Command, ConfigVersion, ControlReply, ControlReplyBody, EventLine, EventLog, JobCall,
+    JobReply, JobSlot, LogMessage, QueueFrontMessage, SchedulingMessage, ServiceName,
 };
 
 use crate::context::ServiceContext;
@@ -27,14 +32,23 @@
     reply: Reservation<ControlReply>,
 }
 
+/// Where a scheduler runs, with what only that place has.
+enum SchedulePlace {
+    /// A control host, with its replicated log.
+    Control(RingSender<LogMessage>),
+    /// An entry.
+    Entry,
+}
+
 struct JobScheduling {
     log: EventLog,
     scheduler: Scheduler,
     leader: Option<SocketAddr>,
-    /// Polls and callers of best-effort jobs that wait.
-    waiting: IndexMap<CallId, Reservation<ControlReply>>,
+    polls: IndexMap<CallId, Reservation<ControlReply>>,
+    /// Callers of best-effort jobs that wait.
+    callers: IndexMap<CallId, JobSlot>,
     watchers: Vec<CatalogWatcher>,
-    replicated: RingSender<LogMessage>,
+    place: SchedulePlace,
 }
 
 /// Runs the duty until its ring is closed.
@@ -45,16 +59,24 @@
     ring: &RingReceiver<SchedulingMessage>,
     registry: &Registry<ServiceName>,
     context: &ServiceContext,
+    kind: SchedulerKind,
     limits: ScheduleLimits,
 ) -> Result<(), KernelError> {
     let clock = context.clock.clone();
+    let place = match kind {
+        SchedulerKind::Control => {
+            SchedulePlace::Control(registry.find(ServiceName::ReplicatedLog)?)
+        }
+        SchedulerKind::Entry => SchedulePlace::Entry,
+    };
     let state = JobScheduling {
         log: context.event_log(registry)?,
-        scheduler: Scheduler::new(clock.now(), limits),
+        scheduler: Scheduler::new(clock.now(), kind, limits),
         leader: None,
-        waiting: IndexMap::new(),
+        polls: IndexMap::new(),
+        callers: IndexMap::new(),
         watchers: Vec::new(),
-        replicated: registry.find(ServiceName::ReplicatedLog)?,
+        place,
     };
     serve(ring, &clock, DutyState { state, handle, next_deadline });
     Ok(())
@@ -87,12 +109,16 @@
                 self.carry_out(steps);
             }
             SchedulingMessage::Poll { call, poll, reply } => {
-                self.waiting.insert(call, reply);
+                self.polls.insert(call, reply);
                 let steps = self.scheduler.on_poll(now, call, &poll);
                 self.carry_out(steps);
             }
-            SchedulingMessage::CatalogWatch { call, version, reply } => {
+            SchedulingMessage::Catalog { catalog } => self.scheduler.on_catalog(&catalog),
+            SchedulingMessage::CatalogWatch { call, question, reply } => {
+                let steps = self.scheduler.on_entry(now, &question.entry);
+                self.carry_out(steps);
                 let answer_at = now + CATALOG_WAIT;
+                let version = question.version;
                 self.watchers.push(CatalogWatcher { call, version, answer_at, reply });
             }
             SchedulingMessage::Applied { records } => {
@@ -108,40 +134,40 @@
         }
     }
 
-    fn on_job(
-        &mut self,
-        now: Instant,
-        call: CallId,
-        job: &JobCall,
-        reply: Reservation<ControlReply>,
-    ) {
-        let decision = self.scheduler.on_job_call(now, call, job);
-        match decision {
+    fn on_job(&mut self, now: Instant, call: CallId, job: &JobCall, reply: JobSlot) {
+        match self.scheduler.on_job_call(now, call, job) {
             JobDecision::Wait => {
-                self.waiting.insert(call, reply);
-            }
-            JobDecision::Reply(body) => answer(reply, call, ControlReplyBody::Job(body)),
-            JobDecision::NotLeader => answer(reply, call, self.not_leader()),
-            JobDecision::Commit(command) => {
-                let message = LogMessage::Propose { call, commands: vec![command], reply };
-                if let Err(error) = self.replicated.push(message) {
-                    self.refuse(error);
-                }
+                self.callers.insert(call, reply);
             }
+            JobDecision::Reply(body) => answer_job(reply, call, body),
+            JobDecision::NotLeader => self.send_away(reply, call),
+            JobDecision::Commit(command) => self.propose(call, command, reply),
         }
         let steps = self.scheduler.after_job_call(now);
         self.carry_out(steps);
     }
 
-    /// The log has no room: nothing was proposed.
-    fn refuse(&self, error: kernel::PushError<LogMessage>) {
-        let (kernel::PushError::Full { message } | kernel::PushError::Closed { message }) = error;
+    fn propose(&self, call: CallId, command: Command, slot: JobSlot) {
+        let (SchedulePlace::Control(log), JobSlot::Peer(reply)) = (&self.place, slot) else {
+            return;
+        };
+        let message = LogMessage::Propose { call, commands: vec![command], reply };
+        let Err(error) = log.push(message) else { return };
+        let (PushError::Full { message } | PushError::Closed { message }) = error;
         if let LogMessage::Propose { call, reply, .. } = message {
+            // The log has no room: nothing was proposed.
             self.log.warn(EventLine::new("ring_full").with("ring", ServiceName::ReplicatedLog));
             answer(reply, call, self.not_leader());
         }
     }
 
+    fn send_away(&self, slot: JobSlot, call: CallId) {
+        match slot {
+            JobSlot::Peer(reply) => answer(reply, call, self.not_leader()),
+            JobSlot::Front(_) => answer_job(slot, call, JobReply::Unclear),
+        }
+    }
+
     fn not_leader(&self) -> ControlReplyBody {
         ControlReplyBody::NotLeader { leader: self.leader }
     }
@@ -149,25 +175,19 @@
     fn carry_out(&mut self, steps: Vec<ScheduleStep>) {
         for step in steps {
             match step {
-                ScheduleStep::Propose(commands) => {
-                    if self.replicated.push(LogMessage::ProposeQuietly { commands }).is_err() {
-                        let line =
-                            EventLine::new("ring_full").with("ring", ServiceName::ReplicatedLog);
-                        self.log.warn(line);
-                    }
-                }
+                ScheduleStep::Propose(commands) => self.propose_quietly(commands),
                 ScheduleStep::Orders { call, orders } => {
-                    if let Some(reply) = self.waiting.swap_remove(&call) {
+                    if let Some(reply) = self.polls.swap_remove(&call) {
                         answer(reply, call, ControlReplyBody::Orders(Box::new(orders)));
                     }
                 }
                 ScheduleStep::JobEnd { call, reply: body } => {
-                    if let Some(reply) = self.waiting.swap_remove(&call) {
-                        answer(reply, call, ControlReplyBody::Job(body));
+                    if let Some(slot) = self.callers.swap_remove(&call) {
+                        answer_job(slot, call, body);
                     }
                 }
                 ScheduleStep::DropPoll { call } => {
-                    if let Some(reply) = self.waiting.swap_remove(&call) {
+                    if let Some(reply) = self.polls.swap_remove(&call) {
                         answer(reply, call, self.not_leader());
                     }
                 }
@@ -176,6 +196,13 @@
         }
     }
 
+    fn propose_quietly(&self, commands: Vec<Command>) {
+        let SchedulePlace::Control(log) = &self.place else { return };
+        if log.push(LogMessage::ProposeQuietly { commands }).is_err() {
+            self.log.warn(EventLine::new("ring_full").with("ring", ServiceName::ReplicatedLog));
+        }
+    }
+
     /// Entries learn of a newer catalog at once; only a leader's word counts.
     fn answer_watchers(&mut self, now: Instant) {
         if self.watchers.is_empty() {
@@ -202,3 +229,10 @@
 fn answer(reply: Reservation<ControlReply>, call: CallId, body: ControlReplyBody) {
     reply.push(ControlReply { call, body });
 }
+
+fn answer_job(slot: JobSlot, call: CallId, reply: JobReply) {
+    match slot {
+        JobSlot::Peer(room) => answer(room, call, ControlReplyBody::Job(reply)),
+        JobSlot::Front(room) => room.push(QueueFrontMessage::Answer { call, reply }),
+    }
+}
--- a/crates/services/src/server_runs.rs
+++ b/crates/services/src/server_runs.rs
@@ -8,8 +8,8 @@
 use decisions::agent::{RunLimits, RunStep, RunTable};
 use kernel::{DutyState, KernelError, Registry, Reservation, RingReceiver, RingSender, serve};
 use model::{
-    CallId, EventLine, EventLog, Incarnation, NodeId, ScheduleLinkMessage, ServerFrontMessage,
-    ServerRunsMessage, ServiceName,
+    CallId, EventLine, EventLog, Incarnation, NodeId, ScheduleEvent, ScheduleLinkMessage,
+    SchedulerKey, ServerFrontMessage, ServerRunsMessage, ServiceName, SessionId,
 };
 
 use crate::context::ServiceContext;
@@ -89,31 +89,40 @@
             ServerRunsMessage::Answer { call, clock, answer } => {
                 self.table.on_answer(now, &call, clock, answer)
             }
-            ServerRunsMessage::SessionOpened { session } => {
-                self.table.on_session(now, Some(session))
-            }
-            ServerRunsMessage::SessionClosed { .. } => self.table.on_session(now, None),
-            ServerRunsMessage::ReportTaken { session } => {
-                self.table.on_report_taken(now, session)
-            }
-            ServerRunsMessage::Orders { session, asked_at, orders } => {
-                self.table.on_orders(now, session, asked_at, *orders)
+            ServerRunsMessage::Schedule { scheduler, session, event } => {
+                self.on_schedule(now, scheduler, session, event)
             }
             ServerRunsMessage::Drain => Vec::new(),
         };
         self.carry_out(steps);
     }
 
+    fn on_schedule(
+        &mut self,
+        now: Instant,
+        scheduler: SchedulerKey,
+        session: SessionId,
+        event: ScheduleEvent,
+    ) -> Vec<RunStep> {
+        match event {
+            ScheduleEvent::Opened => self.table.on_opened(now, scheduler, session),
+            ScheduleEvent::Closed => self.table.on_closed(now, &scheduler, session),
+            ScheduleEvent::ReportTaken => self.table.on_report_taken(now, &scheduler, session),
+            ScheduleEvent::Orders { asked_at, orders } => {
+                self.table.on_orders(now, &scheduler, session, asked_at, *orders)
+            }
+        }
+    }
+
     fn carry_out(&mut self, steps: Vec<RunStep>) {
         for step in steps {
             match step {
                 RunStep::Call(call) => self.call(call),
-                RunStep::Report(report) => {
-                    let message = ScheduleLinkMessage::Report { report: Box::new(report) };
-                    if self.link.push(message).is_err() {
-                        self.note_full(ServiceName::ScheduleLink);
-                    }
+                RunStep::Report(scheduler, report) => {
+                    let report = Box::new(report);
+                    self.link(ScheduleLinkMessage::Report { scheduler, report });
                 }
+                RunStep::Connect(entries) => self.link(ScheduleLinkMessage::Entries { entries }),
                 RunStep::Note(line) => self.log.info(line),
             }
         }
@@ -135,6 +144,12 @@
         }
     }
 
+    fn link(&self, message: ScheduleLinkMessage) {
+        if self.link.push(message).is_err() {
+            self.note_full(ServiceName::ScheduleLink);
+        }
+    }
+
     fn note_full(&self, ring: ServiceName) {
         self.log.warn(EventLine::new("ring_full").with("ring", ring));
     }
