--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -45,6 +45,9 @@
 /// one: this host's calendar was set back since the agent before this one.
 const FENCE_JUMP: FenceNumber = 3_600_000;
 
+/// A stop that was answered is carried out within this time.
+const STOP_WAIT: Duration = Duration::from_millis(60);
+
 /// What an agent's run service does next.
 #[derive(Debug, Clone, PartialEq)]
 pub enum RunStep {
@@ -353,7 +356,7 @@
         match &call.wish {
             ServerWish::Start { run, .. } => self.on_start_answer(now, run, &answer),
             ServerWish::Stop { run } => self.on_stop_answer(now, run, &answer),
-            ServerWish::Hold { .. } => self.on_hold_answer(now, answer),
+            ServerWish::Hold { number, .. } => self.on_hold_answer(now, *number, answer),
         }
         self.finish(now)
     }
@@ -390,21 +393,30 @@
             ServerAnswer::Done => RunPhase::Barred { since_hold },
             _ => RunPhase::Stopping { retry_at: Some(now + self.limits.retry_gap) },
         };
+        if *answer == ServerAnswer::Done {
+            life.look_at = life.look_at.or(Some(now + STOP_WAIT));
+        }
     }
 
-    fn on_hold_answer(&mut self, now: Instant, answer: ServerAnswer) {
-        let gap = self.limits.hold_gap;
+    fn on_hold_answer(&mut self, now: Instant, number: u64, answer: ServerAnswer) {
+        let limits = self.limits;
         let Some(life) = &mut self.life else { return };
-        life.hold_out = false;
+        let was_waiting = life.hold_out.take_if(|out| *out == number).is_some();
         let ServerAnswer::Lists { running, ended } = answer else {
-            life.hold_at = now + self.limits.retry_gap;
-            life.hold_failed = true;
+            life.hold_failed |= was_waiting;
+            if was_waiting {
+                life.hold_at = now + limits.retry_gap;
+            } else {
+                life.look_at = Some(now + limits.retry_gap);
+            }
             return;
         };
-        life.hold_failed = false;
         let found = !std::mem::replace(&mut life.listed, true);
-        let fresh = life.take_lists(now, &running, ended);
-        life.hold_at = if fresh.is_empty() { now + gap } else { now };
+        let fresh = life.take_lists(now, number, &running, ended);
+        if was_waiting {
+            life.hold_failed = false;
+            life.hold_at = if fresh.is_empty() { now + limits.hold_gap } else { now };
+        }
         self.owe_reports(found);
         self.tell(fresh);
     }
@@ -479,18 +491,28 @@
 
     fn hold_if_due(&mut self, now: Instant) {
         let Some(life) = &mut self.life else { return };
-        if life.hold_out || life.hold_at > now {
-            return;
+        if life.hold_out.is_none() && life.hold_at <= now {
+            let number = life.next_hold();
+            life.hold_out = Some(number);
+            let sure = life.listed && !life.hold_failed;
+            let wait = if sure { self.limits.hold_wait } else { Duration::ZERO };
+            self.hold(now, number, wait);
         }
-        life.hold_out = true;
-        life.holds_sent += 1;
-        let wait = if life.hold_failed || !life.listed {
-            Duration::ZERO
-        } else {
-            self.limits.hold_wait
-        };
-        let noted = life.noted();
-        self.call(now, ServerWish::Hold { noted, wait });
+        self.look_if_due(now);
+    }
+
+    /// A hold that waits for an end would tell late that a run is barred.
+    fn look_if_due(&mut self, now: Instant) {
+        let Some(life) = &mut self.life else { return };
+        if life.look_at.take_if(|at| *at <= now).is_some() {
+            let number = life.next_hold();
+            self.hold(now, number, Duration::ZERO);
+        }
+    }
+
+    fn hold(&mut self, now: Instant, number: u64, wait: Duration) {
+        let noted = self.life.as_ref().map_or(0, ServerLife::noted);
+        self.call(now, ServerWish::Hold { number, noted, wait });
     }
 
     /// One report to each scheduler is on its way at a time; what is new
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -65,10 +65,15 @@
     pub(super) runs: IndexMap<TaskRun, RunState>,
     unnoted: Vec<UnnotedEnd>,
     seen: EndNumber,
-    pub(super) hold_out: bool,
+    /// Number of the hold that waits for an end.
+    pub(super) hold_out: Option<u64>,
     pub(super) hold_at: Instant,
+    /// When to ask for the lists besides, without waiting.
+    pub(super) look_at: Option<Instant>,
     pub(super) hold_failed: bool,
     pub(super) holds_sent: u64,
+    /// The latest hold whose lists were taken.
+    latest_lists: u64,
 }
 
 impl ServerLife {
@@ -85,10 +90,12 @@
             runs: IndexMap::new(),
             unnoted: Vec::new(),
             seen: 0,
-            hold_out: false,
+            hold_out: None,
             hold_at: now,
+            look_at: None,
             hold_failed: false,
             holds_sent: 0,
+            latest_lists: 0,
         }
     }
 
@@ -153,14 +160,18 @@
         unnoted.map(|unnoted| news_of(&unnoted.end)).collect()
     }
 
-    /// Takes the lists of the latest hold; gives what is new.
+    /// Takes the lists of a hold; gives what is new.
     pub(super) fn take_lists(
         &mut self,
         now: Instant,
+        number: u64,
         running: &[TaskRun],
         ended: Vec<ListedEnd>,
     ) -> Vec<OwnedNews> {
         let is_full = ended.len() >= FULL_LIST;
+        // Answers on different connections may overtake each other.
+        let is_latest = number >= self.latest_lists;
+        self.latest_lists = self.latest_lists.max(number);
         let mut news = Vec::new();
         for end in ended {
             if end.number <= self.seen {
@@ -174,6 +185,9 @@
                 self.unnoted.push(UnnotedEnd { end, owner });
             }
         }
+        if !is_latest {
+            return news;
+        }
         for run in running {
             self.runs.entry(run.clone()).or_insert(RunState {
                 phase: RunPhase::Running { since_hold: self.holds_sent },
@@ -183,25 +197,24 @@
             });
         }
         if !is_full {
-            news.extend(self.drop_unlisted(running));
+            news.extend(self.drop_unlisted(number, running));
         }
         news
     }
 
     /// A run that the list of a later hold does not show is over, or never
     /// began.
-    fn drop_unlisted(&mut self, running: &[TaskRun]) -> Vec<OwnedNews> {
-        let holds_sent = self.holds_sent;
+    fn drop_unlisted(&mut self, number: u64, running: &[TaskRun]) -> Vec<OwnedNews> {
         let mut news = Vec::new();
         self.runs.retain(|run, state| {
             if running.contains(run) {
                 return true;
             }
             let what = match state.phase {
-                RunPhase::Running { since_hold } if since_hold < holds_sent => {
+                RunPhase::Running { since_hold } if since_hold < number => {
                     RunNews::Ended { number: 0, run: run.clone(), kind: EndKind::Lapsed }
                 }
-                RunPhase::Barred { since_hold } if since_hold < holds_sent => {
+                RunPhase::Barred { since_hold } if since_hold < number => {
                     RunNews::Refused { run: run.clone(), refusal: StartRefusal::Barred }
                 }
                 _ => return true,
@@ -212,6 +225,11 @@
         news
     }
 
+    pub(super) fn next_hold(&mut self) -> u64 {
+        self.holds_sent += 1;
+        self.holds_sent
+    }
+
     /// Everything there is over.
     pub(super) fn take_lapsed(&mut self) -> Vec<OwnedNews> {
         let runs = std::mem::take(&mut self.runs).into_iter();
@@ -222,12 +240,12 @@
     }
 
     pub(super) fn next_deadline(&self) -> Option<Instant> {
-        let hold = (!self.hold_out).then_some(self.hold_at);
+        let hold = self.hold_out.is_none().then_some(self.hold_at);
         let retries = self.runs.values().filter_map(|state| match state.phase {
             RunPhase::Stopping { retry_at } => retry_at,
             _ => None,
         });
-        [hold, self.lease_over_at].into_iter().flatten().chain(retries).min()
+        [hold, self.look_at, self.lease_over_at].into_iter().flatten().chain(retries).min()
     }
 }
 
--- a/crates/decisions/src/schedule/admitting.rs
+++ b/crates/decisions/src/schedule/admitting.rs
@@ -9,12 +9,28 @@
 
 use model::{Command, EventLine, JobId, JobPhase, JobReply, QueuedJob, RefusalCause};
 
-use super::scheduler::{JobDecision, JobWaiter, ScheduleStep, Scheduler};
+use super::scheduler::{JobDecision, JobWaiter, LiveJob, ScheduleStep, Scheduler};
 use crate::control::JobChange;
 
 /// A job earns nothing more beyond this multiple of its objective.
 const WORTHLESS_FACTOR: u32 = 3;
 
+/// Share of the estimated run time within which some jobs still end: estimates
+/// are rough.
+const HOPEFUL_SHARE: f64 = 0.6;
+
+impl LiveJob {
+    /// When there is no hope left that the job ends while its caller waits.
+    pub(super) fn give_up_at(&self, least_slowness: f64) -> Option<Instant> {
+        let until = self.waiter?.until;
+        if self.started {
+            return Some(until);
+        }
+        let run = self.job.longest_chain().mul_f64(least_slowness * HOPEFUL_SHARE);
+        Some(until.checked_sub(run).unwrap_or(until).max(self.since))
+    }
+}
+
 impl Scheduler {
     /// Decides on a job that is to be stored. One that is known is accepted
     /// again, whatever the load.
@@ -97,11 +113,11 @@
         Some(JobReply::Refused { cause, retry_after_ms })
     }
 
-    /// Best-effort jobs whose callers wait no longer end. One of which nothing
-    /// started is refused: it surely did not run.
+    /// Best-effort jobs that can't end while their callers wait are ended. One
+    /// of which nothing started is refused: it surely did not run.
     pub(super) fn end_overdue_jobs(&mut self, now: Instant) {
         let overdue = self.live.iter().filter(|(_, live)| {
-            live.waiter.is_some_and(|waiter| waiter.until <= now)
+            live.give_up_at(self.least_slowness()).is_some_and(|at| at <= now)
         });
         let overdue: Vec<(JobId, bool)> =
             overdue.map(|(id, live)| (id.clone(), live.started)).collect();
--- a/crates/decisions/src/schedule/placing.rs
+++ b/crates/decisions/src/schedule/placing.rs
@@ -65,9 +65,10 @@
             }
             live.steps_in.insert(step);
             let work = core_millis(&job.steps[step as usize]);
+            let latest = live.latest_start(&job.steps[step as usize]);
             for task in job.tasks_of(step) {
                 if !record.is_done(&task) && !self.placements.contains_key(&task) {
-                    self.ready.push(id, step, task.index, live.due, work);
+                    self.ready.push(id, step, task.index, latest, work);
                 }
             }
         }
@@ -79,7 +80,8 @@
         let Some(step) = live.job.steps.get(task.step as usize) else { return };
         let done = self.record(&task.job).is_none_or(|record| record.is_done(task));
         if !done && live.steps_in.contains(&task.step) && !self.placements.contains_key(task) {
-            self.ready.push(&task.job, task.step, task.index, live.due, core_millis(step));
+            let latest = live.latest_start(step);
+            self.ready.push(&task.job, task.step, task.index, latest, core_millis(step));
         }
     }
 
@@ -185,8 +187,7 @@
     /// Time that a task has beyond its run time, in run times.
     fn slack(&self, now: Instant, job: &QueuedJob, wanted: &JobStep) -> f64 {
         let Some(live) = self.live.get(&job.id) else { return LEAST_SLACK };
-        let until = live.waiter.map_or(live.due, |waiter| waiter.until.min(live.due));
-        let left = until.saturating_duration_since(now).as_secs_f64();
+        let left = live.end_by().saturating_duration_since(now).as_secs_f64();
         let run = wanted.estimate().as_secs_f64().max(f64::MIN_POSITIVE);
         (left / run - 1.0).max(LEAST_SLACK)
     }
@@ -262,20 +263,27 @@
         open.map(AgentSeat::slowness).min_by(f64::total_cmp).unwrap_or(1.0)
     }
 
-    /// Time until room is free for work that comes now.
+    /// Time until room is free for work that comes now: what waits here, over
+    /// the share of all servers' speed that this scheduler has had of late.
     pub(super) fn expected_wait(&self) -> Duration {
-        let speed: f64 = self
-            .seats
-            .values()
-            .filter_map(|seat| {
-                let server = seat.server.as_ref().filter(|server| !server.draining)?;
-                Some(server.room.cpu_milli as f64 / 1_000.0 / seat.slowness())
-            })
-            .sum();
-        if self.ready.is_empty() || speed <= 0.0 {
+        if self.ready.is_empty() {
+            return Duration::ZERO;
+        }
+        let open = self.seats.values().filter(|seat| {
+            seat.server.as_ref().is_some_and(|server| !server.draining)
+        });
+        let (mut speed, mut own, mut others) = (0.0, 0, 0);
+        for seat in open {
+            let room = seat.server.as_ref().map_or(0, |server| server.room.cpu_milli);
+            speed += room as f64 / 1_000.0 / seat.slowness();
+            own += seat.taken.cpu_milli;
+            others += seat.others.cpu_milli;
+        }
+        let share = (own.max(1) as f64) / ((own + others).max(1) as f64);
+        if speed <= 0.0 {
             return Duration::ZERO;
         }
-        Duration::from_secs_f64(self.ready.work() as f64 / speed / 1_000.0)
+        Duration::from_secs_f64(self.ready.work() as f64 / (speed * share) / 1_000.0)
     }
 }
 
--- a/crates/decisions/src/schedule/ready_queue.rs
+++ b/crates/decisions/src/schedule/ready_queue.rs
@@ -1,8 +1,8 @@
 //! Owns the order in which tasks that may start are given room.
 //!
 //! Answers the pattern *short urgent work behind long work that is already
-//! late*: a job that can still meet its objective goes before one that can't,
-//! among those the earliest due first; late jobs follow, least late first.
+//! late*: a task that can still end in time goes before one that can't, among
+//! those the one that must start first; late ones follow, least late first.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Instant;
@@ -32,19 +32,19 @@
 }
 
 impl ReadyQueue {
-    /// Adds a task; `due` is when its job is best completed.
+    /// Adds a task; `latest` is when it must start to end in time.
     pub(super) fn push(
         &mut self,
         job: &JobId,
         step: StepIndex,
         task: TaskIndex,
-        due: Instant,
+        latest: Instant,
         work: u64,
     ) {
         let name = (job.clone(), step);
         let key = *self.keys.entry(name).or_insert_with(|| {
             self.counter += 1;
-            (due, self.counter)
+            (latest, self.counter)
         });
         let group = self.groups.entry(key).or_insert_with(|| ReadyGroup {
             job: job.clone(),
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -5,7 +5,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use model::{
-    AgentOrders, CallId, Command, EntryHost, EventLine, JobCall, JobId, JobPhase, JobRecord, JobReply, LifeId,
+    AgentOrders, CallId, Command, EntryHost, EventLine, JobCall, JobId, JobPhase, JobRecord, JobReply, JobStep, LifeId,
     LogRecord, NodeId, QueueCatalog, QueuedJob, RoomSize, RunNumber, ScheduleState,
     TaskName, Term,
 };
@@ -119,6 +119,19 @@
     pub(super) waiter: Option<JobWaiter>,
 }
 
+impl LiveJob {
+    /// When the job must have ended to be of full use to its caller.
+    pub(super) fn end_by(&self) -> Instant {
+        self.waiter.map_or(self.due, |waiter| waiter.until.min(self.due))
+    }
+
+    /// When a task must start to end in time.
+    pub(super) fn latest_start(&self, step: &JobStep) -> Instant {
+        let end_by = self.end_by();
+        end_by.checked_sub(step.estimate()).unwrap_or(end_by)
+    }
+}
+
 /// The caller of a best-effort job.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct JobWaiter {
@@ -334,8 +347,8 @@
         let paused = (!self.ready.is_empty())
             .then(|| self.seats.values().filter_map(|seat| seat.paused_until).min())
             .flatten();
-        let waiters = self.live.values().filter_map(|live| live.waiter);
-        let waiters = waiters.map(|waiter| waiter.until);
+        let slowness = self.least_slowness();
+        let waiters = self.live.values().filter_map(|live| live.give_up_at(slowness));
         polls.chain(waiters).chain(silent).chain(takeover).chain(paused).min()
     }
 
--- a/crates/model/src/server_messages.rs
+++ b/crates/model/src/server_messages.rs
@@ -66,6 +66,9 @@
     },
     /// Renews the lease and lists what runs and what ended.
     Hold {
+        /// Counts the holds of a life; what was sent before a hold shows in
+        /// its lists.
+        number: u64,
         /// Ends up to this one may be forgotten.
         noted: EndNumber,
         /// How long the answer may wait for an end.
