Let long tasks wait for fast servers; keep most of those free of short tasks

Cause: three or four of eleven servers are twice as fast; long tasks found them full of short ones, started on slow ones and were cut off at their caller's deadline. Change: TaskHurry: a task that ends in time anywhere fills a third of a fast server at most; one that would surely end late waits while a faster server could still do it.

--- a/crates/decisions/src/schedule/agent_seat.rs
+++ b/crates/decisions/src/schedule/agent_seat.rs
@@ -84,6 +84,12 @@
         all.without(&self.taken).without(&self.others)
     }
 
+    /// Share of the room that is taken.
+    pub(super) fn crowding(&self) -> f64 {
+        let all = self.server.as_ref().map_or(0, |server| server.room.cpu_milli);
+        1.0 - self.free_room().cpu_milli as f64 / all.max(1) as f64
+    }
+
     /// Run time here over the estimate, as learnt from what ran.
     pub fn slowness(&self) -> f64 {
         self.slowness
--- a/crates/decisions/src/schedule/mod.rs
+++ b/crates/decisions/src/schedule/mod.rs
@@ -17,6 +17,8 @@
 mod reports;
 mod scheduler;
 mod takeover;
+mod task_hurry;
 
 pub use agent_seat::AgentSeat;
+pub use task_hurry::TaskHurry;
 pub use scheduler::{JobDecision, ScheduleLimits, ScheduleStep, Scheduler, SchedulerKind};
--- a/crates/decisions/src/schedule/placing.rs
+++ b/crates/decisions/src/schedule/placing.rs
@@ -10,19 +10,13 @@
 
 use super::agent_seat::AgentSeat;
 use super::scheduler::{LiveJob, Placement, ScheduleStep, Scheduler};
+use super::task_hurry::TaskHurry;
 use crate::control::JobBook;
 
 /// Groups without room that are passed over in one round before it ends.
 const MOST_PASSED_OVER: usize = 24;
 /// Run numbers that each term of leadership has to itself, for each task.
 const RUNS_PER_TERM: RunNumber = 64;
-/// How much a full worker counts against itself, for each run time of slack
-/// that a task has: what is in a hurry goes to the fastest worker, what has
-/// time leaves its room free.
-const CROWDING_WEIGHT: f64 = 2.0;
-/// Least slack that counts, so that equal workers share.
-const LEAST_SLACK: f64 = 0.1;
-
 impl Scheduler {
     /// Lets the first steps of a job in.
     pub(super) fn activate(&mut self, now: Instant, id: &JobId) {
@@ -143,24 +137,27 @@
         }
     }
 
-    /// The open agent with room on which the task likely ends first.
+    /// The open agent with room that suits a task best; `None` when there is
+    /// none, or when it is better to wait for a faster one.
     fn choose_agent(&self, now: Instant, job: &QueuedJob, step: StepIndex) -> Option<NodeId> {
         let wanted = job.steps.get(step as usize)?;
         let service = self.service_of(job)?;
+        let suited = |(agent, seat): &(&NodeId, &AgentSeat)| {
+            self.is_seated(agent) && seat.is_open(now) && suits(seat, wanted, &service)
+        };
+        let speeds = self.seats.iter().filter(suited);
+        let speeds = speeds.map(|(_, seat)| self.relative_run_time(seat, wanted));
+        let hurry = TaskHurry::new(self.time_left(now, job, wanted), speeds);
         let fits = |(agent, seat): &(&NodeId, &AgentSeat)| {
-            self.is_seated(agent)
-                && seat.is_open(now)
-                && suits(seat, wanted, &service)
-                && seat.free_room().holds(&wanted.size)
-                && self.is_below_limit(job, step, wanted, agent)
+            seat.free_room().holds(&wanted.size) && self.is_below_limit(job, step, wanted, agent)
         };
-        let slack = self.slack(now, job, wanted);
-        let cost = |seat: &AgentSeat| self.relative_run_time(seat, wanted, slack);
-        self.seats
-            .iter()
-            .filter(fits)
-            .min_by(|(_, one), (_, other)| cost(one).total_cmp(&cost(other)))
-            .map(|(agent, _)| agent.clone())
+        let cost = |seat: &AgentSeat| {
+            hurry.cost(self.relative_run_time(seat, wanted), seat.crowding())
+        };
+        let seats = self.seats.iter().filter(suited).filter(fits);
+        let best = seats.min_by(|(_, one), (_, other)| cost(one).total_cmp(&cost(other)))?;
+        let run_time = self.relative_run_time(best.1, wanted);
+        (!hurry.should_wait(run_time)).then(|| best.0.clone())
     }
 
     fn service_of(&self, job: &QueuedJob) -> Option<ServiceId> {
@@ -184,21 +181,19 @@
         there.count() < wanted.most_per_server as usize
     }
 
-    /// Time that a task has beyond its run time, in run times.
-    fn slack(&self, now: Instant, job: &QueuedJob, wanted: &JobStep) -> f64 {
-        let Some(live) = self.live.get(&job.id) else { return LEAST_SLACK };
+    /// Time that a task has to end in, in multiples of its estimate.
+    fn time_left(&self, now: Instant, job: &QueuedJob, wanted: &JobStep) -> f64 {
+        let Some(live) = self.live.get(&job.id) else { return 0.0 };
         let left = live.end_by().saturating_duration_since(now).as_secs_f64();
-        let run = wanted.estimate().as_secs_f64().max(f64::MIN_POSITIVE);
-        (left / run - 1.0).max(LEAST_SLACK)
+        left / wanted.estimate().as_secs_f64().max(f64::MIN_POSITIVE)
     }
 
-    fn relative_run_time(&self, seat: &AgentSeat, wanted: &JobStep, slack: f64) -> f64 {
+    /// Run time at an agent, in multiples of the estimate.
+    fn relative_run_time(&self, seat: &AgentSeat, wanted: &JobStep) -> f64 {
         let Some(server) = &seat.server else { return f64::INFINITY };
         let far = wanted.data_rack.as_ref().is_some_and(|rack| !server.labels.contains(rack));
         let distance = if far { self.limits.remote_factor } else { 1.0 };
-        let all = server.room.cpu_milli.max(1) as f64;
-        let crowding = 1.0 - seat.free_room().cpu_milli as f64 / all;
-        seat.slowness() * distance * (1.0 + CROWDING_WEIGHT * slack * crowding)
+        seat.slowness() * distance
     }
 
     fn place(
--- /dev/null
+++ b/crates/decisions/src/schedule/task_hurry.rs
@@ -0,0 +1,73 @@
+//! How much a task is in a hurry, and what that means for where it runs.
+//!
+//! Answers the pattern *mixed speeds*: long tasks end in time only on the
+//! fastest backend servers, short ones end in time on any. Short ones leave
+//! most of the room of the fast servers free, and a long one rather waits for
+//! a fast server than starts at once on one where it surely ends late.
+
+/// Run times that are learnt are off by less than this factor, mostly.
+const MARGIN: f64 = 1.1;
+/// A server is fast when its run times are below this share of the mean.
+const FAST_SHARE: f64 = 0.8;
+/// Share of a fast server's room that tasks with time to spare may fill.
+const SPARE_ROOM: f64 = 0.35;
+/// How much a full server counts against itself, for each run time of slack.
+const CROWDING_WEIGHT: f64 = 2.0;
+/// Least slack that counts, so that equal servers share.
+const LEAST_SLACK: f64 = 0.1;
+/// Cost of a server that is to be left to others, and of one where the task
+/// surely ends late; above the cost of any other.
+const LEFT_TO_OTHERS: f64 = 1_000.0;
+const SURELY_LATE: f64 = 1_000_000.0;
+
+/// A task's hurry among the servers that suit it. Times are multiples of its
+/// estimated run time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TaskHurry {
+    left: f64,
+    fastest: f64,
+    slowest: f64,
+    mean: f64,
+}
+
+impl TaskHurry {
+    /// A task with this much time left, among servers of these run times.
+    pub fn new(left: f64, run_times: impl Iterator<Item = f64>) -> TaskHurry {
+        let (mut fastest, mut slowest, mut sum, mut count) = (f64::INFINITY, 0.0_f64, 0.0, 0.0);
+        for run_time in run_times {
+            fastest = fastest.min(run_time);
+            slowest = slowest.max(run_time);
+            sum += run_time;
+            count += 1.0;
+        }
+        TaskHurry { left, fastest, slowest, mean: sum / f64::max(count, 1.0) }
+    }
+
+    /// What it costs to run the task on a server; the least is best.
+    pub fn cost(&self, run_time: f64, crowding: f64) -> f64 {
+        if run_time * MARGIN > self.left {
+            return SURELY_LATE * run_time;
+        }
+        let slack = (self.left - 1.0).max(LEAST_SLACK);
+        let cost = run_time * (1.0 + CROWDING_WEIGHT * slack * crowding);
+        if self.has_time_to_spare() && self.is_fast(run_time) && crowding > SPARE_ROOM {
+            return LEFT_TO_OTHERS + cost;
+        }
+        cost
+    }
+
+    /// Whether the task ends in time wherever it runs.
+    fn has_time_to_spare(&self) -> bool {
+        self.slowest * MARGIN <= self.left
+    }
+
+    fn is_fast(&self, run_time: f64) -> bool {
+        run_time < FAST_SHARE * self.mean
+    }
+
+    /// Whether a server that has room now is worse than waiting for a faster
+    /// one: the task ends late on this one and may yet end in time on that.
+    pub fn should_wait(&self, run_time: f64) -> bool {
+        run_time * MARGIN > self.left && self.fastest * MARGIN <= self.left
+    }
+}
