Prove queued jobs over lost, late and doubled orders; mend three faults found

Found by the model (tests/schedule_faults.rs), each failing first: - a new leader let in the tasks of a job that it still held back when one end of it was recorded: a task ran on two servers at once (3000 cases); - a task whose done end was on its way into the record was let in again at a takeover; - a task was placed though its end had come while it waited. Change: held jobs let nothing in; ends on their way bar their task; placing looks again.

--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -576,6 +576,11 @@
         first.into_iter().chain(granted).chain(reports).chain(life).min()
     }
 
+    /// Grows with each start of the agent.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
     /// Runs that may be at work.
     pub fn runs(&self) -> usize {
         self.life.as_ref().map_or(0, |life| life.runs.len())
--- a/crates/decisions/src/schedule/admitting.rs
+++ b/crates/decisions/src/schedule/admitting.rs
@@ -75,7 +75,7 @@
             if self.unheard.is_empty() {
                 self.let_steps_in(&job.id);
             } else {
-                self.held.push(job.id.clone());
+                self.held.insert(job.id.clone());
             }
         }
         JobDecision::Wait
--- a/crates/decisions/src/schedule/placing.rs
+++ b/crates/decisions/src/schedule/placing.rs
@@ -47,8 +47,12 @@
         true
     }
 
-    /// Lets in every task whose turn has come and that nobody runs.
+    /// Lets in every task whose turn has come and that nobody runs. What runs
+    /// of a job that is held is not known yet.
     pub(super) fn let_steps_in(&mut self, id: &JobId) {
+        if self.held.contains(id) {
+            return;
+        }
         let Some(live) = self.live.get_mut(id) else { return };
         let record = self.loose.job(id).or_else(|| self.book.job(id));
         let Some(record) = record else { return };
@@ -61,7 +65,9 @@
             let work = core_millis(&job.steps[step as usize]);
             let latest = live.latest_start(&job.steps[step as usize]);
             for task in job.tasks_of(step) {
-                if !record.is_done(&task) && !self.placements.contains_key(&task) {
+                let taken =
+                    self.placements.contains_key(&task) || self.ending.contains(&task);
+                if !record.is_done(&task) && !taken {
                     self.ready.push(id, step, task.index, latest, work);
                 }
             }
@@ -73,7 +79,8 @@
         let Some(live) = self.live.get(&task.job) else { return };
         let Some(step) = live.job.steps.get(task.step as usize) else { return };
         let done = self.record(&task.job).is_none_or(|record| record.is_done(task));
-        if !done && live.steps_in.contains(&task.step) && !self.placements.contains_key(task) {
+        let taken = self.placements.contains_key(task) || self.ending.contains(task);
+        if !done && live.steps_in.contains(&task.step) && !taken {
             let latest = live.latest_start(step);
             self.ready.push(&task.job, task.step, task.index, latest, core_millis(step));
         }
@@ -124,6 +131,10 @@
                 let Some(agent) = self.choose_agent(now, &job, step) else { break };
                 let Some(index) = self.ready.take(key) else { break };
                 let task = TaskName { job: id.clone(), occurrence: 0, step, index };
+                // Its end may have come while it waited.
+                if self.record(&id).is_none_or(|record| record.is_done(&task)) {
+                    continue;
+                }
                 let run = self.place(now, &job, task, &agent);
                 starts.entry(agent).or_default().push(run);
             }
--- a/crates/decisions/src/schedule/ready_queue.rs
+++ b/crates/decisions/src/schedule/ready_queue.rs
@@ -32,7 +32,7 @@
 }
 
 impl ReadyQueue {
-    /// Adds a task; `latest` is when it must start to end in time.
+    /// Adds a task, once; `latest` is when it must start to end in time.
     pub(super) fn push(
         &mut self,
         job: &JobId,
@@ -52,6 +52,9 @@
             tasks: VecDeque::new(),
             work,
         });
+        if group.tasks.contains(&task) {
+            return;
+        }
         group.tasks.push_back(task);
         self.work += group.work;
     }
--- a/crates/decisions/src/schedule/reports.rs
+++ b/crates/decisions/src/schedule/reports.rs
@@ -209,6 +209,7 @@
             self.on_change(now, change);
         }
         if !ends.is_empty() {
+            self.ending.extend(ends.iter().map(|end| end.run.task.clone()));
             self.steps.push(ScheduleStep::Propose(vec![Command::EndRuns { ends }]));
         }
     }
@@ -304,13 +305,14 @@
         for seat in self.seats.values_mut() {
             seat.record_end(&end.run);
         }
+        let was_ending = self.ending.swap_remove(task);
         let current = self.placements.get(task).is_some_and(|placed| placed.run == end.run.run);
         if current {
             self.placements.swap_remove(task);
         }
         match end.kind {
             EndKind::Done => self.let_steps_in(&task.job),
-            EndKind::Failed | EndKind::Stopped | EndKind::Lapsed if current => {
+            EndKind::Failed | EndKind::Stopped | EndKind::Lapsed if current || was_ending => {
                 self.make_ready_again(task);
             }
             _ => {}
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -153,10 +153,12 @@
     pub(super) live: IndexMap<JobId, LiveJob>,
     pub(super) placements: IndexMap<TaskName, Placement>,
     pub(super) ready: ReadyQueue,
+    /// Tasks of which an end is on its way into the record.
+    pub(super) ending: IndexSet<TaskName>,
     /// Agents that a new leader has yet to hear of.
     pub(super) unheard: IndexSet<NodeId>,
     /// Jobs from before this leader, until it knows what runs.
-    pub(super) held: Vec<JobId>,
+    pub(super) held: IndexSet<JobId>,
     pub(super) entries: EntryList,
     pub(super) steps: Vec<ScheduleStep>,
 }
@@ -176,8 +178,9 @@
             live: IndexMap::new(),
             placements: IndexMap::new(),
             ready: ReadyQueue::default(),
+            ending: IndexSet::new(),
             unheard: IndexSet::new(),
-            held: Vec::new(),
+            held: IndexSet::new(),
             entries: EntryList::default(),
             steps: Vec::new(),
         }
--- a/crates/decisions/src/schedule/takeover.rs
+++ b/crates/decisions/src/schedule/takeover.rs
@@ -25,6 +25,7 @@
         self.live.clear();
         self.placements.clear();
         self.ready = ReadyQueue::default();
+        self.ending = IndexSet::new();
         self.unheard = IndexSet::new();
         self.held.clear();
     }
@@ -44,7 +45,7 @@
             .with("open_jobs", open.len())
             .with("agents", self.unheard.len());
         self.steps.push(ScheduleStep::Note(line));
-        self.held = open;
+        self.held = open.into_iter().collect();
         self.end_takeover_if_complete(now);
     }
 
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -3,6 +3,7 @@
 mod job_model;
 mod log_model;
 mod process_group;
+mod schedule_model;
 mod support;
 
 mod bad_input;
@@ -20,5 +21,6 @@
 mod process_failures;
 mod request_path;
 mod ring_bounds;
+mod schedule_faults;
 mod settings_mistakes;
 mod start_order;
