--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -556,9 +556,10 @@
 
     /// When [`RunTable::on_tick`] is next needed.
     pub fn next_deadline(&self) -> Option<Instant> {
-        let owed = self.schedulers.values().any(|session| {
-            session.session.is_some() && session.owes_report && !session.report_out
-        });
+        let owed = self
+            .schedulers
+            .values()
+            .any(|session| session.session.is_some() && session.owes_report && !session.report_out);
         let first = owed.then(|| self.lapsed_at());
         let life = self.life.as_ref();
         let granted = life.into_iter().flat_map(|life| {
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -153,9 +153,8 @@
 
     /// Ends that a scheduler has yet to record.
     pub(super) fn unnoted_of(&self, scheduler: &SchedulerKey) -> Vec<RunNews> {
-        let concerns = |owner: &Option<SchedulerKey>| {
-            owner.as_ref().is_none_or(|owner| owner == scheduler)
-        };
+        let concerns =
+            |owner: &Option<SchedulerKey>| owner.as_ref().is_none_or(|owner| owner == scheduler);
         let unnoted = self.unnoted.iter().filter(|unnoted| concerns(&unnoted.owner));
         unnoted.map(|unnoted| news_of(&unnoted.end)).collect()
     }
--- a/crates/decisions/src/control/job_book.rs
+++ b/crates/decisions/src/control/job_book.rs
@@ -99,7 +99,11 @@
     pub fn apply(&mut self, record: &LogRecord) -> JobChange {
         match &record.command {
             Command::SetCatalog { catalog } => {
-                if self.catalog.set(catalog) { JobChange::Catalog } else { JobChange::None }
+                if self.catalog.set(catalog) {
+                    JobChange::Catalog
+                } else {
+                    JobChange::None
+                }
             }
             Command::AcceptJob { job } => self.accept(job, record.at_ms, record.term),
             Command::CancelJob { job } => self.close(job, JobPhase::Cancelled, record.at_ms),
--- a/crates/decisions/src/entry/queue_routes.rs
+++ b/crates/decisions/src/entry/queue_routes.rs
@@ -50,11 +50,7 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        QueueRoutes {
-            version: catalog.version,
-            body_limit_bytes: catalog.body_limit_bytes,
-            hosts,
-        }
+        QueueRoutes { version: catalog.version, body_limit_bytes: catalog.body_limit_bytes, hosts }
     }
 
     /// The catalog's version.
--- a/crates/decisions/src/schedule/mod.rs
+++ b/crates/decisions/src/schedule/mod.rs
@@ -20,5 +20,5 @@
 mod task_hurry;
 
 pub use agent_seat::AgentSeat;
-pub use task_hurry::TaskHurry;
 pub use scheduler::{JobDecision, ScheduleLimits, ScheduleStep, Scheduler, SchedulerKind};
+pub use task_hurry::TaskHurry;
--- a/crates/decisions/src/schedule/placing.rs
+++ b/crates/decisions/src/schedule/placing.rs
@@ -4,8 +4,8 @@
 
 use indexmap::{IndexMap, IndexSet};
 use model::{
-    AgentOrder, EventLine, JobId, JobPhase, JobReply, JobStep, NodeId, QueuedJob, RunNumber, ServiceId,
-    StepIndex, TaskName, TaskRun,
+    AgentOrder, EventLine, JobId, JobPhase, JobReply, JobStep, NodeId, QueuedJob, RunNumber,
+    ServiceId, StepIndex, TaskName, TaskRun,
 };
 
 use super::agent_seat::AgentSeat;
@@ -65,8 +65,7 @@
             let work = core_millis(&job.steps[step as usize]);
             let latest = live.latest_start(&job.steps[step as usize]);
             for task in job.tasks_of(step) {
-                let taken =
-                    self.placements.contains_key(&task) || self.ending.contains(&task);
+                let taken = self.placements.contains_key(&task) || self.ending.contains(&task);
                 if !record.is_done(&task) && !taken {
                     self.ready.push(id, step, task.index, latest, work);
                 }
@@ -162,9 +161,8 @@
         let fits = |(agent, seat): &(&NodeId, &AgentSeat)| {
             seat.free_room().holds(&wanted.size) && self.is_below_limit(job, step, wanted, agent)
         };
-        let cost = |seat: &AgentSeat| {
-            hurry.cost(self.relative_run_time(seat, wanted), seat.crowding())
-        };
+        let cost =
+            |seat: &AgentSeat| hurry.cost(self.relative_run_time(seat, wanted), seat.crowding());
         let seats = self.seats.iter().filter(suited).filter(fits);
         let best = seats.min_by(|(_, one), (_, other)| cost(one).total_cmp(&cost(other)))?;
         let run_time = self.relative_run_time(best.1, wanted);
@@ -186,9 +184,9 @@
         if wanted.most_per_server == 0 {
             return true;
         }
-        let there = job.tasks_of(step).filter(|task| {
-            self.placements.get(task).is_some_and(|placed| placed.agent == *agent)
-        });
+        let there = job
+            .tasks_of(step)
+            .filter(|task| self.placements.get(task).is_some_and(|placed| placed.agent == *agent));
         there.count() < wanted.most_per_server as usize
     }
 
@@ -207,13 +205,7 @@
         seat.slowness() * distance
     }
 
-    fn place(
-        &mut self,
-        now: Instant,
-        job: &QueuedJob,
-        task: TaskName,
-        agent: &NodeId,
-    ) -> TaskRun {
+    fn place(&mut self, now: Instant, job: &QueuedJob, task: TaskName, agent: &NodeId) -> TaskRun {
         let size = job.steps[task.step as usize].size;
         let mut run = 1;
         if let Some(live) = self.live.get_mut(&task.job) {
@@ -240,9 +232,10 @@
         starts: IndexMap<NodeId, Vec<TaskRun>>,
     ) {
         for (agent, runs) in starts {
-            let waited = self.live.get(&job.id).map_or(Duration::ZERO, |live| {
-                now.saturating_duration_since(live.since)
-            });
+            let waited = self
+                .live
+                .get(&job.id)
+                .map_or(Duration::ZERO, |live| now.saturating_duration_since(live.since));
             let Some(seat) = self.seats.get_mut(&agent) else { continue };
             let Some(life) = seat.life().cloned() else { continue };
             let names: Vec<String> =
@@ -275,9 +268,10 @@
         if self.ready.is_empty() {
             return Duration::ZERO;
         }
-        let open = self.seats.values().filter(|seat| {
-            seat.server.as_ref().is_some_and(|server| !server.draining)
-        });
+        let open = self
+            .seats
+            .values()
+            .filter(|seat| seat.server.as_ref().is_some_and(|server| !server.draining));
         let (mut speed, mut own, mut others) = (0.0, 0, 0);
         for seat in open {
             let room = seat.server.as_ref().map_or(0, |server| server.room.cpu_milli);
@@ -296,8 +290,7 @@
 /// Whether a backend server may run tasks of a step at all.
 fn suits(seat: &AgentSeat, wanted: &JobStep, service: &ServiceId) -> bool {
     let Some(server) = &seat.server else { return false };
-    let labelled =
-        wanted.required_label.as_ref().is_none_or(|label| server.labels.contains(label));
+    let labelled = wanted.required_label.as_ref().is_none_or(|label| server.labels.contains(label));
     server.service == *service && labelled
 }
 
--- a/crates/decisions/src/schedule/reports.rs
+++ b/crates/decisions/src/schedule/reports.rs
@@ -107,7 +107,7 @@
     /// its life. What is listed and should not run there is stopped.
     fn compare_runs(&mut self, now: Instant, report: &AgentReport, runs: &[TaskRun]) {
         let agent = &report.agent;
-        let gone: Vec<TaskName> = self
+        let gone: Vec<TaskRun> = self
             .placements
             .iter()
             .filter(|(task, placed)| {
@@ -115,13 +115,12 @@
                 let listed = listed.any(|run| run.task == **task && run.run == placed.run);
                 placed.agent == *agent && !placed.ended && !listed
             })
-            .map(|(task, _)| task.clone())
+            .map(|(task, placed)| TaskRun { task: task.clone(), run: placed.run })
             .collect();
-        let news: Vec<&TaskRun> = report.news.iter().map(run_of).collect();
-        for task in gone {
-            if !news.iter().any(|run| run.task == task) {
-                self.placements.swap_remove(&task);
-                self.make_ready_again(&task);
+        for run in gone {
+            if !report.news.iter().any(|news| *run_of(news) == run) {
+                self.placements.swap_remove(&run.task);
+                self.make_ready_again(&run.task);
             }
         }
         for run in runs {
@@ -219,13 +218,7 @@
         self.kind == SchedulerKind::Control && self.book.job(&run.task.job).is_some()
     }
 
-    fn on_refused(
-        &mut self,
-        now: Instant,
-        agent: &NodeId,
-        run: &TaskRun,
-        refusal: StartRefusal,
-    ) {
+    fn on_refused(&mut self, now: Instant, agent: &NodeId, run: &TaskRun, refusal: StartRefusal) {
         let line = EventLine::new("start_refused")
             .with("run", run)
             .with("agent", agent)
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -5,9 +5,9 @@
 
 use indexmap::{IndexMap, IndexSet};
 use model::{
-    AgentOrders, CallId, Command, EntryHost, EventLine, JobCall, JobId, JobPhase, JobRecord, JobReply, JobStep, LifeId,
-    LogRecord, NodeId, QueueCatalog, QueuedJob, RoomSize, RunNumber, ScheduleState,
-    TaskName, Term,
+    AgentOrders, CallId, Command, EntryHost, EventLine, JobCall, JobId, JobPhase, JobRecord,
+    JobReply, JobStep, LifeId, LogRecord, NodeId, QueueCatalog, QueuedJob, RoomSize, RunNumber,
+    ScheduleState, TaskName, Term,
 };
 
 use super::agent_seat::AgentSeat;
@@ -287,9 +287,7 @@
             JobCall::Accept { job, .. } => self.admit(job),
             JobCall::Cancel { queue, job } => match self.book.job(job) {
                 None => JobDecision::Reply(JobReply::UnknownJob),
-                Some(record) if record.queue != *queue => {
-                    JobDecision::Reply(JobReply::UnknownJob)
-                }
+                Some(record) if record.queue != *queue => JobDecision::Reply(JobReply::UnknownJob),
                 Some(record) if record.ended.is_some() => JobDecision::Reply(JobReply::Cancelled),
                 Some(_) => JobDecision::Commit(Command::CancelJob { job: job.clone() }),
             },
--- a/crates/decisions/src/schedule/takeover.rs
+++ b/crates/decisions/src/schedule/takeover.rs
@@ -84,11 +84,11 @@
 
     /// Everything at a silent agent is over: its grant and its lease are.
     fn unseat(&mut self, now: Instant, agent: NodeId) {
-        let silent_ms = self.seats.get(&agent).map_or(0, |seat| {
-            now.saturating_duration_since(seat.heard_at).as_millis()
-        });
-        let line =
-            EventLine::new("agent_lost").with("agent", &agent).with("silent_ms", silent_ms);
+        let silent_ms = self
+            .seats
+            .get(&agent)
+            .map_or(0, |seat| now.saturating_duration_since(seat.heard_at).as_millis());
+        let line = EventLine::new("agent_lost").with("agent", &agent).with("silent_ms", silent_ms);
         self.steps.push(ScheduleStep::Note(line));
         if let Some(seat) = self.seats.shift_remove(&agent)
             && let Some(parked) = seat.parked
--- a/crates/edges/src/job_calls.rs
+++ b/crates/edges/src/job_calls.rs
@@ -101,7 +101,8 @@
     /// Asks one host until it stops answering or does not lead.
     async fn watch(&mut self, address: SocketAddr, client: &Arc<WsClient>) -> Option<SocketAddr> {
         loop {
-            let answer = tokio::time::timeout(WATCH_LIMIT, client.catalog(self.question.clone())).await;
+            let answer =
+                tokio::time::timeout(WATCH_LIMIT, client.catalog(self.question.clone())).await;
             let Ok(Ok(body)) = answer else { return None };
             match body {
                 ControlReplyBody::Catalog(newer) => self.take_catalog(newer),
@@ -194,7 +195,7 @@
             Ok(Ok(ControlReplyBody::Job(reply))) => Attempt::Answered(reply),
             Ok(Ok(ControlReplyBody::Results(results))) => {
                 Attempt::Answered(committed(job, &results))
-            },
+            }
             Ok(Ok(ControlReplyBody::NotLeader { .. })) => Attempt::NotTaken,
             _ => Attempt::InDoubt,
         }
--- a/crates/edges/src/peer_api.rs
+++ b/crates/edges/src/peer_api.rs
@@ -7,7 +7,8 @@
 use jsonrpsee::types::ErrorObjectOwned;
 use model::{
     AgentPoll, AgentReport, AgentView, AgentWatch, CatalogQuestion, Command, ControlQuery,
-    ControlReplyBody, JobCall, NodeWatch, RecallAnswer, RecallOrder, ReplicaEnvelope, StartOrder, TaskQuestion, TaskReport,
+    ControlReplyBody, JobCall, NodeWatch, RecallAnswer, RecallOrder, ReplicaEnvelope, StartOrder,
+    TaskQuestion, TaskReport,
 };
 
 /// Largest message between processes, in bytes.
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -140,7 +140,9 @@
 }
 
 /// Why an agent or its backend server started nothing.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, Display, IntoStaticStr)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, Display, IntoStaticStr,
+)]
 #[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
 pub enum StartRefusal {
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -128,7 +128,8 @@
 
 /// The addresses with another port, if one is named.
 fn with_port(addresses: &[SocketAddr], port: Option<u16>) -> Vec<SocketAddr> {
-    let moved = |address: &SocketAddr| SocketAddr::new(address.ip(), port.unwrap_or(address.port()));
+    let moved =
+        |address: &SocketAddr| SocketAddr::new(address.ip(), port.unwrap_or(address.port()));
     addresses.iter().map(moved).collect()
 }
 
--- a/crates/services/src/job_scheduling.rs
+++ b/crates/services/src/job_scheduling.rs
@@ -8,9 +8,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use decisions::schedule::{
-    JobDecision, ScheduleLimits, ScheduleStep, Scheduler, SchedulerKind,
-};
+use decisions::schedule::{JobDecision, ScheduleLimits, ScheduleStep, Scheduler, SchedulerKind};
 use indexmap::IndexMap;
 use kernel::{
     DutyState, KernelError, PushError, Registry, Reservation, RingReceiver, RingSender, serve,
--- a/tests/schedule_faults.rs
+++ b/tests/schedule_faults.rs
@@ -100,7 +100,7 @@
                 prop_assert_eq!(
                     model.stored_phase(&stored),
                     Some(model::JobPhase::Completed),
-                    "job {} has not ended", number
+                    "job {} has not ended\n{}", number, model.story(&stored.id)
                 );
             }
         }
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -462,7 +462,9 @@
                 ScheduleStep::JobEnd { call, reply } => {
                     self.told.insert(call, Told::Reply(reply));
                 }
-                ScheduleStep::Note(line) => self.notes.push(format!("{:?} s{number} {line:?}", self.now)),
+                ScheduleStep::Note(line) => {
+                    self.notes.push(format!("{:?} s{number} {line:?}", self.now))
+                }
             }
         }
     }
@@ -518,9 +520,9 @@
         let steps = table.on_report_taken(self.now, key, report.session);
         self.carry_runs(agent, steps);
         let polls = self.schedulers[number].polls.values();
-        let polled = polls.into_iter().any(|(owner, session, _)| {
-            *owner == agent && *session == report.session
-        });
+        let polled = polls
+            .into_iter()
+            .any(|(owner, session, _)| *owner == agent && *session == report.session);
         if first && !polled {
             self.poll(number, agent, report.session);
         }
@@ -570,7 +572,10 @@
 
     fn perform(&mut self, server: usize, call: &ServerCall) -> ServerAnswer {
         let before = self.servers[server].runs.len();
-        self.notes.push(format!("{:?} server{server} {:?} fence {} of {}", self.now, call.wish, call.fence, self.servers[server].fence));
+        self.notes.push(format!(
+            "{:?} server{server} {:?} fence {} of {}",
+            self.now, call.wish, call.fence, self.servers[server].fence
+        ));
         let answer = self.servers[server].take(self.now, call);
         if self.servers[server].runs.len() > before
             && let ServerWish::Start { run, .. } = &call.wish
@@ -585,15 +590,22 @@
         *self.starts.entry(task.clone()).or_insert(0) += 1;
         let runs = self.servers.iter().flat_map(|server| server.runs.values());
         let running = runs.filter(|(run, _)| run.task == *task).count();
-        assert!(running <= 1, "{task} runs {running} times at once\n{}", self.story(task));
+        assert!(running <= 1, "{task} runs {running} times at once\n{}", self.story(&task.job));
         let lapsed = self.servers.iter().any(|server| server.lapsed_ends.contains(task));
         if self.stored.contains(task.job.as_str()) && !lapsed {
-            assert!(!self.done.contains(task), "{task} started after its end was recorded\n{}", self.story(task));
+            assert!(
+                !self.done.contains(task),
+                "{task} started after its end was recorded\n{}",
+                self.story(&task.job)
+            );
         }
     }
 
-    fn story(&self, task: &TaskName) -> String {
-        let about = self.notes.iter().filter(|note| note.contains(task.job.as_str()) || note.contains("takeover") || note.contains("session"));
+    /// What happened that concerns a job.
+    pub(crate) fn story(&self, job: &str) -> String {
+        let about = self.notes.iter().filter(|note| {
+            note.contains(job) || note.contains("takeover") || note.contains("session")
+        });
         about.cloned().collect::<Vec<_>>().join("\n")
     }
 
@@ -616,8 +628,7 @@
     fn note_done(&mut self) {
         for (id, record) in self.book.jobs() {
             for (step, index) in &record.done {
-                let task =
-                    TaskName { job: id.clone(), occurrence: 0, step: *step, index: *index };
+                let task = TaskName { job: id.clone(), occurrence: 0, step: *step, index: *index };
                 self.done.insert(task);
             }
         }
