--- a/crates/decisions/src/entry/queue_routes.rs
+++ b/crates/decisions/src/entry/queue_routes.rs
@@ -41,7 +41,7 @@
         let mut hosts: IndexMap<CompactString, Vec<PrefixRoute>> = IndexMap::new();
         for (name, queue) in &catalog.queues {
             let host = queue.host.to_ascii_lowercase();
-            hosts.entry(host.into()).or_default().push(PrefixRoute {
+            hosts.entry(host).or_default().push(PrefixRoute {
                 prefix: queue.path_prefix.clone(),
                 queue: name.clone(),
                 timeout: Duration::from_millis(queue.timeout_ms),
