--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -1,5 +1,6 @@
 //! The services of a control host.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
@@ -7,9 +8,10 @@
 use decisions::schedule::{ScheduleLimits, SchedulerKind};
 use edges::control_link::incarnation_at;
 use edges::disk::HostFolder;
+use edges::group_join::GroupJoin;
 use edges::journal::{Journal, RecoveredJournal};
 use kernel::{Kernel, SharedClock, StopSignal};
-use model::{ControlReply, ControlSettings, ServiceName, host_name};
+use model::{ControlPeer, ControlReply, ControlSettings, ServiceName, host_name};
 use services::replicated_log::LogSetup;
 
 use super::{DUTY_RING, RoleError, RunningRole, assembled, context, local_address, with_log};
@@ -72,6 +74,14 @@
         edges::control_edge::run(&ring, &registry, listener);
     })?;
 
+    if let Some(join) = group_join(settings) {
+        let join_context = context.clone();
+        kernel.register::<(), _>(ServiceName::GroupJoin, 1, move |ring, registry| {
+            let log = join_context.event_log(&registry).expect("the log writer is registered");
+            edges::group_join::run(&ring, join, log);
+        })?;
+    }
+
     if let Some(address) = settings.operators {
         let listener = edges::caller_edge::listen(address)?;
         let front = platform::OperatorFront { port: address.port() };
@@ -100,6 +110,18 @@
     })
 }
 
+/// A host that may not found a group joins the one at its seeds; where it is a
+/// member already, it learns so at once.
+fn group_join(settings: &ControlSettings) -> Option<GroupJoin> {
+    if settings.found || settings.seeds.is_empty() {
+        return None;
+    }
+    let own = ControlPeer { name: own_name(settings), address: settings.listen };
+    let seeds = settings.first_group().into_iter().map(|peer| peer.address);
+    let seeds: Vec<SocketAddr> = seeds.filter(|seed| *seed != settings.listen).collect();
+    (!seeds.is_empty()).then_some(GroupJoin { own, seeds })
+}
+
 /// A host whose group is formed from addresses is named by its own.
 fn own_name(settings: &ControlSettings) -> model::NodeId {
     if settings.seeds.is_empty() { settings.name.clone() } else { host_name(settings.listen) }
@@ -141,6 +163,7 @@
         boot: incarnation_at(clock.calendar()),
         group: settings.first_group(),
         found: settings.found,
+        wanted_hosts: (!settings.seeds.is_empty()).then_some(settings.seeds.len()),
         election: settings.election(),
         retention: settings.retention(),
         snapshot_records: settings.snapshot_records,
--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -45,9 +45,6 @@
 /// one: this host's calendar was set back since the agent before this one.
 const FENCE_JUMP: FenceNumber = 3_600_000;
 
-/// A stop that was answered is carried out within this time.
-const STOP_WAIT: Duration = Duration::from_millis(60);
-
 /// What an agent's run service does next.
 #[derive(Debug, Clone, PartialEq)]
 pub enum RunStep {
@@ -394,7 +391,8 @@
             _ => RunPhase::Stopping { retry_at: Some(now + self.limits.retry_gap) },
         };
         if *answer == ServerAnswer::Done {
-            life.look_at = life.look_at.or(Some(now + STOP_WAIT));
+            // A run that was not there is barred now; one that was ends soon.
+            life.look_at = Some(now);
         }
     }
 
--- a/crates/decisions/src/control/replica/group.rs
+++ b/crates/decisions/src/control/replica/group.rs
@@ -136,6 +136,25 @@
         self.append_records(now, 0, vec![command])
     }
 
+    /// The group without a host that has been silent for long, when the group
+    /// has more hosts than `wanted`: another has taken its place.
+    pub fn group_without_silent(
+        &self,
+        now: Instant,
+        wanted: usize,
+        silence: Duration,
+    ) -> Option<Vec<ControlPeer>> {
+        let Role::Leader(leader) = &self.role else { return None };
+        let group = self.log.group();
+        if group.len() <= wanted || leader.joining.is_some() {
+            return None;
+        }
+        let silent = group.iter().find(|peer| {
+            peer.name != self.name && leader.silent_since(&peer.name) + silence <= now
+        })?;
+        Some(group.iter().filter(|peer| *peer != silent).cloned().collect())
+    }
+
     /// The host that is catching up, for whom a connection is needed.
     pub fn joining(&self) -> Option<&ControlPeer> {
         match &self.role {
--- a/crates/decisions/src/control/replica/lead.rs
+++ b/crates/decisions/src/control/replica/lead.rs
@@ -84,6 +84,12 @@
         self.first_index
     }
 
+    /// When a host was last heard, or when this host began to lead.
+    pub(super) fn silent_since(&self, name: &NodeId) -> Instant {
+        let heard = self.peers.get(name).and_then(|peer| peer.acked_at);
+        heard.map_or(self.since, |at| at.max(self.since))
+    }
+
     pub(super) fn next_heartbeat(&self, heartbeat: Duration) -> Option<Instant> {
         let due = |peer: &PeerProgress| peer.sent_at.map_or(self.since, |at| at + heartbeat);
         self.peers.values().map(due).min()
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -99,6 +99,8 @@
     ControlEdge,
     /// Control: connections to the other replicas.
     ReplicaLinks,
+    /// Control: joins the group, on a host that is new to it.
+    GroupJoin,
     /// Control and entry: where the tasks of queued jobs run.
     JobScheduling,
     /// Control: the operators' HTTP server.
--- a/crates/services/src/replicated_log.rs
+++ b/crates/services/src/replicated_log.rs
@@ -28,6 +28,8 @@
 const BATCH_RECORDS: usize = 1_024;
 /// A leader's heartbeat, as a share of the least election timeout.
 const HEARTBEAT_SHARE: f64 = 0.35;
+/// How long a host is silent before a joined one takes its place.
+const SILENT_HOST_LIMIT: Duration = Duration::from_secs(3);
 /// How often the ledger is looked through for expired answers.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -41,6 +43,8 @@
     pub group: Vec<ControlPeer>,
     /// Whether an empty data folder may found a new group.
     pub found: bool,
+    /// Hosts that the group is kept at: beyond it, one that is silent leaves.
+    pub wanted_hosts: Option<usize>,
     /// Least election timeout.
     pub election: Duration,
     /// How long answers are kept.
@@ -75,6 +79,7 @@
     told: (Option<Term>, Option<SocketAddr>),
     told_group: Vec<ControlPeer>,
     next_expire: Instant,
+    wanted_hosts: Option<usize>,
     own: RingSender<LogMessage>,
     journal: RingSender<JournalMessage>,
     links: RingSender<ReplicaLinkMessage>,
@@ -99,6 +104,7 @@
         heartbeat: setup.election.mul_f64(HEARTBEAT_SHARE),
         batch_records: BATCH_RECORDS,
     };
+    let wanted_hosts = setup.wanted_hosts;
     let mut replica = Replica::new(now, setup.name, setup.boot, limits, setup.group, setup.stored);
     replica.set_may_found(setup.found);
     let state = ReplicatedLog {
@@ -113,6 +119,7 @@
         told: (None, None),
         told_group: Vec::new(),
         next_expire: now + EXPIRE_INTERVAL,
+        wanted_hosts,
         own: registry.find(ServiceName::ReplicatedLog)?,
         journal: registry.find(ServiceName::JournalWriter)?,
         links: registry.find(ServiceName::ReplicaLinks)?,
@@ -141,6 +148,7 @@
     }
     state.apply_committed();
     state.expire_old(now);
+    state.replace_silent_host(now);
     state.tell_changes(now);
 }
 
@@ -470,6 +478,24 @@
         }
     }
 
+    /// A host that is gone for good leaves the group once another has joined.
+    fn replace_silent_host(&mut self, now: Instant) {
+        let Some(wanted) = self.wanted_hosts else { return };
+        let smaller = self.replica.group_without_silent(now, wanted, SILENT_HOST_LIMIT);
+        let Some(group) = smaller else { return };
+        let at_ms = self.now_ms();
+        if let Some(GroupChange::Logged { index, steps }) =
+            self.replica.change_group(now, at_ms, group.clone())
+        {
+            let names: Vec<&str> = group.iter().map(|peer| peer.name.as_str()).collect();
+            let line = EventLine::new("silent_host_replaced")
+                .with("index", index)
+                .with("group", names.join(","));
+            self.log.info(line);
+            self.carry_out(steps);
+        }
+    }
+
     fn tell_changes(&mut self, now: Instant) {
         if !self.replica.takes_proposals() {
             self.give_up_batches();
