--- a/crates/cactuswing/src/commands/serve.rs
+++ b/crates/cactuswing/src/commands/serve.rs
@@ -42,6 +42,7 @@
     start: impl Fn(&S, &SharedClock) -> (LogSettings, Result<RunningRole, RoleError>),
 ) -> ExitKind {
     let path = argument(matches, "settings");
+    println!("event=starting role={role} version={} settings={path}", env!("CARGO_PKG_VERSION"));
     let text = match read_file(path) {
         Ok(text) => text,
         Err(exit) => return exit,
--- a/tests/process_group.rs
+++ b/tests/process_group.rs
@@ -43,8 +43,9 @@
             .spawn()
             .expect("the binary starts");
         let output = child.stdout.take().expect("its output is piped");
-        let mut line = String::new();
-        BufReader::new(output).read_line(&mut line).expect("it says where it listens");
+        let lines = BufReader::new(output).lines().map_while(Result::ok);
+        let line = lines.into_iter().find(|line| line.starts_with("event=listening"));
+        let line = line.expect("it says where it listens");
         let field = |name: &str| {
             let value = line.split_whitespace().find_map(|word| word.strip_prefix(name));
             value.and_then(|value| value.parse().ok())
