--- a/crates/cactuswing/src/roles/agent.rs
+++ b/crates/cactuswing/src/roles/agent.rs
@@ -37,7 +37,7 @@
     let announce_address = local_address(&announce, settings.announce_listen)?;
     let incarnation = incarnation_at(clock.calendar());
     let mut kernel = Kernel::default();
-    with_log(&mut kernel)?;
+    with_log(&mut kernel, clock)?;
 
     let link = ControlLink {
         clock: clock.clone(),
--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -38,7 +38,7 @@
     let listener = edges::caller_edge::listen(settings.listen)?;
     let address = local_address(&listener, settings.listen)?;
     let mut kernel = Kernel::default();
-    with_log(&mut kernel)?;
+    with_log(&mut kernel, clock)?;
 
     let lease = settings.lease();
     let lease_context = context.clone();
--- a/crates/cactuswing/src/roles/entry.rs
+++ b/crates/cactuswing/src/roles/entry.rs
@@ -39,7 +39,7 @@
     let address = local_address(&listener, settings.listen)?;
     let incarnation = incarnation_at(clock.calendar());
     let mut kernel = Kernel::default();
-    with_log(&mut kernel)?;
+    with_log(&mut kernel, clock)?;
 
     let link = ControlLink {
         clock: clock.clone(),
--- a/crates/cactuswing/src/roles/mod.rs
+++ b/crates/cactuswing/src/roles/mod.rs
@@ -107,9 +107,10 @@
 }
 
 /// What the assembly of every role begins with: the logging duty.
-fn with_log(kernel: &mut Kernel<ServiceName>) -> Result<(), KernelError> {
-    kernel.register::<LogLine, _>(ServiceName::LogWriter, LOG_RING, |ring, _registry| {
-        edges::log_writer::run(&ring);
+fn with_log(kernel: &mut Kernel<ServiceName>, clock: &SharedClock) -> Result<(), KernelError> {
+    let clock = clock.clone();
+    kernel.register::<LogLine, _>(ServiceName::LogWriter, LOG_RING, move |ring, _registry| {
+        edges::log_writer::run(&ring, &clock);
     })
 }
 
--- a/crates/cactuswing/src/roles/queue_entry.rs
+++ b/crates/cactuswing/src/roles/queue_entry.rs
@@ -30,7 +30,7 @@
     let address = local_address(&callers, front.listen)?;
     let ready = edges::caller_edge::listen(front.ready)?;
     let mut kernel = Kernel::default();
-    with_log(&mut kernel)?;
+    with_log(&mut kernel, clock)?;
 
     let agents = edges::caller_edge::listen(settings.listen)?;
     let entry = EntryHost {
--- a/crates/cactuswing/src/roles/server_agent.rs
+++ b/crates/cactuswing/src/roles/server_agent.rs
@@ -36,7 +36,7 @@
     let address = local_address(&listener, settings.announce_listen)?;
     let incarnation = incarnation_at(clock.calendar());
     let mut kernel = Kernel::default();
-    with_log(&mut kernel)?;
+    with_log(&mut kernel, clock)?;
 
     let link = ScheduleLink {
         clock: clock.clone(),
--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -77,6 +77,8 @@
     incarnation: Incarnation,
     limits: RunLimits,
     started_at: Instant,
+    /// Whether a backend server has listed what ran before this agent.
+    has_lists: bool,
     life: Option<ServerLife>,
     schedulers: IndexMap<SchedulerKey, SchedulerSession>,
     /// The agent alone calls its backend server: the token rises with each
@@ -98,6 +100,7 @@
             incarnation,
             limits,
             started_at: now,
+            has_lists: false,
             life: None,
             schedulers: IndexMap::new(),
             fence: incarnation,
@@ -428,6 +431,7 @@
             return;
         };
         let found = !std::mem::replace(&mut life.listed, true);
+        self.has_lists = true;
         let fresh = life.take_lists(now, number, &running, ended);
         if was_waiting {
             life.holds_failed = 0;
@@ -566,7 +570,7 @@
     /// A new agent may say what runs once the backend server listed it, or
     /// once everything that ran before has surely lapsed.
     fn knows_runs(&self, now: Instant) -> bool {
-        self.life.as_ref().is_some_and(|life| life.listed) || now >= self.lapsed_at()
+        self.has_lists || now >= self.lapsed_at()
     }
 
     fn lapsed_at(&self) -> Instant {
--- a/crates/decisions/src/control/job_book.rs
+++ b/crates/decisions/src/control/job_book.rs
@@ -95,6 +95,12 @@
         &self.jobs
     }
 
+    /// When the oldest job that ended did so, in milliseconds since 1970.
+    pub fn oldest_ended_ms(&self) -> Option<u64> {
+        let ended = self.jobs.values().filter(|job| job.ended.is_some());
+        ended.map(|job| job.ended_ms).min()
+    }
+
     /// Applies a record; commands about other things change nothing.
     pub fn apply(&mut self, record: &LogRecord) -> JobChange {
         match &record.command {
--- a/crates/edges/src/log_writer.rs
+++ b/crates/edges/src/log_writer.rs
@@ -1,6 +1,8 @@
 //! The duty that writes log lines, so that nothing else waits on the disk.
 
-use kernel::{Popped, RingReceiver};
+use std::time::{Duration, Instant};
+
+use kernel::{Popped, RingReceiver, SharedClock};
 use log::LevelFilter;
 use log4rs::Config;
 use log4rs::append::console::{ConsoleAppender, Target};
@@ -36,6 +38,8 @@
     let config = Config::builder()
         .appender(Appender::builder().build(APPENDER, appender))
         .logger(Logger::builder().build(OWN_TARGET, level(&settings.level)))
+        // Callers that break off are no news; the answers' counters show them.
+        .logger(Logger::builder().build("warp", LevelFilter::Off))
         .build(root)
         .map_err(|error| EdgeError::Log { reason: error.to_string() })?;
     // Tests and `try` assemble several roles in one process; the first opens the log.
@@ -47,11 +51,47 @@
     name.parse().unwrap_or(LevelFilter::Info)
 }
 
+/// Lines that a process writes in one second at most; what is wrong is always
+/// written.
+const LINES_PER_SECOND: u32 = 1_000;
+
+/// How many lines were written in the present second, and how many left out.
+#[derive(Debug)]
+struct LineBudget {
+    since: Instant,
+    written: u32,
+    left_out: u32,
+}
+
+impl LineBudget {
+    /// Whether a line may be written now.
+    fn allows(&mut self, now: Instant, level: LineLevel) -> bool {
+        if now >= self.since + Duration::from_secs(1) {
+            if self.left_out > 0 {
+                log::warn!("event=lines_left_out count={}", self.left_out);
+            }
+            *self = LineBudget { since: now, written: 0, left_out: 0 };
+        }
+        let matters = matches!(level, LineLevel::Error | LineLevel::Warn);
+        if !matters && self.written >= LINES_PER_SECOND {
+            self.left_out += 1;
+            return false;
+        }
+        self.written += 1;
+        true
+    }
+}
+
 /// Runs the duty until its ring is closed.
-pub fn run(ring: &RingReceiver<LogLine>) {
+pub fn run(ring: &RingReceiver<LogLine>, clock: &SharedClock) {
+    let mut budget = LineBudget { since: clock.now(), written: 0, left_out: 0 };
     loop {
         match ring.pop(None) {
-            Popped::Message(line) => write(&line),
+            Popped::Message(line) => {
+                if budget.allows(clock.now(), line.level) {
+                    write(&line);
+                }
+            }
             Popped::DeadlinePassed => {}
             Popped::Closed => {
                 log::logger().flush();
--- a/crates/edges/src/schedule_link.rs
+++ b/crates/edges/src/schedule_link.rs
@@ -30,6 +30,8 @@
 const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
 /// Pause before an entry is connected to again.
 const ENTRY_PAUSE: Duration = Duration::from_millis(150);
+/// The host answers, but does not schedule.
+const NOT_LEADER: &str = "not_leader";
 /// Reports that may wait for one connection.
 const REPORT_QUEUE: usize = 64;
 
@@ -153,12 +155,14 @@
         loop {
             let Some((address, client)) = self.connect(&mut host).await else { return };
             self.session += 1;
-            self.note("session_opened", address, "connected");
             while self.reports.try_recv().is_ok() {}
             self.tell(ScheduleEvent::Opened);
             let end = self.serve(&client).await;
             self.tell(ScheduleEvent::Closed);
-            self.note("session_lost", address, end.reason);
+            // Hosts that do not lead are tried often while none does.
+            if end.reason != NOT_LEADER {
+                self.note("session_lost", address, end.reason);
+            }
             match &mut host {
                 ScheduleHost::Control(finder) => finder.lost(end.leader).await,
                 ScheduleHost::Entry(_) => tokio::time::sleep(ENTRY_PAUSE).await,
@@ -249,7 +253,7 @@
         match answer {
             Ok(Ok(ControlReplyBody::ReportTaken)) => Ok(()),
             Ok(Ok(ControlReplyBody::NotLeader { leader })) => {
-                Err(SessionEnd { reason: "not_leader", leader })
+                Err(SessionEnd { reason: NOT_LEADER, leader })
             }
             Ok(_) => Err(SessionEnd { reason: "report_failed", leader: None }),
             Err(_) => Err(SessionEnd { reason: "report_unanswered", leader: None }),
@@ -272,7 +276,7 @@
                     self.desk.tell(self.scheduler, self.session, event);
                 }
                 Ok(Ok(ControlReplyBody::NotLeader { leader })) => {
-                    return SessionEnd { reason: "not_leader", leader };
+                    return SessionEnd { reason: NOT_LEADER, leader };
                 }
                 Ok(_) => return SessionEnd { reason: "poll_failed", leader: None },
                 Err(_) => return SessionEnd { reason: "poll_unanswered", leader: None },
--- a/crates/services/src/replicated_log.rs
+++ b/crates/services/src/replicated_log.rs
@@ -30,7 +30,7 @@
 const HEARTBEAT_SHARE: f64 = 0.35;
 /// How long a host is silent before a joined one takes its place.
 const SILENT_HOST_LIMIT: Duration = Duration::from_secs(3);
-/// How often the ledger is looked through for expired answers.
+/// How often expired answers and ended jobs are looked for.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(5);
 
 /// What the replicated log is given besides the context.
@@ -469,12 +469,19 @@
         }
         self.next_expire = now + EXPIRE_INTERVAL;
         let before_ms = self.now_ms().saturating_sub(self.retention.as_millis() as u64);
-        let due = self.state.oldest_ended_ms().is_some_and(|oldest| oldest < before_ms);
-        if due && self.replica.leading(now).is_some() {
-            let command = Command::Expire { before_ms };
-            if let Some((_, steps)) = self.replica.propose(now, before_ms, vec![command]) {
-                self.carry_out(steps);
-            }
+        let is_old = |oldest: Option<u64>| oldest.is_some_and(|oldest| oldest < before_ms);
+        let mut commands = Vec::new();
+        if is_old(self.state.oldest_ended_ms()) {
+            commands.push(Command::Expire { before_ms });
+        }
+        if is_old(self.state.jobs().oldest_ended_ms()) {
+            commands.push(Command::ForgetJobs { before_ms });
+        }
+        if commands.is_empty() || self.replica.leading(now).is_none() {
+            return;
+        }
+        if let Some((_, steps)) = self.replica.propose(now, before_ms, commands) {
+            self.carry_out(steps);
         }
     }
 
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -88,6 +88,23 @@
         self.send(Method::DELETE, address, path, &[], String::new()).await
     }
 
+    /// Sends a request of any method.
+    ///
+    /// # Errors
+    /// When no whole answer came.
+    pub async fn call(
+        &self,
+        method: &str,
+        address: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: String,
+    ) -> Result<CallReply, CallFailure> {
+        let method = method.parse().whatever_context("no such method");
+        let method = method.map_err(|source| CallFailure { source })?;
+        self.send(method, address, path, headers, body).await
+    }
+
     async fn send(
         &self,
         method: Method,
