Tell schedulers of others' room twice as often; pause less after a refusal

Cause (both incidents' logs): hundreds of starts refused for want of room, since three entries place by views up to 100 ms old, and each refusal closed the server for 100 ms.

--- a/crates/decisions/src/agent/scheduler_session.rs
+++ b/crates/decisions/src/agent/scheduler_session.rs
@@ -6,7 +6,7 @@
 use model::{RoomSize, RunNews, SessionId, Term};
 
 /// Least time between two reports of others' room alone.
-const OTHERS_GAP: Duration = Duration::from_millis(100);
+const OTHERS_GAP: Duration = Duration::from_millis(50);
 
 #[derive(Debug, Clone, Default)]
 pub(super) struct SchedulerSession {
--- a/crates/decisions/src/schedule/reports.rs
+++ b/crates/decisions/src/schedule/reports.rs
@@ -12,7 +12,7 @@
 use super::scheduler::{Placement, ScheduleStep, Scheduler, SchedulerKind};
 
 /// Pause of a backend server that says it has no room, or is unhealthy.
-const REFUSAL_PAUSE: Duration = Duration::from_millis(100);
+const REFUSAL_PAUSE: Duration = Duration::from_millis(20);
 
 impl Scheduler {
     /// An agent's news; `false` when they are of an earlier session.
