--- a/crates/decisions/src/schedule/admitting.rs
+++ b/crates/decisions/src/schedule/admitting.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use model::{Command, EventLine, JobId, JobPhase, JobReply, QueuedJob, RefusalCause};
+use model::{CallId, Command, EventLine, JobId, JobPhase, JobReply, QueuedJob, RefusalCause};
 
 use super::scheduler::{JobDecision, JobWaiter, LiveJob, ScheduleStep, Scheduler};
 use crate::control::JobChange;
@@ -134,6 +134,20 @@
         }
     }
 
+    /// The caller of a best-effort job has gone away: nobody needs its end, and
+    /// its room serves others.
+    pub fn on_abandoned(&mut self, now: Instant, call: CallId) -> Vec<ScheduleStep> {
+        let mut jobs = self.live.iter();
+        let found = jobs.find(|(_, live)| live.waiter.is_some_and(|waiter| waiter.call == call));
+        if let Some(id) = found.map(|(id, _)| id.clone()) {
+            let line = EventLine::new("job_abandoned").with("job", &id);
+            self.steps.push(ScheduleStep::Note(line));
+            let change = self.loose.close(&id, JobPhase::Cancelled, 0);
+            self.on_change(now, change);
+        }
+        self.finish(now)
+    }
+
     pub(super) fn answer_waiter(&mut self, id: &JobId, reply: JobReply) {
         let waiter = self.live.get_mut(id).and_then(|live| live.waiter.take());
         if let Some(JobWaiter { call, .. }) = waiter {
--- a/crates/edges/src/job_calls.rs
+++ b/crates/edges/src/job_calls.rs
@@ -92,7 +92,6 @@
             let named = self.watch(address, &client).await;
             if self.connection.send_replace(None).is_some() {
                 self.log.warn(EventLine::new("control_lost").with("host", address));
-                self.tell(QueueFrontMessage::Control { reachable: false });
             }
             self.finder.lost(named).await;
         }
@@ -112,7 +111,6 @@
             if self.connection.borrow().is_none() {
                 self.connection.send_replace(Some(Arc::clone(client)));
                 self.log.info(EventLine::new("control_found").with("host", address));
-                self.tell(QueueFrontMessage::Control { reachable: true });
             }
         }
     }
@@ -129,11 +127,7 @@
         if self.scheduling.push(message).is_err() {
             self.log.warn(EventLine::new("ring_full").with("ring", ServiceName::JobScheduling));
         }
-        self.tell(QueueFrontMessage::Catalog { catalog });
-    }
-
-    fn tell(&self, message: QueueFrontMessage) {
-        if self.front.push(message).is_err() {
+        if self.front.push(QueueFrontMessage::Catalog { catalog }).is_err() {
             self.log.warn(EventLine::new("ring_full").with("ring", ServiceName::QueueFront));
         }
     }
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -374,6 +374,11 @@
         /// Room for the answer.
         reply: JobSlot,
     },
+    /// The caller of a best-effort job has gone away.
+    Abandoned {
+        /// Its call.
+        call: CallId,
+    },
     /// An agent's news.
     Report {
         /// The call.
@@ -456,27 +461,10 @@
         /// The catalog.
         catalog: Arc<QueueCatalog>,
     },
-    /// Control can or can't be reached.
-    Control {
-        /// Whether it can.
-        reachable: bool,
-    },
     /// The process is told to end.
     Drain,
 }
 
-/// An operator's change or question, from the operators' server.
-#[derive(Debug, Clone, PartialEq)]
-pub enum OperatorWish {
-    /// Puts a catalog in force.
-    SetCatalog {
-        /// The catalog.
-        catalog: Arc<QueueCatalog>,
-    },
-    /// Asks for the catalog in force.
-    GetCatalog,
-}
-
 /// The name of a host that is known by its address only.
 pub fn host_name(address: std::net::SocketAddr) -> NodeId {
     CompactString::from(address.ip().to_string())
--- a/crates/model/src/server_messages.rs
+++ b/crates/model/src/server_messages.rs
@@ -162,8 +162,6 @@
         /// What happened.
         event: ScheduleEvent,
     },
-    /// The process is told to end.
-    Drain,
 }
 
 /// Messages to the agent's HTTP front.
--- a/crates/services/src/job_scheduling.rs
+++ b/crates/services/src/job_scheduling.rs
@@ -100,6 +100,11 @@
     fn on_message(&mut self, now: Instant, message: SchedulingMessage) {
         match message {
             SchedulingMessage::Job { call, job, reply } => self.on_job(now, call, &job, reply),
+            SchedulingMessage::Abandoned { call } => {
+                self.callers.swap_remove(&call);
+                let steps = self.scheduler.on_abandoned(now, call);
+                self.carry_out(steps);
+            }
             SchedulingMessage::Report { call, report, reply } => {
                 let (taken, steps) = self.scheduler.on_report(now, &report);
                 let body = if taken { ControlReplyBody::ReportTaken } else { self.not_leader() };
--- a/crates/services/src/server_runs.rs
+++ b/crates/services/src/server_runs.rs
@@ -92,7 +92,6 @@
             ServerRunsMessage::Schedule { scheduler, session, event } => {
                 self.on_schedule(now, scheduler, session, event)
             }
-            ServerRunsMessage::Drain => Vec::new(),
         };
         self.carry_out(steps);
     }
--- a/tests/burst_admission.rs
+++ b/tests/burst_admission.rs
@@ -58,3 +58,17 @@
     let (cause, _) = refused(&model.told[&call]).expect("nothing of it ran");
     assert_eq!(cause, RefusalCause::TimeOver);
 }
+
+#[test]
+fn left_caller_frees_room() {
+    let mut model = ScheduleModel::new(1, 1);
+    let calls: Vec<u64> = (1..=5).map(|number| model.hand_in(1, job(number, 1, true))).collect();
+    model.calm(1);
+    assert_eq!(model.running(), AT_A_TIME);
+    model.abandon(1, calls[0]);
+    model.abandon(1, calls[4]);
+    model.calm(60);
+    let ran = model.starts.len();
+    assert_eq!(ran, AT_A_TIME, "what waited for a caller that left never starts");
+    assert_eq!(model.running(), 0);
+}
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -432,6 +432,12 @@
         call
     }
 
+    /// The caller of a best-effort job goes away.
+    pub(crate) fn abandon(&mut self, scheduler: usize, call: u64) {
+        let steps = self.schedulers[scheduler].scheduler.on_abandoned(self.now, call);
+        self.carry_schedule(scheduler, steps);
+    }
+
     fn carry_schedule(&mut self, number: usize, steps: Vec<ScheduleStep>) {
         for step in steps {
             match step {
