--- a/crates/decisions/src/schedule/agent_seat.rs
+++ b/crates/decisions/src/schedule/agent_seat.rs
@@ -9,10 +9,8 @@
     TaskRun,
 };
 
-/// Runs that the learnt slowness goes by, the latest most.
-const SLOWNESS_RUNS: u32 = 8;
-/// Slowness learnt from one run stays within these bounds.
-const SLOWNESS_BOUNDS: (f64, f64) = (0.1, 20.0);
+use super::learnt_speed::LearntSpeed;
+
 /// Failed runs in a row after which a backend server is given a pause.
 const FAILURES_BEFORE_PAUSE: u32 = 3;
 /// Pause of a backend server that fails what it is given.
@@ -48,8 +46,7 @@
     pub(super) parked: Option<ParkedPoll>,
     pub(super) outbox: Vec<AgentOrder>,
     pub(super) paused_until: Option<Instant>,
-    slowness: f64,
-    runs_seen: u32,
+    speed: LearntSpeed,
     failures_in_row: u32,
     pending: VecDeque<PendingEnd>,
     noted: EndNumber,
@@ -69,8 +66,7 @@
             parked: None,
             outbox: Vec::new(),
             paused_until: None,
-            slowness: 1.0,
-            runs_seen: 0,
+            speed: LearntSpeed::new(now),
             failures_in_row: 0,
             pending: VecDeque::new(),
             noted: 0,
@@ -92,7 +88,7 @@
 
     /// Run time here over the estimate, as learnt from what ran.
     pub fn slowness(&self) -> f64 {
-        self.slowness
+        self.speed.slowness()
     }
 
     pub(super) fn life(&self) -> Option<&LifeId> {
@@ -106,15 +102,14 @@
     }
 
     /// A new life begins: nothing of the old one counts.
-    pub(super) fn begin_life(&mut self) {
+    pub(super) fn begin_life(&mut self, now: Instant) {
         self.pending.clear();
         self.noted = 0;
         self.noted_told = 0;
         self.taken = RoomSize::default();
         self.failures_in_row = 0;
         self.paused_until = None;
-        self.slowness = 1.0;
-        self.runs_seen = 0;
+        self.speed = LearntSpeed::new(now);
     }
 
     /// Gives up everything that belongs to a connection.
@@ -127,17 +122,22 @@
         self.entries_told = 0;
     }
 
-    pub(super) fn learn_run_time(&mut self, ran: Duration, estimate: Duration) {
-        if estimate.is_zero() {
-            return;
-        }
-        let (least, most) = SLOWNESS_BOUNDS;
-        let seen = (ran.as_secs_f64() / estimate.as_secs_f64()).clamp(least, most);
-        self.runs_seen = (self.runs_seen + 1).min(SLOWNESS_RUNS);
-        self.slowness += (seen - self.slowness) / f64::from(self.runs_seen);
+    /// A run ended as done.
+    pub(super) fn learn_run_time(&mut self, now: Instant, ran: Duration, estimate: Duration) {
+        self.speed.learn_end(now, ran, estimate);
         self.failures_in_row = 0;
     }
 
+    /// A run has not ended after this time.
+    pub(super) fn learn_overdue(&mut self, now: Instant, ran: Duration, estimate: Duration) {
+        self.speed.learn_overdue(now, ran, estimate);
+    }
+
+    /// Forgets slowness of which nothing was seen for a while.
+    pub(super) fn recover(&mut self, now: Instant) {
+        self.speed.recover(now);
+    }
+
     /// A run failed, or was refused by an unhealthy backend server.
     pub(super) fn learn_failure(&mut self, now: Instant) {
         self.failures_in_row += 1;
--- a/crates/decisions/src/schedule/mod.rs
+++ b/crates/decisions/src/schedule/mod.rs
@@ -12,6 +12,7 @@
 mod admitting;
 mod agent_seat;
 mod entry_list;
+mod learnt_speed;
 mod placing;
 mod ready_queue;
 mod reports;
@@ -20,5 +21,6 @@
 mod task_hurry;
 
 pub use agent_seat::AgentSeat;
+pub use learnt_speed::LearntSpeed;
 pub use scheduler::{JobDecision, ScheduleLimits, ScheduleStep, Scheduler, SchedulerKind};
 pub use task_hurry::TaskHurry;
--- a/crates/decisions/src/schedule/placing.rs
+++ b/crates/decisions/src/schedule/placing.rs
@@ -219,7 +219,7 @@
             seat.taken = seat.taken.with(&size);
             life = seat.life().cloned().unwrap_or_default();
         }
-        let placed = Placement { agent: agent.clone(), life, run, size, since: now, ended: false };
+        let placed = Placement::new(agent.clone(), life, run, size, now);
         self.placements.insert(task.clone(), placed);
         TaskRun { task, run }
     }
--- a/crates/decisions/src/schedule/reports.rs
+++ b/crates/decisions/src/schedule/reports.rs
@@ -20,7 +20,7 @@
         if self.term.is_none() || !self.enter_session(now, report) {
             return (false, Vec::new());
         }
-        self.follow_life(report);
+        self.follow_life(now, report);
         if let Some(runs) = &report.runs {
             self.compare_runs(now, report, runs);
         }
@@ -81,14 +81,14 @@
         true
     }
 
-    fn follow_life(&mut self, report: &AgentReport) {
+    fn follow_life(&mut self, now: Instant, report: &AgentReport) {
         let Some(seat) = self.seats.get_mut(&report.agent) else { return };
         let new_life = report.server.as_ref().map(|server| &server.life) != seat.life();
         let changed = seat.server != report.server;
         seat.server = report.server.clone();
         seat.others = report.others;
         if new_life {
-            seat.begin_life();
+            seat.begin_life(now);
         }
         if changed {
             let line = EventLine::new("server_view").with("agent", &report.agent);
@@ -154,14 +154,8 @@
         else {
             return false;
         };
-        let placed = Placement {
-            agent: report.agent.clone(),
-            life: server.life.clone(),
-            run: run.run,
-            size,
-            since: now,
-            ended: false,
-        };
+        let (agent, life) = (report.agent.clone(), server.life.clone());
+        let placed = Placement::new(agent, life, run.run, size, now);
         self.placements.insert(run.task.clone(), placed);
         if let Some(live) = self.live.get_mut(&run.task.job) {
             live.started = true;
@@ -274,7 +268,8 @@
         });
         if let Some(seat) = self.seats.get_mut(agent) {
             match (kind, estimate) {
-                (EndKind::Done, Some(estimate)) => seat.learn_run_time(ran, estimate),
+                (EndKind::Done, Some(estimate)) => seat.learn_run_time(now, ran, estimate),
+                (EndKind::Stopped, Some(estimate)) => seat.learn_overdue(now, ran, estimate),
                 (EndKind::Failed, _) => seat.learn_failure(now),
                 _ => {}
             }
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -44,6 +44,11 @@
 /// A stop takes less than this, and messages on their way as long.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
+/// Expected run times after which a run first counts as overdue.
+const FIRST_OVERDUE: u32 = 3;
+/// How often overdue runs are looked for while any are at work.
+const OVERDUE_CHECK: Duration = Duration::from_millis(60);
+
 impl ScheduleLimits {
     /// How long after its last poll a silent agent's runs are surely over.
     pub(super) fn silence(&self) -> Duration {
@@ -102,6 +107,21 @@
     pub(super) since: Instant,
     /// Whether its end was listed and is being recorded.
     pub(super) ended: bool,
+    /// After how many expected run times it next counts as overdue.
+    pub(super) overdue_after: u32,
+}
+
+impl Placement {
+    pub(super) fn new(
+        agent: NodeId,
+        life: LifeId,
+        run: RunNumber,
+        size: RoomSize,
+        since: Instant,
+    ) -> Placement {
+        let overdue_after = FIRST_OVERDUE;
+        Placement { agent, life, run, size, since, ended: false, overdue_after }
+    }
 }
 
 /// A job that has not ended.
@@ -160,6 +180,7 @@
     /// Jobs from before this leader, until it knows what runs.
     pub(super) held: IndexSet<JobId>,
     pub(super) entries: EntryList,
+    overdue_checked_at: Instant,
     pub(super) steps: Vec<ScheduleStep>,
 }
 
@@ -182,6 +203,7 @@
             unheard: IndexSet::new(),
             held: IndexSet::new(),
             entries: EntryList::default(),
+            overdue_checked_at: now,
             steps: Vec::new(),
         }
     }
@@ -335,9 +357,34 @@
         self.end_takeover_in_time(now);
         self.drop_silent_agents(now);
         self.end_overdue_jobs(now);
+        self.learn_from_overdue(now);
         self.finish(now)
     }
 
+    /// Runs that have not ended long after they should have teach that their
+    /// servers are slow; servers that are quiet are taken for recovered.
+    fn learn_from_overdue(&mut self, now: Instant) {
+        if now < self.overdue_checked_at + OVERDUE_CHECK {
+            return;
+        }
+        self.overdue_checked_at = now;
+        for (task, placed) in &mut self.placements {
+            let Some(seat) = self.seats.get_mut(&placed.agent) else { continue };
+            let live = self.live.get(&task.job);
+            let step = live.and_then(|live| live.job.steps.get(task.step as usize));
+            let Some(estimate) = step.map(JobStep::estimate) else { continue };
+            let ran = now.saturating_duration_since(placed.since);
+            let expected = estimate.mul_f64(seat.slowness()) * placed.overdue_after;
+            if !placed.ended && ran > expected {
+                placed.overdue_after = placed.overdue_after.saturating_add(1);
+                seat.learn_overdue(now, ran, estimate);
+            }
+        }
+        for seat in self.seats.values_mut() {
+            seat.recover(now);
+        }
+    }
+
     /// When [`Scheduler::on_tick`] is next needed.
     pub fn next_deadline(&self) -> Option<Instant> {
         self.term?;
@@ -350,7 +397,9 @@
             .flatten();
         let slowness = self.least_slowness();
         let waiters = self.live.values().filter_map(|live| live.give_up_at(slowness));
-        polls.chain(waiters).chain(silent).chain(takeover).chain(paused).min()
+        let overdue =
+            (!self.placements.is_empty()).then(|| self.overdue_checked_at + OVERDUE_CHECK);
+        polls.chain(overdue).chain(waiters).chain(silent).chain(takeover).chain(paused).min()
     }
 
     pub(super) fn poll_due(&self, seat: &AgentSeat) -> Option<Instant> {
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -30,4 +30,5 @@
 mod schedule_faults;
 mod server_holds;
 mod settings_mistakes;
+mod slow_servers;
 mod start_order;
