--- a/crates/decisions/src/agent/mod.rs
+++ b/crates/decisions/src/agent/mod.rs
@@ -2,6 +2,7 @@
 //! may start at all.
 
 mod instance_pool;
+mod run_calls;
 mod run_table;
 mod scheduler_session;
 mod server_life;
--- /dev/null
+++ b/crates/decisions/src/agent/run_calls.rs
@@ -0,0 +1,231 @@
+//! An agent's calls to its backend server: what their answers mean, the holds
+//! that renew the lease, and what becomes of runs when lease or grant is over.
+
+use std::time::{Duration, Instant};
+
+use model::{
+    EventLine, FenceNumber, RunNews, ServerAnswer, ServerCall, ServerWish, StartRefusal, TaskRun,
+};
+
+use super::run_table::{RunStep, RunTable};
+use super::server_life::{RunPhase, RunState, ServerLife};
+
+/// How far a fencing token jumps when the backend server has seen a higher
+/// one: this host's calendar was set back since the agent before this one.
+const FENCE_JUMP: FenceNumber = 3_600_000;
+
+/// How long an agent is unsure of its backend server's answers after one was
+/// missing.
+const UNSURE_TIME: Duration = Duration::from_secs(3);
+
+/// Holds that wait at a time while unsure: the ends that one fails to bring
+/// come with another.
+const UNSURE_HOLDS: usize = 2;
+
+/// How long they wait, as a share of the usual wait.
+const UNSURE_WAIT_SHARE: f64 = 0.4;
+
+/// How often the pause after a failed hold doubles at most.
+const MOST_DOUBLINGS: u32 = 4;
+
+impl RunTable {
+    /// Makes a call; what it lets run is covered by the longest grant.
+    pub(super) fn call(&mut self, now: Instant, wish: ServerWish) {
+        let grants = self.schedulers.values().map(|session| session.grant_left(now));
+        let lease = grants.max().unwrap_or_default().min(self.limits.lease);
+        let Some(life) = &mut self.life else { return };
+        let lease_until = life.extend_lease(now, lease);
+        let call = ServerCall {
+            address: life.address,
+            life: life.view.life.clone(),
+            instance: life.instance.clone(),
+            fence: self.fence,
+            lease_until,
+            wish,
+        };
+        self.steps.push(RunStep::Call(call));
+    }
+
+    /// A call to the backend server ended.
+    pub fn on_answer(
+        &mut self,
+        now: Instant,
+        call: &ServerCall,
+        clock: Option<(Duration, Instant)>,
+        answer: ServerAnswer,
+    ) -> Vec<RunStep> {
+        let Some(life) = self.life.as_mut().filter(|life| life.view.life == call.life) else {
+            return Vec::new();
+        };
+        life.learn_clock(clock);
+        if answer == ServerAnswer::NoAnswer {
+            life.unsure_until = Some(now + UNSURE_TIME);
+        }
+        match answer {
+            ServerAnswer::Refused(StartRefusal::Gone) => {
+                self.end_life("another instance answered");
+                return self.finish(now);
+            }
+            ServerAnswer::Refused(StartRefusal::Fence) if call.fence == self.fence => {
+                self.fence += FENCE_JUMP;
+                let line = EventLine::new("fence_raised").with("fence", self.fence);
+                self.steps.push(RunStep::Note(line));
+            }
+            _ => {}
+        }
+        match &call.wish {
+            ServerWish::Start { run, .. } => self.on_start_answer(now, run, &answer),
+            ServerWish::Stop { run } => self.on_stop_answer(now, run, &answer),
+            ServerWish::Hold { number, .. } => self.on_hold_answer(now, *number, answer),
+        }
+        self.finish(now)
+    }
+
+    fn on_start_answer(&mut self, now: Instant, run: &TaskRun, answer: &ServerAnswer) {
+        let Some(life) = &mut self.life else { return };
+        let Some(state) = life.runs.get_mut(run) else { return };
+        match answer {
+            ServerAnswer::Refused(refusal) => {
+                let owner = life.runs.swap_remove(run).and_then(|state| state.owner);
+                let news = RunNews::Refused { run: run.clone(), refusal: *refusal };
+                self.tell(vec![(owner, news)]);
+            }
+            _ if state.phase != RunPhase::Starting => {}
+            ServerAnswer::NoAnswer => {
+                let line = EventLine::new("start_in_doubt").with("run", run);
+                self.steps.push(RunStep::Note(line));
+                state.phase = RunPhase::Stopping { retry_at: None };
+                self.call(now, ServerWish::Stop { run: run.clone() });
+            }
+            _ => {
+                state.phase = RunPhase::Running { since_hold: life.holds_sent };
+                let line = EventLine::new("run_started").with("run", run);
+                self.steps.push(RunStep::Note(line));
+            }
+        }
+    }
+
+    fn on_stop_answer(&mut self, now: Instant, run: &TaskRun, answer: &ServerAnswer) {
+        let Some(life) = &mut self.life else { return };
+        let since_hold = life.holds_sent;
+        let Some(state) = life.runs.get_mut(run) else { return };
+        state.phase = match answer {
+            ServerAnswer::Done => RunPhase::Barred { since_hold },
+            _ => RunPhase::Stopping { retry_at: Some(now + self.limits.retry_gap) },
+        };
+        if *answer == ServerAnswer::Done {
+            // A run that was not there is barred now; one that was ends soon.
+            life.look_at = Some(now);
+        }
+    }
+
+    fn on_hold_answer(&mut self, now: Instant, number: u64, answer: ServerAnswer) {
+        let limits = self.limits;
+        let Some(life) = &mut self.life else { return };
+        let before = life.holds_out.len();
+        life.holds_out.retain(|out| *out != number);
+        let was_waiting = life.holds_out.len() < before;
+        let ServerAnswer::Lists { running, ended } = answer else {
+            if was_waiting {
+                let gap = limits.hold_gap * (1 << life.holds_failed.min(MOST_DOUBLINGS));
+                life.holds_failed += 1;
+                life.hold_at = now + gap;
+            } else {
+                life.look_at = Some(now + limits.retry_gap);
+            }
+            return;
+        };
+        let found = !std::mem::replace(&mut life.listed, true);
+        self.has_lists = true;
+        let fresh = life.take_lists(now, number, &running, ended);
+        if was_waiting {
+            life.holds_failed = 0;
+            life.hold_at = if fresh.is_empty() { now + limits.hold_gap } else { now };
+        }
+        self.owe_reports(found);
+        self.tell(fresh);
+    }
+
+    /// Without a renewal for longer than the lease everything there is over.
+    pub(super) fn lapse_if_over(&mut self, now: Instant) {
+        let Some(life) = self.life.as_mut().filter(|life| life.has_lapsed(now)) else { return };
+        life.listed = false;
+        life.lease_over_at = None;
+        let line = EventLine::new("lease_lapsed")
+            .with("life", &life.view.life)
+            .with("runs", life.runs.len())
+            .with("holds_failed", life.holds_failed);
+        self.steps.push(RunStep::Note(line));
+        let lapsed = life.take_lapsed();
+        self.tell(lapsed);
+        self.owe_reports(true);
+    }
+
+    /// Runs whose scheduler's grant is over are stopped, and so are those that
+    /// no scheduler claims.
+    pub(super) fn stop_ungranted(&mut self, now: Instant) {
+        let Some(life) = &self.life else { return };
+        let over = life.runs.iter().filter(|(_, state)| {
+            matches!(state.phase, RunPhase::Starting | RunPhase::Running { .. })
+                && self.granted_until(state).is_none_or(|until| until <= now)
+        });
+        let over: Vec<TaskRun> = over.map(|(run, _)| run.clone()).collect();
+        for run in over {
+            let line = EventLine::new("run_ungranted").with("run", &run);
+            self.steps.push(RunStep::Note(line));
+            self.stop(now, run);
+        }
+    }
+
+    pub(super) fn granted_until(&self, state: &RunState) -> Option<Instant> {
+        match &state.owner {
+            None => Some(state.since + self.limits.claim_wait),
+            Some(owner) => self.schedulers.get(owner)?.grant_until,
+        }
+    }
+
+    pub(super) fn retry_stops(&mut self, now: Instant) {
+        let Some(life) = &mut self.life else { return };
+        let mut due = Vec::new();
+        for (run, state) in &mut life.runs {
+            if let RunPhase::Stopping { retry_at: Some(at) } = state.phase
+                && at <= now
+            {
+                state.phase = RunPhase::Stopping { retry_at: None };
+                due.push(run.clone());
+            }
+        }
+        for run in due {
+            self.call(now, ServerWish::Stop { run });
+        }
+    }
+
+    pub(super) fn hold_if_due(&mut self, now: Instant) {
+        let Some(life) = &mut self.life else { return };
+        let (most, wait) = match life.is_unsure(now) {
+            true => (UNSURE_HOLDS, self.limits.hold_wait.mul_f64(UNSURE_WAIT_SHARE)),
+            false => (1, self.limits.hold_wait),
+        };
+        if life.holds_out.len() < most && life.hold_at <= now {
+            let number = life.next_hold();
+            let wait = if life.listed { wait } else { Duration::ZERO };
+            life.holds_out.push(number);
+            self.hold(now, number, wait);
+        }
+        self.look_if_due(now);
+    }
+
+    /// A hold that waits for an end would tell late that a run is barred.
+    fn look_if_due(&mut self, now: Instant) {
+        let Some(life) = &mut self.life else { return };
+        if life.look_at.take_if(|at| *at <= now).is_some() {
+            let number = life.next_hold();
+            self.hold(now, number, Duration::ZERO);
+        }
+    }
+
+    fn hold(&mut self, now: Instant, number: u64, wait: Duration) {
+        let noted = self.life.as_ref().map_or(0, ServerLife::noted);
+        self.call(now, ServerWish::Hold { number, noted, wait });
+    }
+}
