--- a/crates/decisions/src/schedule/admitting.rs
+++ b/crates/decisions/src/schedule/admitting.rs
@@ -65,7 +65,7 @@
         }
         let change = self.loose.accept(job, 0, self.term.unwrap_or_default());
         if change == JobChange::None {
-            // It ended a moment ago; the same answer is still true.
+            // Its record outlived its schedule: how it ended is not known here.
             return JobDecision::Reply(JobReply::Unclear);
         }
         if self.make_live(now, &job.id) {
