--- a/crates/decisions/src/control/control_state.rs
+++ b/crates/decisions/src/control/control_state.rs
@@ -69,8 +69,8 @@
             Command::SetCatalog { .. }
             | Command::AcceptJob { .. }
             | Command::EndRuns { .. }
-            | Command::SeatAgent { .. }
-            | Command::UnseatAgent { .. }
+            | Command::RegisterAgent { .. }
+            | Command::DeregisterAgent { .. }
             | Command::ForgetJobs { .. } => {
                 self.jobs.apply(record);
                 CommandResult::Done
--- a/crates/decisions/src/control/job_book.rs
+++ b/crates/decisions/src/control/job_book.rs
@@ -44,14 +44,14 @@
     /// A catalog came into force.
     Catalog,
     /// An agent may be given work, or holds nothing any more.
-    Seats,
+    Registered,
 }
 
 /// Jobs, the agents that may hold their work, and the catalog.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct JobBook {
     jobs: IndexMap<JobId, JobRecord>,
-    seats: IndexSet<NodeId>,
+    registered: IndexSet<NodeId>,
     catalog: CatalogStore,
 }
 
@@ -61,7 +61,7 @@
         if let Some(current) = &state.catalog {
             catalog.set(current);
         }
-        JobBook { jobs: state.jobs, seats: state.seats, catalog }
+        JobBook { jobs: state.jobs, registered: state.registered, catalog }
     }
 }
 
@@ -70,7 +70,7 @@
     pub fn state(&self) -> ScheduleState {
         ScheduleState {
             jobs: self.jobs.clone(),
-            seats: self.seats.clone(),
+            registered: self.registered.clone(),
             catalog: self.catalog.current(),
         }
     }
@@ -81,8 +81,8 @@
     }
 
     /// Agents that may hold work.
-    pub fn seats(&self) -> &IndexSet<NodeId> {
-        &self.seats
+    pub fn registered(&self) -> &IndexSet<NodeId> {
+        &self.registered
     }
 
     /// A job.
@@ -114,12 +114,14 @@
             Command::AcceptJob { job } => self.accept(job, record.at_ms, record.term),
             Command::CancelJob { job } => self.close(job, JobPhase::Cancelled, record.at_ms),
             Command::EndRuns { ends } => self.end_runs(ends, record.at_ms),
-            Command::SeatAgent { agent } => self.seat_change(self.seats.contains(agent), |seats| {
-                seats.insert(agent.clone());
-            }),
-            Command::UnseatAgent { agent } => {
-                self.seat_change(!self.seats.contains(agent), |seats| {
-                    seats.swap_remove(agent);
+            Command::RegisterAgent { agent } => {
+                self.change_registration(self.registered.contains(agent), |registered| {
+                    registered.insert(agent.clone());
+                })
+            }
+            Command::DeregisterAgent { agent } => {
+                self.change_registration(!self.registered.contains(agent), |registered| {
+                    registered.swap_remove(agent);
                 })
             }
             Command::ForgetJobs { before_ms } => {
@@ -140,7 +142,7 @@
         self.jobs.swap_remove(id);
     }
 
-    fn seat_change(
+    fn change_registration(
         &mut self,
         known: bool,
         change: impl FnOnce(&mut IndexSet<NodeId>),
@@ -148,8 +150,8 @@
         if known {
             return JobChange::None;
         }
-        change(&mut self.seats);
-        JobChange::Seats
+        change(&mut self.registered);
+        JobChange::Registered
     }
 
     /// Accepts a job; one that is known stays as it is.
--- a/crates/decisions/src/schedule/admitting.rs
+++ b/crates/decisions/src/schedule/admitting.rs
@@ -46,7 +46,7 @@
 
     /// Decides on a best-effort job. One that is handed in again while it runs
     /// goes on, for the caller that asked last.
-    pub(super) fn admit_loose(
+    pub(super) fn admit_unstored(
         &mut self,
         now: Instant,
         job: &Arc<QueuedJob>,
@@ -63,7 +63,7 @@
         if let Some(reply) = self.refusal(job, Some(wait)) {
             return JobDecision::Reply(reply);
         }
-        let change = self.loose.accept(job, 0, self.term.unwrap_or_default());
+        let change = self.unstored.accept(job, 0, self.term.unwrap_or_default());
         if change == JobChange::None {
             // Its record outlived its schedule: how it ended is not known here.
             return JobDecision::Reply(JobReply::Unclear);
@@ -129,7 +129,7 @@
                 JobReply::Refused { cause: RefusalCause::TimeOver, retry_after_ms: 0 }
             };
             self.answer_waiter(&id, reply);
-            let change = self.loose.close(&id, JobPhase::Cancelled, 0);
+            let change = self.unstored.close(&id, JobPhase::Cancelled, 0);
             self.on_change(now, change);
         }
     }
@@ -142,7 +142,7 @@
         if let Some(id) = found.map(|(id, _)| id.clone()) {
             let line = EventLine::new("job_abandoned").with("job", &id);
             self.steps.push(ScheduleStep::Note(line));
-            let change = self.loose.close(&id, JobPhase::Cancelled, 0);
+            let change = self.unstored.close(&id, JobPhase::Cancelled, 0);
             self.on_change(now, change);
         }
         self.finish(now)
--- a/crates/decisions/src/schedule/agent_seat.rs
+++ b/crates/decisions/src/schedule/agent_state.rs
@@ -33,7 +33,7 @@
 
 /// One agent.
 #[derive(Debug, Clone)]
-pub struct AgentSeat {
+pub struct AgentState {
     pub(super) incarnation: Incarnation,
     pub(super) session: SessionId,
     pub(super) heard_at: Instant,
@@ -53,9 +53,9 @@
     noted_told: EndNumber,
 }
 
-impl AgentSeat {
-    pub(super) fn new(now: Instant, incarnation: Incarnation, session: SessionId) -> AgentSeat {
-        AgentSeat {
+impl AgentState {
+    pub(super) fn new(now: Instant, incarnation: Incarnation, session: SessionId) -> AgentState {
+        AgentState {
             incarnation,
             session,
             heard_at: now,
--- a/crates/decisions/src/schedule/mod.rs
+++ b/crates/decisions/src/schedule/mod.rs
@@ -10,7 +10,7 @@
 //!   the record of jobs and from what the agents report.
 
 mod admitting;
-mod agent_seat;
+mod agent_state;
 mod entry_list;
 mod learnt_speed;
 mod placing;
@@ -20,7 +20,7 @@
 mod takeover;
 mod task_hurry;
 
-pub use agent_seat::AgentSeat;
+pub use agent_state::AgentState;
 pub use learnt_speed::LearntSpeed;
 pub use scheduler::{JobDecision, ScheduleLimits, ScheduleStep, Scheduler, SchedulerKind};
 pub use task_hurry::TaskHurry;
--- a/crates/decisions/src/schedule/placing.rs
+++ b/crates/decisions/src/schedule/placing.rs
@@ -8,7 +8,7 @@
     ServiceId, StepIndex, TaskName, TaskRun,
 };
 
-use super::agent_seat::AgentSeat;
+use super::agent_state::AgentState;
 use super::scheduler::{LiveJob, Placement, ScheduleStep, Scheduler};
 use super::task_hurry::TaskHurry;
 use crate::control::JobBook;
@@ -54,7 +54,7 @@
             return;
         }
         let Some(live) = self.live.get_mut(id) else { return };
-        let record = self.loose.job(id).or_else(|| self.book.job(id));
+        let record = self.unstored.job(id).or_else(|| self.book.job(id));
         let Some(record) = record else { return };
         let job = live.job.clone();
         for step in 0..job.steps.len() as StepIndex {
@@ -89,7 +89,7 @@
     pub(super) fn close_job(&mut self, now: Instant, id: &JobId, phase: JobPhase) {
         self.answer_waiter(id, JobReply::Phase(phase));
         let Some(live) = self.live.swap_remove(id) else { return };
-        self.loose.forget(id);
+        self.unstored.forget(id);
         self.ready.remove_job(id, live.job.steps.len() as StepIndex);
         let line = EventLine::new("job_closed")
             .with("job", id)
@@ -109,8 +109,8 @@
             .collect();
         for (task, placed) in runs {
             let run = TaskRun { task, run: placed.run };
-            if let Some(seat) = self.seats.get_mut(&placed.agent) {
-                seat.outbox.push(AgentOrder::Stop { run });
+            if let Some(state) = self.agents.get_mut(&placed.agent) {
+                state.outbox.push(AgentOrder::Stop { run });
             }
         }
     }
@@ -152,19 +152,20 @@
     fn choose_agent(&self, now: Instant, job: &QueuedJob, step: StepIndex) -> Option<NodeId> {
         let wanted = job.steps.get(step as usize)?;
         let service = self.service_of(job)?;
-        let suited = |(agent, seat): &(&NodeId, &AgentSeat)| {
-            self.is_seated(agent) && seat.is_open(now) && suits(seat, wanted, &service)
+        let suited = |(agent, state): &(&NodeId, &AgentState)| {
+            self.is_registered(agent) && state.is_open(now) && suits(state, wanted, &service)
         };
-        let speeds = self.seats.iter().filter(suited);
-        let speeds = speeds.map(|(_, seat)| self.relative_run_time(seat, wanted));
+        let speeds = self.agents.iter().filter(suited);
+        let speeds = speeds.map(|(_, state)| self.relative_run_time(state, wanted));
         let hurry = TaskHurry::new(self.time_left(now, job, wanted), speeds);
-        let fits = |(agent, seat): &(&NodeId, &AgentSeat)| {
-            seat.free_room().holds(&wanted.size) && self.is_below_limit(job, step, wanted, agent)
+        let fits = |(agent, state): &(&NodeId, &AgentState)| {
+            state.free_room().holds(&wanted.size) && self.is_below_limit(job, step, wanted, agent)
         };
-        let cost =
-            |seat: &AgentSeat| hurry.cost(self.relative_run_time(seat, wanted), seat.crowding());
-        let seats = self.seats.iter().filter(suited).filter(fits);
-        let best = seats.min_by(|(_, one), (_, other)| cost(one).total_cmp(&cost(other)))?;
+        let cost = |state: &AgentState| {
+            hurry.cost(self.relative_run_time(state, wanted), state.crowding())
+        };
+        let agents = self.agents.iter().filter(suited).filter(fits);
+        let best = agents.min_by(|(_, one), (_, other)| cost(one).total_cmp(&cost(other)))?;
         let run_time = self.relative_run_time(best.1, wanted);
         (!hurry.should_wait(run_time)).then(|| best.0.clone())
     }
@@ -198,11 +199,11 @@
     }
 
     /// Run time at an agent, in multiples of the estimate.
-    fn relative_run_time(&self, seat: &AgentSeat, wanted: &JobStep) -> f64 {
-        let Some(server) = &seat.server else { return f64::INFINITY };
+    fn relative_run_time(&self, state: &AgentState, wanted: &JobStep) -> f64 {
+        let Some(server) = &state.server else { return f64::INFINITY };
         let far = wanted.data_rack.as_ref().is_some_and(|rack| !server.labels.contains(rack));
         let distance = if far { self.limits.remote_factor } else { 1.0 };
-        seat.slowness() * distance
+        state.slowness() * distance
     }
 
     fn place(&mut self, now: Instant, job: &QueuedJob, task: TaskName, agent: &NodeId) -> TaskRun {
@@ -215,9 +216,9 @@
             live.started = true;
         }
         let mut life = Default::default();
-        if let Some(seat) = self.seats.get_mut(agent) {
-            seat.taken = seat.taken.with(&size);
-            life = seat.life().cloned().unwrap_or_default();
+        if let Some(state) = self.agents.get_mut(agent) {
+            state.taken = state.taken.with(&size);
+            life = state.life().cloned().unwrap_or_default();
         }
         let placed = Placement::new(agent.clone(), life, run, size, now);
         self.placements.insert(task.clone(), placed);
@@ -236,8 +237,8 @@
                 .live
                 .get(&job.id)
                 .map_or(Duration::ZERO, |live| now.saturating_duration_since(live.since));
-            let Some(seat) = self.seats.get_mut(&agent) else { continue };
-            let Some(life) = seat.life().cloned() else { continue };
+            let Some(state) = self.agents.get_mut(&agent) else { continue };
+            let Some(life) = state.life().cloned() else { continue };
             let names: Vec<String> =
                 runs.iter().map(|run| format!("{}#{}", run.task.index, run.run)).collect();
             let line = EventLine::new("tasks_placed")
@@ -246,20 +247,20 @@
                 .with("tasks", names.join(","))
                 .with("agent", &agent)
                 .with("life", &life)
-                .with("slowness", format_args!("{:.2}", seat.slowness()))
-                .with("free_cpu_milli", seat.free_room().cpu_milli)
+                .with("slowness", format_args!("{:.2}", state.slowness()))
+                .with("free_cpu_milli", state.free_room().cpu_milli)
                 .with("waited_ms", waited.as_millis());
             self.steps.push(ScheduleStep::Note(line));
             let size = job.steps[step as usize].size;
             let spec = job.spec.clone();
-            seat.outbox.push(AgentOrder::Start { life, runs, spec, size });
+            state.outbox.push(AgentOrder::Start { life, runs, spec, size });
         }
     }
 
     /// Run time over the estimate on the fastest backend server.
     pub(super) fn least_slowness(&self) -> f64 {
-        let open = self.seats.values().filter(|seat| seat.server.is_some());
-        open.map(AgentSeat::slowness).min_by(f64::total_cmp).unwrap_or(1.0)
+        let open = self.agents.values().filter(|state| state.server.is_some());
+        open.map(AgentState::slowness).min_by(f64::total_cmp).unwrap_or(1.0)
     }
 
     /// Time until room is free for work that comes now: what waits here, over
@@ -269,15 +270,15 @@
             return Duration::ZERO;
         }
         let open = self
-            .seats
+            .agents
             .values()
-            .filter(|seat| seat.server.as_ref().is_some_and(|server| !server.draining));
+            .filter(|state| state.server.as_ref().is_some_and(|server| !server.draining));
         let (mut speed, mut own, mut others) = (0.0, 0, 0);
-        for seat in open {
-            let room = seat.server.as_ref().map_or(0, |server| server.room.cpu_milli);
-            speed += room as f64 / 1_000.0 / seat.slowness();
-            own += seat.taken.cpu_milli;
-            others += seat.others.cpu_milli;
+        for state in open {
+            let room = state.server.as_ref().map_or(0, |server| server.room.cpu_milli);
+            speed += room as f64 / 1_000.0 / state.slowness();
+            own += state.taken.cpu_milli;
+            others += state.others.cpu_milli;
         }
         let share = (own.max(1) as f64) / ((own + others).max(1) as f64);
         if speed <= 0.0 {
@@ -288,8 +289,8 @@
 }
 
 /// Whether a backend server may run tasks of a step at all.
-fn suits(seat: &AgentSeat, wanted: &JobStep, service: &ServiceId) -> bool {
-    let Some(server) = &seat.server else { return false };
+fn suits(state: &AgentState, wanted: &JobStep, service: &ServiceId) -> bool {
+    let Some(server) = &state.server else { return false };
     let labelled = wanted.required_label.as_ref().is_none_or(|label| server.labels.contains(label));
     server.service == *service && labelled
 }
--- a/crates/decisions/src/schedule/reports.rs
+++ b/crates/decisions/src/schedule/reports.rs
@@ -8,7 +8,7 @@
     RoomSize, RunNews, StartRefusal, TaskName, TaskRun,
 };
 
-use super::agent_seat::{AgentSeat, ParkedPoll};
+use super::agent_state::{AgentState, ParkedPoll};
 use super::scheduler::{Placement, ScheduleStep, Scheduler, SchedulerKind};
 
 /// Pause of a backend server that says it has no room, or is unhealthy.
@@ -33,15 +33,15 @@
     /// An agent's question for orders.
     pub fn on_poll(&mut self, now: Instant, call: CallId, poll: &AgentPoll) -> Vec<ScheduleStep> {
         let known = self.term.is_some()
-            && self.seats.get(&poll.agent).is_some_and(|seat| {
-                seat.session == poll.session && seat.incarnation == poll.incarnation
+            && self.agents.get(&poll.agent).is_some_and(|state| {
+                state.session == poll.session && state.incarnation == poll.incarnation
             });
         if !known {
             return vec![ScheduleStep::DropPoll { call }];
         }
-        if let Some(seat) = self.seats.get_mut(&poll.agent) {
-            seat.heard_at = now;
-            if let Some(earlier) = seat.parked.replace(ParkedPoll { call, since: now }) {
+        if let Some(state) = self.agents.get_mut(&poll.agent) {
+            state.heard_at = now;
+            if let Some(earlier) = state.parked.replace(ParkedPoll { call, since: now }) {
                 self.steps.push(ScheduleStep::DropPoll { call: earlier.call });
             }
         }
@@ -52,26 +52,26 @@
     fn enter_session(&mut self, now: Instant, report: &AgentReport) -> bool {
         let agent = &report.agent;
         let named = (report.incarnation, report.session);
-        let known = self.seats.get(agent).map(|seat| (seat.incarnation, seat.session));
+        let known = self.agents.get(agent).map(|state| (state.incarnation, state.session));
         if known == Some(named) {
-            self.seats[agent].heard_at = now;
+            self.agents[agent].heard_at = now;
             return true;
         }
         if known.is_some_and(|known| known > named) || report.runs.is_none() {
             return false;
         }
-        if !self.is_seated(agent) {
+        if !self.is_registered(agent) {
             let agent = agent.clone();
-            self.steps.push(ScheduleStep::Propose(vec![Command::SeatAgent { agent }]));
+            self.steps.push(ScheduleStep::Propose(vec![Command::RegisterAgent { agent }]));
         }
         let (incarnation, session) = named;
-        let seat = self.seats.entry(agent.clone());
-        let seat = seat.or_insert_with(|| AgentSeat::new(now, incarnation, session));
-        if let Some(earlier) = seat.parked.take() {
+        let state = self.agents.entry(agent.clone());
+        let state = state.or_insert_with(|| AgentState::new(now, incarnation, session));
+        if let Some(earlier) = state.parked.take() {
             self.steps.push(ScheduleStep::DropPoll { call: earlier.call });
         }
-        seat.begin_session(incarnation, session);
-        seat.heard_at = now;
+        state.begin_session(incarnation, session);
+        state.heard_at = now;
         let line = EventLine::new("agent_session")
             .with("agent", agent)
             .with("incarnation", incarnation)
@@ -82,13 +82,13 @@
     }
 
     fn follow_life(&mut self, now: Instant, report: &AgentReport) {
-        let Some(seat) = self.seats.get_mut(&report.agent) else { return };
-        let new_life = report.server.as_ref().map(|server| &server.life) != seat.life();
-        let changed = seat.server != report.server;
-        seat.server = report.server.clone();
-        seat.others = report.others;
+        let Some(state) = self.agents.get_mut(&report.agent) else { return };
+        let new_life = report.server.as_ref().map(|server| &server.life) != state.life();
+        let changed = state.server != report.server;
+        state.server = report.server.clone();
+        state.others = report.others;
         if new_life {
-            seat.begin_life(now);
+            state.begin_life(now);
         }
         if changed {
             let line = EventLine::new("server_view").with("agent", &report.agent);
@@ -137,8 +137,8 @@
     }
 
     fn order(&mut self, agent: &NodeId, order: AgentOrder) {
-        if let Some(seat) = self.seats.get_mut(agent) {
-            seat.outbox.push(order);
+        if let Some(state) = self.agents.get_mut(agent) {
+            state.outbox.push(order);
         }
     }
 
@@ -174,8 +174,8 @@
         let placed = self.placements.values();
         let here = placed.filter(|placed| placed.agent == *agent && !placed.ended);
         let taken = here.fold(RoomSize::default(), |sum, placed| sum.with(&placed.size));
-        if let Some(seat) = self.seats.get_mut(agent) {
-            seat.taken = taken;
+        if let Some(state) = self.agents.get_mut(agent) {
+            state.taken = taken;
         }
     }
 
@@ -187,18 +187,18 @@
                     self.on_refused(now, &report.agent, run, *refusal);
                 }
                 RunNews::Ended { number, run, kind } => {
-                    let Some(seat) = self.seats.get_mut(&report.agent) else { continue };
-                    if seat.list_end(*number, run) {
+                    let Some(state) = self.agents.get_mut(&report.agent) else { continue };
+                    if state.list_end(*number, run) {
                         self.on_ended(now, &report.agent, run, *kind);
                         ends.push(EndedRun { run: run.clone(), kind: *kind });
                     }
                 }
             }
         }
-        let (loose, ends): (Vec<EndedRun>, Vec<EndedRun>) =
+        let (unstored, ends): (Vec<EndedRun>, Vec<EndedRun>) =
             ends.into_iter().partition(|end| !self.is_stored(&end.run));
-        if !loose.is_empty() {
-            let change = self.loose.end_runs(&loose, 0);
+        if !unstored.is_empty() {
+            let change = self.unstored.end_runs(&unstored, 0);
             self.on_change(now, change);
         }
         if !ends.is_empty() {
@@ -218,12 +218,12 @@
             .with("agent", agent)
             .with("cause", refusal);
         self.steps.push(ScheduleStep::Note(line));
-        if let Some(seat) = self.seats.get_mut(agent) {
+        if let Some(state) = self.agents.get_mut(agent) {
             match refusal {
-                StartRefusal::Room => seat.pause(now + REFUSAL_PAUSE),
+                StartRefusal::Room => state.pause(now + REFUSAL_PAUSE),
                 StartRefusal::Unhealthy => {
-                    seat.pause(now + REFUSAL_PAUSE);
-                    seat.learn_failure(now);
+                    state.pause(now + REFUSAL_PAUSE);
+                    state.learn_failure(now);
                 }
                 _ => {}
             }
@@ -245,11 +245,11 @@
     }
 
     fn free_room(&mut self, placed: &Placement) {
-        if let Some(seat) = self.seats.get_mut(&placed.agent)
-            && seat.life() == Some(&placed.life)
+        if let Some(state) = self.agents.get_mut(&placed.agent)
+            && state.life() == Some(&placed.life)
             && !placed.ended
         {
-            seat.taken = seat.taken.without(&placed.size);
+            state.taken = state.taken.without(&placed.size);
         }
     }
 
@@ -266,11 +266,11 @@
         let estimate = self.live.get(&run.task.job).and_then(|live| {
             live.job.steps.get(run.task.step as usize).map(model::JobStep::estimate)
         });
-        if let Some(seat) = self.seats.get_mut(agent) {
+        if let Some(state) = self.agents.get_mut(agent) {
             match (kind, estimate) {
-                (EndKind::Done, Some(estimate)) => seat.learn_run_time(now, ran, estimate),
-                (EndKind::Stopped, Some(estimate)) => seat.learn_overdue(now, ran, estimate),
-                (EndKind::Failed, _) => seat.learn_failure(now),
+                (EndKind::Done, Some(estimate)) => state.learn_run_time(now, ran, estimate),
+                (EndKind::Stopped, Some(estimate)) => state.learn_overdue(now, ran, estimate),
+                (EndKind::Failed, _) => state.learn_failure(now),
                 _ => {}
             }
         }
@@ -290,8 +290,8 @@
     /// The end is durable: its list entry may be forgotten, and the job goes on.
     pub(super) fn on_end_recorded(&mut self, _now: Instant, end: &EndedRun) {
         let task = &end.run.task;
-        for seat in self.seats.values_mut() {
-            seat.record_end(&end.run);
+        for state in self.agents.values_mut() {
+            state.record_end(&end.run);
         }
         let was_ending = self.ending.swap_remove(task);
         let current = self.placements.get(task).is_some_and(|placed| placed.run == end.run.run);
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -10,7 +10,7 @@
     ScheduleState, TaskName, Term,
 };
 
-use super::agent_seat::AgentSeat;
+use super::agent_state::AgentState;
 use super::entry_list::EntryList;
 use super::ready_queue::ReadyQueue;
 use crate::control::{JobBook, JobChange};
@@ -166,10 +166,10 @@
     pub(super) limits: ScheduleLimits,
     pub(super) book: JobBook,
     /// Best-effort jobs; they are kept by this leader only.
-    pub(super) loose: JobBook,
+    pub(super) unstored: JobBook,
     pub(super) term: Option<Term>,
     pub(super) led_since: Instant,
-    pub(super) seats: IndexMap<NodeId, AgentSeat>,
+    pub(super) agents: IndexMap<NodeId, AgentState>,
     pub(super) live: IndexMap<JobId, LiveJob>,
     pub(super) placements: IndexMap<TaskName, Placement>,
     pub(super) ready: ReadyQueue,
@@ -192,10 +192,10 @@
             kind,
             limits,
             book: JobBook::default(),
-            loose: JobBook::default(),
+            unstored: JobBook::default(),
             term: (kind == SchedulerKind::Entry).then_some(0),
             led_since: now,
-            seats: IndexMap::new(),
+            agents: IndexMap::new(),
             live: IndexMap::new(),
             placements: IndexMap::new(),
             ready: ReadyQueue::default(),
@@ -227,22 +227,22 @@
     }
 
     /// Whether an agent may be given work: control's agents are recorded first.
-    pub(super) fn is_seated(&self, agent: &NodeId) -> bool {
+    pub(super) fn is_registered(&self, agent: &NodeId) -> bool {
         match self.kind {
-            SchedulerKind::Control => self.book.seats().contains(agent),
+            SchedulerKind::Control => self.book.registered().contains(agent),
             SchedulerKind::Entry => true,
         }
     }
 
     fn share_catalog(&mut self) {
         if let Some(catalog) = self.book.catalog() {
-            self.loose.set_catalog(&catalog);
+            self.unstored.set_catalog(&catalog);
         }
     }
 
     /// What is known of a job of either kind.
     pub(super) fn record(&self, id: &JobId) -> Option<&JobRecord> {
-        self.loose.job(id).or_else(|| self.book.job(id))
+        self.unstored.job(id).or_else(|| self.book.job(id))
     }
 
     /// The catalog in force.
@@ -272,7 +272,7 @@
     pub(super) fn on_change(&mut self, now: Instant, change: JobChange) {
         match change {
             JobChange::None | JobChange::Catalog => {}
-            JobChange::Seats => self.seat_again(),
+            JobChange::Registered => self.register_again(),
             JobChange::Accepted { job } => self.activate(now, &job),
             JobChange::Closed { job, phase } => self.close_job(now, &job, phase),
             JobChange::RunsEnded { ends, closed } => {
@@ -287,10 +287,10 @@
     }
 
     /// An agent that was given up as silent may have come back meanwhile.
-    fn seat_again(&mut self) {
-        let lacking = self.seats.keys().filter(|agent| !self.book.seats().contains(*agent));
+    fn register_again(&mut self) {
+        let lacking = self.agents.keys().filter(|agent| !self.book.registered().contains(*agent));
         let commands: Vec<Command> =
-            lacking.map(|agent| Command::SeatAgent { agent: agent.clone() }).collect();
+            lacking.map(|agent| Command::RegisterAgent { agent: agent.clone() }).collect();
         if !commands.is_empty() {
             self.steps.push(ScheduleStep::Propose(commands));
         }
@@ -304,7 +304,7 @@
         match call {
             JobCall::Accept { job, wait_ms } if job.best_effort => {
                 let until = now + Duration::from_millis(*wait_ms);
-                self.admit_loose(now, job, JobWaiter { call: id, until })
+                self.admit_unstored(now, job, JobWaiter { call: id, until })
             }
             JobCall::Accept { job, .. } => self.admit(job),
             JobCall::Cancel { queue, job } => match self.book.job(job) {
@@ -369,31 +369,31 @@
         }
         self.overdue_checked_at = now;
         for (task, placed) in &mut self.placements {
-            let Some(seat) = self.seats.get_mut(&placed.agent) else { continue };
+            let Some(state) = self.agents.get_mut(&placed.agent) else { continue };
             let live = self.live.get(&task.job);
             let step = live.and_then(|live| live.job.steps.get(task.step as usize));
             let Some(estimate) = step.map(JobStep::estimate) else { continue };
             let ran = now.saturating_duration_since(placed.since);
-            let expected = estimate.mul_f64(seat.slowness()) * placed.overdue_after;
+            let expected = estimate.mul_f64(state.slowness()) * placed.overdue_after;
             if !placed.ended && ran > expected {
                 placed.overdue_after = placed.overdue_after.saturating_add(1);
-                seat.learn_overdue(now, ran, estimate);
+                state.learn_overdue(now, ran, estimate);
             }
         }
-        for seat in self.seats.values_mut() {
-            seat.recover(now);
+        for state in self.agents.values_mut() {
+            state.recover(now);
         }
     }
 
     /// When [`Scheduler::on_tick`] is next needed.
     pub fn next_deadline(&self) -> Option<Instant> {
         self.term?;
-        let polls = self.seats.values().filter_map(|seat| self.poll_due(seat));
-        let silent = self.seats.values().map(|seat| seat.heard_at + self.limits.silence());
+        let polls = self.agents.values().filter_map(|state| self.poll_due(state));
+        let silent = self.agents.values().map(|state| state.heard_at + self.limits.silence());
         let takeover = (!self.held.is_empty() || !self.unheard.is_empty())
             .then(|| self.led_since + self.limits.silence());
         let paused = (!self.ready.is_empty())
-            .then(|| self.seats.values().filter_map(|seat| seat.paused_until).min())
+            .then(|| self.agents.values().filter_map(|state| state.paused_until).min())
             .flatten();
         let slowness = self.least_slowness();
         let waiters = self.live.values().filter_map(|live| live.give_up_at(slowness));
@@ -402,12 +402,12 @@
         polls.chain(overdue).chain(waiters).chain(silent).chain(takeover).chain(paused).min()
     }
 
-    pub(super) fn poll_due(&self, seat: &AgentSeat) -> Option<Instant> {
-        let parked = seat.parked?;
-        if seat.entries_told != self.entries.version() {
+    pub(super) fn poll_due(&self, state: &AgentState) -> Option<Instant> {
+        let parked = state.parked?;
+        if state.entries_told != self.entries.version() {
             return Some(parked.since);
         }
-        let wait = match seat.has_news() {
+        let wait = match state.has_news() {
             true => self.limits.noted_wait,
             false => self.limits.poll_wait,
         };
@@ -417,8 +417,8 @@
     /// Places what can be placed and answers the polls that are due.
     pub(super) fn finish(&mut self, now: Instant) -> Vec<ScheduleStep> {
         if self.term.is_some() {
-            for seat in self.seats.values_mut() {
-                seat.paused_until.take_if(|until| *until <= now);
+            for state in self.agents.values_mut() {
+                state.paused_until.take_if(|until| *until <= now);
             }
             self.place_ready(now);
             self.answer_polls(now);
@@ -430,21 +430,21 @@
         let Some(term) = self.term else { return };
         let grant_ms = self.limits.grant.as_millis() as u64;
         let due: Vec<NodeId> = self
-            .seats
+            .agents
             .iter()
-            .filter(|(_, seat)| {
-                let late = self.poll_due(seat).is_some_and(|at| at <= now);
-                seat.parked.is_some() && (late || !seat.outbox.is_empty())
+            .filter(|(_, state)| {
+                let late = self.poll_due(state).is_some_and(|at| at <= now);
+                state.parked.is_some() && (late || !state.outbox.is_empty())
             })
             .map(|(agent, _)| agent.clone())
             .collect();
         for agent in due {
-            let Some(seat) = self.seats.get_mut(&agent) else { continue };
-            let Some(parked) = seat.parked.take() else { continue };
-            let orders = std::mem::take(&mut seat.outbox);
-            let noted = seat.tell_noted();
-            let news = seat.entries_told != self.entries.version();
-            seat.entries_told = self.entries.version();
+            let Some(state) = self.agents.get_mut(&agent) else { continue };
+            let Some(parked) = state.parked.take() else { continue };
+            let orders = std::mem::take(&mut state.outbox);
+            let noted = state.tell_noted();
+            let news = state.entries_told != self.entries.version();
+            state.entries_told = self.entries.version();
             let entries = news.then(|| self.entries.hosts());
             let orders = AgentOrders { term, grant_ms, noted, orders, entries };
             self.steps.push(ScheduleStep::Orders { call: parked.call, orders });
--- a/crates/decisions/src/schedule/takeover.rs
+++ b/crates/decisions/src/schedule/takeover.rs
@@ -11,16 +11,16 @@
 
 impl Scheduler {
     pub(super) fn forget_volatile(&mut self) {
-        for seat in self.seats.values_mut() {
-            if let Some(parked) = seat.parked.take() {
+        for state in self.agents.values_mut() {
+            if let Some(parked) = state.parked.take() {
                 self.steps.push(ScheduleStep::DropPoll { call: parked.call });
             }
         }
-        self.seats.clear();
+        self.agents.clear();
         let waiting: Vec<JobId> = self.live.keys().cloned().collect();
         for id in waiting {
             self.answer_waiter(&id, JobReply::Unclear);
-            self.loose.forget(&id);
+            self.unstored.forget(&id);
         }
         self.live.clear();
         self.placements.clear();
@@ -34,7 +34,7 @@
     /// grant and lease are surely over.
     pub(super) fn take_over(&mut self, now: Instant) {
         self.led_since = now;
-        self.unheard = self.book.seats().clone();
+        self.unheard = self.book.registered().clone();
         let open = self.book.jobs().iter().filter(|(_, record)| record.ended.is_none());
         let open: Vec<JobId> = open.map(|(id, _)| id.clone()).collect();
         for id in &open {
@@ -68,30 +68,30 @@
             return;
         }
         for agent in std::mem::take(&mut self.unheard) {
-            self.unseat(now, agent);
+            self.deregister(now, agent);
         }
         self.end_takeover_if_complete(now);
     }
 
     pub(super) fn drop_silent_agents(&mut self, now: Instant) {
         let silence = self.limits.silence();
-        let silent = self.seats.iter().filter(|(_, seat)| seat.heard_at + silence <= now);
+        let silent = self.agents.iter().filter(|(_, state)| state.heard_at + silence <= now);
         let silent: Vec<NodeId> = silent.map(|(agent, _)| agent.clone()).collect();
         for agent in silent {
-            self.unseat(now, agent);
+            self.deregister(now, agent);
         }
     }
 
     /// Everything at a silent agent is over: its grant and its lease are.
-    fn unseat(&mut self, now: Instant, agent: NodeId) {
+    fn deregister(&mut self, now: Instant, agent: NodeId) {
         let silent_ms = self
-            .seats
+            .agents
             .get(&agent)
-            .map_or(0, |seat| now.saturating_duration_since(seat.heard_at).as_millis());
+            .map_or(0, |state| now.saturating_duration_since(state.heard_at).as_millis());
         let line = EventLine::new("agent_lost").with("agent", &agent).with("silent_ms", silent_ms);
         self.steps.push(ScheduleStep::Note(line));
-        if let Some(seat) = self.seats.shift_remove(&agent)
-            && let Some(parked) = seat.parked
+        if let Some(state) = self.agents.shift_remove(&agent)
+            && let Some(parked) = state.parked
         {
             self.steps.push(ScheduleStep::DropPoll { call: parked.call });
         }
@@ -103,7 +103,7 @@
             self.make_ready_again(&task);
         }
         if self.kind == SchedulerKind::Control {
-            self.steps.push(ScheduleStep::Propose(vec![Command::UnseatAgent { agent }]));
+            self.steps.push(ScheduleStep::Propose(vec![Command::DeregisterAgent { agent }]));
         }
     }
 }
--- a/crates/model/src/command.rs
+++ b/crates/model/src/command.rs
@@ -120,12 +120,12 @@
         ends: Vec<EndedRun>,
     },
     /// An agent may be given work.
-    SeatAgent {
+    RegisterAgent {
         /// The agent.
         agent: NodeId,
     },
     /// An agent holds nothing any more.
-    UnseatAgent {
+    DeregisterAgent {
         /// The agent.
         agent: NodeId,
     },
@@ -150,8 +150,8 @@
                 | Command::AcceptJob { .. }
                 | Command::CancelJob { .. }
                 | Command::EndRuns { .. }
-                | Command::SeatAgent { .. }
-                | Command::UnseatAgent { .. }
+                | Command::RegisterAgent { .. }
+                | Command::DeregisterAgent { .. }
                 | Command::ForgetJobs { .. }
         )
     }
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -357,7 +357,7 @@
     /// Jobs by id.
     pub jobs: IndexMap<JobId, JobRecord>,
     /// Agents that may hold work.
-    pub seats: IndexSet<NodeId>,
+    pub registered: IndexSet<NodeId>,
     /// The catalog in force.
     pub catalog: Option<Arc<QueueCatalog>>,
 }
--- a/tests/queue_path.rs
+++ b/tests/queue_path.rs
@@ -165,9 +165,9 @@
     system.until(200, async || system.beat().await).await;
     system.until(200, async || system.put("/cactuswing/config", &config(4)).await).await;
 
-    let loose = json!({ "spec": "a", "steps": steps(), "best_effort": true });
+    let unstored = json!({ "spec": "a", "steps": steps(), "best_effort": true });
     let path = format!("/x/{ID}");
-    let done = system.until(200, async || system.job("POST", &path, &loose).await).await;
+    let done = system.until(200, async || system.job("POST", &path, &unstored).await).await;
     assert_eq!(done.body, r#"{"state":"completed"}"#);
 
     let stored = json!({ "spec": "b", "steps": steps() });
