Elect at once when a whole control group has restarted

Cause: after a loss of power of all hosts nothing was served until 0.59 s after the first control host had started: a host that starts gives no vote until a lease that its earlier process may have acknowledged is over, and then waits for its election timer. Connections hung on hosts without power for 0.5 s. Change: a host that starts asks the others whether they lead; when all deny it, no such lease is left, and it votes at once and stands in its turn. Tests: group_restart, seen to fail without the change and with the wait for old leases removed; the model of the log now checks that one host at most holds a lease.

--- a/crates/decisions/src/control/replica/election.rs
+++ b/crates/decisions/src/control/replica/election.rs
@@ -67,10 +67,10 @@
         last: (Term, LogIndex),
     ) -> Vec<ReplicaStep> {
         let mut steps = Vec::new();
-        // A leader that was heard lately is not overthrown: it may still hold its lease.
-        let leader_lives =
-            now < self.leader_heard + self.limits.election || matches!(self.role, Role::Leader(_));
-        if leader_lives {
+        // A leader that was heard lately, by this process or an earlier one, is
+        // not overthrown: it may still hold its lease.
+        let leads = matches!(self.role, Role::Leader(_));
+        if leads || self.has_heard_leader(now) || now < self.votes_from {
             return steps;
         }
         if !trial {
@@ -95,6 +95,11 @@
         steps
     }
 
+    /// Whether this process has heard a leader within an election timeout.
+    pub(super) fn has_heard_leader(&self, now: Instant) -> bool {
+        self.leader_heard.is_some_and(|at| now < at + self.limits.election)
+    }
+
     pub(super) fn on_vote_reply(
         &mut self,
         now: Instant,
--- a/crates/decisions/src/control/replica/follow.rs
+++ b/crates/decisions/src/control/replica/follow.rs
@@ -32,7 +32,8 @@
         debug_assert!(!matches!(self.role, Role::Leader(_)), "one leader in a term");
         self.role = Role::Follower;
         self.leader = Some(from.clone());
-        self.leader_heard = now;
+        self.leader_heard = Some(now);
+        self.inquiry = None;
         self.set_election_timer(now);
         Some(steps)
     }
--- a/crates/decisions/src/control/replica/mod.rs
+++ b/crates/decisions/src/control/replica/mod.rs
@@ -20,12 +20,13 @@
 mod group;
 mod lead;
 mod log_store;
+mod restart;
 
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
 use model::{
-    ControlPeer, HardState, Incarnation, LogIndex, LogRecord, NodeId, ReplicaEnvelope,
+    ControlPeer, EventLine, HardState, Incarnation, LogIndex, LogRecord, NodeId, ReplicaEnvelope,
     ReplicaMessage, SnapshotMark, Term, fingerprint,
 };
 use rand::rngs::SmallRng;
@@ -36,6 +37,7 @@
 
 use follow::Append;
 use lead::{Ack, LeaderState};
+use restart::LeadInquiry;
 
 /// Timing and limits of a replica.
 #[derive(Debug, Clone, Copy)]
@@ -82,6 +84,8 @@
         /// The state as JSON.
         state: String,
     },
+    /// Writes a log line.
+    Note(EventLine),
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -125,7 +129,12 @@
     commit: LogIndex,
     role: Role,
     leader: Option<NodeId>,
-    leader_heard: Instant,
+    /// When this process last heard a leader.
+    leader_heard: Option<Instant>,
+    /// From when on this process may vote.
+    votes_from: Instant,
+    /// While it is open whether an earlier process's promise still holds.
+    inquiry: Option<LeadInquiry>,
     election_at: Instant,
     owed_votes: Vec<(NodeId, ReplicaMessage)>,
     owed_ack: Option<OwedAck>,
@@ -165,7 +174,9 @@
             log,
             role: Role::Follower,
             leader: None,
-            leader_heard: now,
+            leader_heard: None,
+            votes_from: now + limits.election,
+            inquiry: Some(LeadInquiry::new(now)),
             election_at: now,
             owed_votes: Vec::new(),
             owed_ack: None,
@@ -208,6 +219,12 @@
             ReplicaMessage::Snapshot { mark, state, round } => {
                 self.on_snapshot(now, from, term, mark, state, round)
             }
+            ReplicaMessage::LeadQuestion { denied_to, group_index } => {
+                self.on_lead_question(now, &from, boot, denied_to, group_index)
+            }
+            ReplicaMessage::LeadDenial { denied_to, group_index, asks } => {
+                self.on_lead_denial(now, &from, boot, (denied_to, group_index), asks)
+            }
         }
     }
 
@@ -250,6 +267,7 @@
             return Vec::new();
         }
         let mut steps = self.say_hello(now);
+        steps.extend(self.ask_who_leads(now));
         if matches!(self.role, Role::Leader(_)) {
             steps.extend(self.lead_tick(now));
         } else if now >= self.election_at {
@@ -268,7 +286,7 @@
             _ => Some(self.election_at),
         };
         let hello = (!self.hard.formed).then_some(self.hello_at);
-        [timer, hello].into_iter().flatten().min()
+        [timer, hello, self.next_question()].into_iter().flatten().min()
     }
 
     fn send(&self, to: NodeId, message: ReplicaMessage) -> ReplicaStep {
--- a/crates/edges/src/control_link.rs
+++ b/crates/edges/src/control_link.rs
@@ -11,7 +11,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
+use jsonrpsee::ws_client::WsClient;
 use kernel::{Registry, RingReceiver, RingSender, SharedClock};
 use model::{
     ConfigInForce, ControlLinkMessage, ControlReplyBody, ControlView, DispatchMessage, EventLine,
@@ -21,15 +21,14 @@
 
 use crate::edge_runtime::block_on;
 use crate::ledger_batches::LedgerBatches;
-use crate::peer_api::{ControlApiClient, MOST_MESSAGE_BYTES};
+use crate::peer_api::ControlApiClient;
+use crate::peer_connection::connect;
 use crate::view_merge::{MergedView, ViewNews};
 
-const CONNECT_LIMIT: Duration = Duration::from_millis(500);
-/// Longer than any lease lets a watch wait.
-const ANSWER_LIMIT: Duration = Duration::from_secs(8);
+/// How long giving the lease up may take at the end.
+const LEAVE_LIMIT: Duration = Duration::from_millis(500);
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 const FULL_RING_PAUSE: Duration = Duration::from_millis(5);
-const MOST_CALLS: usize = 1_024;
 /// Clocks of two hosts drift apart by less than this share.
 const DRIFT_SHARE: f64 = 0.05;
 
@@ -63,18 +62,6 @@
     pub ready: Arc<AtomicBool>,
 }
 
-/// Opens a connection to a control host.
-pub(crate) async fn connect(address: SocketAddr) -> Option<Arc<WsClient>> {
-    let builder = WsClientBuilder::default()
-        .connection_timeout(CONNECT_LIMIT)
-        .request_timeout(ANSWER_LIMIT)
-        .max_concurrent_requests(MOST_CALLS)
-        .max_request_size(MOST_MESSAGE_BYTES)
-        .max_response_size(MOST_MESSAGE_BYTES);
-    let building = builder.build(format!("ws://{address}"));
-    tokio::time::timeout(CONNECT_LIMIT, building).await.ok()?.ok().map(Arc::new)
-}
-
 /// Finds the sinks of a role.
 ///
 /// # Panics
@@ -118,7 +105,7 @@
         batches.run(ring).await;
         // The watcher gives the lease up before the duty ends.
         leave.send_replace(true);
-        let _ended = tokio::time::timeout(CONNECT_LIMIT, watching).await;
+        let _ended = tokio::time::timeout(LEAVE_LIMIT, watching).await;
     });
 }
 
--- a/crates/edges/src/leader_finder.rs
+++ b/crates/edges/src/leader_finder.rs
@@ -7,7 +7,7 @@
 
 use jsonrpsee::ws_client::WsClient;
 
-use crate::control_link::connect;
+use crate::peer_connection::connect;
 
 /// Pause after a host that did not lead.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
--- a/crates/edges/src/ledger_batches.rs
+++ b/crates/edges/src/ledger_batches.rs
@@ -18,8 +18,8 @@
 };
 use tokio::sync::Semaphore;
 
-use crate::control_link::connect;
 use crate::peer_api::{ControlApiClient, NOT_TAKEN};
+use crate::peer_connection::connect;
 
 /// Batches on their way at a time.
 const MOST_BATCHES: usize = 4;
--- a/crates/edges/src/lib.rs
+++ b/crates/edges/src/lib.rs
@@ -34,6 +34,7 @@
 mod leader_finder;
 mod ledger_batches;
 mod peer_api;
+mod peer_connection;
 mod view_merge;
 
 pub use call_book::CallBook;
--- a/crates/edges/src/replica_links.rs
+++ b/crates/edges/src/replica_links.rs
@@ -17,9 +17,9 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
-use crate::control_link::connect;
 use crate::edge_runtime::block_on;
 use crate::peer_api::ControlApiClient;
+use crate::peer_connection::connect;
 
 /// Messages that may wait for one connection.
 const LINK_QUEUE: usize = 4_096;
@@ -136,7 +136,9 @@
 fn count(counters: &ProcessCounters, message: &ReplicaMessage) {
     let kind = match message {
         ReplicaMessage::Append { records, .. } if records.is_empty() => MessageKind::Heartbeat,
-        ReplicaMessage::Hello { .. } | ReplicaMessage::VoteRequest { .. } => MessageKind::Question,
+        ReplicaMessage::Hello { .. }
+        | ReplicaMessage::VoteRequest { .. }
+        | ReplicaMessage::LeadQuestion { .. } => MessageKind::Question,
         _ => MessageKind::Useful,
     };
     counters.count_exchange(kind);
--- a/crates/edges/src/schedule_link.rs
+++ b/crates/edges/src/schedule_link.rs
@@ -21,10 +21,10 @@
 };
 use tokio::sync::{Notify, mpsc, watch};
 
-use crate::control_link::connect;
 use crate::edge_runtime::block_on;
 use crate::leader_finder::LeaderFinder;
 use crate::peer_api::ScheduleApiClient;
+use crate::peer_connection::connect;
 
 /// Longer than a poll without orders waits.
 const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
--- a/crates/model/src/replica.rs
+++ b/crates/model/src/replica.rs
@@ -123,4 +123,21 @@
         /// The round at which it was sent.
         round: u64,
     },
+    /// Sent by a replica that has just started, to learn whether a leader may
+    /// hold a lease that its earlier process acknowledged.
+    LeadQuestion {
+        /// The receiver's process, when the sender denies to it that it leads.
+        denied_to: Option<Incarnation>,
+        /// Position of the latest change of the group that the sender knows.
+        group_index: LogIndex,
+    },
+    /// Says that the sender neither leads nor has heard a leader lately.
+    LeadDenial {
+        /// The process that asked.
+        denied_to: Incarnation,
+        /// Position of the latest change of the group that the sender knows.
+        group_index: LogIndex,
+        /// Whether the sender wants to know the same.
+        asks: bool,
+    },
 }
--- a/crates/services/src/replicated_log.rs
+++ b/crates/services/src/replicated_log.rs
@@ -335,6 +335,7 @@
                 }
                 ReplicaStep::SendSnapshot { to, round } => self.send_snapshot(to, round),
                 ReplicaStep::InstallSnapshot { mark, state } => self.install(mark, state),
+                ReplicaStep::Note(line) => self.log.info(line),
             }
         }
     }
@@ -344,7 +345,9 @@
     fn send(&mut self, to: NodeId, envelope: Box<ReplicaEnvelope>) {
         let is_answer = matches!(
             envelope.message,
-            ReplicaMessage::VoteReply { .. } | ReplicaMessage::AppendReply { .. }
+            ReplicaMessage::VoteReply { .. }
+                | ReplicaMessage::AppendReply { .. }
+                | ReplicaMessage::LeadDenial { .. }
         );
         if is_answer {
             return self.close_replica_calls(&to, Some(envelope));
--- a/tests/log_model.rs
+++ b/tests/log_model.rs
@@ -110,6 +110,7 @@
                     let envelope = host.replica.envelope(host.replica.term(), message);
                     self.network.push((to, envelope));
                 }
+                ReplicaStep::Note(_) => {}
                 ReplicaStep::InstallSnapshot { mark, state } => {
                     let rest = host.replica.log().slice(mark.index + 1, usize::MAX);
                     let hard_state = host.replica.hard_state().clone();
@@ -248,9 +249,12 @@
         self.committed.keys().next_back().copied().unwrap_or(0)
     }
 
-    /// One leader a term; what is committed anywhere is the same everywhere
-    /// and stays.
+    /// One leader a term, and one that speaks for the group at a time; what is
+    /// committed anywhere is the same everywhere and stays.
     fn check(&mut self) {
+        let speak = |host: &&Host| !host.down && host.replica.leading(self.now).is_some();
+        let speakers = self.hosts.iter().filter(speak).count();
+        assert!(speakers <= 1, "{speakers} hosts hold a lease at once");
         let mut leaders = Vec::new();
         for host in self.hosts.iter().filter(|host| host.replica.takes_proposals()) {
             leaders.push((host.replica.term(), host.replica.name().clone()));
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -12,6 +12,7 @@
 mod config_versions;
 mod fair_sharing;
 mod graceful_drain;
+mod group_restart;
 mod job_path;
 mod job_promises;
 mod journal_recovery;
