Let founders beyond the seeds join, and keep the group at 2t + 1 hosts

Cause: a control host with an empty disk that may found a group, but is not among the seeds, neither founded nor joined; and the group was kept at as many hosts as there are seeds. Change: such a host joins; the settings say how many losses are to be borne, and the group is kept at twice as many and one. Tests: group_size, seen to fail without the change.

--- a/crates/cactuswing/src/replay/local_cluster.rs
+++ b/crates/cactuswing/src/replay/local_cluster.rs
@@ -269,6 +269,7 @@
         group: group.to_vec(),
         seeds: Vec::new(),
         seed_port: None,
+        tolerated_losses: None,
         found: true,
         operators: None,
         run_lease_ms: 1_000,
--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -110,14 +110,16 @@
     })
 }
 
-/// A host that may not found a group joins the one at its seeds; where it is a
+/// A host that is not a founder joins the group at its seeds; where it is a
 /// member already, it learns so at once.
 fn group_join(settings: &ControlSettings) -> Option<GroupJoin> {
-    if settings.found || settings.seeds.is_empty() {
+    let own = ControlPeer { name: own_name(settings), address: settings.listen };
+    let group = settings.first_group();
+    let founds = settings.found && group.contains(&own);
+    if founds || settings.seeds.is_empty() {
         return None;
     }
-    let own = ControlPeer { name: own_name(settings), address: settings.listen };
-    let seeds = settings.first_group().into_iter().map(|peer| peer.address);
+    let seeds = group.into_iter().map(|peer| peer.address);
     let seeds: Vec<SocketAddr> = seeds.filter(|seed| *seed != settings.listen).collect();
     (!seeds.is_empty()).then_some(GroupJoin { own, seeds })
 }
@@ -163,7 +165,7 @@
         boot: incarnation_at(clock.calendar()),
         group: settings.first_group(),
         found: settings.found,
-        wanted_hosts: (!settings.seeds.is_empty()).then_some(settings.seeds.len()),
+        wanted_hosts: settings.wanted_hosts(),
         election: settings.election(),
         retention: settings.retention(),
         snapshot_records: settings.snapshot_records,
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -273,6 +273,10 @@
     /// another of their servers.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub seed_port: Option<u16>,
+    /// Hosts that may be lost at once while nothing is; with `seeds`, the group
+    /// is kept at twice as many and one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tolerated_losses: Option<usize>,
     /// Whether an empty data folder may found a new group.
     #[serde(default = "default_found")]
     pub found: bool,
@@ -338,6 +342,16 @@
         addresses.into_iter().map(named).collect()
     }
 
+    /// Hosts that a group formed from seeds is kept at: beyond it, one that is
+    /// silent leaves. A group that is listed whole stays as it is.
+    pub fn wanted_hosts(&self) -> Option<usize> {
+        if self.seeds.is_empty() {
+            return None;
+        }
+        let quorum_safe = self.tolerated_losses.map_or(0, |losses| 2 * losses + 1);
+        Some(quorum_safe.max(self.seeds.len()))
+    }
+
     /// How long a backend server keeps runs at work without a renewal.
     pub fn run_lease(&self) -> Duration {
         Duration::from_millis(self.run_lease_ms)
@@ -423,6 +437,7 @@
     optional("group", Shape::List(&Shape::Object(PEER_FIELDS))),
     optional("seeds", ADDRESSES),
     optional("seed_port", PORT),
+    optional("tolerated_losses", Shape::Count(0, 16)),
     optional("found", Shape::Flag),
     optional("operators", Shape::Address),
     optional("run_lease_ms", MILLIS),
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -13,6 +13,7 @@
 mod fair_sharing;
 mod graceful_drain;
 mod group_restart;
+mod group_size;
 mod job_path;
 mod job_promises;
 mod journal_recovery;
