--- a/crates/model/src/event_log.rs
+++ b/crates/model/src/event_log.rs
@@ -5,8 +5,9 @@
 //! for.
 
 use std::fmt::{Display, Write};
+use std::time::SystemTime;
 
-use kernel::RingSender;
+use kernel::{RingSender, SharedClock};
 
 use crate::counters::ProcessCounters;
 
@@ -26,6 +27,8 @@
 /// One line.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LogLine {
+    /// When it was written, by the calendar.
+    pub at: SystemTime,
     /// How much it matters.
     pub level: LineLevel,
     /// The text, without a line break.
@@ -63,18 +66,24 @@
 #[derive(Clone)]
 pub struct EventLog {
     ring: RingSender<LogLine>,
+    clock: SharedClock,
     counters: ProcessCounters,
 }
 
 impl EventLog {
     /// A log that writes through `ring`.
-    pub fn new(ring: RingSender<LogLine>, counters: ProcessCounters) -> EventLog {
-        EventLog { ring, counters }
+    pub fn new(
+        ring: RingSender<LogLine>,
+        clock: SharedClock,
+        counters: ProcessCounters,
+    ) -> EventLog {
+        EventLog { ring, clock, counters }
     }
 
     /// Writes a line.
     pub fn write(&self, level: LineLevel, line: EventLine) {
-        if self.ring.push(LogLine { level, text: line.text }).is_err() {
+        let line = LogLine { at: self.clock.calendar(), level, text: line.text };
+        if self.ring.push(line).is_err() {
             self.counters.drop_line();
         }
     }
--- a/crates/services/src/context.rs
+++ b/crates/services/src/context.rs
@@ -21,6 +21,6 @@
     /// When no logging duty is registered.
     pub fn event_log(&self, registry: &Registry<ServiceName>) -> Result<EventLog, KernelError> {
         let ring = registry.find(ServiceName::LogWriter)?;
-        Ok(EventLog::new(ring, self.counters.clone()))
+        Ok(EventLog::new(ring, self.clock.clone(), self.counters.clone()))
     }
 }
