Keep tasks of a step together on an agent with room

Cause: entries on the grown sites are short of processor time, and the eight tasks of a wide job went to eight agents: eight orders, polls and reports. Change: an agent that was chosen for a step stays as good as it was then, unless the rest of its room is left to others. Tests: wide_jobs, seen to fail before.

--- a/crates/decisions/src/schedule/mod.rs
+++ b/crates/decisions/src/schedule/mod.rs
@@ -17,6 +17,7 @@
 mod ready_queue;
 mod reports;
 mod scheduler;
+mod step_spread;
 mod takeover;
 mod task_hurry;
 
--- a/crates/decisions/src/schedule/placing.rs
+++ b/crates/decisions/src/schedule/placing.rs
@@ -10,6 +10,7 @@
 
 use super::agent_state::AgentState;
 use super::scheduler::{LiveJob, Placement, ScheduleStep, Scheduler};
+use super::step_spread::StepSpread;
 use super::task_hurry::TaskHurry;
 use crate::control::JobBook;
 
@@ -125,9 +126,11 @@
             let Some(group) = self.ready.group(key) else { continue };
             let (id, step) = (group.job.clone(), group.step);
             let Some(job) = self.live.get(&id).map(|live| live.job.clone()) else { continue };
-            let mut starts: IndexMap<NodeId, Vec<TaskRun>> = IndexMap::new();
+            let mut spread = StepSpread::default();
             while self.ready.group(key).is_some() {
-                let Some(agent) = self.choose_agent(now, &job, step) else { break };
+                let Some((agent, cost)) = self.choose_agent(now, &job, step, &spread) else {
+                    break;
+                };
                 let Some(index) = self.ready.take(key) else { break };
                 let task = TaskName { job: id.clone(), occurrence: 0, step, index };
                 // Its end may have come while it waited.
@@ -135,9 +138,9 @@
                     continue;
                 }
                 let run = self.place(now, &job, task, &agent);
-                starts.entry(agent).or_default().push(run);
+                spread.add(agent, cost, run);
             }
-            self.order_starts(now, &job, step, starts);
+            self.order_starts(now, &job, step, spread);
             if self.ready.group(key).is_some() {
                 passed_over += 1;
                 if passed_over >= MOST_PASSED_OVER {
@@ -147,9 +150,15 @@
         }
     }
 
-    /// The open agent with room that suits a task best; `None` when there is
-    /// none, or when it is better to wait for a faster one.
-    fn choose_agent(&self, now: Instant, job: &QueuedJob, step: StepIndex) -> Option<NodeId> {
+    /// The open agent with room that suits a task best, and what it costs;
+    /// `None` when there is none, or when it is better to wait for a faster one.
+    fn choose_agent(
+        &self,
+        now: Instant,
+        job: &QueuedJob,
+        step: StepIndex,
+        spread: &StepSpread,
+    ) -> Option<(NodeId, f64)> {
         let wanted = job.steps.get(step as usize)?;
         let service = self.service_of(job)?;
         let suited = |(agent, state): &(&NodeId, &AgentState)| {
@@ -161,13 +170,20 @@
         let fits = |(agent, state): &(&NodeId, &AgentState)| {
             state.free_room().holds(&wanted.size) && self.is_below_limit(job, step, wanted, agent)
         };
-        let cost = |state: &AgentState| {
-            hurry.cost(self.relative_run_time(state, wanted), state.crowding())
+        let cost = |(agent, state): (&NodeId, &AgentState)| {
+            let (run_time, crowding) = (self.relative_run_time(state, wanted), state.crowding());
+            let cost = hurry.cost(run_time, crowding);
+            if hurry.is_left_to_others(run_time, crowding) {
+                cost
+            } else {
+                spread.cost(agent, cost)
+            }
         };
         let agents = self.agents.iter().filter(suited).filter(fits);
-        let best = agents.min_by(|(_, one), (_, other)| cost(one).total_cmp(&cost(other)))?;
-        let run_time = self.relative_run_time(best.1, wanted);
-        (!hurry.should_wait(run_time)).then(|| best.0.clone())
+        let priced = agents.map(|(agent, state)| (agent, state, cost((agent, state))));
+        let (agent, state, cost) = priced.min_by(|one, other| one.2.total_cmp(&other.2))?;
+        let run_time = self.relative_run_time(state, wanted);
+        (!hurry.should_wait(run_time)).then(|| (agent.clone(), cost))
     }
 
     fn service_of(&self, job: &QueuedJob) -> Option<ServiceId> {
@@ -225,14 +241,8 @@
         TaskRun { task, run }
     }
 
-    fn order_starts(
-        &mut self,
-        now: Instant,
-        job: &QueuedJob,
-        step: StepIndex,
-        starts: IndexMap<NodeId, Vec<TaskRun>>,
-    ) {
-        for (agent, runs) in starts {
+    fn order_starts(&mut self, now: Instant, job: &QueuedJob, step: StepIndex, spread: StepSpread) {
+        for (agent, runs) in spread.into_starts() {
             let waited = self
                 .live
                 .get(&job.id)
--- a/crates/decisions/src/schedule/task_hurry.rs
+++ b/crates/decisions/src/schedule/task_hurry.rs
@@ -50,10 +50,12 @@
         }
         let slack = (self.left - 1.0).max(LEAST_SLACK);
         let cost = run_time * (1.0 + CROWDING_WEIGHT * slack * crowding);
-        if self.has_time_to_spare() && self.is_fast(run_time) && crowding > SPARE_ROOM {
-            return LEFT_TO_OTHERS + cost;
-        }
-        cost
+        if self.is_left_to_others(run_time, crowding) { LEFT_TO_OTHERS + cost } else { cost }
+    }
+
+    /// Whether the rest of a server's room is for tasks that need it more.
+    pub fn is_left_to_others(&self, run_time: f64, crowding: f64) -> bool {
+        self.has_time_to_spare() && self.is_fast(run_time) && crowding > SPARE_ROOM
     }
 
     /// Whether the task ends in time wherever it runs.
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -686,4 +686,9 @@
     pub(crate) fn running(&self) -> usize {
         self.servers.iter().map(|server| server.runs.len()).sum()
     }
+
+    /// Backend servers on which runs are at work.
+    pub(crate) fn servers_in_use(&self) -> usize {
+        self.servers.iter().filter(|server| !server.runs.is_empty()).count()
+    }
 }
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -34,3 +34,4 @@
 mod settings_mistakes;
 mod slow_servers;
 mod start_order;
+mod wide_jobs;
