--- a/crates/decisions/src/schedule/admitting.rs
+++ b/crates/decisions/src/schedule/admitting.rs
@@ -116,10 +116,11 @@
     /// Best-effort jobs that can't end while their callers wait are ended. One
     /// of which nothing started is refused: it surely did not run.
     pub(super) fn end_overdue_jobs(&mut self, now: Instant) {
+        let slowness = self.least_slowness();
         let overdue = self
             .live
             .iter()
-            .filter(|(_, live)| live.give_up_at(self.least_slowness()).is_some_and(|at| at <= now));
+            .filter(|(_, live)| live.give_up_at(slowness).is_some_and(|at| at <= now));
         let overdue: Vec<(JobId, bool)> =
             overdue.map(|(id, live)| (id.clone(), live.started)).collect();
         for (id, started) in overdue {
