Spread reports of others' room out as agents become many

Cause: each of 62 agents told each entry every 50 ms what others take of its room: up to 1,240 reports a second at an entry with 0.12 of a core, of which every call about a job came late. Change: a scheduler tells its agents how often it wants to hear of others' room alone: 300 reports a second in all, at most one in 50 ms from each.

--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -235,6 +235,7 @@
             return Vec::new();
         }
         known.term = orders.term;
+        known.room_gap = Duration::from_millis(orders.room_gap_ms);
         let grant = Duration::from_millis(orders.grant_ms).mul_f64(1.0 - DRIFT_SHARE);
         known.grant_until = known.grant_until.max(Some(asked_at + grant));
         if let (Some(noted), Some(life)) = (&orders.noted, &mut self.life)
--- a/crates/decisions/src/agent/scheduler_session.rs
+++ b/crates/decisions/src/agent/scheduler_session.rs
@@ -5,9 +5,6 @@
 
 use model::{RoomSize, RunNews, SessionId, Term};
 
-/// Least time between two reports of others' room alone.
-const OTHERS_GAP: Duration = Duration::from_millis(50);
-
 #[derive(Debug, Clone, Default)]
 pub(super) struct SchedulerSession {
     /// The connection, while there is one.
@@ -19,6 +16,8 @@
     pub(super) term: Term,
     pub(super) grant_until: Option<Instant>,
     pub(super) news: Vec<RunNews>,
+    /// Least time between two reports of others' room alone.
+    pub(super) room_gap: Duration,
     told_others: RoomSize,
     told_at: Option<Instant>,
 }
@@ -50,7 +49,7 @@
         if self.session.is_none() || self.report_out {
             return false;
         }
-        let rested = self.told_at.is_none_or(|at| at + OTHERS_GAP <= now);
+        let rested = self.told_at.is_none_or(|at| at + self.room_gap <= now);
         self.owes_report || !self.news.is_empty() || (rested && *others != self.told_others)
     }
 
@@ -65,6 +64,6 @@
     /// When others' room may be reported again, if it has changed.
     pub(super) fn next_report(&self, others: &RoomSize) -> Option<Instant> {
         let changed = self.session.is_some() && !self.report_out && *others != self.told_others;
-        changed.then(|| self.told_at.map(|at| at + OTHERS_GAP)).flatten()
+        changed.then(|| self.told_at.map(|at| at + self.room_gap)).flatten()
     }
 }
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -44,6 +44,12 @@
 /// A stop takes less than this, and messages on their way as long.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
+/// Reports of others' room alone that a scheduler wants in a second, from all
+/// agents together.
+const ROOM_REPORTS_PER_SECOND: u32 = 300;
+/// Least time between two of them from one agent.
+const LEAST_ROOM_GAP: Duration = Duration::from_millis(50);
+
 /// Expected run times after which a run first counts as overdue.
 const FIRST_OVERDUE: u32 = 3;
 /// How often overdue runs are looked for while any are at work.
@@ -426,9 +432,16 @@
         std::mem::take(&mut self.steps)
     }
 
+    /// Reports of others' room alone are spread out as agents become many.
+    fn room_gap(&self) -> Duration {
+        let agents = self.agents.len() as u32;
+        (Duration::from_secs(1) * agents / ROOM_REPORTS_PER_SECOND).max(LEAST_ROOM_GAP)
+    }
+
     fn answer_polls(&mut self, now: Instant) {
         let Some(term) = self.term else { return };
         let grant_ms = self.limits.grant.as_millis() as u64;
+        let room_gap_ms = self.room_gap().as_millis() as u64;
         let due: Vec<NodeId> = self
             .agents
             .iter()
@@ -446,7 +459,7 @@
             let news = state.entries_told != self.entries.version();
             state.entries_told = self.entries.version();
             let entries = news.then(|| self.entries.hosts());
-            let orders = AgentOrders { term, grant_ms, noted, orders, entries };
+            let orders = AgentOrders { term, grant_ms, room_gap_ms, noted, orders, entries };
             self.steps.push(ScheduleStep::Orders { call: parked.call, orders });
         }
     }
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -295,6 +295,8 @@
     /// How long the agent may keep runs at work, in milliseconds from when it
     /// sent the poll.
     pub grant_ms: u64,
+    /// Least time between two reports of others' room alone, in milliseconds.
+    pub room_gap_ms: u64,
     /// Ends that may be forgotten.
     pub noted: Option<NotedEnds>,
     /// The orders, to be carried out in this order.
--- a/tests/server_holds.rs
+++ b/tests/server_holds.rs
@@ -82,7 +82,8 @@
 
     fn order(&mut self, orders: Vec<AgentOrder>) {
         let grant_ms = GRANT.as_millis() as u64;
-        let orders = AgentOrders { term: 0, grant_ms, noted: None, orders, entries: None };
+        let orders =
+            AgentOrders { term: 0, grant_ms, room_gap_ms: 50, noted: None, orders, entries: None };
         let steps = self.table.on_orders(self.now, &entry(), 1, self.now, orders);
         self.take(steps);
     }
