Let long tasks wait for a fast server while their caller's time allows

Cause: tasks of a step share one rough estimate and run up to half as long again; on a slow server a task of 0.9 s then outlasts its caller's 1.5 s, and one such task fails its job. Change: a task waits for a faster server when it may outlast its caller on this one and not on that. Tests: mixed_speeds, uneven_waits_for_fast seen to fail before.

--- a/crates/decisions/src/schedule/placing.rs
+++ b/crates/decisions/src/schedule/placing.rs
@@ -166,7 +166,7 @@
         };
         let speeds = self.agents.iter().filter(suited);
         let speeds = speeds.map(|(_, state)| self.relative_run_time(state, wanted));
-        let hurry = TaskHurry::new(self.time_left(now, job, wanted), speeds);
+        let hurry = self.hurry(now, job, wanted, speeds);
         let fits = |(agent, state): &(&NodeId, &AgentState)| {
             state.free_room().holds(&wanted.size) && self.is_below_limit(job, step, wanted, agent)
         };
@@ -207,11 +207,21 @@
         there.count() < wanted.most_per_server as usize
     }
 
-    /// Time that a task has to end in, in multiples of its estimate.
-    fn time_left(&self, now: Instant, job: &QueuedJob, wanted: &JobStep) -> f64 {
-        let Some(live) = self.live.get(&job.id) else { return 0.0 };
-        let left = live.end_by().saturating_duration_since(now).as_secs_f64();
-        left / wanted.estimate().as_secs_f64().max(f64::MIN_POSITIVE)
+    /// How much of a hurry a task is in, among servers of these run times.
+    fn hurry(
+        &self,
+        now: Instant,
+        job: &QueuedJob,
+        wanted: &JobStep,
+        run_times: impl Iterator<Item = f64>,
+    ) -> TaskHurry {
+        let estimate = wanted.estimate().as_secs_f64().max(f64::MIN_POSITIVE);
+        let left = |until: Instant| until.saturating_duration_since(now).as_secs_f64() / estimate;
+        let live = self.live.get(&job.id);
+        let late = live.map_or(0.0, |live| left(live.end_by()));
+        let waiter = live.and_then(|live| live.waiter);
+        let caller_left = waiter.map_or(f64::INFINITY, |waiter| left(waiter.until));
+        TaskHurry::new(late, caller_left, run_times)
     }
 
     /// Run time at an agent, in multiples of the estimate.
--- a/crates/decisions/src/schedule/task_hurry.rs
+++ b/crates/decisions/src/schedule/task_hurry.rs
@@ -7,6 +7,9 @@
 
 /// Run times that are learnt are off by less than this factor, mostly.
 const MARGIN: f64 = 1.1;
+/// Tasks of a step run longer than their common estimate by less than this
+/// factor, mostly.
+const STEP_MARGIN: f64 = 1.5;
 /// A server is fast when its run times are below this share of the mean.
 const FAST_SHARE: f64 = 0.8;
 /// Share of a fast server's room that tasks with time to spare may fill.
@@ -24,15 +27,19 @@
 /// estimated run time.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct TaskHurry {
+    /// Until it is late.
     left: f64,
+    /// Until its caller stops waiting.
+    caller_left: f64,
     fastest: f64,
     slowest: f64,
     mean: f64,
 }
 
 impl TaskHurry {
-    /// A task with this much time left, among servers of these run times.
-    pub fn new(left: f64, run_times: impl Iterator<Item = f64>) -> TaskHurry {
+    /// A task with this much time left until it is late, and until its caller
+    /// stops waiting, among servers of these run times.
+    pub fn new(left: f64, caller_left: f64, run_times: impl Iterator<Item = f64>) -> TaskHurry {
         let (mut fastest, mut slowest, mut sum, mut count) = (f64::INFINITY, 0.0_f64, 0.0, 0.0);
         for run_time in run_times {
             fastest = fastest.min(run_time);
@@ -40,7 +47,7 @@
             sum += run_time;
             count += 1.0;
         }
-        TaskHurry { left, fastest, slowest, mean: sum / f64::max(count, 1.0) }
+        TaskHurry { left, caller_left, fastest, slowest, mean: sum / f64::max(count, 1.0) }
     }
 
     /// What it costs to run the task on a server; the least is best.
@@ -68,8 +75,14 @@
     }
 
     /// Whether a server that has room now is worse than waiting for a faster
-    /// one: the task ends late on this one and may yet end in time on that.
+    /// one: the task ends late on this one, or may well not end before its
+    /// caller has left, and may yet end in time on that.
     pub fn should_wait(&self, run_time: f64) -> bool {
-        run_time * MARGIN > self.left && self.fastest * MARGIN <= self.left
+        self.gains_by_waiting(run_time, self.left, MARGIN)
+            || self.gains_by_waiting(run_time, self.caller_left, STEP_MARGIN)
+    }
+
+    fn gains_by_waiting(&self, run_time: f64, left: f64, margin: f64) -> bool {
+        run_time * margin > left && self.fastest * margin <= left
     }
 }
