--- /dev/null
+++ b/tests/late_answers.rs
@@ -0,0 +1,86 @@
+//! Answers that arrive after the question was asked again.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use decisions::entry::{DispatchLimits, DispatchStep, Dispatcher};
+use model::{
+    AdmitRequest, AdmitTask, AgentView, ConfigInForce, JobKey, LeaseState, LinkEvent, MemberRecord,
+    MessageKind, NodeRole, NotStartedReason, OwnerRef, Payload, ReleaseOrder, ServiceSlots,
+    StartOrder, Takeover, TaskFate, TaskReport, WorkerSize,
+};
+
+use crate::support::small_text;
+
+const SIZE: WorkerSize = WorkerSize { cores: 1, memory_mb: 0, accelerators: 0 };
+/// Longer than any pause before a task is sent again.
+const LONG_PAUSE: Duration = Duration::from_millis(500);
+
+fn dispatcher(now: Instant) -> Dispatcher {
+    let mut dispatch = Dispatcher::new(DispatchLimits { queue_limit: 100, seed: 1 });
+    dispatch.on_config(Arc::new(ConfigInForce { version: 1, text: small_text() }));
+    dispatch.on_lease(now, LeaseState::HeldUntil(now + Duration::from_secs(600)));
+    let address = ([127, 0, 0, 1], 1).into();
+    let (node, domain) = ("worker-1".into(), "d".into());
+    let member = MemberRecord { node, role: NodeRole::Agent, incarnation: 1, address, domain };
+    dispatch.on_members(now, &[member], 1);
+    let service = ServiceSlots { service: "stock".into(), slots: 4, running: 0, queued: 0 };
+    let view = AgentView {
+        worker: "worker-1".into(),
+        incarnation: 1,
+        version: 1,
+        domain: "d".into(),
+        rack: "r".into(),
+        draining: false,
+        size: WorkerSize { cores: 16, memory_mb: 1_000, accelerators: 0 },
+        services: vec![service],
+    };
+    dispatch.on_link(now, &"worker-1".into(), LinkEvent::View { view });
+    dispatch
+}
+
+fn admit(dispatch: &mut Dispatcher, now: Instant) -> Vec<DispatchStep> {
+    let task = AdmitTask { declared: None, size: SIZE, payload: Payload::null() };
+    let request = AdmitRequest {
+        key: JobKey { team: "north".into(), submission: "s".into() },
+        service: "stock".into(),
+        tasks: vec![task],
+        deadline: now + Duration::from_secs(60),
+        idempotent: true,
+    };
+    let owner = OwnerRef { entry: "e".into(), incarnation: 1 };
+    let release = ReleaseOrder { epoch: 0, owner, takeover: Takeover::Fresh };
+    dispatch.on_admit(now, request, Some(release))
+}
+
+fn sent(steps: &[DispatchStep]) -> Option<StartOrder> {
+    steps.iter().find_map(|step| match step {
+        DispatchStep::Start { order, .. } => Some((**order).clone()),
+        _ => None,
+    })
+}
+
+fn report(order: &StartOrder, fate: TaskFate) -> LinkEvent {
+    let (key, attempt) = (order.key.clone(), order.attempt);
+    let report = TaskReport { key, attempt, incarnation: 1, fate, running: 0, queued: 0 };
+    LinkEvent::Report { report }
+}
+
+#[test]
+fn earlier_attempt_says_nothing() {
+    let mut now = Instant::now();
+    let worker = "worker-1".into();
+    let mut dispatch = dispatcher(now);
+    let first = sent(&admit(&mut dispatch, now)).expect("there is room");
+    let fate = TaskFate::NotStarted { reason: NotStartedReason::QueueFull };
+    let mut steps = dispatch.on_link(now, &worker, report(&first, fate.clone()));
+    for _ in 0..10 {
+        now += LONG_PAUSE;
+        steps.extend(dispatch.on_tick(now));
+    }
+    let second = sent(&steps).expect("it is sent again");
+    assert_ne!(first.attempt, second.attempt);
+    // The same answer once more, while the second attempt may be running.
+    let steps = dispatch.on_link(now, &worker, report(&first, fate));
+    assert_eq!(steps, vec![DispatchStep::Count(MessageKind::LateAnswer)]);
+}
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -17,6 +17,7 @@
 mod job_path;
 mod job_promises;
 mod journal_recovery;
+mod late_answers;
 mod lease_renewal;
 mod ledger_claims;
 mod log_agreement;
