Let an agent refuse orders until entries have heard that it drains

The kept logs show: the agent had nothing in progress 0 ms after it began to drain and ended; an entry that heard of it 3 ms later had sent two orders meanwhile, and can't tell whether they started. Change: an agent that drains goes on refusing for 0.5 s.

--- a/crates/cactuswing/src/roles/agent.rs
+++ b/crates/cactuswing/src/roles/agent.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::time::Duration;
 
 use decisions::agent::StartLimits;
 use edges::backend_edge::{BackendEdge, BarePlatform};
@@ -18,6 +19,10 @@
     with_log,
 };
 
+/// How long entries may take to hear that an agent drains. An order that
+/// reaches an agent that has ended leaves its task in doubt.
+const HEAR_TIME: Duration = Duration::from_millis(500);
+
 /// Starts an agent.
 ///
 /// # Errors
@@ -97,6 +102,7 @@
         stop,
         gate: context.gate,
         drain_limit: settings.drain_limit(),
+        linger: HEAR_TIME,
         begin_drain: Box::new(move || {
             // A full ring refuses new work by itself; the drain's limit covers it.
             let _full = table.push(StartMessage::Drain);
--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -106,6 +106,7 @@
         stop: StopSignal::default(),
         gate: context.gate,
         drain_limit: Duration::ZERO,
+        linger: Duration::ZERO,
         begin_drain: Box::new(|| {}),
     })
 }
--- a/crates/cactuswing/src/roles/entry.rs
+++ b/crates/cactuswing/src/roles/entry.rs
@@ -108,6 +108,7 @@
         stop,
         gate: context.gate,
         drain_limit: settings.drain_limit(),
+        linger: Duration::ZERO,
         begin_drain: Box::new(move || {
             // A full ring refuses new work by itself; the drain's limit covers it.
             let _full = tracking.push(JobMessage::Drain);
--- a/crates/cactuswing/src/roles/mod.rs
+++ b/crates/cactuswing/src/roles/mod.rs
@@ -68,6 +68,9 @@
     stop: StopSignal,
     gate: DrainGate,
     drain_limit: Duration,
+    /// How long peers may take to hear that this process drains; until then it
+    /// goes on refusing what they send.
+    linger: Duration,
     begin_drain: Box<dyn Fn() + Send>,
 }
 
@@ -95,7 +98,9 @@
     /// Lets what is in progress finish, then stops.
     pub fn drain(mut self) -> DrainEnd {
         self.begin_drain();
-        let idle = self.gate.wait_idle(self.clock.now() + self.drain_limit);
+        let begun_at = self.clock.now();
+        let idle = self.gate.wait_idle(begun_at + self.drain_limit);
+        std::thread::sleep((begun_at + self.linger).saturating_duration_since(self.clock.now()));
         self.kernel.stop();
         if idle { DrainEnd::Idle } else { DrainEnd::LimitReached }
     }
--- a/crates/cactuswing/src/roles/queue_entry.rs
+++ b/crates/cactuswing/src/roles/queue_entry.rs
@@ -86,6 +86,7 @@
         stop: StopSignal::default(),
         gate: context.gate,
         drain_limit: settings.drain_limit(),
+        linger: Duration::ZERO,
         begin_drain: Box::new(move || {
             // A full ring refuses new calls by itself; the drain's limit covers it.
             let _full = front.push(QueueFrontMessage::Drain);
--- a/crates/cactuswing/src/roles/server_agent.rs
+++ b/crates/cactuswing/src/roles/server_agent.rs
@@ -84,6 +84,7 @@
         stop: StopSignal::default(),
         gate: context.gate,
         drain_limit: Duration::ZERO,
+        linger: Duration::ZERO,
         // Runs go on under their lease until the next process takes them over.
         begin_drain: Box::new(|| {}),
     })
