Log what a scheduler and each duty spend their time on

Cause: no log or metric told whether an entry lags since it searches for agents too often, since its messages are too many, or since servers are slow. Change: a summary line a second of the scheduling duty (schedule_load: messages by kind, longest wait in the ring, waiting steps, searches, agents priced, placed, refused, overdue), the processor time by duty every 5 s (duty_time, metric cactuswing_duty_seconds); both are written beyond the budget of log lines. The line itself was left out in most of the seconds that matter, hence the unlimited level.

--- a/crates/cactuswing/src/replay/mod.rs
+++ b/crates/cactuswing/src/replay/mod.rs
@@ -2,7 +2,6 @@
 //! stand-in backend servers, and checks the outcomes.
 
 mod checks;
-mod duty_time;
 mod ideal;
 mod local_cluster;
 mod outcome;
--- a/crates/cactuswing/src/replay/player.rs
+++ b/crates/cactuswing/src/replay/player.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use edges::duty_time::{duty_seconds, used_between};
 use indexmap::IndexMap;
 use model::{
     JobSubmission, LogSettings, MessageKind, OperatorConfig, Payload, RoutingPolicy, TaskSpec,
@@ -18,7 +19,6 @@
 use tokio::task::JoinSet;
 
 use super::checks::find_violations;
-use super::duty_time::{duty_seconds, used_between};
 use super::ideal::IdealTimes;
 use super::local_cluster::{ClusterError, ClusterShape, LocalCluster};
 use super::outcome::{CallAnswer, CallOutcome, ReplayReport, Slowdowns, count_failures};
--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -83,8 +83,9 @@
         expect_assembled(services::replicated_log::run(&ring, &registry, log_context, setup));
     })?;
 
+    let edge_clock = clock.clone();
     kernel.register(ServiceName::ControlEdge, CALL_RING_SLOTS, move |ring, registry| {
-        edges::control_edge::run(&ring, &registry, listener);
+        edges::control_edge::run(&ring, &registry, listener, edge_clock);
     })?;
 
     if let Some(join) = group_join(settings) {
--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -231,6 +231,7 @@
             .with("agent", agent)
             .with("cause", refusal);
         self.steps.push(ScheduleStep::Log(line));
+        self.counts.refused += 1;
         if let Some(state) = self.agents.get_mut(agent) {
             match refusal {
                 StartRefusal::Room => state.pause(now + REFUSAL_PAUSE),
--- a/crates/decisions/src/schedule/mod.rs
+++ b/crates/decisions/src/schedule/mod.rs
@@ -18,6 +18,7 @@
 mod agent_state;
 mod entry_list;
 mod job_admission;
+mod load_counts;
 mod ready_queue;
 mod scheduler;
 mod speed_estimate;
@@ -27,6 +28,7 @@
 mod task_urgency;
 
 pub use agent_state::AgentState;
+pub use load_counts::LoadCounts;
 pub use scheduler::{JobDecision, ScheduleLimits, ScheduleStep, Scheduler, SchedulerKind};
 pub use speed_estimate::SpeedEstimate;
 pub use task_urgency::TaskUrgency;
--- a/crates/decisions/src/schedule/ready_queue.rs
+++ b/crates/decisions/src/schedule/ready_queue.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// Number of groups, one for each step with waiting tasks.
+    pub(super) fn len(&self) -> usize {
+        self.groups.len()
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.groups.is_empty()
     }
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -12,6 +12,7 @@
 
 use super::agent_state::AgentState;
 use super::entry_list::EntryList;
+use super::load_counts::LoadCounts;
 use super::ready_queue::ReadyQueue;
 use crate::control::{JobChange, JobStore};
 
@@ -205,6 +206,7 @@
     /// reported or timed out.
     pub(super) held_jobs: IndexSet<JobId>,
     pub(super) entries: EntryList,
+    pub(super) counts: LoadCounts,
     overdue_checked_at: Instant,
     pub(super) steps: Vec<ScheduleStep>,
 }
@@ -228,6 +230,7 @@
             unreported_agents: IndexSet::new(),
             held_jobs: IndexSet::new(),
             entries: EntryList::default(),
+            counts: LoadCounts::default(),
             overdue_checked_at: now,
             steps: Vec::new(),
         }
@@ -277,6 +280,21 @@
         self.store.catalog()
     }
 
+    /// Returns the counts of work since the last call.
+    pub fn take_counts(&mut self) -> LoadCounts {
+        std::mem::take(&mut self.counts)
+    }
+
+    /// Number of jobs that have not ended.
+    pub fn live_jobs(&self) -> usize {
+        self.live.len()
+    }
+
+    /// Number of steps with tasks that wait for free capacity.
+    pub fn waiting_steps(&self) -> usize {
+        self.ready.len()
+    }
+
     /// Returns the term in which this host leads, or `None` if it does not.
     pub fn term(&self) -> Option<Term> {
         self.term
@@ -411,6 +429,7 @@
             if !placed.ended && ran > expected {
                 placed.overdue_factor = placed.overdue_factor.saturating_add(1);
                 state.add_overdue_sample(now, ran, estimate);
+                self.counts.overdue += 1;
             }
         }
         for state in self.agents.values_mut() {
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -162,7 +162,7 @@
     /// Chooses the eligible agent with free capacity of the lowest cost; `None` if
     /// there is none, or if waiting for a faster one is better.
     fn choose_agent(
-        &self,
+        &mut self,
         now: Instant,
         job: &QueuedJob,
         step: StepIndex,
@@ -170,6 +170,8 @@
     ) -> Option<(NodeId, f64)> {
         let job_step = job.steps.get(step as usize)?;
         let service = self.service_of(job)?;
+        self.counts.searches += 1;
+        self.counts.agents_priced += self.agents.len() as u64;
         let eligible = |(agent, state): &(&NodeId, &AgentState)| {
             self.is_registered(agent)
                 && state.accepts_work(now)
@@ -263,6 +265,7 @@
             life = state.life().cloned().unwrap_or_default();
         }
         let placed = Placement::new(agent.clone(), life, run, size, now);
+        self.counts.placed += 1;
         self.placements.insert(task.clone(), placed);
         TaskRun { task, run }
     }
--- a/crates/edges/src/control_edge.rs
+++ b/crates/edges/src/control_edge.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use jsonrpsee::core::{RpcResult, async_trait};
-use kernel::{Registry, Reservation, RingReceiver, RingSender};
+use kernel::{Registry, Reservation, RingReceiver, RingSender, SharedClock};
 use model::{
     AgentPoll, AgentReport, CallId, CatalogQuery, Command, ControlQuery, ControlReply,
     ControlReplyBody, JobCall, JobReplySlot, LogMessage, MembershipMessage, NodeWatch,
@@ -20,6 +20,7 @@
 
 /// Forwards calls to the services of this control host.
 struct ControlHandler {
+    clock: SharedClock,
     calls: PendingCalls<ControlReplyBody>,
     replies: RingSender<ControlReply>,
     replicated_log: RingSender<LogMessage>,
@@ -68,9 +69,10 @@
     }
 
     async fn job(&self, job: JobCall) -> RpcResult<ControlReplyBody> {
+        let arrived_at = self.clock.now();
         let message = |call, reply| {
             let reply = JobReplySlot::Peer(reply);
-            SchedulingMessage::Job { call, job, reply }
+            SchedulingMessage::Job { call, arrived_at, job, reply }
         };
         self.schedule.request(message).await
     }
@@ -114,6 +116,7 @@
     ring: &RingReceiver<ControlReply>,
     registry: &Registry<ServiceName>,
     listener: std::net::TcpListener,
+    clock: SharedClock,
 ) {
     let calls = PendingCalls::default();
     let schedule = Arc::new(ScheduleHandler {
@@ -122,6 +125,7 @@
         scheduling: registry.find(ServiceName::JobScheduling).expect("scheduling is registered"),
     });
     let handler = ControlHandler {
+        clock,
         calls: calls.clone(),
         replies: registry.find(ServiceName::ControlEdge).expect("the control edge is registered"),
         replicated_log: registry.find(ServiceName::ReplicatedLog).expect("the log is registered"),
--- a/crates/cactuswing/src/replay/duty_time.rs
+++ b/crates/edges/src/duty_time.rs
@@ -10,7 +10,7 @@
 const USER_TIME_INDEX: usize = 11;
 
 /// Seconds of processor time by duty; empty where `/proc` is missing.
-pub(super) fn duty_seconds() -> IndexMap<String, f64> {
+pub fn duty_seconds() -> IndexMap<String, f64> {
     let mut seconds = IndexMap::new();
     let Ok(threads) = std::fs::read_dir("/proc/self/task") else { return seconds };
     for thread in threads.flatten() {
@@ -35,7 +35,7 @@
 }
 
 /// Seconds of processor time by duty between two readings.
-pub(super) fn used_between(
+pub fn used_between(
     before: &IndexMap<String, f64>,
     after: &IndexMap<String, f64>,
 ) -> IndexMap<String, f64> {
--- a/crates/edges/src/lib.rs
+++ b/crates/edges/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod control_edge;
 pub mod control_link;
 pub mod disk;
+pub mod duty_time;
 pub mod group_join;
 pub mod job_calls;
 pub mod journal;
--- a/crates/edges/src/log_writer.rs
+++ b/crates/edges/src/log_writer.rs
@@ -8,6 +8,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use indexmap::IndexMap;
 use jiff::Timestamp;
 use kernel::{PopResult, RingReceiver, SharedClock};
 use log::{Level, LevelFilter, Record};
@@ -21,6 +22,7 @@
 use log4rs::encode::writer::simple::SimpleWriter;
 use model::{LineLevel, LogLine, LogSettings};
 
+use crate::duty_time::{duty_seconds, used_between};
 use crate::edge_error::EdgeError;
 
 /// The text of an event line already has its time and level.
@@ -107,7 +109,7 @@
     name.parse().unwrap_or(LevelFilter::Info)
 }
 
-/// Maximum number of info and debug lines in a second; errors and warnings are
+/// Maximum number of info and debug lines in a second; lines of other levels are
 /// always written, and count towards the limit.
 const MAX_LINES_PER_SECOND: u32 = 1_000;
 
@@ -137,8 +139,7 @@
             }
             *self = LineLimiter { window_start: now, written: 0, suppressed: 0 };
         }
-        let always_written = matches!(line.level, LineLevel::Error | LineLevel::Warn);
-        if !always_written && self.written >= MAX_LINES_PER_SECOND {
+        if !line.level.is_unlimited() && self.written >= MAX_LINES_PER_SECOND {
             self.suppressed += 1;
             return false;
         }
@@ -150,15 +151,53 @@
 /// How long lines are buffered before they are written.
 const BATCH_DELAY: Duration = Duration::from_millis(20);
 
+/// Minimum interval between two lines about the duties' processor time.
+const DUTY_TIME_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Reports the processor time of each duty while other lines are written; an
+/// idle process is not woken for it.
+struct DutyTimeReport {
+    reported_at: Instant,
+    seconds: IndexMap<String, f64>,
+}
+
+impl DutyTimeReport {
+    fn new(now: Instant) -> DutyTimeReport {
+        DutyTimeReport { reported_at: now, seconds: duty_seconds() }
+    }
+
+    /// The line that is due, with the milliseconds that each duty used since the
+    /// last one.
+    fn take_line(&mut self, clock: &SharedClock) -> Option<LogLine> {
+        let now = clock.now();
+        let interval = now.saturating_duration_since(self.reported_at);
+        if interval < DUTY_TIME_INTERVAL {
+            return None;
+        }
+        let seconds = duty_seconds();
+        let used = used_between(&self.seconds, &seconds);
+        *self = DutyTimeReport { reported_at: now, seconds };
+        let mut text = format!("event=duty_time interval_ms={}", interval.as_millis());
+        for (duty, used) in used {
+            text.push_str(&format!(" {duty}_ms={:.0}", used * 1_000.0));
+        }
+        Some(LogLine { at: clock.wall_clock(), level: LineLevel::Summary, text })
+    }
+}
+
 /// Runs the duty until its ring is closed.
 pub fn run(ring: &RingReceiver<LogLine>, clock: &SharedClock) {
     let mut limiter = LineLimiter { window_start: clock.now(), written: 0, suppressed: 0 };
+    let mut duty_times = DutyTimeReport::new(clock.now());
     while let PopResult::Message(line) = ring.pop(None) {
         limiter.write(clock.now(), &line);
         std::thread::sleep(BATCH_DELAY);
         while let Some(line) = ring.try_next() {
             limiter.write(clock.now(), &line);
         }
+        if let Some(line) = duty_times.take_line(clock) {
+            write(&line);
+        }
         log::logger().flush();
     }
     log::logger().flush();
@@ -168,7 +207,7 @@
     let level = match line.level {
         LineLevel::Error => Level::Error,
         LineLevel::Warn => Level::Warn,
-        LineLevel::Info => Level::Info,
+        LineLevel::Summary | LineLevel::Info => Level::Info,
         LineLevel::Debug => Level::Debug,
     };
     let at = Timestamp::try_from(line.at).unwrap_or_default();
--- a/crates/edges/src/metrics.rs
+++ b/crates/edges/src/metrics.rs
@@ -1,9 +1,11 @@
 //! Encodes the counters of a process for the `/metrics` routes.
 
 use model::{ErrorKind, MessageKind, ProcessCounters};
-use prometheus::{Encoder, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{Encoder, GaugeVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 use strum::IntoEnumIterator;
 
+use crate::duty_time::duty_seconds;
+
 /// Renders the counters of a process in the Prometheus text format.
 pub fn render(counters: &ProcessCounters) -> String {
     let registry = Registry::new();
@@ -26,6 +28,14 @@
     for kind in ErrorKind::iter() {
         failures.with_label_values(&[<&str>::from(kind)]).inc_by(counters.failures(kind));
     }
+    let duty_time = GaugeVec::new(
+        Opts::new("cactuswing_duty_seconds", "Processor time by duty so far, in seconds"),
+        &["duty"],
+    )?;
+    registry.register(Box::new(duty_time.clone()))?;
+    for (duty, seconds) in duty_seconds() {
+        duty_time.with_label_values(&[&duty]).set(seconds);
+    }
     gauge(registry, "cactuswing_whole_answers", "Complete answers so far", counters.completed())?;
     gauge(registry, "cactuswing_waiting_tasks", "Waiting tasks", counters.waiting())?;
     gauge(registry, "cactuswing_in_progress", "Work in progress", counters.in_progress())?;
--- a/crates/model/src/event_log.rs
+++ b/crates/model/src/event_log.rs
@@ -18,12 +18,25 @@
     Error,
     /// A fault that the process handled.
     Warn,
+    /// A figure over an interval, at most one a second; not rate limited, since it
+    /// matters most when other lines are left out.
+    Summary,
     /// A change of state.
     Info,
     /// A decision about a single task.
     Debug,
 }
 
+impl LineLevel {
+    /// Whether lines of this level are written regardless of the rate limit.
+    pub fn is_unlimited(self) -> bool {
+        match self {
+            LineLevel::Error | LineLevel::Warn | LineLevel::Summary => true,
+            LineLevel::Info | LineLevel::Debug => false,
+        }
+    }
+}
+
 /// A finished log line.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LogLine {
@@ -94,6 +107,11 @@
         self.write(LineLevel::Info, line);
     }
 
+    /// Writes a line at level summary.
+    pub fn summary(&self, line: EventLine) {
+        self.write(LineLevel::Summary, line);
+    }
+
     /// Writes a line at level warn.
     pub fn warn(&self, line: EventLine) {
         self.write(LineLevel::Warn, line);
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -389,6 +389,8 @@
     Job {
         /// Echoed in the reply.
         call: CallId,
+        /// Time at which the process received the call.
+        arrived_at: std::time::Instant,
         /// The requested operation.
         job: JobCall,
         /// Ring slot reserved for the reply.
--- a/crates/services/src/job_scheduling.rs
+++ b/crates/services/src/job_scheduling.rs
@@ -19,6 +19,7 @@
 };
 
 use crate::context::ServiceContext;
+use crate::load_meter::LoadMeter;
 
 /// Time after which an entry's watch for a newer catalog is answered without one.
 const CATALOG_WATCH_TIMEOUT: Duration = Duration::from_millis(700);
@@ -49,6 +50,7 @@
     waiting_callers: IndexMap<CallId, JobReplySlot>,
     catalog_watchers: Vec<CatalogWatcher>,
     site: SchedulerSite,
+    meter: LoadMeter,
 }
 
 /// Runs the service until its ring is closed.
@@ -77,6 +79,7 @@
         waiting_callers: IndexMap::new(),
         catalog_watchers: Vec::new(),
         site,
+        meter: LoadMeter::new(clock.now()),
     };
     run_duty(ring, &clock, DutyHandler { state, handle, next_deadline });
     Ok(())
@@ -89,19 +92,25 @@
 
 fn handle(state: &mut JobScheduling, now: Instant, message: Option<SchedulingMessage>) {
     match message {
-        Some(message) => state.on_message(now, message),
+        Some(message) => {
+            state.meter.count(now, &message);
+            state.on_message(now, message);
+        }
         None => {
             let steps = state.scheduler.on_tick(now);
             state.execute_steps(steps);
         }
     }
     state.answer_catalog_watchers(now);
+    if let Some(line) = state.meter.take_line(now, &mut state.scheduler) {
+        state.log.summary(line);
+    }
 }
 
 impl JobScheduling {
     fn on_message(&mut self, now: Instant, message: SchedulingMessage) {
         match message {
-            SchedulingMessage::Job { call, job, reply } => self.on_job(now, call, &job, reply),
+            SchedulingMessage::Job { call, job, reply, .. } => self.on_job(now, call, &job, reply),
             SchedulingMessage::CallerDisconnected { call } => {
                 self.waiting_callers.swap_remove(&call);
                 let steps = self.scheduler.on_abandoned(now, call);
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod context;
 mod figure_meter;
+mod load_meter;
 
 pub use context::ServiceContext;
 pub use figure_meter::is_time_zone;
--- /dev/null
+++ b/crates/services/src/load_meter.rs
@@ -0,0 +1,77 @@
+//! Measures the load of the scheduling duty and sums it up in one log line for
+//! each interval.
+
+use std::time::{Duration, Instant};
+
+use decisions::schedule::Scheduler;
+use model::{EventLine, SchedulingMessage};
+
+/// Minimum interval between two lines; without messages none is written.
+const LINE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Messages of one interval, and how long they waited.
+pub(crate) struct LoadMeter {
+    interval_start: Instant,
+    jobs: u64,
+    reports: u64,
+    polls: u64,
+    others: u64,
+    max_ring_wait: Duration,
+}
+
+impl LoadMeter {
+    pub(crate) fn new(now: Instant) -> LoadMeter {
+        LoadMeter {
+            interval_start: now,
+            jobs: 0,
+            reports: 0,
+            polls: 0,
+            others: 0,
+            max_ring_wait: Duration::ZERO,
+        }
+    }
+
+    /// Counts a message. Only submissions carry the time at which they arrived,
+    /// so their wait stands for that of all messages.
+    pub(crate) fn count(&mut self, now: Instant, message: &SchedulingMessage) {
+        match message {
+            SchedulingMessage::Job { arrived_at, .. } => {
+                self.jobs += 1;
+                let waited = now.saturating_duration_since(*arrived_at);
+                self.max_ring_wait = self.max_ring_wait.max(waited);
+            }
+            SchedulingMessage::Report { .. } => self.reports += 1,
+            SchedulingMessage::Poll { .. } => self.polls += 1,
+            _ => self.others += 1,
+        }
+    }
+
+    /// The line that is due, if one is; starts the next interval.
+    pub(crate) fn take_line(
+        &mut self,
+        now: Instant,
+        scheduler: &mut Scheduler,
+    ) -> Option<EventLine> {
+        let interval = now.saturating_duration_since(self.interval_start);
+        if interval < LINE_INTERVAL {
+            return None;
+        }
+        let counts = scheduler.take_counts();
+        let line = EventLine::new("schedule_load")
+            .with("interval_ms", interval.as_millis())
+            .with("jobs", self.jobs)
+            .with("reports", self.reports)
+            .with("polls", self.polls)
+            .with("others", self.others)
+            .with("ring_wait_ms", self.max_ring_wait.as_millis())
+            .with("live_jobs", scheduler.live_jobs())
+            .with("waiting_steps", scheduler.waiting_steps())
+            .with("searches", counts.searches)
+            .with("agents_priced", counts.agents_priced)
+            .with("placed", counts.placed)
+            .with("refused", counts.refused)
+            .with("overdue", counts.overdue);
+        *self = LoadMeter::new(now);
+        Some(line)
+    }
+}
