schedule: bound the searches of a placement round

What callers saw: an entry that once had a queue stayed slow; its callers got late answers, 503 and 504 long after the load was usual again. Cause: every message ended in a placement round that priced every agent, three times, for each task of up to 24 waiting steps, although nothing had changed since the last. So a message took longer the more steps waited: a metastable state, with lag causing waiting steps and these causing lag. Change: a round runs only if something changed that a placement depends on; it knows the largest free capacity of the agents of a class and what was searched for in vain, and searches for no step that this rules out; tasks of a step go on the agent chosen last while it has room, without a search. Stopping a job's runs looks at its own tasks rather than at all placements.

--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -94,6 +94,7 @@
         let Some(state) = self.agents.get_mut(&report.agent) else { return };
         let new_life = report.server.as_ref().map(|server| &server.life) != state.life();
         let changed = state.server != report.server;
+        self.placement_due |= changed || !report.other_usage.fits(&state.other_usage);
         state.server = report.server.clone();
         state.other_usage = report.other_usage;
         if new_life {
@@ -188,6 +189,7 @@
         if let Some(state) = self.agents.get_mut(agent) {
             state.usage = usage;
         }
+        self.placement_due = true;
     }
 
     /// Applies refused starts and ended runs. Ends of stored jobs are proposed to
@@ -267,6 +269,7 @@
             && !placed.ended
         {
             state.usage = state.usage.saturating_sub(&placed.size);
+            self.placement_due = true;
         }
     }
 
--- a/crates/decisions/src/schedule/ready_queue.rs
+++ b/crates/decisions/src/schedule/ready_queue.rs
@@ -21,7 +21,7 @@
 }
 
 /// Latest start time, and a sequence number that breaks ties.
-type GroupKey = (Instant, u64);
+pub(super) type GroupKey = (Instant, u64);
 
 /// Ready tasks that wait for free capacity, grouped by step.
 #[derive(Debug, Clone, Default)]
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -197,6 +197,9 @@
     pub(super) live: IndexMap<JobId, LiveJob>,
     pub(super) placements: IndexMap<TaskName, Placement>,
     pub(super) ready: ReadyQueue,
+    /// Whether anything changed since the last placement round that a placement
+    /// depends on: waiting tasks, free capacity, or the agents that accept work.
+    pub(super) placement_due: bool,
     /// Tasks with an end that is proposed to the log but not applied yet.
     pub(super) proposed_ends: IndexSet<TaskName>,
     /// Registered agents that have not reported in this term yet.
@@ -226,6 +229,7 @@
             live: IndexMap::new(),
             placements: IndexMap::new(),
             ready: ReadyQueue::default(),
+            placement_due: false,
             proposed_ends: IndexSet::new(),
             unreported_agents: IndexSet::new(),
             held_jobs: IndexSet::new(),
@@ -268,6 +272,7 @@
         if let Some(catalog) = self.store.catalog() {
             self.volatile_store.set_catalog(&catalog);
         }
+        self.placement_due = true;
     }
 
     /// Looks up a job, best-effort or stored.
@@ -318,7 +323,10 @@
     pub(super) fn on_change(&mut self, now: Instant, change: JobChange) {
         match change {
             JobChange::None | JobChange::Catalog => {}
-            JobChange::Registered => self.reregister_agents(),
+            JobChange::Registered => {
+                self.placement_due = true;
+                self.reregister_agents();
+            }
             JobChange::Accepted { job } => self.activate(now, &job),
             JobChange::Closed { job, phase } => self.close_job(now, &job, phase),
             JobChange::RunsEnded { ends, closed } => {
@@ -419,6 +427,8 @@
             return;
         }
         self.overdue_checked_at = now;
+        // Urgency and speed estimates change with time.
+        self.placement_due = true;
         for (task, placed) in &mut self.placements {
             let Some(state) = self.agents.get_mut(&placed.agent) else { continue };
             let live = self.live.get(&task.job);
@@ -450,8 +460,8 @@
             .flatten();
         let slowness = self.min_slowness();
         let expiries = self.live.values().filter_map(|live| live.expires_at(slowness));
-        let overdue =
-            (!self.placements.is_empty()).then(|| self.overdue_checked_at + OVERDUE_CHECK_INTERVAL);
+        let has_tasks = !self.placements.is_empty() || !self.ready.is_empty();
+        let overdue = has_tasks.then(|| self.overdue_checked_at + OVERDUE_CHECK_INTERVAL);
         polls
             .chain(overdue)
             .chain(expiries)
@@ -480,7 +490,8 @@
     pub(super) fn finish(&mut self, now: Instant) -> Vec<ScheduleStep> {
         if self.term.is_some() {
             for state in self.agents.values_mut() {
-                state.paused_until.take_if(|until| *until <= now);
+                let pause_over = state.paused_until.take_if(|until| *until <= now).is_some();
+                self.placement_due |= pause_over;
             }
             self.place_ready(now);
             self.answer_polls(now);
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -5,14 +5,16 @@
 
 use indexmap::{IndexMap, IndexSet};
 use model::{
-    AgentOrder, EventLine, JobId, JobPhase, JobReply, JobStep, NodeId, QueuedJob, RunNumber,
-    ServiceId, StepIndex, TaskName, TaskRun,
+    AgentOrder, EventLine, JobId, JobPhase, JobReply, JobStep, NodeId, QueuedJob, ResourceAmount,
+    RunNumber, ServiceId, StepIndex, TaskName, TaskRun,
 };
 
 use super::agent_state::AgentState;
+use super::placement_round::{AgentClass, AgentDemand, PlacementRound};
+use super::ready_queue::GroupKey;
 use super::scheduler::{LiveJob, Placement, ScheduleStep, Scheduler};
 use super::step_spread::StepSpread;
-use super::task_urgency::TaskUrgency;
+use super::task_urgency::{RunTimeRange, TaskUrgency};
 use crate::control::JobStore;
 
 /// Number of groups with tasks left over after which a placement round ends,
@@ -22,6 +24,23 @@
 /// that the runs of different leaders have different numbers.
 const RUNS_PER_TERM: RunNumber = 64;
 
+/// A search for agents for the tasks of one step.
+struct AgentSearch<'job> {
+    index: StepIndex,
+    step: &'job JobStep,
+    urgency: TaskUrgency,
+    demand: AgentDemand,
+}
+
+/// Result of a search for an agent.
+enum AgentChoice {
+    /// The agent to place the task on, and its cost.
+    Agent(NodeId, f64),
+    /// No agent has enough free capacity and is fast enough; `fastest` is the run
+    /// time on the fastest one with enough free capacity, infinity without one.
+    Wait { fastest: f64 },
+}
+
 impl Scheduler {
     /// Starts scheduling a newly accepted job.
     pub(super) fn activate(&mut self, now: Instant, id: &JobId) {
@@ -77,6 +96,7 @@
                     self.placements.contains_key(&task) || self.proposed_ends.contains(&task);
                 if !record.is_done(&task) && !is_placed {
                     self.ready.push(id, step, task.index, latest_start, work);
+                    self.placement_due = true;
                 }
             }
         }
@@ -91,6 +111,7 @@
         if !done && live.released_steps.contains(&task.step) && !is_placed {
             let latest_start = live.latest_start(step);
             self.ready.push(&task.job, task.step, task.index, latest_start, core_millis(step));
+            self.placement_due = true;
         }
     }
 
@@ -111,13 +132,11 @@
         if phase == JobPhase::Completed {
             return;
         }
-        let runs: Vec<(TaskName, Placement)> = self
-            .placements
-            .iter()
-            .filter(|(task, placed)| task.job == *id && !placed.ended)
-            .map(|(task, placed)| (task.clone(), placed.clone()))
-            .collect();
-        for (task, placed) in runs {
+        for task in (0..live.job.steps.len()).flat_map(|step| live.job.tasks_of(step as StepIndex))
+        {
+            let Some(placed) = self.placements.get(&task).filter(|placed| !placed.ended) else {
+                continue;
+            };
             let run = TaskRun { task, run: placed.run };
             if let Some(state) = self.agents.get_mut(&placed.agent) {
                 state.outbox.push(AgentOrder::Stop { run });
@@ -125,31 +144,20 @@
         }
     }
 
-    /// Places ready tasks in the queue's order while there is free capacity.
+    /// Places ready tasks in the queue's order while there is free capacity; does
+    /// nothing unless something has changed that a placement depends on.
     pub(super) fn place_ready(&mut self, now: Instant) {
-        if self.ready.is_empty() {
+        if self.ready.is_empty() || !std::mem::take(&mut self.placement_due) {
             return;
         }
+        let mut round = PlacementRound::default();
         let mut skipped_groups = 0;
         for key in self.ready.order(now) {
             let Some(group) = self.ready.group(key) else { continue };
-            let (id, step) = (group.job.clone(), group.step);
-            let Some(job) = self.live.get(&id).map(|live| live.job.clone()) else { continue };
-            let mut spread = StepSpread::default();
-            while self.ready.group(key).is_some() {
-                let Some((agent, cost)) = self.choose_agent(now, &job, step, &spread) else {
-                    break;
-                };
-                let Some(index) = self.ready.take(key) else { break };
-                let task = TaskName { job: id.clone(), occurrence: 0, step, index };
-                // An earlier run may have completed the task while it was queued.
-                if self.record(&id).is_none_or(|record| record.is_done(&task)) {
-                    continue;
-                }
-                let run = self.place(now, &job, task, &agent);
-                spread.add(agent, cost, run);
-            }
-            self.order_starts(now, &job, step, spread);
+            let step = group.step;
+            let Some(live) = self.live.get(&group.job) else { continue };
+            let job = live.job.clone();
+            self.place_group(now, key, &job, step, &mut round);
             if self.ready.group(key).is_some() {
                 skipped_groups += 1;
                 if skipped_groups >= MAX_SKIPPED_GROUPS {
@@ -159,44 +167,134 @@
         }
     }
 
-    /// Chooses the eligible agent with free capacity of the lowest cost; `None` if
-    /// there is none, or if waiting for a faster one is better.
-    fn choose_agent(
+    /// Places the tasks of one group while an agent meets their demand.
+    fn place_group(
         &mut self,
         now: Instant,
+        key: GroupKey,
         job: &QueuedJob,
         step: StepIndex,
-        spread: &StepSpread,
-    ) -> Option<(NodeId, f64)> {
+        round: &mut PlacementRound,
+    ) {
+        let Some(search) = self.agent_search(now, job, step, round) else { return };
+        let mut spread = StepSpread::default();
+        let mut last: Option<(NodeId, f64)> = None;
+        while self.ready.group(key).is_some() {
+            // The agent chosen last keeps its cost, the lowest, while it has room.
+            let again = last.take().filter(|(agent, _)| self.takes_another(job, &search, agent));
+            let choice = match again {
+                Some((agent, cost)) => AgentChoice::Agent(agent, cost),
+                None => self.choose_agent(now, job, &search, &spread),
+            };
+            let (agent, cost) = match choice {
+                AgentChoice::Agent(agent, cost) => (agent, cost),
+                AgentChoice::Wait { fastest } => {
+                    if search.step.max_per_server == 0 {
+                        round.add_search(search.demand, fastest);
+                    }
+                    break;
+                }
+            };
+            let Some(index) = self.ready.take(key) else { break };
+            let task = TaskName { job: job.id.clone(), occurrence: 0, step, index };
+            // An earlier run may have completed the task while it was queued.
+            if self.record(&job.id).is_none_or(|record| record.is_done(&task)) {
+                continue;
+            }
+            let run = self.place(now, job, task, &agent);
+            spread.add(agent.clone(), cost, run);
+            last = Some((agent, cost));
+        }
+        self.order_starts(now, job, step, spread);
+    }
+
+    /// Prepares the search for agents of a step; `None` if it is known in this
+    /// round that no agent meets its demand.
+    fn agent_search<'job>(
+        &mut self,
+        now: Instant,
+        job: &'job QueuedJob,
+        step: StepIndex,
+        round: &mut PlacementRound,
+    ) -> Option<AgentSearch<'job>> {
         let job_step = job.steps.get(step as usize)?;
-        let service = self.service_of(job)?;
+        let class = AgentClass::new(self.service_of(job)?, job_step);
+        let range = match round.range(&class) {
+            Some(range) => range,
+            None => {
+                self.counts.agents_priced += self.agents.len() as u64;
+                let agents = self.eligible_agents(now, &class).map(|(_, state)| {
+                    (self.relative_run_time(state, job_step), state.free_capacity())
+                });
+                let agents: Vec<(f64, ResourceAmount)> = agents.collect();
+                round.add_class(class.clone(), &agents)
+            }
+        };
+        let urgency = self.urgency(now, job, job_step, range);
+        let max_run_time = urgency.max_run_time();
+        let demand = AgentDemand { class, size: job_step.size, max_run_time };
+        let search = AgentSearch { index: step, step: job_step, urgency, demand };
+        (!round.is_unmet(&search.demand)).then_some(search)
+    }
+
+    /// Agents of a class that accept work.
+    fn eligible_agents(
+        &self,
+        now: Instant,
+        class: &AgentClass,
+    ) -> impl Iterator<Item = (&NodeId, &AgentState)> {
+        self.agents.iter().filter(move |(agent, state)| {
+            state.accepts_work(now) && is_eligible(state, class) && self.is_registered(agent)
+        })
+    }
+
+    /// Chooses the agent of the lowest cost that meets the demand.
+    fn choose_agent(
+        &mut self,
+        now: Instant,
+        job: &QueuedJob,
+        search: &AgentSearch<'_>,
+        spread: &StepSpread,
+    ) -> AgentChoice {
         self.counts.searches += 1;
         self.counts.agents_priced += self.agents.len() as u64;
-        let eligible = |(agent, state): &(&NodeId, &AgentState)| {
-            self.is_registered(agent)
-                && state.accepts_work(now)
-                && is_eligible(state, job_step, &service)
-        };
-        let run_times = self.agents.iter().filter(eligible);
-        let run_times = run_times.map(|(_, state)| self.relative_run_time(state, job_step));
-        let urgency = self.urgency(now, job, job_step, run_times);
-        let fits = |(agent, state): &(&NodeId, &AgentState)| {
-            state.free_capacity().fits(&job_step.size)
-                && self.is_below_limit(job, step, job_step, agent)
-        };
-        let cost = |(agent, state): (&NodeId, &AgentState)| {
-            let (run_time, utilization) =
-                (self.relative_run_time(state, job_step), state.utilization());
+        let urgency = &search.urgency;
+        let mut fastest = f64::INFINITY;
+        let mut best: Option<(&NodeId, f64)> = None;
+        for (agent, state) in self.eligible_agents(now, &search.demand.class) {
+            let has_room = state.free_capacity().fits(&search.demand.size)
+                && self.is_below_limit(job, search, agent);
+            if !has_room {
+                continue;
+            }
+            let run_time = self.relative_run_time(state, search.step);
+            fastest = fastest.min(run_time);
+            if run_time > search.demand.max_run_time {
+                continue;
+            }
+            let utilization = state.utilization();
             let cost = urgency.cost(run_time, utilization);
             // An agent chosen for the step keeps its first cost, unless the rest of
             // its capacity is reserved for more urgent tasks.
-            if urgency.is_reserved(run_time, utilization) { cost } else { spread.cost(agent, cost) }
-        };
-        let agents = self.agents.iter().filter(eligible).filter(fits);
-        let priced = agents.map(|(agent, state)| (agent, state, cost((agent, state))));
-        let (agent, state, cost) = priced.min_by(|one, other| one.2.total_cmp(&other.2))?;
-        let run_time = self.relative_run_time(state, job_step);
-        (!urgency.should_wait(run_time)).then(|| (agent.clone(), cost))
+            let reserved = urgency.is_reserved(run_time, utilization);
+            let cost = if reserved { cost } else { spread.cost(agent, cost) };
+            if best.is_none_or(|(_, lowest)| cost < lowest) {
+                best = Some((agent, cost));
+            }
+        }
+        match best {
+            Some((agent, cost)) => AgentChoice::Agent(agent.clone(), cost),
+            None => AgentChoice::Wait { fastest },
+        }
+    }
+
+    /// Whether an agent that was just chosen for the step remains the best choice.
+    fn takes_another(&self, job: &QueuedJob, search: &AgentSearch<'_>, agent: &NodeId) -> bool {
+        let Some(state) = self.agents.get(agent) else { return false };
+        let run_time = self.relative_run_time(state, search.step);
+        state.free_capacity().fits(&search.demand.size)
+            && self.is_below_limit(job, search, agent)
+            && !search.urgency.is_reserved(run_time, state.utilization())
     }
 
     fn service_of(&self, job: &QueuedJob) -> Option<ServiceId> {
@@ -206,20 +304,14 @@
 
     /// Whether the agent runs fewer tasks of the step than the step's limit for
     /// one backend server; 0 is no limit.
-    fn is_below_limit(
-        &self,
-        job: &QueuedJob,
-        step: StepIndex,
-        job_step: &JobStep,
-        agent: &NodeId,
-    ) -> bool {
-        if job_step.max_per_server == 0 {
+    fn is_below_limit(&self, job: &QueuedJob, search: &AgentSearch<'_>, agent: &NodeId) -> bool {
+        if search.step.max_per_server == 0 {
             return true;
         }
         let on_agent = job
-            .tasks_of(step)
+            .tasks_of(search.index)
             .filter(|task| self.placements.get(task).is_some_and(|placed| placed.agent == *agent));
-        on_agent.count() < job_step.max_per_server as usize
+        on_agent.count() < search.step.max_per_server as usize
     }
 
     /// Computes the urgency of a task relative to servers of these run times.
@@ -228,7 +320,7 @@
         now: Instant,
         job: &QueuedJob,
         job_step: &JobStep,
-        run_times: impl Iterator<Item = f64>,
+        range: RunTimeRange,
     ) -> TaskUrgency {
         let estimate = job_step.estimate().as_secs_f64().max(f64::MIN_POSITIVE);
         let remaining =
@@ -237,7 +329,7 @@
         let deadline_remaining = live.map_or(0.0, |live| remaining(live.latest_end()));
         let waiter = live.and_then(|live| live.waiter);
         let caller_remaining = waiter.map_or(f64::INFINITY, |waiter| remaining(waiter.until));
-        TaskUrgency::new(deadline_remaining, caller_remaining, run_times)
+        TaskUrgency::new(deadline_remaining, caller_remaining, range)
     }
 
     /// Expected run time on an agent, in multiples of the estimate.
@@ -330,11 +422,10 @@
 }
 
 /// Whether a backend server serves the service and has the required label.
-fn is_eligible(state: &AgentState, job_step: &JobStep, service: &ServiceId) -> bool {
+fn is_eligible(state: &AgentState, class: &AgentClass) -> bool {
     let Some(server) = &state.server else { return false };
-    let has_label =
-        job_step.required_label.as_ref().is_none_or(|label| server.labels.contains(label));
-    server.service == *service && has_label
+    let has_label = class.required_label.as_ref().is_none_or(|label| server.labels.contains(label));
+    server.service == class.service && has_label
 }
 
 /// Processor time of one task, in core-milliseconds.
--- a/crates/decisions/src/schedule/task_urgency.rs
+++ b/crates/decisions/src/schedule/task_urgency.rs
@@ -27,28 +27,17 @@
 /// all other costs.
 const LATE_COST: f64 = 1_000_000.0;
 
-/// Urgency of a task relative to the servers that are eligible for it. Times
-/// are multiples of its estimated run time.
+/// Run times of a task on its eligible servers, as multiples of its estimated
+/// run time.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct TaskUrgency {
-    /// Time left until its deadline.
-    remaining: f64,
-    /// Time left until its caller stops waiting.
-    caller_remaining: f64,
-    /// Run time on the fastest and on the slowest eligible server, and the mean.
+pub struct RunTimeRange {
     fastest: f64,
     slowest: f64,
     mean: f64,
 }
 
-impl TaskUrgency {
-    /// Creates the urgency of a task from the time left until its deadline and
-    /// until its caller stops waiting, and the run times on eligible servers.
-    pub fn new(
-        remaining: f64,
-        caller_remaining: f64,
-        run_times: impl Iterator<Item = f64>,
-    ) -> TaskUrgency {
+impl FromIterator<f64> for RunTimeRange {
+    fn from_iter<I: IntoIterator<Item = f64>>(run_times: I) -> RunTimeRange {
         let (mut fastest, mut slowest, mut sum, mut count) = (f64::INFINITY, 0.0_f64, 0.0, 0.0);
         for run_time in run_times {
             fastest = fastest.min(run_time);
@@ -56,13 +45,26 @@
             sum += run_time;
             count += 1.0;
         }
-        TaskUrgency {
-            remaining,
-            caller_remaining,
-            fastest,
-            slowest,
-            mean: sum / f64::max(count, 1.0),
-        }
+        RunTimeRange { fastest, slowest, mean: sum / f64::max(count, 1.0) }
+    }
+}
+
+/// Urgency of a task relative to the servers that are eligible for it. Times
+/// are multiples of its estimated run time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TaskUrgency {
+    /// Time left until its deadline.
+    remaining: f64,
+    /// Time left until its caller stops waiting.
+    caller_remaining: f64,
+    range: RunTimeRange,
+}
+
+impl TaskUrgency {
+    /// Creates the urgency of a task from the time left until its deadline and
+    /// until its caller stops waiting, and the run times on eligible servers.
+    pub fn new(remaining: f64, caller_remaining: f64, range: RunTimeRange) -> TaskUrgency {
+        TaskUrgency { remaining, caller_remaining, range }
     }
 
     /// Cost of placing the task on a server; the lowest is best. `utilization` is
@@ -83,22 +85,29 @@
 
     /// Whether the task meets its deadline on the slowest eligible server.
     fn meets_deadline_anywhere(&self) -> bool {
-        self.slowest * RUN_TIME_MARGIN <= self.remaining
+        self.range.slowest * RUN_TIME_MARGIN <= self.remaining
     }
 
     fn is_fast(&self, run_time: f64) -> bool {
-        run_time < FAST_SHARE * self.mean
+        run_time < FAST_SHARE * self.range.mean
     }
 
     /// Whether the task should wait for a faster server rather than start on one
-    /// with free capacity: it is expected to end late on this one, or after its
-    /// caller has stopped waiting, and can still end in time on the fastest.
+    /// with free capacity.
     pub fn should_wait(&self, run_time: f64) -> bool {
-        self.meets_deadline_by_waiting(run_time, self.remaining, RUN_TIME_MARGIN)
-            || self.meets_deadline_by_waiting(run_time, self.caller_remaining, STEP_MARGIN)
+        run_time > self.max_run_time()
+    }
+
+    /// Longest run time that the task accepts rather than wait for a faster server:
+    /// on a slower one it is expected to end late, or after its caller has stopped
+    /// waiting. Infinity if it can't end in time on the fastest one either.
+    pub fn max_run_time(&self) -> f64 {
+        let by_deadline = self.max_run_time_within(self.remaining, RUN_TIME_MARGIN);
+        by_deadline.min(self.max_run_time_within(self.caller_remaining, STEP_MARGIN))
     }
 
-    fn meets_deadline_by_waiting(&self, run_time: f64, remaining: f64, margin: f64) -> bool {
-        run_time * margin > remaining && self.fastest * margin <= remaining
+    fn max_run_time_within(&self, remaining: f64, margin: f64) -> f64 {
+        let run_time = remaining / margin;
+        if self.range.fastest <= run_time { run_time } else { f64::INFINITY }
     }
 }
--- a/crates/model/src/queue_jobs.rs
+++ b/crates/model/src/queue_jobs.rs
@@ -34,6 +34,15 @@
             && need.accelerators <= self.accelerators
     }
 
+    /// The larger of both amounts in each dimension.
+    pub fn max(&self, other: &ResourceAmount) -> ResourceAmount {
+        ResourceAmount {
+            cpu_milli: self.cpu_milli.max(other.cpu_milli),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// What remains after `usage` is subtracted; each dimension saturates at
     /// zero.
     pub fn saturating_sub(&self, usage: &ResourceAmount) -> ResourceAmount {
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -11,7 +11,9 @@
 
 use decisions::agent::{RunLimits, RunStep, RunTable};
 use decisions::control::JobStore;
-use decisions::schedule::{JobDecision, ScheduleLimits, ScheduleStep, Scheduler, SchedulerKind};
+use decisions::schedule::{
+    JobDecision, LoadCounts, ScheduleLimits, ScheduleStep, Scheduler, SchedulerKind,
+};
 use model::{
     AgentPoll, Command, EndKind, JobCall, JobPhase, JobReply, JobStep, ListedEnd, LogRecord,
     QueueCatalog, QueueRule, QueuedJob, ResourceAmount, RunNumber, SchedulerKey, ServerAnswer,
@@ -718,6 +720,16 @@
         self.agents[agent].calls.len()
     }
 
+    /// The number of steps with tasks that wait at a scheduler.
+    pub(crate) fn waiting_steps(&self, scheduler: usize) -> usize {
+        self.schedulers[scheduler].scheduler.waiting_steps()
+    }
+
+    /// The work of a scheduler since the last call.
+    pub(crate) fn take_counts(&mut self, scheduler: usize) -> LoadCounts {
+        self.schedulers[scheduler].scheduler.take_counts()
+    }
+
     /// The number of running tasks on all backend servers.
     pub(crate) fn running(&self) -> usize {
         self.servers.iter().map(|server| server.runs.len()).sum()
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -26,6 +26,7 @@
 mod log_exploration;
 mod monthly_figures;
 mod overload_recovery;
+mod placement_rounds;
 mod platform_wire;
 mod process_failures;
 mod queue_path;
--- a/tests/task_urgency.rs
+++ b/tests/task_urgency.rs
@@ -3,7 +3,7 @@
 //! of the fast servers. Times are multiples of the task's estimated run time, so the
 //! deadline of a short task is further away than that of a long one.
 
-use decisions::schedule::TaskUrgency;
+use decisions::schedule::{RunTimeRange, TaskUrgency};
 
 /// Run time on a fast server.
 const FAST: f64 = 0.6;
@@ -12,7 +12,7 @@
 
 /// A task with its deadline after `remaining`; its caller waits much longer, for 10.
 fn urgency(remaining: f64) -> TaskUrgency {
-    TaskUrgency::new(remaining, 10.0, [FAST, SLOW, SLOW, SLOW].into_iter())
+    TaskUrgency::new(remaining, 10.0, RunTimeRange::from_iter([FAST, SLOW, SLOW, SLOW]))
 }
 
 #[test]
@@ -47,7 +47,7 @@
 
 #[test]
 fn equal_servers_balance() {
-    let equal = TaskUrgency::new(2.6, 10.0, [1.0, 1.0].into_iter());
+    let equal = TaskUrgency::new(2.6, 10.0, RunTimeRange::from_iter([1.0, 1.0]));
     assert!(equal.cost(1.0, 0.2) < equal.cost(1.0, 0.3));
 }
 
@@ -55,7 +55,7 @@
 fn uneven_step_waits() {
     // The caller leaves after 1.6 estimated run times. Tasks of a step may run
     // longer than their common estimate, some as long as that.
-    let uneven = TaskUrgency::new(1.6, 1.6, [FAST, 1.3, 1.3].into_iter());
+    let uneven = TaskUrgency::new(1.6, 1.6, RunTimeRange::from_iter([FAST, 1.3, 1.3]));
     assert!(uneven.should_wait(1.3));
     assert!(!uneven.should_wait(FAST));
 }
@@ -63,6 +63,6 @@
 #[test]
 fn patient_caller_skips_wait() {
     // The task may end late on a slow server, but before its caller leaves.
-    let patient = TaskUrgency::new(1.6, 7.0, [FAST, 1.3, 1.3].into_iter());
+    let patient = TaskUrgency::new(1.6, 7.0, RunTimeRange::from_iter([FAST, 1.3, 1.3]));
     assert!(!patient.should_wait(1.3));
 }
