schedule: learn speeds from run times that agents measure

What callers saw: at a lagging entry tasks waited for faster servers that do not exist, and jobs were refused as hopeless, also seconds after the lag was over. Cause: the run time of a task was the time between its placement and the handling of its end, both at the entry, so the entry's own delay counted as slowness of its servers; runs whose reported end waited unhandled counted as overdue. Change: an agent reports how long a run took (ran_ms, optional on the wire: without it the old measure is used); a scheduler estimates from it how much longer runs seem to it (report_delay), and takes that off before it calls a run overdue.

--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -418,8 +418,15 @@
 
 fn update_line(update: &RunUpdate) -> EventLine {
     match update {
-        RunUpdate::Ended { number, run, kind } => {
-            EventLine::new("run_ended").with("run", run).with("kind", kind).with("number", number)
+        RunUpdate::Ended { number, run, kind, ran_ms } => {
+            let line = EventLine::new("run_ended")
+                .with("run", run)
+                .with("kind", kind)
+                .with("number", number);
+            match ran_ms {
+                Some(ran_ms) => line.with("ran_ms", ran_ms),
+                None => line,
+            }
         }
         RunUpdate::Refused { run, refusal } => {
             EventLine::new("run_not_started").with("run", run).with("cause", refusal)
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -10,8 +10,8 @@
 
 use indexmap::IndexMap;
 use model::{
-    EndKind, EndNumber, LifeId, ListedEnd, ResourceAmount, RunUpdate, SchedulerKey,
-    ServerHeartbeat, ServerView, StartRefusal, TaskRun,
+    EndNumber, LifeId, ListedEnd, ResourceAmount, RunUpdate, SchedulerKey, ServerHeartbeat,
+    ServerView, StartRefusal, TaskRun,
 };
 
 use super::run_table::MAX_CLOCK_DRIFT_RATIO;
@@ -58,7 +58,8 @@
 /// End of a run that is not acknowledged as recorded yet.
 #[derive(Debug, Clone)]
 struct UnackedEnd {
-    end: ListedEnd,
+    number: EndNumber,
+    update: RunUpdate,
     owner: Option<SchedulerKey>,
 }
 
@@ -170,12 +171,12 @@
     /// Handles a cumulative acknowledgement: control has recorded its ends up to
     /// this number.
     pub(super) fn ack_upto(&mut self, upto: EndNumber) {
-        self.unacked.retain(|unacked| unacked.end.number > upto);
+        self.unacked.retain(|unacked| unacked.number > upto);
     }
 
     /// Number up to which all ends are acknowledged and may be dropped.
     pub(super) fn last_acked_end(&self) -> EndNumber {
-        self.unacked.first().map_or(self.last_end, |unacked| unacked.end.number - 1)
+        self.unacked.first().map_or(self.last_end, |unacked| unacked.number - 1)
     }
 
     /// Unacknowledged ends of a scheduler's runs and of unclaimed runs.
@@ -183,7 +184,7 @@
         let concerns =
             |owner: &Option<SchedulerKey>| owner.as_ref().is_none_or(|owner| owner == scheduler);
         let unacked = self.unacked.iter().filter(|unacked| concerns(&unacked.owner));
-        unacked.map(|unacked| update_of(&unacked.end)).collect()
+        unacked.map(|unacked| unacked.update.clone()).collect()
     }
 
     /// Takes the lists that lease renewal `number` returned; returns the new
@@ -205,11 +206,14 @@
                 continue;
             }
             self.last_end = end.number;
-            let owner = self.runs.swap_remove(&end.run).and_then(|run| run.owner);
-            updates.push((owner.clone(), update_of(&end)));
+            let run = self.runs.swap_remove(&end.run);
+            let ran = run.as_ref().map(|run| now.saturating_duration_since(run.since));
+            let owner = run.and_then(|run| run.owner);
+            let update = update_of(&end, ran);
+            updates.push((owner.clone(), update.clone()));
             // The ends of best-effort jobs are not recorded.
             if !matches!(owner, Some(SchedulerKey::Entry(_))) {
-                self.unacked.push(UnackedEnd { end, owner });
+                self.unacked.push(UnackedEnd { number: end.number, update, owner });
             }
         }
         if !is_latest {
@@ -240,7 +244,7 @@
             }
             let update = match state.phase {
                 RunPhase::Running { since_renewal } if since_renewal < number => {
-                    RunUpdate::Ended { number: 0, run: run.clone(), kind: EndKind::Lapsed }
+                    RunUpdate::lapsed(run.clone())
                 }
                 RunPhase::Barred { since_renewal } if since_renewal < number => {
                     RunUpdate::Refused { run: run.clone(), refusal: StartRefusal::Barred }
@@ -267,10 +271,7 @@
     /// Removes all runs and returns them as lapsed.
     pub(super) fn take_lapsed(&mut self) -> Vec<OwnedUpdate> {
         let runs = std::mem::take(&mut self.runs).into_iter();
-        runs.map(|(run, state)| {
-            (state.owner, RunUpdate::Ended { number: 0, run, kind: EndKind::Lapsed })
-        })
-        .collect()
+        runs.map(|(run, state)| (state.owner, RunUpdate::lapsed(run))).collect()
     }
 
     pub(super) fn next_deadline(&self) -> Option<Instant> {
@@ -287,7 +288,8 @@
     }
 }
 
-/// Converts a listed end to an update.
-fn update_of(end: &ListedEnd) -> RunUpdate {
-    RunUpdate::Ended { number: end.number, run: end.run.clone(), kind: end.kind }
+/// Converts a listed end of a run that took `ran` to an update.
+fn update_of(end: &ListedEnd, ran: Option<Duration>) -> RunUpdate {
+    let ran_ms = ran.map(|ran| ran.as_millis() as u64);
+    RunUpdate::Ended { number: end.number, run: end.run.clone(), kind: end.kind, ran_ms }
 }
--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -201,10 +201,11 @@
                 RunUpdate::Refused { run, refusal } => {
                     self.on_refused(now, &report.agent, run, *refusal);
                 }
-                RunUpdate::Ended { number, run, kind } => {
+                RunUpdate::Ended { number, run, kind, ran_ms } => {
                     let Some(state) = self.agents.get_mut(&report.agent) else { continue };
                     if state.add_reported_end(*number, run) {
-                        self.on_ended(now, &report.agent, run, *kind);
+                        let ran = ran_ms.map(Duration::from_millis);
+                        self.on_ended(now, &report.agent, run, *kind, ran);
                         ends.push(EndedRun { run: run.clone(), kind: *kind });
                     }
                 }
@@ -274,15 +275,25 @@
     }
 
     /// Handles a reported end: its capacity is released at once, while the job
-    /// continues only once the end is recorded.
-    fn on_ended(&mut self, now: Instant, agent: &NodeId, run: &TaskRun, kind: EndKind) {
+    /// continues only once the end is recorded. `ran` is the run time that the
+    /// agent measured; without it this scheduler's own delays count as run time.
+    fn on_ended(
+        &mut self,
+        now: Instant,
+        agent: &NodeId,
+        run: &TaskRun,
+        kind: EndKind,
+        ran: Option<Duration>,
+    ) {
         let placed = self.placements.get(&run.task).cloned();
         let Some(placed) = placed.filter(|placed| placed.agent == *agent && placed.run == run.run)
         else {
             return;
         };
         self.release_capacity(&placed);
-        let ran = now.saturating_duration_since(placed.since);
+        let seen = now.saturating_duration_since(placed.since);
+        let ran = ran.unwrap_or(seen);
+        self.report_delay.add_sample(seen.saturating_sub(ran));
         let estimate = self.live.get(&run.task.job).and_then(|live| {
             live.job.steps.get(run.task.step as usize).map(model::JobStep::estimate)
         });
--- a/crates/decisions/src/schedule/mod.rs
+++ b/crates/decisions/src/schedule/mod.rs
@@ -21,6 +21,7 @@
 mod load_counts;
 mod placement_round;
 mod ready_queue;
+mod report_delay;
 mod scheduler;
 mod speed_estimate;
 mod step_spread;
@@ -30,6 +31,7 @@
 
 pub use agent_state::AgentState;
 pub use load_counts::LoadCounts;
+pub use report_delay::ReportDelay;
 pub use scheduler::{JobDecision, ScheduleLimits, ScheduleStep, Scheduler, SchedulerKind};
 pub use speed_estimate::SpeedEstimate;
 pub use task_urgency::{RunTimeRange, TaskUrgency};
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -14,6 +14,7 @@
 use super::entry_list::EntryList;
 use super::load_counts::LoadCounts;
 use super::ready_queue::ReadyQueue;
+use super::report_delay::ReportDelay;
 use crate::control::{JobChange, JobStore};
 
 /// Which jobs a scheduler places.
@@ -210,6 +211,7 @@
     pub(super) held_jobs: IndexSet<JobId>,
     pub(super) entries: EntryList,
     pub(super) counts: LoadCounts,
+    pub(super) report_delay: ReportDelay,
     overdue_checked_at: Instant,
     pub(super) steps: Vec<ScheduleStep>,
 }
@@ -235,6 +237,7 @@
             held_jobs: IndexSet::new(),
             entries: EntryList::default(),
             counts: LoadCounts::default(),
+            report_delay: ReportDelay::default(),
             overdue_checked_at: now,
             steps: Vec::new(),
         }
@@ -295,6 +298,18 @@
         self.live.len()
     }
 
+    /// Highest slowness of a backend server, as it is estimated now; `None` without
+    /// one.
+    pub fn max_slowness(&self) -> Option<f64> {
+        let servers = self.agents.values().filter(|state| state.server.is_some());
+        servers.map(AgentState::slowness).max_by(f64::total_cmp)
+    }
+
+    /// How much longer runs seem to this scheduler than to their agents.
+    pub fn report_delay(&self) -> Duration {
+        self.report_delay.estimate()
+    }
+
     /// Number of steps with tasks that wait for free capacity.
     pub fn waiting_steps(&self) -> usize {
         self.ready.len()
@@ -434,7 +449,8 @@
             let live = self.live.get(&task.job);
             let step = live.and_then(|live| live.job.steps.get(task.step as usize));
             let Some(estimate) = step.map(JobStep::estimate) else { continue };
-            let ran = now.saturating_duration_since(placed.since);
+            let seen = now.saturating_duration_since(placed.since);
+            let ran = seen.saturating_sub(self.report_delay.estimate());
             let expected = estimate.mul_f64(state.slowness()) * placed.overdue_factor;
             if !placed.ended && ran > expected {
                 placed.overdue_factor = placed.overdue_factor.saturating_add(1);
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -193,9 +193,21 @@
         run: TaskRun,
         /// How it ended.
         kind: EndKind,
+        /// Time between its start and its end, as measured by the agent, in
+        /// milliseconds; `None` if the agent doesn't know both.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        ran_ms: Option<u64>,
     },
 }
 
+impl RunUpdate {
+    /// The end of a run that was stopped by the expiry of its lease; the backend
+    /// server lists no end of it.
+    pub fn lapsed(run: TaskRun) -> RunUpdate {
+        RunUpdate::Ended { number: 0, run, kind: EndKind::Lapsed, ran_ms: None }
+    }
+}
+
 /// Identifies a scheduler that sends orders to an agent.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/services/src/load_meter.rs
+++ b/crates/services/src/load_meter.rs
@@ -64,6 +64,7 @@
             .with("polls", self.polls)
             .with("others", self.others)
             .with("ring_wait_ms", self.max_ring_wait.as_millis())
+            .with("report_delay_ms", scheduler.report_delay().as_millis())
             .with("live_jobs", scheduler.live_jobs())
             .with("waiting_steps", scheduler.waiting_steps())
             .with("searches", counts.searches)
--- a/tests/lease_calls.rs
+++ b/tests/lease_calls.rs
@@ -6,8 +6,8 @@
 
 use decisions::agent::{RunStep, RunTable};
 use model::{
-    AgentOrder, AgentOrders, EndKind, ResourceAmount, RunUpdate, SchedulerKey, ServerAnswer,
-    ServerCall, ServerHeartbeat, ServerRequest, ServerView, StartRefusal, TaskName, TaskRun,
+    AgentOrder, AgentOrders, ResourceAmount, RunUpdate, SchedulerKey, ServerAnswer, ServerCall,
+    ServerHeartbeat, ServerRequest, ServerView, StartRefusal, TaskName, TaskRun,
 };
 
 use crate::schedule_model::{LEASE, run_limits};
@@ -219,7 +219,7 @@
     let start = agent.take_call(is_start).expect("the run is started");
     agent.answer(&start, ServerAnswer::Done);
     agent.advance(LEASE * 2);
-    let ended = RunUpdate::Ended { number: 0, run: run(), kind: EndKind::Lapsed };
+    let ended = RunUpdate::lapsed(run());
     assert!(agent.updates.contains(&ended), "{:?}", agent.updates);
 }
 
--- a/tests/overload_model.rs
+++ b/tests/overload_model.rs
@@ -47,6 +47,8 @@
     Link(usize, bool),
     /// A message reaches the entry.
     Arrival(u64),
+    /// The entry's host stands still for this time.
+    Pause(Duration),
     /// The entry is idle, and its scheduler's deadline has come.
     Tick,
 }
@@ -160,6 +162,17 @@
         }
     }
 
+    /// Lets the entry's host stand still at this time after the start.
+    pub(crate) fn pause_entry(&mut self, from: Duration, duration: Duration) {
+        self.at(self.start + from, Event::Pause(duration));
+    }
+
+    /// Highest slowness that the entry attributes to a backend server now; all of
+    /// them run as fast as estimated.
+    pub(crate) fn max_slowness(&self) -> f64 {
+        self.scheduler.max_slowness().expect("agents are connected")
+    }
+
     /// Share of the jobs submitted between these times that completed within
     /// their objective.
     pub(crate) fn in_time_share(&self, from: Duration, to: Duration) -> f64 {
@@ -204,6 +217,7 @@
                     self.inbox.push_back(message);
                 }
             }
+            Event::Pause(duration) => self.busy_until = self.now + duration,
             Event::Tick => {}
         }
     }
@@ -283,18 +297,19 @@
     }
 
     fn stop_run(&mut self, agent: usize, run: &TaskRun) {
-        if let Some((run, _)) = self.agents[agent].runs.remove(&run.to_string()) {
-            let kind = EndKind::Stopped;
-            self.agents[agent].updates.push(RunUpdate::Ended { number: 0, run, kind });
-        }
+        self.remove_run(agent, &run.to_string(), EndKind::Stopped);
     }
 
     fn end_run(&mut self, agent: usize, name: &str) {
-        if let Some((run, _)) = self.agents[agent].runs.remove(name) {
-            let kind = EndKind::Done;
-            self.agents[agent].updates.push(RunUpdate::Ended { number: 0, run, kind });
-            self.report(agent, None);
-        }
+        self.remove_run(agent, name, EndKind::Done);
+        self.report(agent, None);
+    }
+
+    fn remove_run(&mut self, agent: usize, name: &str, kind: EndKind) {
+        let state = &mut self.agents[agent];
+        let Some((run, since)) = state.runs.remove(name) else { return };
+        let ran_ms = Some((self.now - since).as_millis() as u64);
+        state.updates.push(RunUpdate::Ended { number: 0, run, kind, ran_ms });
     }
 
     /// Lets the entry handle messages while its processor is free; with an empty
--- a/tests/overload_recovery.rs
+++ b/tests/overload_recovery.rs
@@ -24,6 +24,19 @@
     assert!(share >= TARGET_SHARE, "{share:.3} in time, lag {:?}", model.max_lag);
 }
 
+#[test]
+fn own_delay_not_slowness() {
+    let mut model = OverloadModel::new(AGENTS);
+    model.add_load(secs(1), secs(6), JOBS_PER_SECOND);
+    model.pause_entry(secs(3), Duration::from_millis(700));
+    for step in 0..30 {
+        model.play(secs(3) + Duration::from_millis(100) * step);
+        let slowness = model.max_slowness();
+        // Every run takes as long as estimated; the margin is that of estimates.
+        assert!(slowness <= 1.1, "slowness {slowness:.2} {step} steps after the pause began");
+    }
+}
+
 #[test]
 #[ignore = "known red: KNOWN-RED.txt, overload recovery"]
 fn cut_agents_recovered() {
