agent: let a start wait for free capacity

What callers saw: late answers at entries that lag, since a third of their starts was refused and had to be placed again. Cause: several entries place by views of each other's usage that are up to 0.2 s old; an agent refused a start at once, although on a busy server a run ends within some milliseconds. Each refusal cost an order, a report, an acknowledgement, a placement and four log lines, most of them where capacity was short: the entry that lags has the oldest views, so it was refused most. Change: an agent keeps a start for up to 50 ms and sends it once it fits; then it is refused as before. Its capacity counts as used towards other schedulers; it is listed as a run, and refused when the server drains or ends, on a stop, and when the grant expires.

--- a/crates/decisions/src/agent/mod.rs
+++ b/crates/decisions/src/agent/mod.rs
@@ -14,6 +14,7 @@
 mod run_table;
 mod scheduler_session;
 mod server_life;
+mod start_queue;
 mod start_table;
 
 pub use instance_pool::{InstancePool, PoolChange};
--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -19,12 +19,12 @@
 use indexmap::IndexMap;
 use model::{
     AgentOrder, AgentOrders, AgentReport, EntryHost, EventLine, FenceNumber, Incarnation, LifeId,
-    NodeId, ResourceAmount, RunUpdate, SchedulerKey, ServerCall, ServerHeartbeat, ServerRequest,
-    SessionId, StartRefusal, TaskRun,
+    NodeId, RunUpdate, SchedulerKey, ServerCall, ServerHeartbeat, ServerRequest, SessionId,
+    StartRefusal, TaskRun,
 };
 
 use super::scheduler_session::SchedulerSession;
-use super::server_life::{OwnedUpdate, RunPhase, RunState, ServerLife};
+use super::server_life::{OwnedUpdate, RunPhase, ServerLife};
 
 /// Timing parameters of a run table.
 #[derive(Debug, Clone, Copy)]
@@ -263,7 +263,7 @@
         for order in orders.orders {
             match order {
                 AgentOrder::Start { life, runs, spec, size } => {
-                    self.start(now, scheduler, &life, runs, &Arc::from(spec), size);
+                    self.queue_starts(now, scheduler, &life, runs, &Arc::from(spec), size);
                 }
                 AgentOrder::Stop { run } => self.stop(now, run),
                 AgentOrder::Keep { run } => self.claim_run(scheduler, &run),
@@ -272,49 +272,22 @@
         self.finish(now)
     }
 
-    fn start(
-        &mut self,
-        now: Instant,
-        scheduler: &SchedulerKey,
-        life: &LifeId,
-        runs: Vec<TaskRun>,
-        spec: &Arc<str>,
-        size: ResourceAmount,
-    ) {
-        for run in runs {
-            if let Some(refusal) = self.refusal(life, &size) {
-                self.notify_scheduler(scheduler, RunUpdate::Refused { run, refusal });
-                continue;
-            }
-            let request = ServerRequest::Start { run: run.clone(), spec: Arc::clone(spec) };
-            if let Some(life) = &mut self.life {
-                let owner = Some(scheduler.clone());
-                let state = RunState { phase: RunPhase::Starting, size, owner, since: now };
-                life.runs.insert(run, state);
-            }
-            self.call(now, request);
-        }
-    }
-
-    /// Reason to refuse a start on the life `wanted`, if there is one.
-    fn refusal(&self, wanted: &LifeId, size: &ResourceAmount) -> Option<StartRefusal> {
-        let Some(life) = self.life.as_ref().filter(|life| life.view.life == *wanted) else {
-            return Some(StartRefusal::Gone);
-        };
-        if life.view.draining || !life.listed {
-            return Some(StartRefusal::Gone);
-        }
-        (!life.free_capacity().fits(size)).then_some(StartRefusal::Room)
-    }
-
     /// Stops a run unless it is unknown or being stopped already.
     pub(super) fn stop(&mut self, now: Instant, run: TaskRun) {
-        let Some(state) = self.life.as_mut().and_then(|life| life.runs.get_mut(&run)) else {
-            return;
-        };
-        if matches!(state.phase, RunPhase::Starting | RunPhase::Running { .. }) {
-            state.phase = RunPhase::Stopping { retry_at: None };
-            self.call(now, ServerRequest::Stop { run });
+        let Some(life) = &mut self.life else { return };
+        let Some(state) = life.runs.get_mut(&run) else { return };
+        match state.phase {
+            RunPhase::Waiting => {
+                let owner = life.runs.swap_remove(&run).and_then(|state| state.owner);
+                life.start_queue.remove(&run);
+                let update = RunUpdate::Refused { run, refusal: StartRefusal::Room };
+                self.notify(vec![(owner, update)]);
+            }
+            RunPhase::Starting | RunPhase::Running { .. } => {
+                state.phase = RunPhase::Stopping { retry_at: None };
+                self.call(now, ServerRequest::Stop { run });
+            }
+            RunPhase::Stopping { .. } | RunPhase::Barred { .. } => {}
         }
     }
 
@@ -336,6 +309,7 @@
         self.expire_lease(now);
         self.stop_ungranted_runs(now);
         self.retry_stops(now);
+        self.start_waiting(now);
         self.renew_if_due(now);
         self.report_if_due(now);
         std::mem::take(&mut self.steps)
@@ -391,9 +365,7 @@
         let list_deadline = report_needed.then(|| self.lapsed_at());
         let life = self.life.as_ref();
         let granted = life.into_iter().flat_map(|life| {
-            let active = life.runs.values().filter(|state| {
-                matches!(state.phase, RunPhase::Starting | RunPhase::Running { .. })
-            });
+            let active = life.runs.values().filter(|state| state.phase.needs_grant());
             active.filter_map(|state| self.granted_until(state))
         });
         let listed = life.filter(|life| life.listed);
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -15,6 +15,7 @@
 };
 
 use super::run_table::MAX_CLOCK_DRIFT_RATIO;
+use super::start_queue::StartQueue;
 
 /// Maximum number of ends in one list; a full list may be incomplete.
 const MAX_LISTED_ENDS: usize = 500;
@@ -25,6 +26,8 @@
 /// Phase of a run.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) enum RunPhase {
+    /// The start waits for free capacity and was not sent.
+    Waiting,
     /// The start was sent and is not answered yet.
     Starting,
     /// Started. The lists of lease renewals with a higher number than this show
@@ -39,6 +42,16 @@
     Barred { since_renewal: u64 },
 }
 
+impl RunPhase {
+    /// Whether the run is stopped once its scheduler's grant expires.
+    pub(super) fn needs_grant(self) -> bool {
+        match self {
+            RunPhase::Waiting | RunPhase::Starting | RunPhase::Running { .. } => true,
+            RunPhase::Stopping { .. } | RunPhase::Barred { .. } => false,
+        }
+    }
+}
+
 /// A run that may be active.
 #[derive(Debug, Clone)]
 pub(super) struct RunState {
@@ -82,6 +95,7 @@
     /// Whether it has listed its runs since contact began or the lease expired.
     pub(super) listed: bool,
     pub(super) runs: IndexMap<TaskRun, RunState>,
+    pub(super) start_queue: StartQueue,
     unacked: Vec<UnackedEnd>,
     /// Highest number of an end that was taken from a list.
     last_end: EndNumber,
@@ -113,6 +127,7 @@
             lease_expires_at: None,
             listed: false,
             runs: IndexMap::new(),
+            start_queue: StartQueue::default(),
             unacked: Vec::new(),
             last_end: 0,
             outstanding_renewals: Vec::new(),
@@ -126,10 +141,12 @@
     }
 
     pub(super) fn free_capacity(&self) -> ResourceAmount {
-        self.view.capacity.saturating_sub(&self.usage_where(|_| true))
+        let usage = self.usage_where(|run| run.phase != RunPhase::Waiting);
+        self.view.capacity.saturating_sub(&usage)
     }
 
-    /// Resources taken by the runs of other schedulers.
+    /// Resources taken by the runs of other schedulers, or wanted by their waiting
+    /// starts.
     pub(super) fn other_usage(&self, scheduler: &SchedulerKey) -> ResourceAmount {
         self.usage_where(|run| run.owner.as_ref() != Some(scheduler))
     }
@@ -268,10 +285,19 @@
         self.renewals_sent
     }
 
-    /// Removes all runs and returns them as lapsed.
+    /// Removes all runs and returns them as lapsed, or as refused if they have not
+    /// started.
     pub(super) fn take_lapsed(&mut self) -> Vec<OwnedUpdate> {
+        self.start_queue = StartQueue::default();
         let runs = std::mem::take(&mut self.runs).into_iter();
-        runs.map(|(run, state)| (state.owner, RunUpdate::lapsed(run))).collect()
+        runs.map(|(run, state)| {
+            let update = match state.phase {
+                RunPhase::Waiting => RunUpdate::Refused { run, refusal: StartRefusal::Gone },
+                _ => RunUpdate::lapsed(run),
+            };
+            (state.owner, update)
+        })
+        .collect()
     }
 
     pub(super) fn next_deadline(&self) -> Option<Instant> {
@@ -280,7 +306,7 @@
             RunPhase::Stopping { retry_at } => retry_at,
             _ => None,
         });
-        [renewal, self.query_lists_at, self.lease_expires_at]
+        [renewal, self.query_lists_at, self.lease_expires_at, self.start_queue.next_deadline()]
             .into_iter()
             .flatten()
             .chain(retries)
--- /dev/null
+++ b/crates/decisions/src/agent/start_queue.rs
@@ -0,0 +1,130 @@
+//! Starts that wait at the agent for free capacity.
+//!
+//! Handles the load pattern *several schedulers with old views of one backend
+//! server*: a refused start costs an order, a report and another placement, while
+//! on a busy server a run ends within a few milliseconds.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use model::{
+    LifeId, ResourceAmount, RunUpdate, SchedulerKey, ServerRequest, StartRefusal, TaskRun,
+};
+
+use super::run_table::RunTable;
+use super::server_life::{OwnedUpdate, RunPhase, RunState, ServerLife};
+
+/// How long a start waits for free capacity before it is refused; about the time
+/// in which its scheduler can place it elsewhere.
+const MAX_START_WAIT: Duration = Duration::from_millis(50);
+
+/// A start that waits for free capacity. Its run is in the life's list of runs.
+#[derive(Debug, Clone)]
+struct WaitingStart {
+    run: TaskRun,
+    spec: Arc<str>,
+    until: Instant,
+}
+
+/// Waiting starts of one life, in the order of their arrival.
+#[derive(Debug, Clone, Default)]
+pub(super) struct StartQueue {
+    starts: VecDeque<WaitingStart>,
+}
+
+impl StartQueue {
+    /// Time at which the first start has waited long enough.
+    pub(super) fn next_deadline(&self) -> Option<Instant> {
+        self.starts.front().map(|start| start.until)
+    }
+
+    /// Forgets a start, since its run is over.
+    pub(super) fn remove(&mut self, run: &TaskRun) {
+        self.starts.retain(|start| start.run != *run);
+    }
+}
+
+impl RunTable {
+    /// Adds ordered runs to the queue; [`RunTable::start_waiting`] starts them.
+    pub(super) fn queue_starts(
+        &mut self,
+        now: Instant,
+        scheduler: &SchedulerKey,
+        life: &LifeId,
+        runs: Vec<TaskRun>,
+        spec: &Arc<str>,
+        size: ResourceAmount,
+    ) {
+        for run in runs {
+            let Some(life) = self.life.as_mut().filter(|known| known.view.life == *life) else {
+                let update = RunUpdate::Refused { run, refusal: StartRefusal::Gone };
+                self.notify(vec![(Some(scheduler.clone()), update)]);
+                continue;
+            };
+            if life.runs.contains_key(&run) {
+                continue;
+            }
+            let owner = Some(scheduler.clone());
+            let state = RunState { phase: RunPhase::Waiting, size, owner, since: now };
+            life.runs.insert(run.clone(), state);
+            let (spec, until) = (Arc::clone(spec), now + MAX_START_WAIT);
+            life.start_queue.starts.push_back(WaitingStart { run, spec, until });
+        }
+        self.start_waiting(now);
+    }
+
+    /// Starts the waiting runs for which there is free capacity, and refuses those
+    /// that have waited too long or can't start any more.
+    pub(super) fn start_waiting(&mut self, now: Instant) {
+        let Some(life) = self.life.as_mut().filter(|life| !life.start_queue.starts.is_empty())
+        else {
+            return;
+        };
+        let mut refused = Vec::new();
+        let mut requests = Vec::new();
+        for start in std::mem::take(&mut life.start_queue.starts) {
+            if let Some(refusal) = life.start_refusal(now, &start) {
+                refused.extend(life.refuse(&start.run, refusal));
+            } else if life.begin(now, &start.run) {
+                requests.push(ServerRequest::Start { run: start.run, spec: start.spec });
+            } else {
+                life.start_queue.starts.push_back(start);
+            }
+        }
+        self.notify(refused);
+        for request in requests {
+            self.call(now, request);
+        }
+    }
+}
+
+impl ServerLife {
+    /// Reason to refuse a waiting start for good, if there is one.
+    fn start_refusal(&self, now: Instant, start: &WaitingStart) -> Option<StartRefusal> {
+        if self.view.draining || !self.listed {
+            return Some(StartRefusal::Gone);
+        }
+        let size = self.runs.get(&start.run).map(|state| state.size).unwrap_or_default();
+        let fits_at_all = self.view.capacity.fits(&size);
+        let in_time = start.until > now || self.free_capacity().fits(&size);
+        (!fits_at_all || !in_time).then_some(StartRefusal::Room)
+    }
+
+    /// Removes a run that has not started.
+    fn refuse(&mut self, run: &TaskRun, refusal: StartRefusal) -> Option<OwnedUpdate> {
+        let state = self.runs.swap_remove(run)?;
+        Some((state.owner, RunUpdate::Refused { run: run.clone(), refusal }))
+    }
+
+    /// Takes the capacity of a waiting run; `false` if it is not free.
+    fn begin(&mut self, now: Instant, run: &TaskRun) -> bool {
+        let free = self.free_capacity();
+        let Some(state) = self.runs.get_mut(run).filter(|state| free.fits(&state.size)) else {
+            return false;
+        };
+        state.phase = RunPhase::Starting;
+        state.since = now;
+        true
+    }
+}
--- /dev/null
+++ b/tests/agent_fixture.rs
@@ -0,0 +1,176 @@
+//! Fixture of an agent's run table with one scheduler, an entry: a test answers
+//! the calls to the backend server and sees what is reported.
+
+use std::time::{Duration, Instant};
+
+use decisions::agent::{RunStep, RunTable};
+use model::{
+    AgentOrder, AgentOrders, ListedEnd, ResourceAmount, RunUpdate, SchedulerKey, ServerAnswer,
+    ServerCall, ServerHeartbeat, ServerRequest, ServerView, TaskName, TaskRun,
+};
+
+use crate::schedule_model::run_limits;
+
+/// How long the agent keeps the entry's runs active after it sent a poll.
+pub(crate) const GRANT: Duration = Duration::from_secs(1);
+
+/// A run table with the calls that it has made and the updates that it has reported.
+pub(crate) struct AgentFixture {
+    pub(crate) now: Instant,
+    pub(crate) table: RunTable,
+    /// Calls to the backend server that the test has not taken yet.
+    calls: Vec<ServerCall>,
+    pub(crate) updates: Vec<RunUpdate>,
+}
+
+pub(crate) fn entry() -> SchedulerKey {
+    SchedulerKey::Entry("entry-1".into())
+}
+
+/// The first run of task 0.
+pub(crate) fn run() -> TaskRun {
+    run_of(0)
+}
+
+/// The first run of a task.
+pub(crate) fn run_of(index: u32) -> TaskRun {
+    let task = TaskName { job: "5c0e7a21d94b36f8".into(), occurrence: 0, step: 0, index };
+    TaskRun { task, run: 1 }
+}
+
+fn heartbeat(sequence: u64, draining: bool) -> ServerHeartbeat {
+    ServerHeartbeat {
+        view: ServerView {
+            life: "i-1/7".into(),
+            service: "s".into(),
+            domain: "north".into(),
+            capacity: ResourceAmount { cpu_milli: 2_000, memory_mb: 100, accelerators: 0 },
+            labels: Vec::new(),
+            draining,
+        },
+        address: ([127, 0, 0, 1], 9_000).into(),
+        instance: "i-1".into(),
+        generation: 7,
+        sequence,
+        clock: Some(Duration::from_secs(5)),
+    }
+}
+
+impl AgentFixture {
+    /// Creates an agent with a grant and a backend server without runs or ends.
+    pub(crate) fn new() -> AgentFixture {
+        let now = Instant::now();
+        let table = RunTable::new(now, "agent-1".into(), 40, run_limits());
+        let mut agent = AgentFixture { now, table, calls: Vec::new(), updates: Vec::new() };
+        agent.heartbeat(1, false);
+        agent.answer_renewal();
+        let steps = agent.table.on_opened(now, entry(), 1);
+        agent.apply_steps(steps);
+        agent.order(Vec::new());
+        agent
+    }
+
+    pub(crate) fn apply_steps(&mut self, steps: Vec<RunStep>) {
+        for step in steps {
+            match step {
+                RunStep::Call(call) => self.calls.push(call),
+                RunStep::Report(scheduler, report) => {
+                    self.updates.extend(report.updates);
+                    let steps = self.table.on_report_acked(self.now, &scheduler, report.session);
+                    self.apply_steps(steps);
+                }
+                RunStep::Connect(_) | RunStep::Log(_) => {}
+            }
+        }
+    }
+
+    pub(crate) fn heartbeat(&mut self, sequence: u64, draining: bool) {
+        let steps = self.table.on_heartbeat(self.now, &heartbeat(sequence, draining));
+        self.apply_steps(steps);
+    }
+
+    pub(crate) fn order(&mut self, orders: Vec<AgentOrder>) {
+        let grant_ms = GRANT.as_millis() as u64;
+        let orders = AgentOrders {
+            term: 0,
+            grant_ms,
+            usage_interval_ms: 50,
+            ack: None,
+            orders,
+            entries: None,
+        };
+        let steps = self.table.on_orders(self.now, &entry(), 1, self.now, orders);
+        self.apply_steps(steps);
+    }
+
+    pub(crate) fn start(&mut self, cpu_milli: u64) {
+        self.start_run(run(), cpu_milli);
+    }
+
+    pub(crate) fn start_run(&mut self, run: TaskRun, cpu_milli: u64) {
+        let size = ResourceAmount { cpu_milli, memory_mb: 1, accelerators: 0 };
+        let (life, spec) = ("i-1/7".into(), "work".to_owned());
+        self.order(vec![AgentOrder::Start { life, runs: vec![run], spec, size }]);
+    }
+
+    /// Answers the pending renewal with a list that shows one end, and no runs.
+    pub(crate) fn list_end(&mut self, end: ListedEnd) {
+        let renewal = self.take_call(is_renewal).expect("a renewal is pending");
+        let lists = ServerAnswer::Lists { running: Vec::new(), ended: vec![end] };
+        self.answer(&renewal, lists);
+    }
+
+    /// Whether a start was sent to the backend server since the last call.
+    pub(crate) fn take_start(&mut self) -> Option<TaskRun> {
+        match self.take_call(is_start)?.request {
+            ServerRequest::Start { run, .. } => Some(run),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn answer(&mut self, call: &ServerCall, answer: ServerAnswer) {
+        let steps = self.table.on_answer(self.now, call, None, answer);
+        self.apply_steps(steps);
+    }
+
+    pub(crate) fn take_call(
+        &mut self,
+        is_wanted: fn(&ServerRequest) -> bool,
+    ) -> Option<ServerCall> {
+        let position = self.calls.iter().position(|call| is_wanted(&call.request))?;
+        Some(self.calls.remove(position))
+    }
+
+    /// Answers the oldest pending renewal with empty lists.
+    pub(crate) fn answer_renewal(&mut self) {
+        while let Some(call) = self.take_call(is_renewal) {
+            let lists = ServerAnswer::Lists { running: Vec::new(), ended: Vec::new() };
+            self.answer(&call, lists);
+            if self.calls.iter().filter(|call| is_renewal(&call.request)).count() > 0 {
+                return;
+            }
+        }
+    }
+
+    pub(crate) fn advance(&mut self, step: Duration) {
+        self.now += step;
+        let steps = self.table.on_tick(self.now);
+        self.apply_steps(steps);
+    }
+
+    pub(crate) fn pending_renewals(&self) -> usize {
+        self.calls.iter().filter(|call| is_renewal(&call.request)).count()
+    }
+}
+
+pub(crate) fn is_renewal(request: &ServerRequest) -> bool {
+    matches!(request, ServerRequest::RenewLease { .. })
+}
+
+pub(crate) fn is_start(request: &ServerRequest) -> bool {
+    matches!(request, ServerRequest::Start { .. })
+}
+
+pub(crate) fn is_stop(request: &ServerRequest) -> bool {
+    matches!(request, ServerRequest::Stop { .. })
+}
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -1,6 +1,7 @@
 //! The integration tests, one file a feature, linked into one program. The
 //! first group of modules holds models and fixtures that the others share.
 
+mod agent_fixture;
 mod job_model;
 mod log_model;
 mod overload_model;
@@ -37,6 +38,7 @@
 mod settings_errors;
 mod speed_estimates;
 mod stale_answers;
+mod start_queue;
 mod start_table;
 mod task_urgency;
 mod wide_jobs;
