schedule: refuse jobs whose time is over, whatever else happens

What callers saw: 504 at their deadline, or 503 after 1.26 s, for jobs of which no task had started. Cause: expired jobs were looked for only when the scheduling duty's ring was empty, which it is not at an entry that lags; and a waiting job expired only when its caller's wait did, though its result has no value beyond three times its objective, as admission says. The queue of an overloaded entry was full of such jobs. Change: every message is followed by the check, against the cached time of the next expiry (the old deadline went through all live jobs after each message); a job without a started task expires at three times its objective, with the expected wait as the time after which to come back.

--- a/crates/decisions/src/schedule/job_admission.rs
+++ b/crates/decisions/src/schedule/job_admission.rs
@@ -23,13 +23,16 @@
 
 impl LiveJob {
     /// Time at which the job can no longer be expected to end while its caller
-    /// waits; `None` without a caller.
+    /// waits, or, before its start, while its result has a value; `None` without a
+    /// caller.
     pub(super) fn expires_at(&self, min_slowness: f64) -> Option<Instant> {
         let until = self.waiter?.until;
         if self.started {
             return Some(until);
         }
-        let run = self.job.critical_path().mul_f64(min_slowness * MIN_RUN_TIME_SHARE);
+        let objective = self.deadline.saturating_duration_since(self.since);
+        let until = until.min(self.since + objective * MAX_OBJECTIVE_FACTOR);
+        let run = self.critical_path.mul_f64(min_slowness * MIN_RUN_TIME_SHARE);
         Some(until.checked_sub(run).unwrap_or(until).max(self.since))
     }
 }
@@ -75,6 +78,7 @@
             if let Some(live) = self.live.get_mut(&job.id) {
                 live.waiter = Some(waiter);
             }
+            self.note_expiry(&job.id);
             if self.unreported_agents.is_empty() {
                 self.release_steps(&job.id);
             } else {
@@ -117,9 +121,19 @@
         Some(JobReply::Refused { cause, retry_after_ms })
     }
 
+    /// Moves the next check for expired jobs forward to the expiry of a new one.
+    fn note_expiry(&mut self, id: &JobId) {
+        let slowness = self.min_slowness();
+        let expires_at = self.live.get(id).and_then(|live| live.expires_at(slowness));
+        self.next_expiry = self.next_expiry.into_iter().chain(expires_at).min();
+    }
+
     /// Cancels best-effort jobs that can't end while their callers wait. A job of
     /// which no task was placed is refused: no start was ordered for it.
     pub(super) fn expire_jobs(&mut self, now: Instant) {
+        if self.next_expiry.is_none_or(|at| at > now) {
+            return;
+        }
         let slowness = self.min_slowness();
         let expired = self
             .live
@@ -131,12 +145,14 @@
             let reply = if started {
                 JobReply::Unclear
             } else {
-                JobReply::Refused { cause: RefusalCause::TimeOver, retry_after_ms: 0 }
+                let retry_after_ms = self.expected_wait().as_millis() as u64;
+                JobReply::Refused { cause: RefusalCause::TimeOver, retry_after_ms }
             };
             self.answer_waiter(&id, reply);
             let change = self.volatile_store.close(&id, JobPhase::Cancelled, 0);
             self.on_change(now, change);
         }
+        self.next_expiry = self.live.values().filter_map(|live| live.expires_at(slowness)).min();
     }
 
     /// Cancels a best-effort job whose caller has disconnected, to free its
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -145,6 +145,8 @@
     pub(super) deadline: Instant,
     /// Time at which the job became live here.
     pub(super) since: Instant,
+    /// Run time of the job's longest chain of dependent steps, by its estimates.
+    pub(super) critical_path: Duration,
     /// Whether a task of the job is done or was placed.
     pub(super) started: bool,
     /// Steps whose dependencies are done and whose tasks were queued.
@@ -213,6 +215,8 @@
     pub(super) counts: LoadCounts,
     pub(super) report_delay: ReportDelay,
     overdue_checked_at: Instant,
+    /// Time of the next check for expired jobs; no job expires before.
+    pub(super) next_expiry: Option<Instant>,
     pub(super) steps: Vec<ScheduleStep>,
 }
 
@@ -239,6 +243,7 @@
             counts: LoadCounts::default(),
             report_delay: ReportDelay::default(),
             overdue_checked_at: now,
+            next_expiry: None,
             steps: Vec::new(),
         }
     }
@@ -430,7 +435,6 @@
     pub fn on_tick(&mut self, now: Instant) -> Vec<ScheduleStep> {
         self.expire_takeover(now);
         self.expire_agents(now);
-        self.expire_jobs(now);
         self.update_speed_estimates(now);
         self.finish(now)
     }
@@ -474,13 +478,11 @@
         let paused = (!self.ready.is_empty())
             .then(|| self.agents.values().filter_map(|state| state.paused_until).min())
             .flatten();
-        let slowness = self.min_slowness();
-        let expiries = self.live.values().filter_map(|live| live.expires_at(slowness));
         let has_tasks = !self.placements.is_empty() || !self.ready.is_empty();
         let overdue = has_tasks.then(|| self.overdue_checked_at + OVERDUE_CHECK_INTERVAL);
         polls
             .chain(overdue)
-            .chain(expiries)
+            .chain(self.next_expiry)
             .chain(contact_timeouts)
             .chain(takeover)
             .chain(paused)
@@ -502,9 +504,12 @@
         Some(parked.since + wait)
     }
 
-    /// Places ready tasks, answers the polls that are due and returns all steps.
+    /// Refuses jobs whose time is over, places ready tasks, answers the polls that
+    /// are due and returns all steps. All of it follows every message: while a
+    /// scheduler lags, its next message is there before any timeout.
     pub(super) fn finish(&mut self, now: Instant) -> Vec<ScheduleStep> {
         if self.term.is_some() {
+            self.expire_jobs(now);
             for state in self.agents.values_mut() {
                 let pause_over = state.paused_until.take_if(|until| *until <= now).is_some();
                 self.placement_due |= pause_over;
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -45,6 +45,7 @@
             job,
             deadline: now + objective,
             since: now,
+            critical_path,
             started: !record.done.is_empty(),
             released_steps: IndexSet::new(),
             last_runs: IndexMap::new(),
--- a/tests/burst_admission.rs
+++ b/tests/burst_admission.rs
@@ -65,6 +65,26 @@
     assert_eq!(cause, RefusalCause::TimeOver);
 }
 
+#[test]
+fn useless_wait_ends() {
+    let mut model = ScheduleModel::new(1, 0);
+    let call = model.submit(1, job(1, 1, true));
+    // Three times the objective of 220 ms, beyond which the result has no value.
+    model.advance(Duration::from_millis(660));
+    let (cause, _) = refusal(&model.replies[&call]).expect("no task ran, so the job is refused");
+    assert_eq!(cause, RefusalCause::TimeOver);
+}
+
+#[test]
+fn busy_scheduler_expires_jobs() {
+    let mut model = ScheduleModel::new(1, 0);
+    let call = model.submit(1, job(1, 1, true));
+    // Messages come without a pause, so the scheduler never sees a timeout.
+    model.now += Duration::from_millis(1_500);
+    model.submit(1, job(2, 1, true));
+    assert!(refusal(&model.replies[&call]).is_some(), "{:?}", model.replies[&call]);
+}
+
 #[test]
 fn abandoned_job_never_starts() {
     let mut model = ScheduleModel::new(1, 1);
