--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -6,6 +6,8 @@
 //! - orders of an earlier term, or for another life (lifetime of the backend
 //!   server's process), start nothing;
 //! - a run that is being stopped takes capacity until its end is listed;
+//! - a start that waits for free capacity takes none, and never reaches the backend
+//!   server once it is reported as refused;
 //! - a start without an answer is followed by a stop that bars it, and is
 //!   reported as not started only when a later list shows neither the run nor
 //!   its end;
--- a/crates/decisions/src/agent/start_queue.rs
+++ b/crates/decisions/src/agent/start_queue.rs
@@ -46,7 +46,8 @@
 }
 
 impl RunTable {
-    /// Adds ordered runs to the queue; [`RunTable::start_waiting`] starts them.
+    /// Adds ordered runs to the queue, and starts those for which there is free
+    /// capacity. Orders for another life are refused.
     pub(super) fn queue_starts(
         &mut self,
         now: Instant,
@@ -62,6 +63,7 @@
                 self.notify(vec![(Some(scheduler.clone()), update)]);
                 continue;
             };
+            // A run that is known was ordered before: it runs, or is being stopped.
             if life.runs.contains_key(&run) {
                 continue;
             }
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -215,7 +215,8 @@
     pub(super) counts: LoadCounts,
     pub(super) report_delay: ReportDelay,
     overdue_checked_at: Instant,
-    /// Time of the next check for expired jobs; no job expires before.
+    /// Time of the next check for expired jobs: the earliest expiry at the last check,
+    /// or that of a job admitted since.
     pub(super) next_expiry: Option<Instant>,
     pub(super) steps: Vec<ScheduleStep>,
 }
