--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -35,6 +35,7 @@
 mod queue_routes;
 mod request_path;
 mod ring_bounds;
+mod run_updates;
 mod schedule_faults;
 mod settings_errors;
 mod speed_estimates;
