Logs and counts that tell apart why long jobs are cut off

Cause: the lines of a scheduler did not say what it expected of a start, nor how much of a job was placed when it closed. Change: run_ms and caller_ms in tasks_placed, tasks and placed in job_closed, and too_late, unreserved and late_queued in schedule_load. No decision changes.

--- a/crates/decisions/src/schedule/agent_search.rs
+++ b/crates/decisions/src/schedule/agent_search.rs
@@ -12,9 +12,9 @@
 
 /// A search for agents for the tasks of one step.
 pub(super) struct AgentSearch<'job> {
-    index: StepIndex,
+    pub(super) index: StepIndex,
     pub(super) step: &'job JobStep,
-    urgency: TaskUrgency,
+    pub(super) urgency: TaskUrgency,
     pub(super) demand: AgentDemand,
 }
 
--- a/crates/decisions/src/schedule/load_counts.rs
+++ b/crates/decisions/src/schedule/load_counts.rs
@@ -13,4 +13,12 @@
     pub refused: u64,
     /// Runs that were counted as overdue before they had ended.
     pub overdue: u64,
+    /// Runs that were placed where they are expected to end after their caller has
+    /// stopped waiting.
+    pub too_late: u64,
+    /// Runs of flexible tasks that were placed on busy fast servers, whose remaining
+    /// capacity is meant for more urgent ones.
+    pub unreserved: u64,
+    /// Steps that counted as late at the time they were queued.
+    pub late_queued: u64,
 }
--- a/crates/decisions/src/schedule/mod.rs
+++ b/crates/decisions/src/schedule/mod.rs
@@ -35,4 +35,4 @@
 pub use report_delay::ReportDelay;
 pub use scheduler::{JobDecision, ScheduleLimits, ScheduleStep, Scheduler, SchedulerKind};
 pub use speed_estimate::SpeedEstimate;
-pub use task_urgency::{RunTimeRange, TaskUrgency};
+pub use task_urgency::{EndOutlook, RunTimeRange, TaskUrgency};
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -9,11 +9,12 @@
     StepIndex, TaskName, TaskRun,
 };
 
-use super::agent_search::AgentChoice;
+use super::agent_search::{AgentChoice, AgentSearch};
 use super::placement_round::PlacementRound;
 use super::ready_queue::GroupKey;
 use super::scheduler::{LiveJob, Placement, ScheduleStep, Scheduler};
 use super::step_spread::StepSpread;
+use super::task_urgency::EndOutlook;
 use crate::control::JobStore;
 
 /// Number of groups with tasks left over after which a placement round ends,
@@ -74,6 +75,7 @@
             live.released_steps.insert(step);
             let work = core_millis(&job.steps[step as usize]);
             let latest_start = live.latest_start(&job.steps[step as usize]);
+            self.counts.late_queued += u64::from(latest_start < live.since);
             for task in job.tasks_of(step) {
                 let is_placed =
                     self.placements.contains_key(&task) || self.proposed_ends.contains(&task);
@@ -110,7 +112,9 @@
             .with("queue", &live.job.queue)
             .with("phase", phase)
             .with("after_ms", now.saturating_duration_since(live.since).as_millis())
-            .with("objective_ms", live.deadline.saturating_duration_since(live.since).as_millis());
+            .with("objective_ms", live.deadline.saturating_duration_since(live.since).as_millis())
+            .with("tasks", live.job.steps.iter().map(|step| step.count).sum::<u32>())
+            .with("placed", live.last_runs.len());
         self.steps.push(ScheduleStep::Log(line));
         if phase == JobPhase::Completed {
             return;
@@ -186,11 +190,23 @@
                 continue;
             }
             let run = self.place(now, job, task, &agent);
+            self.count_start(&search, round, &agent);
             round.take_capacity(&agent, &search.demand.size);
             spread.add(agent.clone(), cost, run);
             last = Some((agent, cost));
         }
-        self.order_starts(now, job, step, spread);
+        self.order_starts(now, job, &search, spread);
+    }
+
+    /// Counts a start that wastes capacity, as far as is known now.
+    fn count_start(&mut self, search: &AgentSearch<'_>, round: &PlacementRound, agent: &NodeId) {
+        let candidates = round.candidates(&search.demand.class);
+        let Some(candidate) = candidates.iter().find(|one| one.agent == *agent) else { return };
+        let (run_time, utilization) = (candidate.run_time, candidate.utilization());
+        let too_late = search.urgency.outlook(run_time) == EndOutlook::TooLate;
+        self.counts.too_late += u64::from(too_late);
+        let unreserved = search.urgency.is_unreserved(run_time, utilization);
+        self.counts.unreserved += u64::from(unreserved);
     }
 
     /// Records the placement of a task and returns its run.
@@ -215,27 +231,36 @@
     }
 
     /// Queues one start order for each agent of the step.
-    fn order_starts(&mut self, now: Instant, job: &QueuedJob, step: StepIndex, spread: StepSpread) {
+    fn order_starts(
+        &mut self,
+        now: Instant,
+        job: &QueuedJob,
+        search: &AgentSearch<'_>,
+        spread: StepSpread,
+    ) {
         for (agent, runs) in spread.into_starts() {
-            let waited = self
-                .live
-                .get(&job.id)
-                .map_or(Duration::ZERO, |live| now.saturating_duration_since(live.since));
+            let live = self.live.get(&job.id);
+            let waited =
+                live.map_or(Duration::ZERO, |live| now.saturating_duration_since(live.since));
+            let caller = live.and_then(|live| live.waiter).map(|waiter| waiter.until);
+            let caller = caller.map(|until| until.saturating_duration_since(now).as_millis());
             let Some(state) = self.agents.get_mut(&agent) else { continue };
             let Some(life) = state.life().cloned() else { continue };
             let names: Vec<String> =
                 runs.iter().map(|run| format!("{}#{}", run.task.index, run.run)).collect();
             let line = EventLine::new("tasks_placed")
                 .with("job", &job.id)
-                .with("step", step)
+                .with("step", search.index)
                 .with("tasks", names.join(","))
                 .with("agent", &agent)
                 .with("life", &life)
                 .with("slowness", format_args!("{:.2}", state.slowness()))
                 .with("free_cpu_milli", state.free_capacity().cpu_milli)
-                .with("waited_ms", waited.as_millis());
+                .with("waited_ms", waited.as_millis())
+                .with("run_ms", search.step.estimate().mul_f64(state.slowness()).as_millis())
+                .with("caller_ms", caller.map_or_else(|| "none".into(), |ms| ms.to_string()));
             self.steps.push(ScheduleStep::Log(line));
-            let size = job.steps[step as usize].size;
+            let size = search.step.size;
             let spec = job.spec.clone();
             state.outbox.push(AgentOrder::Start { life, runs, spec, size });
         }
--- a/crates/decisions/src/schedule/task_urgency.rs
+++ b/crates/decisions/src/schedule/task_urgency.rs
@@ -34,21 +34,34 @@
     fastest: f64,
     slowest: f64,
     mean: f64,
+    median: f64,
 }
 
 impl FromIterator<f64> for RunTimeRange {
     fn from_iter<I: IntoIterator<Item = f64>>(run_times: I) -> RunTimeRange {
-        let (mut fastest, mut slowest, mut sum, mut count) = (f64::INFINITY, 0.0_f64, 0.0, 0.0);
-        for run_time in run_times {
-            fastest = fastest.min(run_time);
-            slowest = slowest.max(run_time);
-            sum += run_time;
-            count += 1.0;
+        let mut run_times: Vec<f64> = run_times.into_iter().collect();
+        run_times.sort_by(f64::total_cmp);
+        let count = f64::max(run_times.len() as f64, 1.0);
+        RunTimeRange {
+            fastest: run_times.first().copied().unwrap_or(f64::INFINITY),
+            slowest: run_times.last().copied().unwrap_or(0.0),
+            mean: run_times.iter().sum::<f64>() / count,
+            median: run_times.get(run_times.len() / 2).copied().unwrap_or(0.0),
         }
-        RunTimeRange { fastest, slowest, mean: sum / f64::max(count, 1.0) }
     }
 }
 
+/// When a run is expected to end, by its estimate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndOutlook {
+    /// Within the deadline.
+    InTime,
+    /// After the deadline, while the caller still waits.
+    Late,
+    /// After the caller has stopped waiting.
+    TooLate,
+}
+
 /// Urgency of a task relative to the servers that are eligible for it. Times
 /// are multiples of its estimated run time.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -83,6 +96,25 @@
         self.meets_deadline_anywhere() && self.is_fast(run_time) && utilization > RESERVE_THRESHOLD
     }
 
+    /// When a run of this run time that starts now is expected to end.
+    pub fn outlook(&self, run_time: f64) -> EndOutlook {
+        if run_time > self.caller_remaining {
+            EndOutlook::TooLate
+        } else if run_time > self.remaining {
+            EndOutlook::Late
+        } else {
+            EndOutlook::InTime
+        }
+    }
+
+    /// Whether the task takes the capacity of a busy server that is faster than most,
+    /// although it meets its deadline on most servers.
+    pub fn is_unreserved(&self, run_time: f64, utilization: f64) -> bool {
+        let flexible = self.range.median * RUN_TIME_MARGIN <= self.remaining;
+        let fast = run_time < FAST_SHARE * self.range.median;
+        flexible && fast && utilization > RESERVE_THRESHOLD
+    }
+
     /// Whether the task meets its deadline on the slowest eligible server.
     fn meets_deadline_anywhere(&self) -> bool {
         self.range.slowest * RUN_TIME_MARGIN <= self.remaining
--- a/crates/services/src/load_meter.rs
+++ b/crates/services/src/load_meter.rs
@@ -71,7 +71,10 @@
             .with("agents_priced", counts.agents_priced)
             .with("placed", counts.placed)
             .with("refused", counts.refused)
-            .with("overdue", counts.overdue);
+            .with("overdue", counts.overdue)
+            .with("too_late", counts.too_late)
+            .with("unreserved", counts.unreserved)
+            .with("late_queued", counts.late_queued);
         *self = LoadMeter::new(now);
         Some(line)
     }
