Test that fails: large jobs are served far less often than others in an overload

Change: the model of an entry gets servers of different and changing speeds, and jobs that vary in width, run time and the error of their estimate; job_sizes::large_jobs_served plays the overload in it.

--- a/tests/overload_model.rs
+++ b/tests/overload_model.rs
@@ -1,6 +1,7 @@
 //! Model of an entry on a small processor: its messages wait in one queue, and
 //! each takes processor time, more if the scheduler searches for agents. Agents
-//! and their backend servers are always punctual.
+//! are always punctual; their backend servers differ in speed only where a test
+//! sets it.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
@@ -9,9 +10,11 @@
 
 use decisions::schedule::{JobDecision, ScheduleStep, Scheduler, SchedulerKind};
 use model::{
-    AgentOrder, AgentPoll, AgentReport, EndKind, JobCall, JobPhase, JobReply, JobStep, QueuedJob,
-    ResourceAmount, RunUpdate, ServerView, TaskRun,
+    AgentOrder, AgentPoll, AgentReport, EndKind, JobCall, JobId, JobPhase, JobReply, JobStep,
+    QueuedJob, ResourceAmount, RunUpdate, ServerView, TaskRun,
 };
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 
 use crate::schedule_model::{QUEUE, SERVICE, catalog, schedule_limits};
 
@@ -32,6 +35,13 @@
 
 /// A kind of job: number of tasks, run time of each, and share of all jobs.
 const JOB_KINDS: [(u32, u64, u64); 3] = [(8, 60, 24), (4, 900, 5), (2, 200, 71)];
+/// Position of the kind with the longest tasks.
+pub(crate) const LONG_KIND: usize = 1;
+/// Standard deviation of the logarithm of widths, of run times, and of the error of
+/// estimates, where jobs vary.
+const JOB_SPREAD: f64 = 0.4;
+/// The same for the tasks of one job.
+const TASK_SPREAD: f64 = 0.15;
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -45,6 +55,8 @@
     ReportAcked(usize),
     /// The connection to an agent breaks, or is there again.
     Link(usize, bool),
+    /// The run times at an agent's backend server change, to this percentage.
+    Slowness(usize, u64),
     /// A message reaches the entry.
     Arrival(u64),
     /// The entry's host stands still for this time.
@@ -62,6 +74,8 @@
 #[derive(Default)]
 struct AgentModel {
     connected: bool,
+    /// Run times of the backend server, as a percentage of those of the jobs.
+    slowness: u64,
     session: u64,
     /// Active runs with their starts.
     runs: BTreeMap<String, (TaskRun, Instant)>,
@@ -80,6 +94,22 @@
     CutOff,
 }
 
+/// A submitted job.
+struct JobEntry {
+    at: Instant,
+    kind: usize,
+    job: Arc<QueuedJob>,
+    /// Run time of each task, in milliseconds, on a server of slowness 1.
+    run_ms: Vec<u64>,
+    outcome: Option<JobOutcome>,
+}
+
+impl JobEntry {
+    fn work_ms(&self) -> u64 {
+        self.run_ms.iter().sum()
+    }
+}
+
 /// An entry, its agents and its callers, in virtual time.
 pub(crate) struct OverloadModel {
     pub(crate) start: Instant,
@@ -95,12 +125,15 @@
     next_id: u64,
     /// Agent and session of each open poll, by call.
     polls: BTreeMap<u64, (usize, u64)>,
-    /// Submission time and, once known, outcome of each job.
-    jobs: Vec<(Instant, Option<JobOutcome>)>,
+    /// Submitted jobs, by number.
+    jobs: Vec<JobEntry>,
+    /// Source of the differences between jobs of a kind; without one there are none.
+    spread: Option<StdRng>,
     /// Job number of each open call.
     calls: BTreeMap<u64, usize>,
     /// Longest time that a message waited for the processor.
     pub(crate) max_lag: Duration,
+    too_late_starts: u64,
 }
 
 impl OverloadModel {
@@ -113,7 +146,9 @@
             start,
             now: start,
             scheduler,
-            agents: (0..agents).map(|_| AgentModel::default()).collect(),
+            agents: (0..agents)
+                .map(|_| AgentModel { slowness: 100, ..AgentModel::default() })
+                .collect(),
             events: BinaryHeap::new(),
             event_count: 0,
             in_transit: BTreeMap::new(),
@@ -123,8 +158,10 @@
             next_id: 0,
             polls: BTreeMap::new(),
             jobs: Vec::new(),
+            spread: None,
             calls: BTreeMap::new(),
             max_lag: Duration::ZERO,
+            too_late_starts: 0,
         };
         for agent in 0..agents {
             model.at(start, Event::Link(agent, true));
@@ -148,7 +185,8 @@
         let mut time = self.start + from;
         while time < self.start + to {
             let number = self.jobs.len();
-            self.jobs.push((time, None));
+            let entry = job_entry(number, time, self.spread.as_mut());
+            self.jobs.push(entry);
             self.at(time, Event::Submit(number));
             time += interval;
         }
@@ -162,6 +200,39 @@
         }
     }
 
+    /// Lets the jobs that are added from now on differ in width, run time and the error of
+    /// their estimates.
+    pub(crate) fn vary_jobs(&mut self, seed: u64) {
+        self.spread = Some(StdRng::seed_from_u64(seed));
+    }
+
+    /// Sets the run times at an agent's backend server from this time after the start, as
+    /// a percentage of those of the jobs.
+    pub(crate) fn set_slowness(&mut self, agent: usize, from: Duration, slowness: u64) {
+        self.at(self.start + from, Event::Slowness(agent, slowness));
+    }
+
+    /// Shares of the long jobs that were completed while their callers waited: of the
+    /// largest tenth by work, of the fifth below it, and of all.
+    pub(crate) fn served_by_size(&self) -> [f64; 3] {
+        let mut long: Vec<&JobEntry> =
+            self.jobs.iter().filter(|job| job.kind == LONG_KIND).collect();
+        long.sort_by_key(|job| std::cmp::Reverse(job.work_ms()));
+        let (tenth, third) = (long.len() / 10, long.len() * 3 / 10);
+        [&long[..tenth], &long[tenth..third], &long[..]].map(served_share)
+    }
+
+    /// Share of the jobs of this kind that were completed while their callers waited.
+    pub(crate) fn served_kind(&self, kind: usize) -> f64 {
+        let jobs: Vec<&JobEntry> = self.jobs.iter().filter(|job| job.kind == kind).collect();
+        served_share(&jobs)
+    }
+
+    /// Starts whose task was expected to end after its caller had left.
+    pub(crate) fn too_late_starts(&self) -> u64 {
+        self.too_late_starts
+    }
+
     /// Lets the entry's host stand still at this time after the start.
     pub(crate) fn pause_entry(&mut self, from: Duration, duration: Duration) {
         self.at(self.start + from, Event::Pause(duration));
@@ -177,11 +248,11 @@
     /// their objective.
     pub(crate) fn in_time_share(&self, from: Duration, to: Duration) -> f64 {
         let (from, to) = (self.start + from, self.start + to);
-        let jobs = self.jobs.iter().filter(|(time, _)| (from..to).contains(time));
+        let jobs = self.jobs.iter().filter(|job| (from..to).contains(&job.at));
         let (mut all, mut in_time) = (0_u32, 0_u32);
-        for (_, outcome) in jobs {
+        for job in jobs {
             all += 1;
-            in_time += u32::from(*outcome == Some(JobOutcome::InTime));
+            in_time += u32::from(job.outcome == Some(JobOutcome::InTime));
         }
         f64::from(in_time) / f64::from(all.max(1))
     }
@@ -202,7 +273,7 @@
     fn on_event(&mut self, event: Event) {
         match event {
             Event::Submit(number) => {
-                let job = job_of_kind(number);
+                let job = Arc::clone(&self.jobs[number].job);
                 self.inbox.push_back(Message::Submit(job));
             }
             Event::RunEnd(agent, name) => self.end_run(agent, &name),
@@ -212,6 +283,7 @@
                 self.report(agent, None);
             }
             Event::Link(agent, connected) => self.set_link(agent, connected),
+            Event::Slowness(agent, slowness) => self.agents[agent].slowness = slowness,
             Event::Arrival(id) => {
                 if let Some(message) = self.in_transit.remove(&id) {
                     self.inbox.push_back(message);
@@ -232,7 +304,8 @@
     fn set_link(&mut self, agent: usize, connected: bool) {
         let session = self.new_id();
         let state = &mut self.agents[agent];
-        *state = AgentModel { connected, session, ..AgentModel::default() };
+        let slowness = state.slowness;
+        *state = AgentModel { connected, session, slowness, ..AgentModel::default() };
         if connected {
             self.report(agent, Some(Vec::new()));
             self.send(Message::Poll(agent, session));
@@ -267,10 +340,9 @@
         }
         for order in orders {
             match order {
-                AgentOrder::Start { runs, spec, size, .. } => {
-                    let run_ms: u64 = spec.parse().expect("the spec is the run time");
+                AgentOrder::Start { runs, size, .. } => {
                     for run in runs {
-                        self.start_run(agent, run, size, run_ms);
+                        self.start_run(agent, run, size);
                     }
                 }
                 AgentOrder::Stop { run } => self.stop_run(agent, &run),
@@ -282,8 +354,9 @@
         self.send(Message::Poll(agent, session));
     }
 
-    fn start_run(&mut self, agent: usize, run: TaskRun, size: ResourceAmount, run_ms: u64) {
+    fn start_run(&mut self, agent: usize, run: TaskRun, size: ResourceAmount) {
         let now = self.now;
+        let run_ms = self.jobs[number_of(&run.task.job)].run_ms[run.task.index as usize];
         let state = &mut self.agents[agent];
         let used = state.runs.len() as u64 * size.cpu_milli;
         if used + size.cpu_milli > SERVER_CPU_MILLI {
@@ -291,6 +364,7 @@
             state.updates.push(RunUpdate::Refused { run, refusal });
             return;
         }
+        let run_ms = run_ms * state.slowness / 100;
         let name = run.to_string();
         state.runs.insert(name.clone(), (run, now));
         self.at(now + Duration::from_millis(run_ms), Event::RunEnd(agent, name));
@@ -338,8 +412,9 @@
                 self.scheduler.on_tick(self.now)
             }
         };
-        let priced = self.scheduler.take_counts().agents_priced;
-        self.busy_until = self.now + cost + PRICING_COST * priced as u32;
+        let counts = self.scheduler.take_counts();
+        self.too_late_starts += counts.too_late;
+        self.busy_until = self.now + cost + PRICING_COST * counts.agents_priced as u32;
         self.apply(steps);
         let free_at = self.busy_until;
         self.at(free_at, Event::Tick);
@@ -349,8 +424,8 @@
         let now = self.now;
         match message {
             Message::Submit(job) => {
-                let number = usize::from_str_radix(&job.id, 16).expect("the id is a number");
-                let lag = now.saturating_duration_since(self.jobs[number].0);
+                let number = number_of(&job.id);
+                let lag = now.saturating_duration_since(self.jobs[number].at);
                 self.max_lag = self.max_lag.max(lag);
                 let call = self.new_id();
                 let wait = CALLER_WAIT.saturating_sub(lag).as_millis() as u64;
@@ -404,10 +479,10 @@
 
     fn finish_call(&mut self, call: u64, reply: &JobReply) {
         let Some(number) = self.calls.remove(&call) else { return };
-        let took = self.now.saturating_duration_since(self.jobs[number].0);
-        let job = job_of_kind(number);
-        let objective = catalog(1).queues[QUEUE].objective(job.critical_path());
-        self.jobs[number].1 = Some(match reply {
+        let entry = &mut self.jobs[number];
+        let took = self.now.saturating_duration_since(entry.at);
+        let objective = catalog(1).queues[QUEUE].objective(entry.job.critical_path());
+        entry.outcome = Some(match reply {
             JobReply::Phase(JobPhase::Completed) if took <= objective => JobOutcome::InTime,
             JobReply::Phase(JobPhase::Completed) if took <= CALLER_WAIT => JobOutcome::Late,
             JobReply::Refused { .. } => JobOutcome::Refused,
@@ -427,23 +502,62 @@
     }
 }
 
-/// The job of this number; kinds alternate by their shares. The spec is the run
-/// time of a task, in milliseconds.
-fn job_of_kind(number: usize) -> Arc<QueuedJob> {
+/// Share of the jobs that were completed while their callers waited.
+fn served_share(jobs: &[&JobEntry]) -> f64 {
+    let served =
+        |job: &&&JobEntry| matches!(job.outcome, Some(JobOutcome::InTime | JobOutcome::Late));
+    jobs.iter().filter(served).count() as f64 / jobs.len().max(1) as f64
+}
+
+fn number_of(id: &JobId) -> usize {
+    usize::from_str_radix(id, 16).expect("the id is a number")
+}
+
+/// Kind of the job of this number; kinds alternate by their shares.
+fn kind_of(number: usize) -> usize {
     let position = (number as u64 * 37) % 100;
     let mut upto = 0;
-    let kind = JOB_KINDS.iter().find(|(_, _, share)| {
+    let found = JOB_KINDS.iter().position(|(_, _, share)| {
         upto += share;
         position < upto
     });
-    let (count, run_ms, _) = kind.expect("the shares are 100 in total");
+    found.expect("the shares are 100 in total")
+}
+
+/// The job of this number. All jobs of a kind are equal and last as long as
+/// estimated, unless there is a source of differences.
+fn job_entry(number: usize, at: Instant, spread: Option<&mut StdRng>) -> JobEntry {
+    let kind = kind_of(number);
+    let (count, kind_ms, _) = JOB_KINDS[kind];
+    let (estimate_ms, run_ms) = match spread {
+        None => (kind_ms, vec![kind_ms; count as usize]),
+        Some(random) => varied_run_times(random, count, kind_ms),
+    };
     let size = ResourceAmount { cpu_milli: TASK_CPU_MILLI, memory_mb: 1, accelerators: 0 };
-    let step = JobStep { count: *count, size, estimate_ms: *run_ms, ..JobStep::default() };
-    Arc::new(QueuedJob {
+    let count = run_ms.len() as u32;
+    let step = JobStep { count, size, estimate_ms, ..JobStep::default() };
+    let job = QueuedJob {
         id: format!("{number:016x}").into(),
         queue: QUEUE.into(),
-        spec: run_ms.to_string(),
+        spec: String::new(),
         steps: vec![step],
         best_effort: true,
-    })
+    };
+    JobEntry { at, kind, job: Arc::new(job), run_ms, outcome: None }
+}
+
+/// The estimate of a job and the run times of its tasks, around the mean width and run
+/// time of its kind.
+fn varied_run_times(random: &mut StdRng, count: u32, mean_ms: u64) -> (u64, Vec<u64>) {
+    let count = (f64::from(count) * factor(random, JOB_SPREAD)).round().max(1.0) as usize;
+    let run_ms = mean_ms as f64 * factor(random, JOB_SPREAD);
+    let estimate_ms = (run_ms * factor(random, JOB_SPREAD)) as u64;
+    let tasks = (0..count).map(|_| (run_ms * factor(random, TASK_SPREAD)) as u64);
+    (estimate_ms, tasks.collect())
+}
+
+/// A random factor of mean 1 with about a log-normal distribution.
+fn factor(random: &mut StdRng, spread: f64) -> f64 {
+    let normal: f64 = (0..12).map(|_| random.random_range(0.0..1.0)).sum::<f64>() - 6.0;
+    (normal * spread - spread * spread / 2.0).exp()
 }
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -19,6 +19,7 @@
 mod group_size;
 mod job_guarantees;
 mod job_path;
+mod job_sizes;
 mod journal_recovery;
 mod lease_calls;
 mod lease_renewal;
