Tasks that need fast servers are placed before others, newest first

Cause: two rules took the fast servers from the tasks that nothing else suits. The reserve of fast servers went by the mean and the slowest of all run times, so that one server that turned slow ended it. And the order was least slack first: in an overload each long job waited until it could hardly complete. Change: what counts as fast goes by the median; a task that accepts only fast servers goes before others, newest first, if its caller waits (placement_order).

--- a/crates/decisions/src/schedule/agent_search.rs
+++ b/crates/decisions/src/schedule/agent_search.rs
@@ -37,6 +37,23 @@
         step: StepIndex,
         round: &mut PlacementRound,
     ) -> Option<AgentSearch<'job>> {
+        let job_step = job.steps.get(step as usize)?;
+        let (class, urgency) = self.step_urgency(now, job, step, round)?;
+        let max_run_time = urgency.max_run_time();
+        let demand = AgentDemand { class, size: job_step.size, max_run_time };
+        let search = AgentSearch { index: step, step: job_step, urgency, demand };
+        (!round.is_unmet(&search.demand)).then_some(search)
+    }
+
+    /// Agents that the tasks of a step may run on, and their urgency there; `None` if
+    /// the job has no such step or its queue is not in the catalog.
+    pub(super) fn step_urgency(
+        &mut self,
+        now: Instant,
+        job: &QueuedJob,
+        step: StepIndex,
+        round: &mut PlacementRound,
+    ) -> Option<(AgentClass, TaskUrgency)> {
         let job_step = job.steps.get(step as usize)?;
         let class = AgentClass::new(self.service_of(job)?, job_step);
         let range = match round.range(&class) {
@@ -47,10 +64,7 @@
             }
         };
         let urgency = self.urgency(now, job, job_step, range);
-        let max_run_time = urgency.max_run_time();
-        let demand = AgentDemand { class, size: job_step.size, max_run_time };
-        let search = AgentSearch { index: step, step: job_step, urgency, demand };
-        (!round.is_unmet(&search.demand)).then_some(search)
+        Some((class, urgency))
     }
 
     /// Agents of a class that accept work.
--- a/crates/decisions/src/schedule/mod.rs
+++ b/crates/decisions/src/schedule/mod.rs
@@ -20,6 +20,7 @@
 mod entry_list;
 mod job_admission;
 mod load_counts;
+mod placement_order;
 mod placement_round;
 mod ready_queue;
 mod report_delay;
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -140,7 +140,7 @@
         }
         let mut round = PlacementRound::default();
         let mut skipped_groups = 0;
-        for key in self.placement_order(now) {
+        for key in self.placement_order(now, &mut round) {
             let Some(group) = self.ready.group(key) else { continue };
             let step = group.step;
             let Some(live) = self.live.get(&group.job) else { continue };
@@ -155,19 +155,6 @@
         }
     }
 
-    /// Waiting groups in placement order: the rest of started jobs first, if their
-    /// callers wait, since the work on them is wasted unless all tasks end by then.
-    fn placement_order(&self, now: Instant) -> Vec<GroupKey> {
-        let at_stake = |key: &GroupKey| {
-            let live = self.ready.group(*key).and_then(|group| self.live.get(&group.job));
-            live.is_some_and(|live| live.started && live.waiter.is_some())
-        };
-        let (mut order, others): (Vec<GroupKey>, Vec<GroupKey>) =
-            self.ready.order(now).into_iter().partition(at_stake);
-        order.extend(others);
-        order
-    }
-
     /// Places the tasks of one group while an agent meets their demand.
     fn place_group(
         &mut self,
@@ -219,7 +206,7 @@
         let (run_time, utilization) = (candidate.run_time, candidate.utilization());
         let too_late = search.urgency.outlook(run_time) == EndOutlook::TooLate;
         self.counts.too_late += u64::from(too_late);
-        let unreserved = search.urgency.is_unreserved(run_time, utilization);
+        let unreserved = search.urgency.is_reserved(run_time, utilization);
         self.counts.unreserved += u64::from(unreserved);
     }
 
--- a/crates/decisions/src/schedule/task_urgency.rs
+++ b/crates/decisions/src/schedule/task_urgency.rs
@@ -13,7 +13,7 @@
 /// Share of the estimated run time in which a run may end after all, since
 /// estimates are rough.
 pub(super) const MIN_RUN_TIME_SHARE: f64 = 0.6;
-/// Share of the mean run time below which a server counts as fast.
+/// Share of the median run time below which a server counts as fast.
 const FAST_SHARE: f64 = 0.8;
 /// Utilization of a fast server above which the rest of its capacity is
 /// reserved for tasks that meet their deadline only on fast servers.
@@ -35,8 +35,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RunTimeRange {
     fastest: f64,
-    slowest: f64,
-    mean: f64,
+    /// Unlike a mean, it does not move when a few servers turn slow.
     median: f64,
 }
 
@@ -44,11 +43,8 @@
     fn from_iter<I: IntoIterator<Item = f64>>(run_times: I) -> RunTimeRange {
         let mut run_times: Vec<f64> = run_times.into_iter().collect();
         run_times.sort_by(f64::total_cmp);
-        let count = f64::max(run_times.len() as f64, 1.0);
         RunTimeRange {
             fastest: run_times.first().copied().unwrap_or(f64::INFINITY),
-            slowest: run_times.last().copied().unwrap_or(0.0),
-            mean: run_times.iter().sum::<f64>() / count,
             median: run_times.get(run_times.len() / 2).copied().unwrap_or(0.0),
         }
     }
@@ -96,7 +92,12 @@
 
     /// Whether a server's free capacity is reserved for more urgent tasks.
     pub fn is_reserved(&self, run_time: f64, utilization: f64) -> bool {
-        self.meets_deadline_anywhere() && self.is_fast(run_time) && utilization > RESERVE_THRESHOLD
+        !self.needs_fast() && self.is_fast(run_time) && utilization > RESERVE_THRESHOLD
+    }
+
+    /// Whether the task accepts only servers that are faster than most.
+    pub fn needs_fast(&self) -> bool {
+        self.range.median > self.max_run_time()
     }
 
     /// When a run of this run time that starts now is expected to end.
@@ -110,21 +111,8 @@
         }
     }
 
-    /// Whether the task takes the capacity of a busy server that is faster than most,
-    /// although it meets its deadline on most servers.
-    pub fn is_unreserved(&self, run_time: f64, utilization: f64) -> bool {
-        let flexible = self.range.median * RUN_TIME_MARGIN <= self.remaining;
-        let fast = run_time < FAST_SHARE * self.range.median;
-        flexible && fast && utilization > RESERVE_THRESHOLD
-    }
-
-    /// Whether the task meets its deadline on the slowest eligible server.
-    fn meets_deadline_anywhere(&self) -> bool {
-        self.range.slowest * RUN_TIME_MARGIN <= self.remaining
-    }
-
     fn is_fast(&self, run_time: f64) -> bool {
-        run_time < FAST_SHARE * self.range.mean
+        run_time < FAST_SHARE * self.range.median
     }
 
     /// Whether the task should wait for a faster server rather than start on one
--- a/tests/job_sizes.rs
+++ b/tests/job_sizes.rs
@@ -9,7 +9,6 @@
 const AGENTS: usize = 11;
 /// Jobs a second above which the backend servers are full.
 const JOBS_PER_SECOND: u32 = 69;
-const OVERLOAD_FACTOR: f64 = 1.7;
 /// Run times of the backend servers, as percentages of those of the jobs.
 const SLOWNESS: [u64; 4] = [55, 120, 120, 120];
 /// Every how many servers one turns slow, and its slowness then.
@@ -24,8 +23,9 @@
     Duration::from_secs(seconds)
 }
 
-/// An overload of 30 s, with servers of different speeds of which some are degraded.
-fn overloaded_model(seed: u64) -> OverloadModel {
+/// An overload of 30 s by this factor, with servers of different speeds of which some are
+/// degraded.
+fn overloaded_model(seed: u64, factor: f64) -> OverloadModel {
     let mut model = OverloadModel::new(AGENTS);
     model.vary_jobs(seed);
     for agent in 0..AGENTS {
@@ -35,17 +35,17 @@
         model.set_slowness(agent, secs(4), DEGRADED_SLOWNESS);
     }
     model.add_load(secs(1), secs(4), JOBS_PER_SECOND);
-    let overload = f64::from(JOBS_PER_SECOND) * OVERLOAD_FACTOR;
+    let overload = f64::from(JOBS_PER_SECOND) * factor;
     model.add_load(secs(4), secs(34), overload as u32);
     model.play(secs(37));
     model
 }
 
-#[test]
-fn large_jobs_served() {
+/// The outcomes of the seeds on which the largest jobs are served too seldom.
+fn short_outcomes(factor: f64) -> Vec<String> {
     let mut short = Vec::new();
     for seed in SEEDS {
-        let model = overloaded_model(seed);
+        let model = overloaded_model(seed, factor);
         let [tenth, fifth, all] = model.served_by_size();
         let outcome = format!(
             "seed {seed}: of the largest tenth {tenth:.2}, of the next fifth {fifth:.2}, of all {all:.2}; \
@@ -59,5 +59,17 @@
             short.push(outcome);
         }
     }
-    assert!(short.is_empty(), "{short:#?}");
+    short
+}
+
+#[test]
+fn large_jobs_served() {
+    assert_eq!(short_outcomes(1.7), Vec::<String>::new());
+}
+
+// Guards against an order in which the jobs that have waited longest, and are the least
+// likely to complete, take the fast servers from the newest.
+#[test]
+fn heavy_overload_shared() {
+    assert_eq!(short_outcomes(2.8), Vec::<String>::new());
 }
--- a/tests/task_urgency.rs
+++ b/tests/task_urgency.rs
@@ -25,6 +25,16 @@
     );
 }
 
+// Guards against a reserve of fast servers that is lost as soon as one server turns
+// slow, since the mean and the slowest of all run times decided on it.
+#[test]
+fn slow_server_keeps_reserve() {
+    let range = RunTimeRange::from_iter([FAST, 1.2, 1.2, 7.0]);
+    let short = TaskUrgency::new(2.6, 10.0, range);
+    assert!(short.is_reserved(FAST, 0.6), "it meets its deadline on most servers");
+    assert!(!short.is_reserved(1.2, 0.6), "most servers are not fast");
+}
+
 #[test]
 fn long_prefers_fast() {
     let long = urgency(1.4);
