A part of fast servers is kept for tasks that need them, while there are any

Cause: entries don't know each other's waiting tasks. Capacity that becomes free on a fast server is seen first by the entry whose run ended, and its short tasks take it; the long tasks of the others find the server full. Change: while tasks that accept only fast servers wait, or did within the last second, other tasks leave the last quarter of a fast server's capacity free. Test fast_capacity_kept.

--- a/crates/decisions/src/schedule/agent_search.rs
+++ b/crates/decisions/src/schedule/agent_search.rs
@@ -1,6 +1,6 @@
 //! Searches the agents for the one on which a task of a step costs least.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use model::{JobStep, NodeId, QueuedJob, ServiceId, StepIndex};
 
@@ -10,12 +10,24 @@
 use super::step_spread::StepSpread;
 use super::task_urgency::{RunTimeRange, TaskUrgency};
 
+/// How long a part of fast servers stays kept after a task needed one.
+const FAST_DEMAND_MEMORY: Duration = Duration::from_secs(1);
+
 /// A search for agents for the tasks of one step.
 pub(super) struct AgentSearch<'job> {
     pub(super) index: StepIndex,
     pub(super) step: &'job JobStep,
     pub(super) urgency: TaskUrgency,
     pub(super) demand: AgentDemand,
+    /// Whether a part of fast servers is kept for tasks that accept no others.
+    keeps_fast: bool,
+}
+
+impl AgentSearch<'_> {
+    /// Whether the free capacity of an agent's server is kept for other tasks.
+    fn is_kept(&self, candidate: &Candidate) -> bool {
+        self.keeps_fast && self.urgency.is_kept(candidate.run_time, candidate.utilization())
+    }
 }
 
 /// Result of a search for an agent.
@@ -41,7 +53,8 @@
         let (class, urgency) = self.step_urgency(now, job, step, round)?;
         let max_run_time = urgency.max_run_time();
         let demand = AgentDemand { class, size: job_step.size, max_run_time };
-        let search = AgentSearch { index: step, step: job_step, urgency, demand };
+        let keeps_fast = self.fast_wanted_at.is_some_and(|at| now < at + FAST_DEMAND_MEMORY);
+        let search = AgentSearch { index: step, step: job_step, urgency, demand, keeps_fast };
         (!round.is_unmet(&search.demand)).then_some(search)
     }
 
@@ -101,7 +114,7 @@
                 continue;
             }
             fastest = fastest.min(*run_time);
-            if *run_time > search.demand.max_run_time {
+            if *run_time > search.demand.max_run_time || search.is_kept(candidate) {
                 continue;
             }
             let utilization = candidate.utilization();
@@ -135,6 +148,7 @@
         candidate.free.fits(&search.demand.size)
             && self.is_below_limit(job, search, agent)
             && !search.urgency.is_reserved(candidate.run_time, candidate.utilization())
+            && !search.is_kept(candidate)
     }
 
     fn service_of(&self, job: &QueuedJob) -> Option<ServiceId> {
--- a/crates/decisions/src/schedule/placement_order.rs
+++ b/crates/decisions/src/schedule/placement_order.rs
@@ -50,7 +50,10 @@
         }
         let job = live.job.clone();
         match self.step_urgency(now, &job, step, round) {
-            Some((_, urgency)) if urgency.needs_fast() => GroupRank::NeedsFast(Reverse(key.1)),
+            Some((_, urgency)) if urgency.needs_fast() => {
+                self.fast_wanted_at = Some(now);
+                GroupRank::NeedsFast(Reverse(key.1))
+            }
             _ => GroupRank::Ordinary,
         }
     }
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -212,6 +212,8 @@
     /// reported or timed out.
     pub(super) held_jobs: IndexSet<JobId>,
     pub(super) entries: EntryList,
+    /// When a waiting task last accepted only fast servers.
+    pub(super) fast_wanted_at: Option<Instant>,
     pub(super) counts: LoadCounts,
     pub(super) report_delay: ReportDelay,
     overdue_checked_at: Instant,
@@ -241,6 +243,7 @@
             unreported_agents: IndexSet::new(),
             held_jobs: IndexSet::new(),
             entries: EntryList::default(),
+            fast_wanted_at: None,
             counts: LoadCounts::default(),
             report_delay: ReportDelay::default(),
             overdue_checked_at: now,
--- a/crates/decisions/src/schedule/task_urgency.rs
+++ b/crates/decisions/src/schedule/task_urgency.rs
@@ -3,7 +3,9 @@
 //! Handles the load pattern *mixed speeds*: long tasks meet their deadline only
 //! on the fastest backend servers, short ones on any. Short tasks leave most of
 //! the capacity of fast servers free, and a long task waits for a fast server
-//! rather than start at once on one where it is expected to end late.
+//! rather than start at once on one where it is expected to end late. In an overload
+//! short tasks take more, but not the last part, which long tasks of other schedulers
+//! would never find free otherwise.
 
 /// Margin on estimated run times; most estimates are off by a smaller factor.
 const RUN_TIME_MARGIN: f64 = 1.1;
@@ -18,6 +20,9 @@
 /// Utilization of a fast server above which the rest of its capacity is
 /// reserved for tasks that meet their deadline only on fast servers.
 const RESERVE_THRESHOLD: f64 = 0.35;
+/// Utilization of a fast server above which the rest of its capacity is kept free
+/// for tasks that accept only fast servers, while there are any.
+const KEEP_THRESHOLD: f64 = 0.75;
 /// Weight of a server's utilization in its cost, for each run time of slack.
 const UTILIZATION_WEIGHT: f64 = 2.0;
 /// Lower bound on slack, in estimated run times, so that load is balanced between
@@ -95,6 +100,12 @@
         !self.needs_fast() && self.is_fast(run_time) && utilization > RESERVE_THRESHOLD
     }
 
+    /// Whether a server's free capacity is kept for tasks that accept only fast servers,
+    /// while there are such tasks; other tasks wait for another server.
+    pub fn is_kept(&self, run_time: f64, utilization: f64) -> bool {
+        !self.needs_fast() && self.is_fast(run_time) && utilization > KEEP_THRESHOLD
+    }
+
     /// Whether the task accepts only servers that are faster than most.
     pub fn needs_fast(&self) -> bool {
         self.range.median > self.max_run_time()
--- a/tests/task_urgency.rs
+++ b/tests/task_urgency.rs
@@ -35,6 +35,17 @@
     assert!(!short.is_reserved(1.2, 0.6), "most servers are not fast");
 }
 
+// Guards against short tasks that refill each fast server as soon as it has free
+// capacity, so that another entry's long tasks never find any.
+#[test]
+fn fast_capacity_kept() {
+    let short = urgency(2.6);
+    assert!(short.is_kept(FAST, 0.8), "the rest of a fast server is kept for long tasks");
+    assert!(!short.is_kept(FAST, 0.7));
+    assert!(!short.is_kept(SLOW, 0.9), "slow servers are kept for nobody");
+    assert!(!urgency(1.4).is_kept(FAST, 0.9), "a long task takes what was kept");
+}
+
 #[test]
 fn long_prefers_fast() {
     let long = urgency(1.4);
