The work of ranking and of searches in a round stays bounded

Change: the rest of a started job is marked in the queue when it is queued; only the 32 newest steps are looked at for needing fast servers; whether a step spares fast servers is part of its demand, so that one vain search rules out the others like it.

--- a/crates/decisions/src/schedule/agent_search.rs
+++ b/crates/decisions/src/schedule/agent_search.rs
@@ -19,14 +19,14 @@
     pub(super) step: &'job JobStep,
     pub(super) urgency: TaskUrgency,
     pub(super) demand: AgentDemand,
-    /// Whether a part of fast servers is kept for tasks that accept no others.
-    keeps_fast: bool,
 }
 
 impl AgentSearch<'_> {
-    /// Whether the free capacity of an agent's server is kept for other tasks.
-    fn is_kept(&self, candidate: &Candidate) -> bool {
-        self.keeps_fast && self.urgency.is_kept(candidate.run_time, candidate.utilization())
+    /// Whether an agent has free capacity that the tasks may take.
+    fn has_room(&self, candidate: &Candidate) -> bool {
+        let is_kept = self.demand.spares_fast
+            && self.urgency.is_kept(candidate.run_time, candidate.utilization());
+        candidate.free.fits(&self.demand.size) && !is_kept
     }
 }
 
@@ -52,9 +52,10 @@
         let job_step = job.steps.get(step as usize)?;
         let (class, urgency) = self.step_urgency(now, job, step, round)?;
         let max_run_time = urgency.max_run_time();
-        let demand = AgentDemand { class, size: job_step.size, max_run_time };
-        let keeps_fast = self.fast_wanted_at.is_some_and(|at| now < at + FAST_DEMAND_MEMORY);
-        let search = AgentSearch { index: step, step: job_step, urgency, demand, keeps_fast };
+        let fast_wanted = self.fast_wanted_at.is_some_and(|at| now < at + FAST_DEMAND_MEMORY);
+        let spares_fast = fast_wanted && !urgency.needs_fast();
+        let demand = AgentDemand { class, size: job_step.size, max_run_time, spares_fast };
+        let search = AgentSearch { index: step, step: job_step, urgency, demand };
         (!round.is_unmet(&search.demand)).then_some(search)
     }
 
@@ -108,13 +109,13 @@
         self.counts.agents_priced += candidates.len() as u64;
         let mut fastest = f64::INFINITY;
         let mut best: Option<(&NodeId, f64)> = None;
-        for candidate in candidates.iter().filter(|one| one.free.fits(&search.demand.size)) {
+        for candidate in candidates.iter().filter(|one| search.has_room(one)) {
             let Candidate { agent, run_time, .. } = candidate;
             if !self.is_below_limit(job, search, agent) {
                 continue;
             }
             fastest = fastest.min(*run_time);
-            if *run_time > search.demand.max_run_time || search.is_kept(candidate) {
+            if *run_time > search.demand.max_run_time {
                 continue;
             }
             let utilization = candidate.utilization();
@@ -145,10 +146,9 @@
         let Some(candidate) = candidates.iter().find(|candidate| candidate.agent == *agent) else {
             return false;
         };
-        candidate.free.fits(&search.demand.size)
+        search.has_room(candidate)
             && self.is_below_limit(job, search, agent)
             && !search.urgency.is_reserved(candidate.run_time, candidate.utilization())
-            && !search.is_kept(candidate)
     }
 
     fn service_of(&self, job: &QueuedJob) -> Option<ServiceId> {
--- a/crates/decisions/src/schedule/placement_order.rs
+++ b/crates/decisions/src/schedule/placement_order.rs
@@ -4,7 +4,7 @@
 //! waits is worth nothing unless all its tasks end in time, so the rest of a started
 //! job comes first. Then come tasks that only fast servers suit, since the others
 //! have more to choose from: newest first, because a job that has waited is the least
-//! likely to complete, and in an overload the oldest first would complete none.
+//! likely to complete, and in an overload the oldest first would complete few.
 
 use std::cmp::Reverse;
 use std::time::Instant;
@@ -13,6 +13,10 @@
 use super::ready_queue::GroupKey;
 use super::scheduler::Scheduler;
 
+/// Number of groups, the newest, that may be placed early because they need fast
+/// servers; bounds the work of a round.
+const MAX_RANKED_GROUPS: usize = 32;
+
 /// Precedence of a waiting group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum GroupRank {
@@ -33,28 +37,41 @@
         now: Instant,
         round: &mut PlacementRound,
     ) -> Vec<GroupKey> {
-        let keys = self.ready.order(now).into_iter();
-        let mut order: Vec<(GroupRank, GroupKey)> =
-            keys.map(|key| (self.rank(now, key, round), key)).collect();
+        let newest_from = self.ready.newest_from(MAX_RANKED_GROUPS);
+        let mut order: Vec<(GroupRank, GroupKey)> = Vec::with_capacity(self.ready.len());
+        for key in self.ready.order(now) {
+            order.push((self.rank(now, key, newest_from, round), key));
+        }
         order.sort_by_key(|(rank, _)| *rank);
         order.into_iter().map(|(_, key)| key).collect()
     }
 
-    fn rank(&mut self, now: Instant, key: GroupKey, round: &mut PlacementRound) -> GroupRank {
-        let Some(group) = self.ready.group(key) else { return GroupRank::Ordinary };
-        let step = group.step;
-        let live = self.live.get(&group.job).filter(|live| live.waiter.is_some());
-        let Some(live) = live else { return GroupRank::Ordinary };
-        if live.started {
+    fn rank(
+        &mut self,
+        now: Instant,
+        key: GroupKey,
+        newest_from: u64,
+        round: &mut PlacementRound,
+    ) -> GroupRank {
+        let (_, number) = key;
+        if self.ready.group(key).is_some_and(|group| group.at_stake) {
             return GroupRank::AtStake;
         }
-        let job = live.job.clone();
-        match self.step_urgency(now, &job, step, round) {
-            Some((_, urgency)) if urgency.needs_fast() => {
-                self.fast_wanted_at = Some(now);
-                GroupRank::NeedsFast(Reverse(key.1))
-            }
-            _ => GroupRank::Ordinary,
+        if number < newest_from || !self.needs_fast(now, key, round) {
+            return GroupRank::Ordinary;
         }
+        self.fast_wanted_at = Some(now);
+        GroupRank::NeedsFast(Reverse(number))
+    }
+
+    /// Whether a group is of a job whose caller waits and accepts only servers that
+    /// are faster than most.
+    fn needs_fast(&mut self, now: Instant, key: GroupKey, round: &mut PlacementRound) -> bool {
+        let Some(group) = self.ready.group(key) else { return false };
+        let step = group.step;
+        let live = self.live.get(&group.job).filter(|live| live.waiter.is_some());
+        let Some(job) = live.map(|live| live.job.clone()) else { return false };
+        let urgency = self.step_urgency(now, &job, step, round);
+        urgency.is_some_and(|(_, urgency)| urgency.needs_fast())
     }
 }
--- a/crates/decisions/src/schedule/placement_round.rs
+++ b/crates/decisions/src/schedule/placement_round.rs
@@ -35,6 +35,26 @@
     pub(super) class: AgentClass,
     pub(super) size: ResourceAmount,
     pub(super) max_run_time: f64,
+    /// Whether the step leaves what is kept of fast servers to others.
+    pub(super) spares_fast: bool,
+}
+
+/// A search that found no agent.
+#[derive(Debug, Clone, Copy)]
+struct VainSearch {
+    size: ResourceAmount,
+    /// Lower bound on the run time on an agent with enough free capacity; infinity
+    /// if there was none.
+    fastest: f64,
+    spares_fast: bool,
+}
+
+impl VainSearch {
+    /// Whether a search for this demand is in vain too.
+    fn covers(&self, demand: &AgentDemand) -> bool {
+        let no_wider = demand.spares_fast || !self.spares_fast;
+        no_wider && demand.size.fits(&self.size) && demand.max_run_time < self.fastest
+    }
 }
 
 /// An agent that a step may run on, as it is in this round.
@@ -63,9 +83,7 @@
     candidates: Vec<Candidate>,
     /// Upper bound on the free capacity of an agent, in each dimension.
     max_free: ResourceAmount,
-    /// Sizes that were searched for in vain, and a lower bound on the run time on an
-    /// agent with enough free capacity for each; infinity if there was none.
-    searched: Vec<(ResourceAmount, f64)>,
+    searched: Vec<VainSearch>,
 }
 
 impl ClassView {
@@ -76,10 +94,7 @@
     }
 
     fn is_unmet(&self, demand: &AgentDemand) -> bool {
-        let searched_in_vain = self
-            .searched
-            .iter()
-            .any(|(size, fastest)| demand.size.fits(size) && demand.max_run_time < *fastest);
+        let searched_in_vain = self.searched.iter().any(|search| search.covers(demand));
         searched_in_vain || !self.max_free.fits(&demand.size)
     }
 }
@@ -125,12 +140,13 @@
     }
 
     /// Records that no agent met the demand; the fastest one with enough free
-    /// capacity has run time `fastest`. The limit on tasks at one backend server is
+    /// capacity for it has run time `fastest`. The limit on tasks at one backend server is
     /// not part of a demand, so a search for a step with one must not be recorded.
     pub(super) fn add_search(&mut self, demand: &AgentDemand, fastest: f64) {
         let view = self.views.iter_mut().find(|view| view.class == demand.class);
         if let Some(view) = view {
-            view.searched.push((demand.size, fastest));
+            let (size, spares_fast) = (demand.size, demand.spares_fast);
+            view.searched.push(VainSearch { size, fastest, spares_fast });
             view.max_free = max_free(&view.candidates);
         }
     }
--- a/crates/decisions/src/schedule/ready_queue.rs
+++ b/crates/decisions/src/schedule/ready_queue.rs
@@ -18,6 +18,9 @@
     pub(super) tasks: VecDeque<TaskIndex>,
     /// Processor time that one task needs, in core-milliseconds.
     pub(super) work: u64,
+    /// Whether work on the job is wasted unless these tasks end while its caller
+    /// waits.
+    pub(super) at_stake: bool,
 }
 
 /// Latest start time, and a sequence number that breaks ties.
@@ -53,6 +56,7 @@
             step,
             tasks: VecDeque::new(),
             work,
+            at_stake: false,
         });
         if group.tasks.contains(&task) {
             return;
@@ -93,6 +97,27 @@
         steps.filter(move |step| self.keys.contains_key(&(id.clone(), *step)))
     }
 
+    /// Marks the waiting tasks of a job as those on which started work depends.
+    pub(super) fn mark_at_stake(&mut self, id: &JobId, job: &QueuedJob) {
+        let steps: Vec<StepIndex> = self.steps_of(id, job).collect();
+        for step in steps {
+            let group = self.keys.get(&(id.clone(), step)).and_then(|key| self.groups.get_mut(key));
+            if let Some(group) = group {
+                group.at_stake = true;
+            }
+        }
+    }
+
+    /// Lowest sequence number among the `count` newest groups.
+    pub(super) fn newest_from(&self, count: usize) -> u64 {
+        let mut numbers: Vec<u64> = self.groups.keys().map(|(_, number)| *number).collect();
+        if numbers.len() <= count {
+            return 0;
+        }
+        let position = numbers.len() - count;
+        *numbers.select_nth_unstable(position).1
+    }
+
     /// Removes the tasks of a job, which has `steps` steps.
     pub(super) fn remove_job(&mut self, job: &JobId, steps: StepIndex) {
         for step in 0..steps {
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -85,6 +85,15 @@
                 }
             }
         }
+        self.mark_at_stake(id);
+    }
+
+    /// Marks the waiting tasks of a started job whose caller waits.
+    fn mark_at_stake(&mut self, id: &JobId) {
+        let live = self.live.get(id);
+        if let Some(live) = live.filter(|live| live.started && live.waiter.is_some()) {
+            self.ready.mark_at_stake(id, &live.job);
+        }
     }
 
     /// Queues a task again whose run is over without the task being done.
@@ -97,6 +106,7 @@
             let latest_start = live.latest_start(step);
             self.ready.push(&task.job, task.step, task.index, latest_start, core_millis(step));
             self.placement_due = true;
+            self.mark_at_stake(&task.job);
             self.note_expiry(&task.job);
         }
     }
@@ -196,6 +206,7 @@
             spread.add(agent.clone(), cost, run);
             last = Some((agent, cost));
         }
+        self.mark_at_stake(&job.id);
         self.order_starts(now, job, &search, spread);
     }
 
--- a/crates/decisions/src/schedule/task_urgency.rs
+++ b/crates/decisions/src/schedule/task_urgency.rs
@@ -101,7 +101,7 @@
     }
 
     /// Whether a server's free capacity is kept for tasks that accept only fast servers,
-    /// while there are such tasks; other tasks wait for another server.
+    /// while there are such tasks; others wait for another server.
     pub fn is_kept(&self, run_time: f64, utilization: f64) -> bool {
         !self.needs_fast() && self.is_fast(run_time) && utilization > KEEP_THRESHOLD
     }
--- a/tests/job_sizes.rs
+++ b/tests/job_sizes.rs
@@ -52,7 +52,7 @@
              other kinds {:.2} and {:.2}; {} starts too late",
             model.served_kind(0),
             model.served_kind(2),
-            model.too_late_starts()
+            model.counts().too_late
         );
         println!("{outcome}");
         if tenth.min(fifth) < all * MIN_SIZE_SHARE {
--- a/tests/overload_model.rs
+++ b/tests/overload_model.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use decisions::schedule::{JobDecision, ScheduleStep, Scheduler, SchedulerKind};
+use decisions::schedule::{JobDecision, LoadCounts, ScheduleStep, Scheduler, SchedulerKind};
 use model::{
     AgentOrder, AgentPoll, AgentReport, EndKind, JobCall, JobId, JobPhase, JobReply, JobStep,
     QueuedJob, ResourceAmount, RunUpdate, ServerView, TaskRun,
@@ -133,7 +133,8 @@
     calls: BTreeMap<u64, usize>,
     /// Longest time that a message waited for the processor.
     pub(crate) max_lag: Duration,
-    too_late_starts: u64,
+    /// Work of the scheduler so far.
+    counts: LoadCounts,
 }
 
 impl OverloadModel {
@@ -161,7 +162,7 @@
             spread: None,
             calls: BTreeMap::new(),
             max_lag: Duration::ZERO,
-            too_late_starts: 0,
+            counts: LoadCounts::default(),
         };
         for agent in 0..agents {
             model.at(start, Event::Link(agent, true));
@@ -228,9 +229,9 @@
         served_share(&jobs)
     }
 
-    /// Starts whose task was expected to end after its caller had left.
-    pub(crate) fn too_late_starts(&self) -> u64 {
-        self.too_late_starts
+    /// Work of the scheduler so far.
+    pub(crate) fn counts(&self) -> LoadCounts {
+        self.counts
     }
 
     /// Lets the entry's host stand still at this time after the start.
@@ -413,7 +414,9 @@
             }
         };
         let counts = self.scheduler.take_counts();
-        self.too_late_starts += counts.too_late;
+        self.counts.too_late += counts.too_late;
+        self.counts.searches += counts.searches;
+        self.counts.placed += counts.placed;
         self.busy_until = self.now + cost + PRICING_COST * counts.agents_priced as u32;
         self.apply(steps);
         let free_at = self.busy_until;
