--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -13,7 +13,8 @@
 };
 
 use super::agent_state::{AgentState, ParkedPoll};
-use super::scheduler::{Placement, ScheduleStep, Scheduler, SchedulerKind};
+use super::live_job::Placement;
+use super::scheduler::{ScheduleStep, Scheduler, SchedulerKind};
 
 /// How long a backend server gets no work after it refused a start for lack of
 /// capacity or as unhealthy.
--- a/crates/decisions/src/schedule/job_admission.rs
+++ b/crates/decisions/src/schedule/job_admission.rs
@@ -10,31 +10,10 @@
 use model::{CallId, Command, EventLine, JobId, JobPhase, JobReply, QueuedJob, RefusalCause};
 
 use super::agent_state::AgentState;
-use super::scheduler::{JobDecision, JobWaiter, LiveJob, ScheduleStep, Scheduler};
-use super::task_urgency::MIN_RUN_TIME_SHARE;
+use super::live_job::{JobWaiter, LiveJob, MAX_OBJECTIVE_FACTOR};
+use super::scheduler::{JobDecision, ScheduleStep, Scheduler};
 use crate::control::JobChange;
 
-/// Multiple of its objective beyond which a job has no value left.
-const MAX_OBJECTIVE_FACTOR: u32 = 3;
-
-impl LiveJob {
-    /// Time at which the job can no longer be expected to end while its caller
-    /// waits, or, before its start, while its result has a value; `None` without a
-    /// caller. `waiting` is the run time from its earliest waiting task to its end, by
-    /// the estimates; `None` if no task waits.
-    fn expires_at(&self, waiting: Option<Duration>, min_slowness: f64) -> Option<Instant> {
-        let until = self.waiter?.until;
-        let Some(waiting) = waiting else { return Some(until) };
-        let objective = self.deadline.saturating_duration_since(self.since);
-        let until = match self.started {
-            true => until,
-            false => until.min(self.since + objective * MAX_OBJECTIVE_FACTOR),
-        };
-        let run = waiting.mul_f64(min_slowness * MIN_RUN_TIME_SHARE);
-        Some(until.checked_sub(run).unwrap_or(until).max(self.since))
-    }
-}
-
 impl Scheduler {
     /// Decides on the admission of a stored job. A job that is stored already is
     /// accepted again regardless of load, so that submission is idempotent.
--- /dev/null
+++ b/crates/decisions/src/schedule/live_job.rs
@@ -0,0 +1,107 @@
+//! State of the jobs that have not ended, and of the placements of their tasks.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use indexmap::{IndexMap, IndexSet};
+use model::{CallId, JobStep, LifeId, NodeId, QueuedJob, ResourceAmount, RunNumber, TaskName};
+
+use super::task_urgency::MIN_RUN_TIME_SHARE;
+
+/// Multiple of its objective beyond which a job has no value left.
+pub(super) const MAX_OBJECTIVE_FACTOR: u32 = 3;
+
+/// Multiple of its expected run time at which a run first counts as overdue.
+const FIRST_OVERDUE_FACTOR: u32 = 3;
+
+/// Assignment of a task to an agent, and to one life of its backend server.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Placement {
+    pub(super) agent: NodeId,
+    pub(super) life: LifeId,
+    pub(super) run: RunNumber,
+    pub(super) size: ResourceAmount,
+    /// Time of the placement, or of its adoption from an agent's report.
+    pub(super) since: Instant,
+    /// Whether the run has been reported as ended; its capacity is released and
+    /// its end is yet to be recorded.
+    pub(super) ended: bool,
+    /// Multiple of the expected run time at which the run next counts as overdue.
+    pub(super) overdue_factor: u32,
+}
+
+impl Placement {
+    pub(super) fn new(
+        agent: NodeId,
+        life: LifeId,
+        run: RunNumber,
+        size: ResourceAmount,
+        since: Instant,
+    ) -> Placement {
+        let overdue_factor = FIRST_OVERDUE_FACTOR;
+        Placement { agent, life, run, size, since, ended: false, overdue_factor }
+    }
+}
+
+/// Scheduling state of a job that has not ended.
+#[derive(Debug, Clone)]
+pub(super) struct LiveJob {
+    pub(super) job: Arc<QueuedJob>,
+    /// End of the queue's objective for this job, from when it became live here.
+    pub(super) deadline: Instant,
+    /// Time at which the job became live here.
+    pub(super) since: Instant,
+    /// Run time of the job's longest chain of dependent steps, by its estimates.
+    pub(super) critical_path: Duration,
+    /// Whether a task of the job is done or was placed.
+    pub(super) started: bool,
+    /// Steps whose dependencies are done and whose tasks were queued.
+    pub(super) released_steps: IndexSet<u32>,
+    /// Number of the latest run of each task that was placed or adopted.
+    pub(super) last_runs: IndexMap<TaskName, RunNumber>,
+    /// Lowest run number that this term may give to a task of the job.
+    pub(super) first_run: RunNumber,
+    /// Caller that waits for the end; best-effort jobs only.
+    pub(super) waiter: Option<JobWaiter>,
+}
+
+impl LiveJob {
+    /// Time by which the job must end: its deadline or the end of its caller's
+    /// wait, whichever is earlier.
+    pub(super) fn latest_end(&self) -> Instant {
+        self.waiter.map_or(self.deadline, |waiter| waiter.until.min(self.deadline))
+    }
+
+    /// Latest time at which a task of the step can start and still end in time.
+    pub(super) fn latest_start(&self, step: &JobStep) -> Instant {
+        let latest_end = self.latest_end();
+        latest_end.checked_sub(step.estimate()).unwrap_or(latest_end)
+    }
+
+    /// Time at which the job can no longer be expected to end while its caller
+    /// waits, or, before its start, while its result has a value; `None` without a
+    /// caller. `waiting` is the run time from its earliest waiting task to its end, by
+    /// the estimates; `None` if no task waits.
+    pub(super) fn expires_at(
+        &self,
+        waiting: Option<Duration>,
+        min_slowness: f64,
+    ) -> Option<Instant> {
+        let until = self.waiter?.until;
+        let Some(waiting) = waiting else { return Some(until) };
+        let objective = self.deadline.saturating_duration_since(self.since);
+        let until = match self.started {
+            true => until,
+            false => until.min(self.since + objective * MAX_OBJECTIVE_FACTOR),
+        };
+        let run = waiting.mul_f64(min_slowness * MIN_RUN_TIME_SHARE);
+        Some(until.checked_sub(run).unwrap_or(until).max(self.since))
+    }
+}
+
+/// Caller of a best-effort job and the time until which it waits.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct JobWaiter {
+    pub(super) call: CallId,
+    pub(super) until: Instant,
+}
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -6,12 +6,12 @@
 use indexmap::{IndexMap, IndexSet};
 use model::{
     AgentOrders, CallId, Command, EntryHost, EventLine, JobCall, JobId, JobPhase, JobRecord,
-    JobReply, JobStep, LifeId, LogRecord, NodeId, QueueCatalog, QueuedJob, ResourceAmount,
-    RunNumber, ScheduleState, TaskName, Term,
+    JobReply, JobStep, LogRecord, NodeId, QueueCatalog, ScheduleState, TaskName, Term,
 };
 
 use super::agent_state::AgentState;
 use super::entry_list::EntryList;
+use super::live_job::{JobWaiter, LiveJob, Placement};
 use super::load_counts::LoadCounts;
 use super::ready_queue::ReadyQueue;
 use super::report_delay::ReportDelay;
@@ -48,14 +48,6 @@
 /// for messages in flight; both together take less.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
-/// Target rate over all agents of reports that carry only a changed usage by
-/// other schedulers.
-const MAX_USAGE_REPORTS_PER_SECOND: u32 = 300;
-/// Minimum time between two such reports of one agent.
-const MIN_USAGE_INTERVAL: Duration = Duration::from_millis(50);
-
-/// Multiple of its expected run time at which a run first counts as overdue.
-const FIRST_OVERDUE_FACTOR: u32 = 3;
 /// Interval of the check for overdue runs while any task is placed.
 const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -108,78 +100,6 @@
     NotLeader,
 }
 
-/// Assignment of a task to an agent, and to one life of its backend server.
-#[derive(Debug, Clone, PartialEq)]
-pub(super) struct Placement {
-    pub(super) agent: NodeId,
-    pub(super) life: LifeId,
-    pub(super) run: RunNumber,
-    pub(super) size: ResourceAmount,
-    /// Time of the placement, or of its adoption from an agent's report.
-    pub(super) since: Instant,
-    /// Whether the run has been reported as ended; its capacity is released and
-    /// its end is yet to be recorded.
-    pub(super) ended: bool,
-    /// Multiple of the expected run time at which the run next counts as overdue.
-    pub(super) overdue_factor: u32,
-}
-
-impl Placement {
-    pub(super) fn new(
-        agent: NodeId,
-        life: LifeId,
-        run: RunNumber,
-        size: ResourceAmount,
-        since: Instant,
-    ) -> Placement {
-        let overdue_factor = FIRST_OVERDUE_FACTOR;
-        Placement { agent, life, run, size, since, ended: false, overdue_factor }
-    }
-}
-
-/// Scheduling state of a job that has not ended.
-#[derive(Debug, Clone)]
-pub(super) struct LiveJob {
-    pub(super) job: Arc<QueuedJob>,
-    /// End of the queue's objective for this job, from when it became live here.
-    pub(super) deadline: Instant,
-    /// Time at which the job became live here.
-    pub(super) since: Instant,
-    /// Run time of the job's longest chain of dependent steps, by its estimates.
-    pub(super) critical_path: Duration,
-    /// Whether a task of the job is done or was placed.
-    pub(super) started: bool,
-    /// Steps whose dependencies are done and whose tasks were queued.
-    pub(super) released_steps: IndexSet<u32>,
-    /// Number of the latest run of each task that was placed or adopted.
-    pub(super) last_runs: IndexMap<TaskName, RunNumber>,
-    /// Lowest run number that this term may give to a task of the job.
-    pub(super) first_run: RunNumber,
-    /// Caller that waits for the end; best-effort jobs only.
-    pub(super) waiter: Option<JobWaiter>,
-}
-
-impl LiveJob {
-    /// Time by which the job must end: its deadline or the end of its caller's
-    /// wait, whichever is earlier.
-    pub(super) fn latest_end(&self) -> Instant {
-        self.waiter.map_or(self.deadline, |waiter| waiter.until.min(self.deadline))
-    }
-
-    /// Latest time at which a task of the step can start and still end in time.
-    pub(super) fn latest_start(&self, step: &JobStep) -> Instant {
-        let latest_end = self.latest_end();
-        latest_end.checked_sub(step.estimate()).unwrap_or(latest_end)
-    }
-}
-
-/// Caller of a best-effort job and the time until which it waits.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(super) struct JobWaiter {
-    pub(super) call: CallId,
-    pub(super) until: Instant,
-}
-
 /// State machine that places the tasks of jobs on agents. It does no I/O: each
 /// input returns the steps that follow from it.
 #[derive(Debug, Clone)]
@@ -493,21 +413,6 @@
             .min()
     }
 
-    /// Time at which an agent's poll is answered even without orders: at once if
-    /// the entry list has changed, after `ack_delay` if there is an
-    /// acknowledgement to send, and otherwise after `poll_wait`.
-    pub(super) fn poll_due(&self, state: &AgentState) -> Option<Instant> {
-        let parked = state.parked?;
-        if state.sent_entries_version != self.entries.version() {
-            return Some(parked.since);
-        }
-        let wait = match state.has_unsent_ack() {
-            true => self.limits.ack_delay,
-            false => self.limits.poll_wait,
-        };
-        Some(parked.since + wait)
-    }
-
     /// Refuses jobs whose time is over, places ready tasks, answers the polls that
     /// are due and returns all steps. All of it follows every message: while a
     /// scheduler lags, its next message is there before any timeout.
@@ -523,38 +428,4 @@
         }
         std::mem::take(&mut self.steps)
     }
-
-    /// Minimum time between an agent's reports of changed usage alone; grows with
-    /// the number of agents to bound the total rate.
-    fn usage_interval(&self) -> Duration {
-        let agents = self.agents.len() as u32;
-        (Duration::from_secs(1) * agents / MAX_USAGE_REPORTS_PER_SECOND).max(MIN_USAGE_INTERVAL)
-    }
-
-    /// Answers the polls of agents that have orders or whose poll is due.
-    fn answer_polls(&mut self, now: Instant) {
-        let Some(term) = self.term else { return };
-        let grant_ms = self.limits.grant.as_millis() as u64;
-        let usage_interval_ms = self.usage_interval().as_millis() as u64;
-        let due: Vec<NodeId> = self
-            .agents
-            .iter()
-            .filter(|(_, state)| {
-                let is_due = self.poll_due(state).is_some_and(|at| at <= now);
-                state.parked.is_some() && (is_due || !state.outbox.is_empty())
-            })
-            .map(|(agent, _)| agent.clone())
-            .collect();
-        for agent in due {
-            let Some(state) = self.agents.get_mut(&agent) else { continue };
-            let Some(parked) = state.parked.take() else { continue };
-            let orders = std::mem::take(&mut state.outbox);
-            let ack = state.take_ack();
-            let entries_changed = state.sent_entries_version != self.entries.version();
-            state.sent_entries_version = self.entries.version();
-            let entries = entries_changed.then(|| self.entries.hosts());
-            let orders = AgentOrders { term, grant_ms, usage_interval_ms, ack, orders, entries };
-            self.steps.push(ScheduleStep::Orders { call: parked.call, orders });
-        }
-    }
 }
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -10,11 +10,11 @@
 };
 
 use super::agent_search::{AgentChoice, AgentSearch};
+use super::live_job::{LiveJob, Placement};
 use super::placement_round::PlacementRound;
 use super::ready_queue::GroupKey;
-use super::scheduler::{LiveJob, Placement, ScheduleStep, Scheduler};
+use super::scheduler::{ScheduleStep, Scheduler};
 use super::step_spread::StepSpread;
-use super::task_urgency::EndOutlook;
 use crate::control::JobStore;
 
 /// Number of groups with tasks left over after which a placement round ends,
@@ -215,7 +215,7 @@
         let candidates = round.candidates(&search.demand.class);
         let Some(candidate) = candidates.iter().find(|one| one.agent == *agent) else { return };
         let (run_time, utilization) = (candidate.run_time, candidate.utilization());
-        let too_late = search.urgency.outlook(run_time) == EndOutlook::TooLate;
+        let too_late = search.urgency.outlasts_caller(run_time);
         self.counts.too_late += u64::from(too_late);
         let unreserved = search.urgency.is_reserved(run_time, utilization);
         self.counts.unreserved += u64::from(unreserved);
--- a/crates/decisions/src/schedule/task_urgency.rs
+++ b/crates/decisions/src/schedule/task_urgency.rs
@@ -55,17 +55,6 @@
     }
 }
 
-/// When a run is expected to end, by its estimate.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum EndOutlook {
-    /// Within the deadline.
-    InTime,
-    /// After the deadline, while the caller still waits.
-    Late,
-    /// After the caller has stopped waiting.
-    TooLate,
-}
-
 /// Urgency of a task relative to the servers that are eligible for it. Times
 /// are multiples of its estimated run time.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -111,15 +100,10 @@
         self.range.median > self.max_run_time()
     }
 
-    /// When a run of this run time that starts now is expected to end.
-    pub fn outlook(&self, run_time: f64) -> EndOutlook {
-        if run_time > self.caller_remaining {
-            EndOutlook::TooLate
-        } else if run_time > self.remaining {
-            EndOutlook::Late
-        } else {
-            EndOutlook::InTime
-        }
+    /// Whether a run of this run time that starts now is expected to end after its caller
+    /// has stopped waiting.
+    pub fn outlasts_caller(&self, run_time: f64) -> bool {
+        run_time > self.caller_remaining
     }
 
     fn is_fast(&self, run_time: f64) -> bool {
