--- a/crates/edges/src/log_writer.rs
+++ b/crates/edges/src/log_writer.rs
@@ -152,18 +152,27 @@
 const BATCH_DELAY: Duration = Duration::from_millis(20);
 
 /// Minimum interval between two lines about the duties' processor time.
-const DUTY_TIME_INTERVAL: Duration = Duration::from_secs(5);
+const DUTY_TIME_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Reports the processor time of each duty while other lines are written; an
 /// idle process is not woken for it.
 struct DutyTimeReport {
     reported_at: Instant,
     seconds: IndexMap<String, f64>,
+    /// Longest time in the interval by which this thread woke up late from a sleep
+    /// of known length: how long a thread of this process waits for the processor.
+    max_wake_delay: Duration,
 }
 
 impl DutyTimeReport {
     fn new(now: Instant) -> DutyTimeReport {
-        DutyTimeReport { reported_at: now, seconds: duty_seconds() }
+        let seconds = duty_seconds();
+        DutyTimeReport { reported_at: now, seconds, max_wake_delay: Duration::ZERO }
+    }
+
+    /// Records a sleep of [`BATCH_DELAY`] that took `slept`.
+    fn add_sleep(&mut self, slept: Duration) {
+        self.max_wake_delay = self.max_wake_delay.max(slept.saturating_sub(BATCH_DELAY));
     }
 
     /// The line that is due, with the milliseconds that each duty used since the
@@ -176,8 +185,15 @@
         }
         let seconds = duty_seconds();
         let used = used_between(&self.seconds, &seconds);
-        *self = DutyTimeReport { reported_at: now, seconds };
-        let mut text = format!("event=duty_time interval_ms={}", interval.as_millis());
+        let all = used.values().sum::<f64>();
+        let mut text = format!(
+            "event=duty_time interval_ms={} all_ms={:.0} core_milli={:.0} wake_delay_ms={}",
+            interval.as_millis(),
+            all * 1_000.0,
+            all * 1_000.0 / interval.as_secs_f64(),
+            self.max_wake_delay.as_millis(),
+        );
+        *self = DutyTimeReport { reported_at: now, seconds, max_wake_delay: Duration::ZERO };
         for (duty, used) in used {
             text.push_str(&format!(" {duty}_ms={:.0}", used * 1_000.0));
         }
@@ -191,7 +207,9 @@
     let mut duty_times = DutyTimeReport::new(clock.now());
     while let PopResult::Message(line) = ring.pop(None) {
         limiter.write(clock.now(), &line);
+        let slept_from = clock.now();
         std::thread::sleep(BATCH_DELAY);
+        duty_times.add_sleep(clock.now().saturating_duration_since(slept_from));
         while let Some(line) = ring.try_next() {
             limiter.write(clock.now(), &line);
         }
--- a/crates/services/src/job_scheduling.rs
+++ b/crates/services/src/job_scheduling.rs
@@ -193,6 +193,7 @@
             match step {
                 ScheduleStep::Propose(commands) => self.propose_without_reply(commands),
                 ScheduleStep::Orders { call, orders } => {
+                    self.meter.count_poll_answer(&orders);
                     if let Some(reply) = self.pending_polls.swap_remove(&call) {
                         send_reply(reply, call, ControlReplyBody::Orders(Box::new(orders)));
                     }
--- a/crates/services/src/load_meter.rs
+++ b/crates/services/src/load_meter.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use decisions::schedule::Scheduler;
-use model::{EventLine, SchedulingMessage};
+use model::{AgentOrders, AgentReport, EventLine, RunUpdate, SchedulingMessage};
 
 /// Minimum interval between two lines; without messages none is written.
 const LINE_INTERVAL: Duration = Duration::from_secs(1);
@@ -14,7 +14,19 @@
     interval_start: Instant,
     jobs: u64,
     reports: u64,
+    /// Reports with at least one end.
+    end_reports: u64,
+    /// Reports with refused starts and without ends.
+    refusal_reports: u64,
+    /// Reports without updates or lists: only the usage by other schedulers, or
+    /// the state of the backend server, has changed.
+    usage_reports: u64,
+    /// Ended runs in all reports.
+    ends: u64,
     polls: u64,
+    /// Polls that were answered with orders; all others were answered empty or
+    /// dropped.
+    order_replies: u64,
     others: u64,
     max_ring_wait: Duration,
 }
@@ -25,7 +37,12 @@
             interval_start: now,
             jobs: 0,
             reports: 0,
+            end_reports: 0,
+            refusal_reports: 0,
+            usage_reports: 0,
+            ends: 0,
             polls: 0,
+            order_replies: 0,
             others: 0,
             max_ring_wait: Duration::ZERO,
         }
@@ -40,12 +57,31 @@
                 let waited = now.saturating_duration_since(*arrived_at);
                 self.max_ring_wait = self.max_ring_wait.max(waited);
             }
-            SchedulingMessage::Report { .. } => self.reports += 1,
+            SchedulingMessage::Report { report, .. } => self.count_report(report),
             SchedulingMessage::Poll { .. } => self.polls += 1,
             _ => self.others += 1,
         }
     }
 
+    fn count_report(&mut self, report: &AgentReport) {
+        self.reports += 1;
+        let updates = report.updates.iter();
+        let ends = updates.filter(|update| matches!(update, RunUpdate::Ended { .. })).count();
+        self.ends += ends as u64;
+        if ends > 0 {
+            self.end_reports += 1;
+        } else if !report.updates.is_empty() {
+            self.refusal_reports += 1;
+        } else if report.runs.is_none() {
+            self.usage_reports += 1;
+        }
+    }
+
+    /// Counts the answer to a poll.
+    pub(crate) fn count_poll_answer(&mut self, orders: &AgentOrders) {
+        self.order_replies += u64::from(!orders.orders.is_empty());
+    }
+
     /// The line that is due, if one is; starts the next interval.
     pub(crate) fn take_line(
         &mut self,
@@ -61,7 +97,12 @@
             .with("interval_ms", interval.as_millis())
             .with("jobs", self.jobs)
             .with("reports", self.reports)
+            .with("end_reports", self.end_reports)
+            .with("refusal_reports", self.refusal_reports)
+            .with("usage_reports", self.usage_reports)
+            .with("ends", self.ends)
             .with("polls", self.polls)
+            .with("order_replies", self.order_replies)
             .with("others", self.others)
             .with("ring_wait_ms", self.max_ring_wait.as_millis())
             .with("report_delay_ms", scheduler.report_delay().as_millis())
