--- a/tests/overload_model.rs
+++ b/tests/overload_model.rs
@@ -10,38 +10,31 @@
 
 use decisions::schedule::{JobDecision, LoadCounts, ScheduleStep, Scheduler, SchedulerKind};
 use model::{
-    AgentOrder, AgentPoll, AgentReport, EndKind, JobCall, JobId, JobPhase, JobReply, JobStep,
-    QueuedJob, ResourceAmount, RunUpdate, ServerView, TaskRun,
+    AgentOrder, AgentPoll, AgentReport, EndKind, JobCall, JobReply, QueuedJob, ResourceAmount,
+    RunUpdate, ServerView, TaskRun,
 };
+use rand::SeedableRng;
 use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
 
-use crate::schedule_model::{QUEUE, SERVICE, catalog, schedule_limits};
+use crate::caller_jobs::{CALLER_WAIT, CallerJob, JobOutcome, LONG_KIND, number_of};
+use crate::schedule_model::{SERVICE, catalog, schedule_limits};
 
 /// Time that a host with an eighth of a core takes for a caller's job, besides
 /// its placement.
-const JOB_COST: Duration = Duration::from_micros(1_200);
+pub(crate) const JOB_COST: Duration = Duration::from_micros(1_200);
 /// The same for an agent's report or poll, and for a deadline.
-const MESSAGE_COST: Duration = Duration::from_micros(350);
+pub(crate) const MESSAGE_COST: Duration = Duration::from_micros(350);
 /// The same for pricing one agent in a search for one.
-const PRICING_COST: Duration = Duration::from_nanos(275);
+pub(crate) const PRICING_COST: Duration = Duration::from_nanos(275);
 /// Time of a message between an entry and an agent.
-const LINK_DELAY: Duration = Duration::from_millis(1);
-/// How long a caller waits.
-const CALLER_WAIT: Duration = Duration::from_millis(1_475);
+pub(crate) const LINK_DELAY: Duration = Duration::from_millis(1);
 /// Capacity of a backend server that other entries leave to this one.
 const SERVER_CPU_MILLI: u64 = 6_000;
-const TASK_CPU_MILLI: u64 = 1_200;
-
-/// A kind of job: number of tasks, run time of each, and share of all jobs.
-const JOB_KINDS: [(u32, u64, u64); 3] = [(8, 60, 24), (4, 900, 5), (2, 200, 71)];
-/// Position of the kind with the longest tasks.
-pub(crate) const LONG_KIND: usize = 1;
-/// Standard deviation of the logarithm of widths, of run times, and of the error of
-/// estimates, where jobs vary.
-const JOB_SPREAD: f64 = 0.4;
-/// The same for the tasks of one job.
-const TASK_SPREAD: f64 = 0.15;
+
+/// Shares of the kinds of job, in percent.
+const KIND_SHARES: [u64; 3] = [24, 5, 71];
+/// Standard deviation of the logarithm of the error of estimates, where jobs vary.
+const ESTIMATE_SPREAD: f64 = 0.4;
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -83,33 +76,13 @@
     report_in_flight: bool,
 }
 
-/// How a submitted job ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum JobOutcome {
-    /// Completed within its objective.
-    InTime,
-    /// Completed later, while its caller still waited.
-    Late,
-    Refused,
-    CutOff,
-}
-
 /// A submitted job.
 struct JobEntry {
     at: Instant,
-    kind: usize,
-    job: Arc<QueuedJob>,
-    /// Run time of each task, in milliseconds, on a server of slowness 1.
-    run_ms: Vec<u64>,
+    caller_job: CallerJob,
     outcome: Option<JobOutcome>,
 }
 
-impl JobEntry {
-    fn work_ms(&self) -> u64 {
-        self.run_ms.iter().sum()
-    }
-}
-
 /// An entry, its agents and its callers, in virtual time.
 pub(crate) struct OverloadModel {
     pub(crate) start: Instant,
@@ -217,15 +190,16 @@
     /// largest tenth by work, of the fifth below it, and of all.
     pub(crate) fn served_by_size(&self) -> [f64; 3] {
         let mut long: Vec<&JobEntry> =
-            self.jobs.iter().filter(|job| job.kind == LONG_KIND).collect();
-        long.sort_by_key(|job| std::cmp::Reverse(job.work_ms()));
+            self.jobs.iter().filter(|job| job.caller_job.kind == LONG_KIND).collect();
+        long.sort_by_key(|job| Reverse(job.caller_job.work_ms()));
         let (tenth, third) = (long.len() / 10, long.len() * 3 / 10);
         [&long[..tenth], &long[tenth..third], &long[..]].map(served_share)
     }
 
     /// Share of the jobs of this kind that were completed while their callers waited.
     pub(crate) fn served_kind(&self, kind: usize) -> f64 {
-        let jobs: Vec<&JobEntry> = self.jobs.iter().filter(|job| job.kind == kind).collect();
+        let jobs: Vec<&JobEntry> =
+            self.jobs.iter().filter(|job| job.caller_job.kind == kind).collect();
         served_share(&jobs)
     }
 
@@ -274,7 +248,7 @@
     fn on_event(&mut self, event: Event) {
         match event {
             Event::Submit(number) => {
-                let job = Arc::clone(&self.jobs[number].job);
+                let job = Arc::clone(&self.jobs[number].caller_job.job);
                 self.inbox.push_back(Message::Submit(job));
             }
             Event::RunEnd(agent, name) => self.end_run(agent, &name),
@@ -357,7 +331,7 @@
 
     fn start_run(&mut self, agent: usize, run: TaskRun, size: ResourceAmount) {
         let now = self.now;
-        let run_ms = self.jobs[number_of(&run.task.job)].run_ms[run.task.index as usize];
+        let run_ms = self.jobs[number_of(&run.task.job)].caller_job.run_ms[run.task.index as usize];
         let state = &mut self.agents[agent];
         let used = state.runs.len() as u64 * size.cpu_milli;
         if used + size.cpu_milli > SERVER_CPU_MILLI {
@@ -484,13 +458,7 @@
         let Some(number) = self.calls.remove(&call) else { return };
         let entry = &mut self.jobs[number];
         let took = self.now.saturating_duration_since(entry.at);
-        let objective = catalog(1).queues[QUEUE].objective(entry.job.critical_path());
-        entry.outcome = Some(match reply {
-            JobReply::Phase(JobPhase::Completed) if took <= objective => JobOutcome::InTime,
-            JobReply::Phase(JobPhase::Completed) if took <= CALLER_WAIT => JobOutcome::Late,
-            JobReply::Refused { .. } => JobOutcome::Refused,
-            _ => JobOutcome::CutOff,
-        });
+        entry.outcome = Some(entry.caller_job.outcome(took, reply));
     }
 }
 
@@ -512,15 +480,11 @@
     jobs.iter().filter(served).count() as f64 / jobs.len().max(1) as f64
 }
 
-fn number_of(id: &JobId) -> usize {
-    usize::from_str_radix(id, 16).expect("the id is a number")
-}
-
 /// Kind of the job of this number; kinds alternate by their shares.
 fn kind_of(number: usize) -> usize {
     let position = (number as u64 * 37) % 100;
     let mut upto = 0;
-    let found = JOB_KINDS.iter().position(|(_, _, share)| {
+    let found = KIND_SHARES.iter().position(|share| {
         upto += share;
         position < upto
     });
@@ -531,36 +495,9 @@
 /// estimated, unless there is a source of differences.
 fn job_entry(number: usize, at: Instant, spread: Option<&mut StdRng>) -> JobEntry {
     let kind = kind_of(number);
-    let (count, kind_ms, _) = JOB_KINDS[kind];
-    let (estimate_ms, run_ms) = match spread {
-        None => (kind_ms, vec![kind_ms; count as usize]),
-        Some(random) => varied_run_times(random, count, kind_ms),
-    };
-    let size = ResourceAmount { cpu_milli: TASK_CPU_MILLI, memory_mb: 1, accelerators: 0 };
-    let count = run_ms.len() as u32;
-    let step = JobStep { count, size, estimate_ms, ..JobStep::default() };
-    let job = QueuedJob {
-        id: format!("{number:016x}").into(),
-        queue: QUEUE.into(),
-        spec: String::new(),
-        steps: vec![step],
-        best_effort: true,
+    let caller_job = match spread {
+        None => CallerJob::equal(number, kind),
+        Some(random) => CallerJob::varied(number, kind, ESTIMATE_SPREAD, random),
     };
-    JobEntry { at, kind, job: Arc::new(job), run_ms, outcome: None }
-}
-
-/// The estimate of a job and the run times of its tasks, around the mean width and run
-/// time of its kind.
-fn varied_run_times(random: &mut StdRng, count: u32, mean_ms: u64) -> (u64, Vec<u64>) {
-    let count = (f64::from(count) * factor(random, JOB_SPREAD)).round().max(1.0) as usize;
-    let run_ms = mean_ms as f64 * factor(random, JOB_SPREAD);
-    let estimate_ms = (run_ms * factor(random, JOB_SPREAD)) as u64;
-    let tasks = (0..count).map(|_| (run_ms * factor(random, TASK_SPREAD)) as u64);
-    (estimate_ms, tasks.collect())
-}
-
-/// A random factor of mean 1 with about a log-normal distribution.
-fn factor(random: &mut StdRng, spread: f64) -> f64 {
-    let normal: f64 = (0..12).map(|_| random.random_range(0.0..1.0)).sum::<f64>() - 6.0;
-    (normal * spread - spread * spread / 2.0).exp()
+    JobEntry { at, caller_job, outcome: None }
 }
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -15,12 +15,13 @@
     JobDecision, LoadCounts, ScheduleLimits, ScheduleStep, Scheduler, SchedulerKind,
 };
 use model::{
-    AgentPoll, Command, EndKind, JobCall, JobPhase, JobReply, JobStep, ListedEnd, LogRecord,
-    QueueCatalog, QueueRule, QueuedJob, ResourceAmount, RunNumber, SchedulerKey, ServerAnswer,
-    ServerCall, ServerHeartbeat, ServerRequest, ServerView, ServiceRule, StartRefusal, TaskName,
-    TaskRun,
+    AgentPoll, Command, JobCall, JobPhase, JobReply, JobStep, LogRecord, QueueCatalog, QueueRule,
+    QueuedJob, ResourceAmount, SchedulerKey, ServerAnswer, ServerCall, ServerHeartbeat,
+    ServerRequest, ServerView, ServiceRule, TaskName,
 };
 
+use crate::server_model::ServerModel;
+
 /// Lease of an agent on its backend server; runs end when it expires.
 pub(crate) const LEASE: Duration = Duration::from_millis(1_000);
 /// How long an agent keeps an entry's runs active after it sent a poll.
@@ -28,6 +29,8 @@
 /// The same for runs of the control scheduler.
 const CONTROL_GRANT: Duration = Duration::from_millis(4_000);
 const SERVER_CPU_MILLI: u64 = 4_000;
+/// Tasks of one core that a backend server runs at a time.
+const SERVER_SLOTS: usize = 4;
 /// Run time of every task; the estimate is 100 ms.
 const RUN_TIME: Duration = Duration::from_millis(120);
 pub(crate) const SERVICE: &str = "stock";
@@ -85,122 +88,6 @@
     })
 }
 
-/// A backend server that does only what the platform's protocol guarantees.
-struct ServerModel {
-    started_at: Instant,
-    generation: u64,
-    fence: u64,
-    /// End of the lease on the server's own clock, which counts from its start.
-    lease_until: Duration,
-    /// Each run with the time at which it completes.
-    runs: BTreeMap<String, (TaskRun, Instant)>,
-    /// Highest run number of each task that has ended or was stopped; starts up to
-    /// it are refused.
-    highest_ended: BTreeMap<TaskName, RunNumber>,
-    /// Ends that the agent has not acknowledged yet.
-    unacked_ends: Vec<ListedEnd>,
-    end_count: u64,
-    /// Tasks with an unacknowledged end when the lease expired: the platform's
-    /// rules void such an end.
-    lapsed_tasks: BTreeSet<TaskName>,
-}
-
-impl ServerModel {
-    fn new(now: Instant, generation: u64) -> ServerModel {
-        ServerModel {
-            started_at: now,
-            generation,
-            fence: 0,
-            lease_until: Duration::ZERO,
-            runs: BTreeMap::new(),
-            highest_ended: BTreeMap::new(),
-            unacked_ends: Vec::new(),
-            end_count: 0,
-            lapsed_tasks: BTreeSet::new(),
-        }
-    }
-
-    fn clock(&self, now: Instant) -> Duration {
-        now - self.started_at
-    }
-
-    fn instance(&self) -> String {
-        format!("i-{}", self.generation)
-    }
-
-    fn end(&mut self, name: &str, kind: EndKind) {
-        let Some((run, _)) = self.runs.remove(name) else { return };
-        self.end_count += 1;
-        let highest = self.highest_ended.entry(run.task.clone()).or_insert(0);
-        *highest = (*highest).max(run.run);
-        self.unacked_ends.push(ListedEnd { number: self.end_count, run, kind });
-    }
-
-    fn advance(&mut self, now: Instant) {
-        let expires_at = self.started_at + self.lease_until;
-        let ended_runs: Vec<(String, EndKind)> = self
-            .runs
-            .iter()
-            .filter_map(|(name, (_, at))| match (*at <= now.min(expires_at), expires_at <= now) {
-                (true, _) => Some((name.clone(), EndKind::Done)),
-                (false, true) => Some((name.clone(), EndKind::Lapsed)),
-                (false, false) => None,
-            })
-            .collect();
-        for (name, kind) in ended_runs {
-            self.end(&name, kind);
-        }
-        if expires_at <= now {
-            self.lapsed_tasks.extend(self.unacked_ends.iter().map(|end| end.run.task.clone()));
-        }
-    }
-
-    fn handle_call(&mut self, now: Instant, call: &ServerCall) -> ServerAnswer {
-        if call.instance != self.instance() {
-            return ServerAnswer::Refused(StartRefusal::Gone);
-        }
-        if call.fence < self.fence {
-            return ServerAnswer::Refused(StartRefusal::Fence);
-        }
-        self.fence = call.fence;
-        let clock = self.clock(now);
-        let capped_until = call.lease_until.map(|until| until.min(clock + LEASE));
-        self.lease_until = self.lease_until.max(capped_until.unwrap_or_default());
-        match &call.request {
-            ServerRequest::Start { run, .. } => self.start(now, run, call.lease_until),
-            ServerRequest::Stop { run } => {
-                self.end(&run.to_string(), EndKind::Stopped);
-                let highest = self.highest_ended.entry(run.task.clone()).or_insert(0);
-                *highest = (*highest).max(run.run);
-                ServerAnswer::Done
-            }
-            ServerRequest::RenewLease { acked, .. } => {
-                self.unacked_ends.retain(|end| end.number > *acked);
-                let running = self.runs.values().map(|(run, _)| run.clone()).collect();
-                ServerAnswer::Lists { running, ended: self.unacked_ends.clone() }
-            }
-        }
-    }
-
-    fn start(&mut self, now: Instant, run: &TaskRun, until: Option<Duration>) -> ServerAnswer {
-        let name = run.to_string();
-        if self.runs.contains_key(&name) {
-            return ServerAnswer::Done;
-        }
-        if self.highest_ended.get(&run.task).is_some_and(|highest| run.run <= *highest) {
-            return ServerAnswer::Refused(StartRefusal::OldRun);
-        }
-        if until.is_none_or(|until| until <= self.clock(now)) {
-            return ServerAnswer::Refused(StartRefusal::Late);
-        }
-        if (self.runs.len() as u64 + 1) * 1_000 > SERVER_CPU_MILLI {
-            return ServerAnswer::Refused(StartRefusal::Room);
-        }
-        self.runs.insert(name, (run.clone(), now + RUN_TIME));
-        ServerAnswer::Done
-    }
-}
-
 struct AgentModel {
     table: RunTable,
     /// Session of each open connection, by scheduler.
@@ -283,7 +170,7 @@
         }
         for number in 0..agents {
             model.last_generation += 1;
-            model.servers.push(ServerModel::new(now, model.last_generation));
+            model.servers.push(ServerModel::new(now, model.last_generation, SERVER_SLOTS));
             model.agents.push(AgentModel {
                 table: RunTable::new(now, format!("agent-{number}").into(), 1, run_limits()),
                 sessions: BTreeMap::new(),
@@ -384,7 +271,7 @@
     /// Crashes a backend server, which restarts at once as a new generation.
     pub(crate) fn crash_server(&mut self, server: usize) {
         self.last_generation += 1;
-        self.servers[server] = ServerModel::new(self.now, self.last_generation);
+        self.servers[server] = ServerModel::new(self.now, self.last_generation, SERVER_SLOTS);
     }
 
     /// Sends the heartbeat of a backend server to its agent.
@@ -614,7 +501,7 @@
             "{:?} server{server} {:?} fence {} of {}",
             self.now, call.request, call.fence, self.servers[server].fence
         ));
-        let answer = self.servers[server].handle_call(self.now, call);
+        let answer = self.servers[server].handle_call(self.now, call, RUN_TIME);
         if self.servers[server].runs.len() > before
             && let ServerRequest::Start { run, .. } = &call.request
         {
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -2,11 +2,15 @@
 //! first group of modules holds models and fixtures that the others share.
 
 mod agent_fixture;
+mod caller_jobs;
+mod entry_links;
+mod entry_model;
 mod job_model;
 mod log_model;
 mod overload_model;
 mod process_group;
 mod schedule_model;
+mod server_model;
 mod support;
 
 mod bad_input;
@@ -14,6 +18,7 @@
 mod catalog_versions;
 mod config_versions;
 mod early_end;
+mod entry_share;
 mod fair_sharing;
 mod graceful_drain;
 mod group_restart;
