tests: what the entries' messages depend on (four known red)

Cause: an entry of 0.12 of a core is at its whole share at the incident's usual load. The model of one entry has toy agents; the model of real agents takes no processor time. Idle entries and agents look up deadlines 1 ms late at most.

--- a/tests/entry_model.rs
+++ b/tests/entry_model.rs
@@ -27,7 +27,9 @@
 /// Interval at which agents look for reports and polls without an answer.
 const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time over which the first sessions open, so that agents don't act in step.
-const CONNECT_SPREAD_MS: u64 = 350;
+const CONNECT_SPREAD_MS: u64 = 60;
+/// Delay after which the next deadline of an agent or an idle entry is looked up.
+const TIMER_STEP: Duration = Duration::from_millis(1);
 /// Jobs of each kind, by their rate at the incident.
 const KIND_RATES: [f64; 3] = [206.0, 37.5, 600.0];
 /// Estimates are those of the means: what comes too late is due to entries and capacity.
@@ -95,11 +97,11 @@
     AtEntry { entry: usize, message: Inbound },
     /// The processor of an entry may have work.
     EntryDue(usize),
-    /// The deadline of an entry's scheduler has come, unless it has moved since.
+    /// The deadline of an entry's scheduler may have come.
     EntryTick(usize),
     /// A message of an entry reaches an agent.
     AtAgent { agent: usize, entry: usize, session: SessionId, message: ToAgent },
-    /// The deadline of an agent's run table has come, unless it has moved since.
+    /// The deadline of an agent's run table may have come.
     AgentTick(usize),
     /// An agent opens a session at an entry.
     Connect { agent: usize, entry: usize },
@@ -348,7 +350,7 @@
             Event::EntryTick(entry) => {
                 if self.entries[entry].tick_at == Some(self.now) {
                     self.entries[entry].tick_at = None;
-                    self.run_entry(entry);
+                    self.tick_entry(entry);
                 }
             }
             Event::AtAgent { agent, entry, session, message } => {
@@ -359,8 +361,7 @@
             Event::AgentTick(agent) => {
                 if self.agents[agent].tick_at == Some(self.now) {
                     self.agents[agent].tick_at = None;
-                    let steps = self.agents[agent].table.on_tick(self.now);
-                    self.apply_run_steps(agent, steps);
+                    self.tick_agent(agent);
                 }
             }
             Event::Connect { agent, entry } => self.open_session(agent, entry),
@@ -392,50 +393,60 @@
         self.run_entry(entry);
     }
 
-    /// Lets an entry handle its next message if its processor is free; without one, what
-    /// its scheduler's deadline requires.
+    /// Lets an entry handle its next message if its processor is free.
     fn run_entry(&mut self, entry: usize) {
-        let node = &mut self.entries[entry];
-        if node.busy_until > self.now {
+        if self.entries[entry].busy_until > self.now {
             return;
         }
-        let (mut cost, steps) = match node.inbox.pop_front() {
+        let (cost, steps) = match self.entries[entry].inbox.pop_front() {
             Some(Inbound::Submit(number)) => (JOB_COST, self.submit(entry, number)),
             Some(Inbound::Agent { agent, session, message }) => {
                 (message.cost(), self.handle_at_entry(entry, agent, session, message))
             }
-            None => {
-                let due = node.scheduler.next_deadline();
-                if due.is_none_or(|due| due > self.now) {
-                    return self.set_entry_tick(entry, due);
-                }
-                (MESSAGE_COST, node.scheduler.on_tick(self.now))
-            }
+            None => return self.set_entry_tick(entry, self.now + TIMER_STEP),
         };
-        let finished = self.apply_schedule_steps(entry, steps);
+        self.end_message(entry, cost, steps);
+    }
+
+    /// Lets an idle entry do what is due by now; else sets its tick to its next deadline.
+    fn tick_entry(&mut self, entry: usize) {
         let node = &mut self.entries[entry];
-        cost += PRICING_COST * node.scheduler.take_counts().agents_priced as u32;
-        cost += node.outgoing.iter().map(|(_, _, message)| message.cost()).sum::<Duration>();
-        if !self.shape.charged {
-            cost = Duration::ZERO;
+        if node.busy_until > self.now {
+            return;
+        }
+        match node.scheduler.next_deadline() {
+            Some(due) if due <= self.now => {
+                let steps = node.scheduler.on_tick(self.now);
+                self.end_message(entry, MESSAGE_COST, steps);
+            }
+            Some(due) => self.set_entry_tick(entry, due),
+            None => {}
         }
-        node.counts.busy += cost;
-        node.busy_until = self.now + cost;
-        self.end_message(entry, finished);
     }
 
-    fn set_entry_tick(&mut self, entry: usize, due: Option<Instant>) {
+    /// Sets the tick of an entry to this time unless it is set to an earlier one.
+    fn set_entry_tick(&mut self, entry: usize, at: Instant) {
         let node = &mut self.entries[entry];
-        if let Some(due) = due
-            && node.tick_at.is_none_or(|at| due < at)
-        {
-            node.tick_at = Some(due);
-            self.at(due, Event::EntryTick(entry));
+        if node.tick_at.is_none_or(|earlier| at < earlier) {
+            node.tick_at = Some(at);
+            self.at(at, Event::EntryTick(entry));
         }
     }
 
-    /// Sends all that the handling of a message caused, once the processor is done.
-    fn end_message(&mut self, entry: usize, finished: Vec<(CallId, JobReply)>) {
+    /// Charges the entry for a message and what it caused, which is sent once the processor
+    /// is done.
+    fn end_message(&mut self, entry: usize, message_cost: Duration, steps: Vec<ScheduleStep>) {
+        let finished = self.apply_schedule_steps(entry, steps);
+        let node = &mut self.entries[entry];
+        let searches = PRICING_COST * node.scheduler.take_counts().agents_priced as u32;
+        let sent: Duration = node.outgoing.iter().map(|(_, _, message)| message.cost()).sum();
+        let cost = if self.shape.charged { message_cost + searches + sent } else { Duration::ZERO };
+        node.counts.busy += cost;
+        node.busy_until = self.now + cost;
+        self.send_outgoing(entry, finished);
+    }
+
+    fn send_outgoing(&mut self, entry: usize, finished: Vec<(CallId, JobReply)>) {
         let done_at = self.entries[entry].busy_until;
         for (call, reply) in finished {
             let Some(number) = self.entries[entry].calls.remove(&call) else { continue };
@@ -485,7 +496,7 @@
         finished
     }
 
-    /// Carries out a run table's steps, and sets the tick for its deadline.
+    /// Carries out a run table's steps; its deadline may have changed.
     pub(crate) fn apply_run_steps(&mut self, agent: usize, steps: Vec<RunStep>) {
         for step in steps {
             match step {
@@ -499,13 +510,28 @@
                 RunStep::Connect(_) | RunStep::Log(_) => {}
             }
         }
+        self.set_agent_tick(agent, self.now + TIMER_STEP);
+    }
+
+    /// Sets the tick of an agent to this time unless it is set to an earlier one.
+    fn set_agent_tick(&mut self, agent: usize, at: Instant) {
+        let node = &mut self.agents[agent];
+        if node.tick_at.is_none_or(|earlier| at < earlier) {
+            node.tick_at = Some(at);
+            self.at(at, Event::AgentTick(agent));
+        }
+    }
+
+    /// Lets an agent do what is due by now; else sets its tick to its next deadline.
+    fn tick_agent(&mut self, agent: usize) {
         let node = &mut self.agents[agent];
-        if let Some(due) = node.table.next_deadline()
-            && node.tick_at.is_none_or(|at| due < at)
-        {
-            let due = due.max(self.now);
-            node.tick_at = Some(due);
-            self.at(due, Event::AgentTick(agent));
+        match node.table.next_deadline() {
+            Some(due) if due <= self.now => {
+                let steps = node.table.on_tick(self.now);
+                self.apply_run_steps(agent, steps);
+            }
+            Some(due) => self.set_agent_tick(agent, due),
+            None => {}
         }
     }
 
--- a/tests/entry_share.rs
+++ b/tests/entry_share.rs
@@ -34,8 +34,8 @@
 const MAX_SERVER_LOAD: f64 = 0.9;
 
 const SEED: u64 = 1;
-/// Time until all sessions are open.
-const CONNECTED: Duration = Duration::from_millis(500);
+/// Time until all sessions are open and the agents know how often to report.
+const CONNECTED: Duration = Duration::from_millis(450);
 
 fn secs(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
@@ -74,21 +74,25 @@
     counts
 }
 
-/// Asserts that each entry's callers are served in time between these times, and none
-/// better than others.
-fn assert_served_alike(model: &EntryModel, from: Duration, to: Duration) {
+/// Share of each entry's jobs in time, of those submitted between these times.
+fn shares_in_time(model: &EntryModel, from: Duration, to: Duration) -> Vec<f64> {
     let shares: Vec<f64> =
         (0..USUAL_RATES.len()).map(|entry| model.in_time_share(entry, from, to)).collect();
+    println!("in time from {from:?} to {to:?}, by entry: {shares:.3?}");
+    shares
+}
+
+/// Whether the callers of each entry are served in time, and none better than others.
+fn are_served_alike(shares: &[f64]) -> bool {
     let least = shares.iter().copied().fold(f64::INFINITY, f64::min);
     let most = shares.iter().copied().fold(0.0, f64::max);
-    let served = least >= MIN_IN_TIME && most - least <= MAX_DIFFERENCE;
-    assert!(served, "in time by entry {shares:.3?} from {from:?} to {to:?}");
+    least >= MIN_IN_TIME && most - least <= MAX_DIFFERENCE
 }
 
 const SMALL: EntryShape =
     EntryShape { entries: 4, agents: 50, cores: 16, charged: true, seed: SEED };
 
-// Guards against reports and polls that take the share that a busy entry's jobs need.
+// Guards against reports and polls that take the share which a busy entry's jobs need.
 #[test]
 fn messages_leave_room() {
     let counts = usual_counts(SMALL, secs(2), secs(6));
@@ -96,46 +100,51 @@
     assert!(messages <= MAX_MESSAGES_PER_JOB, "{messages:.2} messages for each job");
 }
 
-// Guards against messages that grow with the number of entries and agents rather than with
-// an entry's own jobs. They are free here: an entry that can't keep up gets fewer.
+// Guards against messages that grow with entries and agents instead of an entry's own jobs.
 #[test]
 fn messages_follow_jobs() {
+    // Messages are free: an entry that can't keep up gets fewer.
     let small = EntryShape { charged: false, ..SMALL };
     // As many cores for each entry, so that servers are as busy.
     let grown = EntryShape { entries: 30, agents: 300, cores: 20, ..small };
-    let [few, many] = [small, grown].map(|shape| {
-        let counts = usual_counts(shape, Duration::from_millis(900), Duration::from_millis(1_400));
-        fullest_messages(&counts)
-    });
+    // As long as the longest interval of an agent's reports with usage only.
+    let to = CONNECTED + secs(1);
+    let [few, many] =
+        [small, grown].map(|shape| fullest_messages(&usual_counts(shape, CONNECTED, to)));
     assert!(many <= few * MAX_GROWTH, "{few:.2} messages for each job, {many:.2} when grown");
 }
 
-// Guards against callers of a full entry that are served worse than those of others although
-// there is capacity for all.
+// Guards against callers of a full entry served worse than others although there is capacity.
 #[test]
 fn callers_served_alike() {
     let shape = EntryShape { agents: 67, ..SMALL };
     let (from, to) = (secs(1), secs(11));
     let mut model = loaded_model(shape, to, TARGET_PERCENT);
-    assert!(model.server_load(shape.agents, from, to) <= MAX_SERVER_LOAD);
+    let server_load = model.server_load(shape.agents, from, to);
+    assert!(server_load <= MAX_SERVER_LOAD, "{server_load:.2} of the servers' time");
     model.play(to + secs(2));
-    assert_served_alike(&model, from, to);
+    let shares = shares_in_time(&model, from, to);
+    assert!(are_served_alike(&shares), "in time, by entry: {shares:.3?}");
 }
 
-// Guards against an entry that stays behind the others after agents were cut off, by the work
-// that their lost runs and new sessions cause.
+// Guards against an entry that falls or stays behind the others when agents are cut off.
 #[test]
 fn cuts_leave_alike() {
     let shape = EntryShape { agents: 84, ..SMALL };
-    let (from, to) = (secs(19), secs(22));
+    let to = secs(17);
     let mut model = loaded_model(shape, to, TARGET_PERCENT);
     let cut = 0..shape.agents / 5;
-    for start in [4, 12] {
+    for start in [2, 8] {
         model.cut_agents(cut.clone(), secs(start), secs(start + 5));
     }
-    let left = shape.agents - cut.len();
-    assert!(model.server_load(left, secs(1), to) <= MAX_SERVER_LOAD);
+    let server_load = model.server_load(shape.agents - cut.len(), secs(1), to);
+    assert!(server_load <= MAX_SERVER_LOAD, "{server_load:.2} of the servers' time");
     model.play(to + secs(2));
-    assert_served_alike(&model, secs(1), secs(4));
-    assert_served_alike(&model, from, to);
+    let before = shares_in_time(&model, secs(1), secs(2));
+    let meanwhile = shares_in_time(&model, secs(2), secs(15));
+    let after = shares_in_time(&model, secs(15), to);
+    assert!(
+        [&before, &meanwhile, &after].into_iter().all(|shares| are_served_alike(shares)),
+        "in time, by entry: before {before:.3?}, meanwhile {meanwhile:.3?}, after {after:.3?}"
+    );
 }
