Rings wake their receiver only while it is parked

Cause: each push to a ring of a thread made a system call, also while the receiver was at work; an entry pushes some thousand messages and log lines a second, and each system call is charged. Change: the ring knows whether its receiver is parked; a push wakes it only then.

--- a/crates/kernel/src/ring.rs
+++ b/crates/kernel/src/ring.rs
@@ -5,7 +5,8 @@
 //! - `push` never blocks: a full ring is reported to the sender (backpressure);
 //! - a reservation always has its slot, so a reply is never refused because the
 //!   ring is full;
-//! - the receiver of an empty ring parks at once, as a thread or an async task.
+//! - the receiver of an empty ring parks at once, as a thread or an async task;
+//! - a sender wakes the receiver only while it is parked.
 //!
 //! No channel library is used, because the common ones spin briefly before they
 //! park and none offers reserved slots.
@@ -13,7 +14,7 @@
 use std::collections::VecDeque;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use snafu::Snafu;
 
@@ -49,6 +50,9 @@
     queue: VecDeque<T>,
     reserved: usize,
     closed: bool,
+    /// Whether the receiver is parked as a thread.
+    parked: bool,
+    /// Wakes the receiver while it is parked as an async task.
     waker: Option<Waker>,
 }
 
@@ -63,16 +67,35 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Releases the lock, then wakes the receiver: its async task if one is
-    /// registered, else its thread.
+    /// Releases the lock, then wakes the receiver if it is parked.
     fn wake_receiver(&self, mut state: MutexGuard<'_, RingState<T>>) {
         let waker = state.waker.take();
+        let parked = state.parked;
         drop(state);
-        match waker {
-            Some(waker) => waker.wake(),
-            None => self.wakeup.notify_one(),
+        if let Some(waker) = waker {
+            waker.wake();
+        } else if parked {
+            self.wakeup.notify_one();
         }
     }
+
+    /// Parks the receiver's thread until it is woken or `timeout` has passed.
+    fn park<'a>(
+        &self,
+        mut state: MutexGuard<'a, RingState<T>>,
+        timeout: Option<Duration>,
+    ) -> MutexGuard<'a, RingState<T>> {
+        state.parked = true;
+        let mut state = match timeout {
+            None => self.wakeup.wait(state).unwrap_or_else(PoisonError::into_inner),
+            Some(timeout) => {
+                let woken = self.wakeup.wait_timeout(state, timeout);
+                woken.unwrap_or_else(PoisonError::into_inner).0
+            }
+        };
+        state.parked = false;
+        state
+    }
 }
 
 /// The sending side of a ring; clones share the ring.
@@ -99,7 +122,13 @@
 
 /// Creates a ring for at most `capacity` queued messages and reserved slots.
 pub fn bounded<T>(capacity: usize) -> (RingSender<T>, RingReceiver<T>) {
-    let state = RingState { queue: VecDeque::new(), reserved: 0, closed: false, waker: None };
+    let state = RingState {
+        queue: VecDeque::new(),
+        reserved: 0,
+        closed: false,
+        parked: false,
+        waker: None,
+    };
     let core = Arc::new(RingCore { capacity, state: Mutex::new(state), wakeup: Condvar::new() });
     (RingSender { core: Arc::clone(&core) }, RingReceiver { core })
 }
@@ -192,20 +221,11 @@
             if state.closed {
                 return PopResult::Closed;
             }
-            let Some(deadline) = deadline else {
-                state = self.core.wakeup.wait(state).unwrap_or_else(PoisonError::into_inner);
-                continue;
-            };
-            let remaining = deadline.saturating_duration_since(Instant::now());
-            if remaining.is_zero() {
+            let remaining = deadline.map(|at| at.saturating_duration_since(Instant::now()));
+            if remaining.is_some_and(|remaining| remaining.is_zero()) {
                 return PopResult::DeadlinePassed;
             }
-            let (guard, _) = self
-                .core
-                .wakeup
-                .wait_timeout(state, remaining)
-                .unwrap_or_else(PoisonError::into_inner);
-            state = guard;
+            state = self.core.park(state, remaining);
         }
     }
 
