--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -23,11 +23,11 @@
 /// Messages that may wait in the rings of the duties that serve nodes, replicas
 /// and operators.
 const CALL_RING_SLOTS: usize = 16_384;
-/// How long an agent may keep runs going after it last polled for orders;
-/// longer than an election takes.
+/// How long an agent may keep runs going after it sent the latest message that the
+/// leader acknowledged; longer than an election takes.
 const RUN_GRANT: Duration = Duration::from_secs(4);
-/// How long an agent's poll waits for orders.
-const POLL_WAIT: Duration = Duration::from_millis(700);
+/// How long an agent's message waits for orders that acknowledge it.
+const REPLY_WAIT: Duration = Duration::from_millis(350);
 /// How long the acknowledgement of recorded ends waits for an order to be sent
 /// along with it.
 const ACK_DELAY: Duration = Duration::from_millis(150);
@@ -77,6 +77,12 @@
         ));
     })?;
 
+    let stream_context = context.clone();
+    kernel.register(ServiceName::ScheduleEdge, DUTY_RING_SLOTS, move |ring, registry| {
+        let log = stream_context.event_log(&registry).expect("the log writer is registered");
+        edges::schedule_edge::run(&ring, &registry, log, None);
+    })?;
+
     let setup = log_setup(settings, clock, recovered)?;
     let log_context = context.clone();
     kernel.register(ServiceName::ReplicatedLog, DUTY_RING_SLOTS, move |ring, registry| {
@@ -151,7 +157,7 @@
     ScheduleLimits {
         grant: RUN_GRANT,
         lease: settings.run_lease(),
-        poll_wait: POLL_WAIT,
+        reply_wait: REPLY_WAIT,
         ack_delay: ACK_DELAY,
         remote_factor: settings.remote_factor,
     }
--- a/crates/cactuswing/src/roles/queue_entry.rs
+++ b/crates/cactuswing/src/roles/queue_entry.rs
@@ -14,11 +14,11 @@
     register_log_writer,
 };
 
-/// How long an agent may keep an entry's runs going after it last polled for
-/// orders; shorter than a caller waits before it resubmits a job.
+/// How long an agent may keep an entry's runs going after it sent the latest message
+/// that the entry acknowledged; shorter than a caller waits before it resubmits a job.
 const RUN_GRANT: Duration = Duration::from_millis(1_000);
-/// How long an agent's poll waits for orders.
-const POLL_WAIT: Duration = Duration::from_millis(350);
+/// How long an agent's message waits for orders that acknowledge it.
+const REPLY_WAIT: Duration = Duration::from_millis(200);
 
 /// Starts an entry for callers of queues.
 ///
@@ -44,8 +44,8 @@
     let limits = ScheduleLimits {
         grant: RUN_GRANT,
         lease: Duration::from_millis(front.run_lease_ms),
-        poll_wait: POLL_WAIT,
-        ack_delay: POLL_WAIT,
+        reply_wait: REPLY_WAIT,
+        ack_delay: REPLY_WAIT,
         remote_factor: front.remote_factor,
     };
     let schedule_context = context.clone();
@@ -59,8 +59,10 @@
             limits,
         ));
     })?;
+    let edge_context = context.clone();
     kernel.register(ServiceName::ScheduleEdge, DUTY_RING_SLOTS, move |ring, registry| {
-        edges::schedule_edge::run(&ring, &registry, agents);
+        let log = edge_context.event_log(&registry).expect("the log writer is registered");
+        edges::schedule_edge::run(&ring, &registry, log, Some(agents));
     })?;
 
     let controls = settings.control_addresses();
--- a/crates/decisions/src/agent/run_calls.rs
+++ b/crates/decisions/src/agent/run_calls.rs
@@ -68,7 +68,7 @@
         }
         match answer {
             ServerAnswer::Refused(StartRefusal::Gone) => {
-                self.end_life("another instance answered the call");
+                self.end_life(now, "another instance answered the call");
                 return self.finish(now);
             }
             ServerAnswer::Refused(StartRefusal::Fence) if call.fence == self.fence => {
@@ -95,7 +95,7 @@
             ServerAnswer::Refused(refusal) => {
                 let owner = life.runs.swap_remove(run).and_then(|state| state.owner);
                 let update = RunUpdate::Refused { run: run.clone(), refusal: *refusal };
-                self.notify(vec![(owner, update)]);
+                self.notify(now, vec![(owner, update)]);
             }
             // A stop was ordered before this answer arrived.
             _ if state.phase != RunPhase::Starting => {}
@@ -154,7 +154,7 @@
             life.renew_at = if updates.is_empty() { now + limits.renewal_interval } else { now };
         }
         self.require_reports(newly_listed);
-        self.notify(updates);
+        self.notify(now, updates);
     }
 
     /// Handles the expiry of the lease: without a renewal for longer than the
@@ -171,7 +171,7 @@
             .with("holds_failed", life.failed_renewals);
         self.steps.push(RunStep::Log(line));
         let lapsed = life.take_lapsed();
-        self.notify(lapsed);
+        self.notify(now, lapsed);
         self.require_reports(true);
     }
 
--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -20,12 +20,12 @@
 
 use indexmap::IndexMap;
 use model::{
-    AgentOrder, AgentOrders, AgentReport, EntryHost, EventLine, FenceNumber, Incarnation, LifeId,
-    NodeId, RunUpdate, SchedulerKey, ServerCall, ServerHeartbeat, ServerRequest, SessionId,
-    StartRefusal, TaskRun,
+    AgentOrder, AgentOrders, AgentReport, EndKind, EntryHost, EventLine, FenceNumber, Incarnation,
+    LifeId, NodeId, RunUpdate, SchedulerKey, ServerCall, ServerHeartbeat, ServerReport,
+    ServerRequest, SessionId, StartRefusal, TaskRun,
 };
 
-use super::scheduler_session::SchedulerSession;
+use super::scheduler_session::{SchedulerSession, UpdateUrgency};
 use super::server_life::{OwnedUpdate, RunPhase, ServerLife};
 
 /// Timing parameters of a run table.
@@ -131,7 +131,7 @@
 
     /// Ends the previous life and starts to track the one of this heartbeat.
     fn begin_life(&mut self, now: Instant, heartbeat: &ServerHeartbeat) {
-        self.end_life("a newer life sent a heartbeat");
+        self.end_life(now, "a newer life sent a heartbeat");
         let line = EventLine::new("server_life")
             .with("life", &heartbeat.view.life)
             .with("address", heartbeat.address)
@@ -143,20 +143,20 @@
     /// Handles the leave of the backend server.
     pub fn on_leave(&mut self, now: Instant, instance: &LifeId) -> Vec<RunStep> {
         if self.life.as_ref().is_some_and(|life| life.instance == *instance) {
-            self.end_life("backend server left");
+            self.end_life(now, "backend server left");
         }
         self.finish(now)
     }
 
     /// Ends a life of the backend server; all its runs are reported as lapsed.
-    pub(super) fn end_life(&mut self, reason: &str) {
+    pub(super) fn end_life(&mut self, now: Instant, reason: &str) {
         let Some(mut life) = self.life.take() else { return };
         let line = EventLine::new("server_life_ended")
             .with("life", &life.view.life)
             .with("reason", reason)
             .with("runs", life.runs.len());
         self.steps.push(RunStep::Log(line));
-        self.notify(life.take_lapsed());
+        self.notify(now, life.take_lapsed());
         for session in self.schedulers.values_mut() {
             session.must_list_runs = true;
             session.needs_report = true;
@@ -165,28 +165,33 @@
 
     /// Queues updates for the schedulers that own the runs; those about unclaimed
     /// runs go to all schedulers.
-    pub(super) fn notify(&mut self, updates: Vec<OwnedUpdate>) {
+    pub(super) fn notify(&mut self, now: Instant, updates: Vec<OwnedUpdate>) {
         for (owner, update) in updates {
             self.steps.push(RunStep::Log(update_line(&update)));
+            let urgency = self.urgency(owner.as_ref(), &update);
             match owner {
-                Some(owner) => self.notify_scheduler(&owner, update),
+                Some(owner) => {
+                    if let Some(session) = self.schedulers.get_mut(&owner) {
+                        session.add_update(now, update, urgency);
+                    }
+                }
                 None => {
                     for session in self.schedulers.values_mut() {
-                        session.updates.push(update.clone());
+                        session.add_update(now, update.clone(), urgency);
                     }
                 }
             }
         }
     }
 
-    /// Queues an update. Without a session it is dropped: the next session begins
-    /// with the list of runs and the unacknowledged ends.
-    fn notify_scheduler(&mut self, scheduler: &SchedulerKey, update: RunUpdate) {
-        if let Some(session) = self.schedulers.get_mut(scheduler)
-            && session.session.is_some()
-        {
-            session.updates.push(update);
-        }
+    /// Urgency of an update. The end of a completed run only releases capacity while
+    /// other runs of its job are to end here.
+    fn urgency(&self, owner: Option<&SchedulerKey>, update: &RunUpdate) -> UpdateUrgency {
+        let RunUpdate::Ended { run, kind: EndKind::Done, .. } = update else {
+            return UpdateUrgency::AtOnce;
+        };
+        let is_awaited = self.life.as_ref().is_some_and(|life| life.has_runs_of(owner, run));
+        if is_awaited { UpdateUrgency::WithOthers } else { UpdateUrgency::AtOnce }
     }
 
     /// Handles a new connection to a scheduler.
@@ -215,15 +220,16 @@
         self.finish(now)
     }
 
-    /// Handles a scheduler's answer to the latest report.
-    pub fn on_report_acked(
+    /// Handles a scheduler's acknowledgement of this number of reports.
+    pub fn on_reports_acked(
         &mut self,
         now: Instant,
         scheduler: &SchedulerKey,
         session: SessionId,
+        count: usize,
     ) -> Vec<RunStep> {
         if let Some(known) = self.session_mut(scheduler, session) {
-            known.report_in_flight = false;
+            known.on_reports_acked(count);
         }
         self.finish(now)
     }
@@ -236,14 +242,14 @@
         self.schedulers.get_mut(scheduler).filter(|known| known.session == Some(session))
     }
 
-    /// Handles a scheduler's orders. `polled_at` is when the poll was sent; the
-    /// grant counts from then, less the clock drift.
+    /// Handles a scheduler's orders. `sent_at` is when the latest message that they
+    /// acknowledge was sent; the grant counts from then, less the clock drift.
     pub fn on_orders(
         &mut self,
         now: Instant,
         scheduler: &SchedulerKey,
         session: SessionId,
-        polled_at: Instant,
+        sent_at: Instant,
         orders: AgentOrders,
     ) -> Vec<RunStep> {
         let Some(known) = self.session_mut(scheduler, session) else { return Vec::new() };
@@ -253,8 +259,9 @@
         known.term = orders.term;
         known.usage_interval = Duration::from_millis(orders.usage_interval_ms);
         let grant = Duration::from_millis(orders.grant_ms).mul_f64(1.0 - MAX_CLOCK_DRIFT_RATIO);
-        known.grant_until = known.grant_until.max(Some(polled_at + grant));
-        if let (Some(ack), Some(life)) = (&orders.ack, &mut self.life)
+        known.grant_until = known.grant_until.max(Some(sent_at + grant));
+        if let (SchedulerKey::Control, Some(ack), Some(life)) =
+            (scheduler, &orders.ack, &mut self.life)
             && ack.life == life.view.life
         {
             life.ack_upto(ack.upto);
@@ -283,7 +290,7 @@
                 let owner = life.runs.swap_remove(&run).and_then(|state| state.owner);
                 life.start_queue.remove(&run);
                 let update = RunUpdate::Refused { run, refusal: StartRefusal::Room };
-                self.notify(vec![(owner, update)]);
+                self.notify(now, vec![(owner, update)]);
             }
             RunPhase::Starting | RunPhase::Running { .. } => {
                 state.phase = RunPhase::Stopping { retry_at: None };
@@ -317,13 +324,17 @@
         std::mem::take(&mut self.steps)
     }
 
-    /// Sends the reports that are due. At most one report to each scheduler is in
-    /// flight; later updates go with the next one.
+    /// Sends the reports that are due. At most [`model::MAX_UNACKED_REPORTS`] to each
+    /// scheduler are unacknowledged; later updates go with the next one.
     fn report_if_due(&mut self, now: Instant) {
         if !self.can_list_runs(now) {
             return;
         }
         let life = self.life.as_ref().filter(|life| life.listed);
+        let server = || match life {
+            Some(life) => ServerReport::Present(life.view.clone()),
+            None => ServerReport::Absent,
+        };
         for (scheduler, session) in &mut self.schedulers {
             let other_usage = life.map(|life| life.other_usage(scheduler)).unwrap_or_default();
             if !session.is_report_due(now, &other_usage) {
@@ -335,13 +346,12 @@
                 agent: self.agent.clone(),
                 incarnation: self.incarnation,
                 session: number,
-                server: life.map(|life| life.view.clone()),
+                server: session.server_report(server()),
                 runs: session.must_list_runs.then(|| listed(Some(scheduler))),
                 unowned: if session.must_list_runs { listed(None) } else { Vec::new() },
-                updates: std::mem::take(&mut session.updates),
+                updates: session.take_updates(now, other_usage),
                 other_usage,
             };
-            session.on_report_sent(now, other_usage);
             self.steps.push(RunStep::Report(scheduler.clone(), report));
         }
     }
@@ -361,9 +371,10 @@
 
     /// Time at which [`RunTable::on_tick`] is next due.
     pub fn next_deadline(&self) -> Option<Instant> {
-        let report_needed = self.schedulers.values().any(|session| {
-            session.session.is_some() && session.needs_report && !session.report_in_flight
-        });
+        let report_needed = self
+            .schedulers
+            .values()
+            .any(|session| session.needs_report && session.accepts_report());
         let list_deadline = report_needed.then(|| self.lapsed_at());
         let life = self.life.as_ref();
         let granted = life.into_iter().flat_map(|life| {
--- a/crates/decisions/src/agent/scheduler_session.rs
+++ b/crates/decisions/src/agent/scheduler_session.rs
@@ -1,9 +1,24 @@
 //! Owns an agent's state for one scheduler: connection, grant and unsent
 //! updates. The grant outlives the connection until it expires.
+//!
+//! An update that the scheduler has to act on is reported at once. One that only
+//! releases capacity waits for a short time, so that it goes with others.
 
 use std::time::{Duration, Instant};
 
-use model::{ResourceAmount, RunUpdate, SessionId, Term};
+use model::{MAX_UNACKED_REPORTS, ResourceAmount, RunUpdate, ServerReport, SessionId, Term};
+
+/// How long an update that only releases capacity may wait for others.
+const CAPACITY_UPDATE_DELAY: Duration = Duration::from_millis(20);
+
+/// When an update has to be reported.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum UpdateUrgency {
+    /// The scheduler has to act on it.
+    AtOnce,
+    /// It only releases capacity.
+    WithOthers,
+}
 
 /// Session with one scheduler.
 #[derive(Debug, Clone, Default)]
@@ -13,14 +28,18 @@
     /// Whether the next report must list all runs.
     pub(super) must_list_runs: bool,
     pub(super) needs_report: bool,
-    /// Whether a report is sent and not answered yet.
-    pub(super) report_in_flight: bool,
+    /// Reports that are sent and not acknowledged yet.
+    unacked_reports: usize,
     /// Highest term seen; orders of earlier terms are ignored.
     pub(super) term: Term,
     /// Time until which runs of this scheduler may stay active.
     pub(super) grant_until: Option<Instant>,
     /// Updates to send with the next report.
-    pub(super) updates: Vec<RunUpdate>,
+    updates: Vec<RunUpdate>,
+    /// Time by which the updates have to be reported.
+    updates_due: Option<Instant>,
+    /// What the latest report of the session said of the backend server.
+    reported_server: ServerReport,
     /// Minimum time between reports that carry only a changed usage by other
     /// schedulers.
     pub(super) usage_interval: Duration,
@@ -35,19 +54,44 @@
         self.session = Some(session);
         self.must_list_runs = true;
         self.needs_report = true;
-        self.report_in_flight = false;
+        self.unacked_reports = 0;
         self.updates = updates;
+        self.updates_due = None;
+        self.reported_server = ServerReport::Unchanged;
     }
 
     /// Ends a session; the grant stays valid until it expires.
     pub(super) fn close(&mut self, session: SessionId) {
         if self.session == Some(session) {
             self.session = None;
-            self.report_in_flight = false;
             self.updates.clear();
         }
     }
 
+    /// Adds an update to the next report. Without a session it is dropped: the next
+    /// session begins with the list of runs and the unacknowledged ends.
+    pub(super) fn add_update(&mut self, now: Instant, update: RunUpdate, urgency: UpdateUrgency) {
+        if self.session.is_none() {
+            return;
+        }
+        let due = match urgency {
+            UpdateUrgency::AtOnce => now,
+            UpdateUrgency::WithOthers => now + CAPACITY_UPDATE_DELAY,
+        };
+        self.updates_due = self.updates_due.into_iter().chain([due]).min();
+        self.updates.push(update);
+    }
+
+    /// Handles the acknowledgement of this number of reports.
+    pub(super) fn on_reports_acked(&mut self, count: usize) {
+        self.unacked_reports = self.unacked_reports.saturating_sub(count);
+    }
+
+    /// Whether a report may be sent.
+    pub(super) fn accepts_report(&self) -> bool {
+        self.session.is_some() && self.unacked_reports < MAX_UNACKED_REPORTS
+    }
+
     pub(super) fn remaining_grant(&self, now: Instant) -> Duration {
         self.grant_until.map(|until| until.saturating_duration_since(now)).unwrap_or_default()
     }
@@ -55,28 +99,45 @@
     /// Whether a report is due; `other_usage` is the current usage by other
     /// schedulers.
     pub(super) fn is_report_due(&self, now: Instant, other_usage: &ResourceAmount) -> bool {
-        if self.session.is_none() || self.report_in_flight {
-            return false;
-        }
-        let interval_over = self.reported_at.is_none_or(|at| at + self.usage_interval <= now);
-        self.needs_report
-            || !self.updates.is_empty()
-            || (interval_over && *other_usage != self.reported_usage)
+        let is_due = self.next_report(other_usage).is_some_and(|at| at <= now);
+        self.accepts_report() && (self.needs_report || is_due)
     }
 
-    /// Records that a report with this usage is sent.
-    pub(super) fn on_report_sent(&mut self, now: Instant, other_usage: ResourceAmount) {
+    /// Takes the updates for a report with this usage, which is sent now.
+    pub(super) fn take_updates(
+        &mut self,
+        now: Instant,
+        other_usage: ResourceAmount,
+    ) -> Vec<RunUpdate> {
         self.must_list_runs = false;
         self.needs_report = false;
-        self.report_in_flight = true;
+        self.unacked_reports += 1;
         self.reported_usage = other_usage;
         self.reported_at = Some(now);
+        self.updates_due = None;
+        std::mem::take(&mut self.updates)
     }
 
-    /// Time at which a changed usage by other schedulers may be reported.
+    /// What the next report says of the backend server: `server`, unless the latest
+    /// one said the same.
+    pub(super) fn server_report(&mut self, server: ServerReport) -> ServerReport {
+        if self.reported_server == server {
+            return ServerReport::Unchanged;
+        }
+        self.reported_server = server.clone();
+        server
+    }
+
+    /// Time at which the updates, or a changed usage by other schedulers, have to be
+    /// reported.
     pub(super) fn next_report(&self, other_usage: &ResourceAmount) -> Option<Instant> {
-        let changed =
-            self.session.is_some() && !self.report_in_flight && *other_usage != self.reported_usage;
-        changed.then(|| self.reported_at.map(|at| at + self.usage_interval)).flatten()
+        if !self.accepts_report() {
+            return None;
+        }
+        let usage_due = match self.reported_at {
+            Some(at) if *other_usage != self.reported_usage => Some(at + self.usage_interval),
+            _ => None,
+        };
+        self.updates_due.into_iter().chain(usage_due).min()
     }
 }
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -162,6 +162,14 @@
         owned.map(|(run, _)| run.clone()).collect()
     }
 
+    /// Whether a scheduler awaits the end of other runs of this run's job here.
+    pub(super) fn has_runs_of(&self, owner: Option<&SchedulerKey>, ended: &TaskRun) -> bool {
+        self.runs.iter().any(|(run, state)| {
+            let is_awaited = state.phase.needs_grant() && state.owner.as_ref() == owner;
+            is_awaited && run.task.job == ended.task.job && run.task != ended.task
+        })
+    }
+
     /// Replaces the clock reading; the latest one has drifted least.
     pub(super) fn update_clock(&mut self, clock: Option<(Duration, Instant)>) {
         if clock.is_some() {
--- a/crates/decisions/src/agent/start_queue.rs
+++ b/crates/decisions/src/agent/start_queue.rs
@@ -60,7 +60,7 @@
         for run in runs {
             let Some(life) = self.life.as_mut().filter(|known| known.view.life == *life) else {
                 let update = RunUpdate::Refused { run, refusal: StartRefusal::Gone };
-                self.notify(vec![(Some(scheduler.clone()), update)]);
+                self.notify(now, vec![(Some(scheduler.clone()), update)]);
                 continue;
             };
             // A run that is known was ordered before: it runs, or is being stopped.
@@ -94,7 +94,7 @@
                 life.start_queue.starts.push_back(start);
             }
         }
-        self.notify(refused);
+        self.notify(now, refused);
         for request in requests {
             self.call(now, request);
         }
--- /dev/null
+++ b/crates/decisions/src/schedule/agent_orders.rs
@@ -0,0 +1,78 @@
+//! Sends agents their orders, with grants and acknowledgements. Orders go at once;
+//! acknowledgements wait for a while to go with them.
+
+use std::time::{Duration, Instant};
+
+use model::{AgentOrders, MAX_UNACKED_REPORTS, NodeId};
+
+use super::agent_state::AgentState;
+use super::scheduler::{ScheduleStep, Scheduler};
+
+/// Target rate over all agents of reports that carry only a changed usage by
+/// other schedulers.
+const MAX_USAGE_REPORTS_PER_SECOND: u32 = 300;
+/// Minimum time between two such reports of one agent.
+const MIN_USAGE_INTERVAL: Duration = Duration::from_millis(50);
+/// Unacknowledged messages of an agent that are acknowledged without delay, before
+/// the agent has to hold back reports.
+const PROMPT_ACK_COUNT: u64 = MAX_UNACKED_REPORTS as u64 - 1;
+
+impl Scheduler {
+    /// Time at which a message to an agent is due even without orders: at once if
+    /// the entry list has changed or many messages wait for their acknowledgement,
+    /// after `ack_delay` if there are ends to acknowledge, and otherwise `reply_wait`
+    /// after the first message that is not acknowledged.
+    pub(super) fn message_due(&self, state: &AgentState) -> Option<Instant> {
+        let link = state.link?;
+        if state.sent_entries_version != self.entries.version() {
+            return Some(state.last_contact);
+        }
+        let reply_wait = match link.unacked() {
+            PROMPT_ACK_COUNT.. => Duration::ZERO,
+            _ => self.limits.reply_wait,
+        };
+        let reply_due = link.unacked_since().map(|since| since + reply_wait);
+        let ack_due = state.unsent_ack_since.map(|since| since + self.limits.ack_delay);
+        reply_due.into_iter().chain(ack_due).min()
+    }
+
+    /// Minimum time between an agent's reports of changed usage alone; grows with
+    /// the number of agents to bound the total rate.
+    fn usage_interval(&self) -> Duration {
+        let agents = self.agents.len() as u32;
+        (Duration::from_secs(1) * agents / MAX_USAGE_REPORTS_PER_SECOND).max(MIN_USAGE_INTERVAL)
+    }
+
+    /// Sends a message to each connected agent that has orders, or to which one is
+    /// due.
+    pub(super) fn send_orders(&mut self, now: Instant) {
+        let due = self.agents.iter().filter(|(_, state)| {
+            let has_orders = state.link.is_some() && !state.outbox.is_empty();
+            has_orders || self.message_due(state).is_some_and(|at| at <= now)
+        });
+        let due: Vec<NodeId> = due.map(|(agent, _)| agent.clone()).collect();
+        for agent in due {
+            self.send_to_agent(&agent);
+        }
+    }
+
+    fn send_to_agent(&mut self, agent: &NodeId) {
+        let term = self.term.unwrap_or_default();
+        let usage_interval_ms = self.usage_interval().as_millis() as u64;
+        let Some(state) = self.agents.get_mut(agent) else { return };
+        let Some(link) = &mut state.link else { return };
+        let (id, received) = (link.id, link.ack_all());
+        let entries_changed = state.sent_entries_version != self.entries.version();
+        state.sent_entries_version = self.entries.version();
+        let orders = AgentOrders {
+            term,
+            received,
+            grant_ms: self.limits.grant.as_millis() as u64,
+            usage_interval_ms,
+            ack: state.take_ack(),
+            orders: std::mem::take(&mut state.outbox),
+            entries: entries_changed.then(|| self.entries.hosts()),
+        };
+        self.steps.push(ScheduleStep::Orders { link: id, orders });
+    }
+}
--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -1,18 +1,20 @@
-//! Handles agents' polls and reports: sessions (connections of an agent to this
-//! scheduler), lives (process lifetimes) of their backend servers, refused starts
-//! and ended runs.
+//! Handles agents' heartbeats and reports: sessions (connections of an agent to
+//! this scheduler), lives (process lifetimes) of their backend servers, refused
+//! starts and ended runs.
 //!
-//! Invariant: reports and polls of an earlier session change nothing, and a new
-//! session begins with the list of all runs.
+//! Invariant: messages of an earlier session change nothing, and a new session
+//! begins with the list of all runs.
 
 use std::time::{Duration, Instant};
 
 use model::{
-    AgentOrder, AgentPoll, AgentReport, CallId, Command, EndKind, EndedRun, EventLine, NodeId,
-    ResourceAmount, RunUpdate, StartRefusal, TaskName, TaskRun,
+    AgentHeartbeat, AgentMessage, AgentOrder, AgentReport, Command, EndKind, EndNumber, EndedRun,
+    EventLine, LinkId, NodeId, NumberedMessage, ResourceAmount, RunUpdate, ServerReport,
+    StartRefusal, TaskName, TaskRun,
 };
 
-use super::agent_state::{AgentState, ParkedPoll};
+use super::agent_link::AgentLink;
+use super::agent_state::AgentState;
 use super::live_job::Placement;
 use super::scheduler::{ScheduleStep, Scheduler, SchedulerKind};
 
@@ -21,11 +23,47 @@
 const REFUSAL_PAUSE: Duration = Duration::from_millis(20);
 
 impl Scheduler {
-    /// Handles an agent's report; `false` if this host does not lead, or if the
-    /// report is of an earlier session or starts one without the list of runs.
-    pub fn on_report(&mut self, now: Instant, report: &AgentReport) -> (bool, Vec<ScheduleStep>) {
-        if self.term.is_none() || !self.enter_session(now, report) {
-            return (false, Vec::new());
+    /// Handles a message of an agent. Its connection is closed if this host does not
+    /// lead, or if the message is of an earlier session or starts one without the list
+    /// of runs.
+    pub fn on_agent_message(&mut self, now: Instant, link: LinkId, message: &NumberedMessage) {
+        let accepted = match &message.message {
+            AgentMessage::Report(report) => self.on_report(now, link, report),
+            AgentMessage::Heartbeat(heartbeat) => self.on_heartbeat(link, heartbeat),
+        };
+        let Some(agent) = accepted else {
+            return self.steps.push(ScheduleStep::CloseLink { link });
+        };
+        if let Some(state) = self.agents.get_mut(agent) {
+            state.last_contact = now;
+            if let Some(link) = &mut state.link {
+                link.on_message(now, message.number);
+            }
+        }
+    }
+
+    /// Handles the loss of an agent's connection. The agent's runs may still be active.
+    pub fn on_link_lost(&mut self, link: LinkId) {
+        for state in self.agents.values_mut() {
+            state.link.take_if(|open| open.id == link);
+        }
+    }
+
+    /// Handles a heartbeat; `None` if it is not accepted.
+    fn on_heartbeat<'a>(&self, link: LinkId, heartbeat: &'a AgentHeartbeat) -> Option<&'a NodeId> {
+        let is_current = self.term.is_some() && self.has_link(&heartbeat.agent, link);
+        is_current.then_some(&heartbeat.agent)
+    }
+
+    /// Handles a report; `None` if it is not accepted.
+    fn on_report<'a>(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        report: &'a AgentReport,
+    ) -> Option<&'a NodeId> {
+        if self.term.is_none() || !self.enter_session(now, link, report) {
+            return None;
         }
         self.update_server_view(now, report);
         if let Some(runs) = &report.runs {
@@ -34,39 +72,19 @@
         self.apply_updates(now, report);
         self.unreported_agents.swap_remove(&report.agent);
         self.try_complete_takeover(now);
-        (true, self.finish(now))
-    }
-
-    /// Handles an agent's poll for orders. An earlier poll of the same agent is
-    /// dropped.
-    pub fn on_poll(&mut self, now: Instant, call: CallId, poll: &AgentPoll) -> Vec<ScheduleStep> {
-        let known = self.term.is_some()
-            && self.agents.get(&poll.agent).is_some_and(|state| {
-                state.session == poll.session && state.incarnation == poll.incarnation
-            });
-        if !known {
-            return vec![ScheduleStep::DropPoll { call }];
-        }
-        if let Some(state) = self.agents.get_mut(&poll.agent) {
-            state.last_contact = now;
-            if let Some(earlier) = state.parked.replace(ParkedPoll { call, since: now }) {
-                self.steps.push(ScheduleStep::DropPoll { call: earlier.call });
-            }
-        }
-        self.finish(now)
+        Some(&report.agent)
     }
 
     /// Checks a report's session, and starts a new one if the report is newer and
     /// lists all runs; `false` if the report has to be ignored.
-    fn enter_session(&mut self, now: Instant, report: &AgentReport) -> bool {
+    fn enter_session(&mut self, now: Instant, link: LinkId, report: &AgentReport) -> bool {
         let agent = &report.agent;
         let reported = (report.incarnation, report.session);
         let known = self.agents.get(agent).map(|state| (state.incarnation, state.session));
-        if known == Some(reported) {
-            self.agents[agent].last_contact = now;
+        if known == Some(reported) && self.has_link(agent, link) {
             return true;
         }
-        if known.is_some_and(|known| known > reported) || report.runs.is_none() {
+        if known.is_some_and(|known| known >= reported) || report.runs.is_none() {
             return false;
         }
         if !self.is_registered(agent) {
@@ -76,10 +94,11 @@
         let (incarnation, session) = reported;
         let state = self.agents.entry(agent.clone());
         let state = state.or_insert_with(|| AgentState::new(now, incarnation, session));
-        if let Some(earlier) = state.parked.take() {
-            self.steps.push(ScheduleStep::DropPoll { call: earlier.call });
+        if let Some(earlier) = state.link.take() {
+            self.steps.push(ScheduleStep::CloseLink { link: earlier.id });
         }
-        state.begin_session(incarnation, session);
+        state.begin_session(now, incarnation, session);
+        state.link = Some(AgentLink::new(link));
         state.last_contact = now;
         let line = EventLine::new("agent_session")
             .with("agent", agent)
@@ -90,28 +109,39 @@
         true
     }
 
+    fn has_link(&self, agent: &NodeId, link: LinkId) -> bool {
+        let open = self.agents.get(agent).and_then(|state| state.link);
+        open.is_some_and(|open| open.id == link)
+    }
+
     /// Updates the state of the backend server, and resets it for a new life.
     fn update_server_view(&mut self, now: Instant, report: &AgentReport) {
         let Some(state) = self.agents.get_mut(&report.agent) else { return };
-        let new_life = report.server.as_ref().map(|server| &server.life) != state.life();
-        let changed = state.server != report.server;
-        self.placement_due |= changed || !report.other_usage.fits(&state.other_usage);
-        state.server = report.server.clone();
+        self.placement_due |= !report.other_usage.fits(&state.other_usage);
         state.other_usage = report.other_usage;
+        let server = match &report.server {
+            ServerReport::Unchanged => return,
+            ServerReport::Absent => None,
+            ServerReport::Present(server) => Some(server),
+        };
+        if state.server.as_ref() == server {
+            return;
+        }
+        self.placement_due = true;
+        let new_life = server.map(|server| &server.life) != state.life();
+        state.server = server.cloned();
         if new_life {
             state.begin_life(now);
         }
-        if changed {
-            let line = EventLine::new("server_view").with("agent", &report.agent);
-            let line = match &report.server {
-                None => line.with("life", "none"),
-                Some(server) => line
-                    .with("life", &server.life)
-                    .with("cpu_milli", server.capacity.cpu_milli)
-                    .with("draining", server.draining),
-            };
-            self.steps.push(ScheduleStep::Log(line));
-        }
+        let line = EventLine::new("server_view").with("agent", &report.agent);
+        let line = match server {
+            None => line.with("life", "none"),
+            Some(server) => line
+                .with("life", &server.life)
+                .with("cpu_milli", server.capacity.cpu_milli)
+                .with("draining", server.draining),
+        };
+        self.steps.push(ScheduleStep::Log(line));
     }
 
     /// Reconciles the placements on an agent with its full list of runs. A placed
@@ -162,11 +192,11 @@
         }
         let record = self.record(&run.task.job);
         let open = record.is_some_and(|record| !record.is_done(&run.task));
-        let (Some(size), true, Some(server)) = (self.size_of(&run.task), open, &report.server)
-        else {
+        let life = self.agents.get(&report.agent).and_then(|state| state.life().cloned());
+        let (Some(size), true, Some(life)) = (self.size_of(&run.task), open, life) else {
             return false;
         };
-        let (agent, life) = (report.agent.clone(), server.life.clone());
+        let agent = report.agent.clone();
         let placed = Placement::new(agent, life, run.run, size, now);
         self.placements.insert(run.task.clone(), placed);
         if let Some(live) = self.live.get_mut(&run.task.job) {
@@ -203,8 +233,7 @@
                     self.on_refused(now, &report.agent, run, *refusal);
                 }
                 RunUpdate::Ended { number, run, kind, ran_ms } => {
-                    let Some(state) = self.agents.get_mut(&report.agent) else { continue };
-                    if state.add_reported_end(*number, run) {
+                    if self.is_new_end(&report.agent, *number, run) {
                         let ran = ran_ms.map(Duration::from_millis);
                         self.on_ended(now, &report.agent, run, *kind, ran);
                         ends.push(EndedRun { run: run.clone(), kind: *kind });
@@ -224,6 +253,18 @@
         }
     }
 
+    /// Records a reported end that has to be acknowledged; `false` if it is a
+    /// duplicate. Ends of best-effort jobs are not acknowledged.
+    fn is_new_end(&mut self, agent: &NodeId, number: EndNumber, run: &TaskRun) -> bool {
+        match self.kind {
+            SchedulerKind::Entry => true,
+            SchedulerKind::Control => {
+                let state = self.agents.get_mut(agent);
+                state.is_some_and(|state| state.add_reported_end(number, run))
+            }
+        }
+    }
+
     /// Whether the end of a run has to be recorded in the log.
     fn is_stored(&self, run: &TaskRun) -> bool {
         self.kind == SchedulerKind::Control && self.store.job(&run.task.job).is_some()
@@ -320,10 +361,10 @@
     }
 
     /// Handles a recorded end: it can be acknowledged, and the job continues.
-    pub(super) fn on_end_recorded(&mut self, _now: Instant, end: &EndedRun) {
+    pub(super) fn on_end_recorded(&mut self, now: Instant, end: &EndedRun) {
         let task = &end.run.task;
         for state in self.agents.values_mut() {
-            state.mark_end_recorded(&end.run);
+            state.mark_end_recorded(now, &end.run);
         }
         let was_proposed = self.proposed_ends.swap_remove(task);
         let current = self.placements.get(task).is_some_and(|placed| placed.run == end.run.run);
--- a/crates/decisions/src/schedule/agent_state.rs
+++ b/crates/decisions/src/schedule/agent_state.rs
@@ -8,10 +8,11 @@
 use std::time::{Duration, Instant};
 
 use model::{
-    AgentOrder, CallId, EndAck, EndNumber, Incarnation, LifeId, ResourceAmount, ServerView,
-    SessionId, TaskRun,
+    AgentOrder, EndAck, EndNumber, Incarnation, LifeId, ResourceAmount, ServerView, SessionId,
+    TaskRun,
 };
 
+use super::agent_link::AgentLink;
 use super::speed_estimate::SpeedEstimate;
 
 /// Consecutive failed runs after which a backend server is paused.
@@ -27,13 +28,6 @@
     recorded: bool,
 }
 
-/// Poll that is held open until orders arrive or it times out.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(super) struct ParkedPoll {
-    pub(super) call: CallId,
-    pub(super) since: Instant,
-}
-
 /// Scheduler's view of one agent.
 #[derive(Debug, Clone)]
 pub struct AgentState {
@@ -47,8 +41,9 @@
     pub(super) other_usage: ResourceAmount,
     /// Version of the entry list that was last sent to the agent.
     pub(super) sent_entries_version: u64,
-    pub(super) parked: Option<ParkedPoll>,
-    /// Orders to send with the answer to the next poll.
+    /// The open connection, if there is one.
+    pub(super) link: Option<AgentLink>,
+    /// Orders that are not sent yet.
     pub(super) outbox: Vec<AgentOrder>,
     /// Time until which the backend server gets no work.
     pub(super) paused_until: Option<Instant>,
@@ -57,8 +52,8 @@
     pending_ends: VecDeque<PendingEnd>,
     /// Number of the end up to which all ends are recorded.
     last_acked_end: EndNumber,
-    /// Value of `last_acked_end` that was last sent.
-    sent_ack_upto: EndNumber,
+    /// Time since which an acknowledgement of recorded ends waits to be sent.
+    pub(super) unsent_ack_since: Option<Instant>,
 }
 
 impl AgentState {
@@ -71,14 +66,14 @@
             usage: ResourceAmount::default(),
             other_usage: ResourceAmount::default(),
             sent_entries_version: 0,
-            parked: None,
+            link: None,
             outbox: Vec::new(),
             paused_until: None,
             speed: SpeedEstimate::new(now),
             consecutive_failures: 0,
             pending_ends: VecDeque::new(),
             last_acked_end: 0,
-            sent_ack_upto: 0,
+            unsent_ack_since: None,
         }
     }
 
@@ -108,7 +103,7 @@
     pub(super) fn begin_life(&mut self, now: Instant) {
         self.pending_ends.clear();
         self.last_acked_end = 0;
-        self.sent_ack_upto = 0;
+        self.unsent_ack_since = None;
         self.usage = ResourceAmount::default();
         self.consecutive_failures = 0;
         self.paused_until = None;
@@ -116,12 +111,17 @@
     }
 
     /// Starts a session and resets everything that belongs to a connection.
-    pub(super) fn begin_session(&mut self, incarnation: Incarnation, session: SessionId) {
+    pub(super) fn begin_session(
+        &mut self,
+        now: Instant,
+        incarnation: Incarnation,
+        session: SessionId,
+    ) {
         self.incarnation = incarnation;
         self.session = session;
         self.outbox.clear();
-        self.parked = None;
-        self.sent_ack_upto = 0;
+        self.link = None;
+        self.unsent_ack_since = (self.last_acked_end > 0).then_some(now);
         self.sent_entries_version = 0;
     }
 
@@ -171,24 +171,19 @@
 
     /// Marks the end of a run as recorded durably and advances the
     /// acknowledgement.
-    pub(super) fn mark_end_recorded(&mut self, run: &TaskRun) {
+    pub(super) fn mark_end_recorded(&mut self, now: Instant, run: &TaskRun) {
         for end in self.pending_ends.iter_mut().filter(|end| end.run == *run) {
             end.recorded = true;
         }
-        while self.pending_ends.front().is_some_and(|end| end.recorded) {
-            self.last_acked_end =
-                self.pending_ends.pop_front().map_or(self.last_acked_end, |end| end.number);
+        while let Some(end) = self.pending_ends.pop_front_if(|end| end.recorded) {
+            self.last_acked_end = end.number;
+            self.unsent_ack_since.get_or_insert(now);
         }
     }
 
-    /// Whether ends were recorded that no answer to a poll has acknowledged yet.
-    pub(super) fn has_unsent_ack(&self) -> bool {
-        self.last_acked_end > self.sent_ack_upto
-    }
-
     /// Returns the acknowledgement to send and marks it as sent.
     pub(super) fn take_ack(&mut self) -> Option<EndAck> {
-        self.sent_ack_upto = self.last_acked_end;
+        self.unsent_ack_since = None;
         let life = self.life()?.clone();
         (self.last_acked_end > 0).then_some(EndAck { life, upto: self.last_acked_end })
     }
--- a/crates/decisions/src/schedule/job_admission.rs
+++ b/crates/decisions/src/schedule/job_admission.rs
@@ -163,7 +163,7 @@
 
     /// Cancels a best-effort job whose caller has disconnected, to free its
     /// capacity.
-    pub fn on_abandoned(&mut self, now: Instant, call: CallId) -> Vec<ScheduleStep> {
+    pub fn on_abandoned(&mut self, now: Instant, call: CallId) {
         let mut jobs = self.live.iter();
         let found = jobs.find(|(_, live)| live.waiter.is_some_and(|waiter| waiter.call == call));
         if let Some(id) = found.map(|(id, _)| id.clone()) {
@@ -172,7 +172,6 @@
             let change = self.volatile_store.close(&id, JobPhase::Cancelled, 0);
             self.on_change(now, change);
         }
-        self.finish(now)
     }
 
     /// Slowness of the fastest backend server, or 1 if there is none.
--- a/crates/decisions/src/schedule/mod.rs
+++ b/crates/decisions/src/schedule/mod.rs
@@ -14,6 +14,8 @@
 //! - the state is volatile: a new leader rebuilds it from the stored jobs and
 //!   from the agents' reports.
 
+mod agent_link;
+mod agent_orders;
 mod agent_reports;
 mod agent_search;
 mod agent_state;
@@ -23,7 +25,6 @@
 mod load_counts;
 mod placement_order;
 mod placement_round;
-mod poll_replies;
 mod ready_queue;
 mod report_delay;
 mod scheduler;
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -1,4 +1,5 @@
-//! Owns the scheduler's state, dispatches its inputs and answers agents' polls.
+//! Owns the scheduler's state, dispatches its inputs and settles what follows from
+//! them.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -6,7 +7,7 @@
 use indexmap::{IndexMap, IndexSet};
 use model::{
     AgentOrders, CallId, Command, EntryHost, EventLine, JobCall, JobId, JobPhase, JobRecord,
-    JobReply, JobStep, LogRecord, NodeId, QueueCatalog, ScheduleState, TaskName, Term,
+    JobReply, JobStep, LinkId, LogRecord, NodeId, QueueCatalog, ScheduleState, TaskName, Term,
 };
 
 use super::agent_state::AgentState;
@@ -29,12 +30,12 @@
 /// Timing and cost parameters of a scheduler.
 #[derive(Debug, Clone, Copy)]
 pub struct ScheduleLimits {
-    /// How long an agent may keep runs active after it sent a poll.
+    /// How long an agent may keep runs active after it sent an acknowledged message.
     pub grant: Duration,
     /// How long a backend server keeps runs active without a lease renewal.
     pub lease: Duration,
-    /// How long a poll waits for orders before it is answered empty.
-    pub poll_wait: Duration,
+    /// How long a message of an agent waits for orders that acknowledge it.
+    pub reply_wait: Duration,
     /// How long an acknowledgement of recorded ends waits to be sent along with
     /// an order.
     pub ack_delay: Duration,
@@ -64,11 +65,11 @@
 pub enum ScheduleStep {
     /// Proposes commands to the replicated log.
     Propose(Vec<Command>),
-    /// Answers an agent's poll.
+    /// Sends orders to an agent.
     Orders {
-        /// Call id of the poll.
-        call: CallId,
-        /// Orders, grant and acknowledgement for the agent.
+        /// The agent's connection.
+        link: LinkId,
+        /// Orders, grant and acknowledgements for the agent.
         orders: AgentOrders,
     },
     /// Answers the caller of a best-effort job with its outcome.
@@ -78,10 +79,10 @@
         /// Outcome of the job, as far as this scheduler knows it.
         reply: JobReply,
     },
-    /// Drops a poll that is superseded or whose session is over.
-    DropPoll {
-        /// Call id of the poll.
-        call: CallId,
+    /// Closes the connection of an agent, whose session is over.
+    CloseLink {
+        /// The agent's connection.
+        link: LinkId,
     },
     /// Writes a log event.
     Log(EventLine),
@@ -100,8 +101,9 @@
     NotLeader,
 }
 
-/// State machine that places the tasks of jobs on agents. It does no I/O: each
-/// input returns the steps that follow from it.
+/// State machine that places the tasks of jobs on agents. It does no I/O:
+/// [`Scheduler::settle`] returns the steps that follow from the inputs since its last
+/// call.
 #[derive(Debug, Clone)]
 pub struct Scheduler {
     pub(super) kind: SchedulerKind,
@@ -185,9 +187,8 @@
     }
 
     /// Records a query from an entry, so that agents learn its address.
-    pub fn on_entry(&mut self, now: Instant, entry: &EntryHost) -> Vec<ScheduleStep> {
+    pub fn on_entry(&mut self, now: Instant, entry: &EntryHost) {
         self.entries.refresh(now, entry);
-        self.finish(now)
     }
 
     /// Whether an agent may be given work. Control first records the agent in
@@ -250,7 +251,7 @@
     }
 
     /// Applies committed log records.
-    pub fn on_applied(&mut self, now: Instant, records: &[LogRecord]) -> Vec<ScheduleStep> {
+    pub fn on_applied(&mut self, now: Instant, records: &[LogRecord]) {
         for record in records {
             let change = self.store.apply(record);
             if change == JobChange::Catalog {
@@ -260,7 +261,6 @@
                 self.on_change(now, change);
             }
         }
-        self.finish(now)
     }
 
     /// Updates the scheduling state after a change of stored or best-effort jobs.
@@ -296,12 +296,13 @@
         }
     }
 
-    /// Decides on a call about a job. [`Scheduler::after_job_call`] returns the
-    /// steps that follow.
+    /// Decides on a call about a job.
     pub fn on_job_call(&mut self, now: Instant, id: CallId, call: &JobCall) -> JobDecision {
         if self.term.is_none() {
             return JobDecision::NotLeader;
         }
+        // Admission goes by what has to wait, not by what is not placed yet.
+        self.place_ready(now);
         match call {
             JobCall::Submit { job, wait_ms } if job.best_effort => {
                 let until = now + Duration::from_millis(*wait_ms);
@@ -319,11 +320,6 @@
         }
     }
 
-    /// Returns the steps that follow from the calls decided on so far.
-    pub fn after_job_call(&mut self, now: Instant) -> Vec<ScheduleStep> {
-        self.finish(now)
-    }
-
     /// Phase of a stored job; queued until a task is placed.
     fn phase(&self, queue: &str, id: &JobId) -> JobReply {
         let Some(record) = self.store.job(id).filter(|record| record.queue == queue) else {
@@ -343,24 +339,23 @@
     }
 
     /// Handles a change of leadership; `term` is set while this host leads.
-    pub fn on_leadership(&mut self, now: Instant, term: Option<Term>) -> Vec<ScheduleStep> {
+    pub fn on_leadership(&mut self, now: Instant, term: Option<Term>) {
         if term == self.term {
-            return Vec::new();
+            return;
         }
         self.term = term;
         self.reset_volatile_state();
         if term.is_some() {
             self.begin_takeover(now);
         }
-        self.finish(now)
     }
 
-    /// Handles timeouts; see [`Scheduler::next_deadline`].
-    pub fn on_tick(&mut self, now: Instant) -> Vec<ScheduleStep> {
-        self.expire_takeover(now);
-        self.expire_agents(now);
-        self.update_speed_estimates(now);
-        self.finish(now)
+    /// Handles a deadline that has passed without an input: what agents have not told by
+    /// now is not merely waiting to be handled. [`Scheduler::settle`] has to follow.
+    pub fn on_idle(&mut self, now: Instant) {
+        if self.term.is_some() {
+            self.update_speed_estimates(now);
+        }
     }
 
     /// Raises the slowness estimate of backend servers with overdue runs, and
@@ -391,10 +386,11 @@
         }
     }
 
-    /// Time at which [`Scheduler::on_tick`] is next due.
+    /// Time at which [`Scheduler::on_idle`] and [`Scheduler::settle`] are next due
+    /// without an input.
     pub fn next_deadline(&self) -> Option<Instant> {
         self.term?;
-        let polls = self.agents.values().filter_map(|state| self.poll_due(state));
+        let messages = self.agents.values().filter_map(|state| self.message_due(state));
         let contact_timeouts =
             self.agents.values().map(|state| state.last_contact + self.limits.contact_timeout());
         let takeover = (!self.held_jobs.is_empty() || !self.unreported_agents.is_empty())
@@ -404,7 +400,7 @@
             .flatten();
         let has_tasks = !self.placements.is_empty() || !self.ready.is_empty();
         let overdue = has_tasks.then(|| self.overdue_checked_at + OVERDUE_CHECK_INTERVAL);
-        polls
+        messages
             .chain(overdue)
             .chain(self.next_expiry)
             .chain(contact_timeouts)
@@ -413,18 +409,20 @@
             .min()
     }
 
-    /// Refuses jobs whose time is over, places ready tasks, answers the polls that
-    /// are due and returns all steps. All of it follows every message: while a
-    /// scheduler lags, its next message is there before any timeout.
-    pub(super) fn finish(&mut self, now: Instant) -> Vec<ScheduleStep> {
+    /// Does what is due, places ready tasks, sends orders and returns all steps. It
+    /// follows every batch of inputs: while a scheduler lags, its next input is there
+    /// before any timeout.
+    pub fn settle(&mut self, now: Instant) -> Vec<ScheduleStep> {
         if self.term.is_some() {
+            self.expire_takeover(now);
+            self.expire_agents(now);
             self.expire_jobs(now);
             for state in self.agents.values_mut() {
                 let pause_over = state.paused_until.take_if(|until| *until <= now).is_some();
                 self.placement_due |= pause_over;
             }
             self.place_ready(now);
-            self.answer_polls(now);
+            self.send_orders(now);
         }
         std::mem::take(&mut self.steps)
     }
--- a/crates/decisions/src/schedule/takeover.rs
+++ b/crates/decisions/src/schedule/takeover.rs
@@ -13,12 +13,10 @@
 
 impl Scheduler {
     /// Clears all state that is not in the log. Callers that wait for a job get the
-    /// reply that its outcome is unknown, and parked polls are dropped.
+    /// reply that its outcome is unknown, and the connections of agents are closed.
     pub(super) fn reset_volatile_state(&mut self) {
-        for state in self.agents.values_mut() {
-            if let Some(parked) = state.parked.take() {
-                self.steps.push(ScheduleStep::DropPoll { call: parked.call });
-            }
+        for link in self.agents.values().filter_map(|state| state.link) {
+            self.steps.push(ScheduleStep::CloseLink { link: link.id });
         }
         self.agents.clear();
         let waiting: Vec<JobId> = self.live.keys().cloned().collect();
@@ -102,9 +100,9 @@
         let line = EventLine::new("agent_lost").with("agent", &agent).with("silent_ms", silent_ms);
         self.steps.push(ScheduleStep::Log(line));
         if let Some(state) = self.agents.shift_remove(&agent)
-            && let Some(parked) = state.parked
+            && let Some(link) = state.link
         {
-            self.steps.push(ScheduleStep::DropPoll { call: parked.call });
+            self.steps.push(ScheduleStep::CloseLink { link: link.id });
         }
         let placed = self.placements.iter();
         let on_agent = placed.filter(|(_, placed)| placed.agent == agent && !placed.ended);
--- a/crates/edges/src/control_edge.rs
+++ b/crates/edges/src/control_edge.rs
@@ -1,21 +1,20 @@
-//! The RPC server of a control host, for nodes, operators, replicas and agents.
-
-use std::sync::Arc;
+//! The server of a control host for nodes, operators and replicas, which call it over
+//! JSON-RPC. It hands the streams of agents over to the duty that serves them.
 
 use jsonrpsee::core::{RpcResult, async_trait};
 use kernel::{Registry, Reservation, RingReceiver, RingSender, SharedClock};
 use model::{
-    AgentPoll, AgentReport, CallId, CatalogQuery, Command, ControlQuery, ControlReply,
-    ControlReplyBody, JobCall, JobReplySlot, LogMessage, MembershipMessage, NodeWatch,
-    ReplicaEnvelope, SchedulingMessage, ServiceName,
+    CallId, CatalogQuery, Command, ControlQuery, ControlReply, ControlReplyBody, JobCall,
+    JobReplySlot, LogMessage, MembershipMessage, NodeWatch, ReplicaEnvelope, SchedulingMessage,
+    ServiceName,
 };
 
 use crate::edge_runtime::block_on;
-use crate::peer_api::{ControlApiServer, ScheduleApiServer, not_accepted, start_server};
+use crate::peer_api::{ControlApiServer, not_accepted};
+use crate::peer_listener::accept_peers;
 use crate::pending_calls::PendingCalls;
-use crate::schedule_edge::ScheduleHandler;
 
-/// Maximum number of connected nodes, operators, agents and replicas.
+/// Maximum number of connected nodes, operators and replicas.
 const MAX_CONNECTIONS: u32 = 4_096;
 
 /// Forwards calls to the services of this control host.
@@ -25,7 +24,7 @@
     replies: RingSender<ControlReply>,
     replicated_log: RingSender<LogMessage>,
     membership: RingSender<MembershipMessage>,
-    schedule: Arc<ScheduleHandler>,
+    scheduling: RingSender<SchedulingMessage>,
 }
 
 impl ControlHandler {
@@ -70,16 +69,18 @@
 
     async fn job(&self, job: JobCall) -> RpcResult<ControlReplyBody> {
         let arrived_at = self.clock.now();
-        let message = |call, reply| {
+        let send = |call, reply| {
             let reply = JobReplySlot::Peer(reply);
-            SchedulingMessage::Job { call, arrived_at, job, reply }
+            self.scheduling.push(SchedulingMessage::Job { call, arrived_at, job, reply }).is_ok()
         };
-        self.schedule.request(message).await
+        self.request(send).await
     }
 
     async fn catalog(&self, query: CatalogQuery) -> RpcResult<ControlReplyBody> {
-        let message = |call, reply| SchedulingMessage::CatalogWatch { call, query, reply };
-        self.schedule.request(message).await
+        let send = |call, reply| {
+            self.scheduling.push(SchedulingMessage::CatalogWatch { call, query, reply }).is_ok()
+        };
+        self.request(send).await
     }
 
     async fn replica(&self, envelope: ReplicaEnvelope) -> RpcResult<ControlReplyBody> {
@@ -91,22 +92,6 @@
     }
 }
 
-/// Serves agents with the same handler as an entry does.
-struct AgentHandler {
-    schedule: Arc<ScheduleHandler>,
-}
-
-#[async_trait]
-impl ScheduleApiServer for AgentHandler {
-    async fn report(&self, report: AgentReport) -> RpcResult<ControlReplyBody> {
-        ScheduleApiServer::report(self.schedule.as_ref(), report).await
-    }
-
-    async fn poll(&self, poll: AgentPoll) -> RpcResult<ControlReplyBody> {
-        ScheduleApiServer::poll(self.schedule.as_ref(), poll).await
-    }
-}
-
 /// Runs the duty until its ring is closed.
 ///
 /// # Panics
@@ -119,28 +104,20 @@
     clock: SharedClock,
 ) {
     let calls = PendingCalls::default();
-    let schedule = Arc::new(ScheduleHandler {
-        calls: calls.clone(),
-        replies: registry.find(ServiceName::ControlEdge).expect("the control edge is registered"),
-        scheduling: registry.find(ServiceName::JobScheduling).expect("scheduling is registered"),
-    });
+    let streams = registry.find(ServiceName::ScheduleEdge).expect("its streams are registered");
     let handler = ControlHandler {
         clock,
         calls: calls.clone(),
         replies: registry.find(ServiceName::ControlEdge).expect("the control edge is registered"),
         replicated_log: registry.find(ServiceName::ReplicatedLog).expect("the log is registered"),
         membership: registry.find(ServiceName::Membership).expect("membership is registered"),
-        schedule: Arc::clone(&schedule),
+        scheduling: registry.find(ServiceName::JobScheduling).expect("scheduling is registered"),
     };
     block_on(async move {
-        let mut module = handler.into_rpc().remove_context();
-        let agents = AgentHandler { schedule }.into_rpc().remove_context();
-        module.merge(agents).expect("no two methods share a name");
-        let handle = start_server(listener, MAX_CONNECTIONS, module);
+        let methods = handler.into_rpc().into();
+        tokio::task::spawn_local(accept_peers(listener, methods, MAX_CONNECTIONS, streams));
         while let Some(reply) = ring.next().await {
             calls.complete(reply.call, reply.body);
         }
-        // The error means that the server has stopped already.
-        let _stopped = handle.stop();
     });
 }
--- a/crates/edges/src/group_join.rs
+++ b/crates/edges/src/group_join.rs
@@ -14,6 +14,7 @@
 use crate::edge_runtime::block_on;
 use crate::leader_finder::LeaderFinder;
 use crate::peer_api::ControlApiClient;
+use crate::peer_connection::connect;
 
 /// Delay between attempts to join.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
@@ -39,7 +40,7 @@
         let mut finder = LeaderFinder::new(join.seeds.clone());
         let joining = async {
             loop {
-                let (host, client) = finder.connect().await;
+                let (host, client) = finder.connect(connect).await;
                 match join.request_join(&client).await {
                     JoinResult::Joined => {
                         log.info(EventLine::new("group_joined").with("leader", host));
--- a/crates/edges/src/job_calls.rs
+++ b/crates/edges/src/job_calls.rs
@@ -22,6 +22,7 @@
 use crate::edge_runtime::block_on;
 use crate::leader_finder::LeaderFinder;
 use crate::peer_api::ControlApiClient;
+use crate::peer_connection::connect;
 
 /// Timeout of a catalog watch; longer than control holds one open without a
 /// change.
@@ -93,7 +94,7 @@
 impl CatalogWatcher {
     async fn run(mut self) {
         loop {
-            let (address, client) = self.finder.connect().await;
+            let (address, client) = self.finder.connect(connect).await;
             let leader = self.watch(address, &client).await;
             if self.connection.send_replace(None).is_some() {
                 self.log.warn(EventLine::new("control_lost").with("host", address));
--- a/crates/edges/src/leader_finder.rs
+++ b/crates/edges/src/leader_finder.rs
@@ -2,13 +2,8 @@
 //! and follows redirects to the leader.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
-use jsonrpsee::ws_client::WsClient;
-
-use crate::peer_connection::connect;
-
 /// Delay before the next host is tried.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
@@ -24,12 +19,16 @@
         LeaderFinder { controls, next_host: 0 }
     }
 
-    /// Connects to the first host that accepts a connection.
-    pub(crate) async fn connect(&mut self) -> (SocketAddr, Arc<WsClient>) {
+    /// Connects to the first host that accepts a connection. `open` connects to one
+    /// host and returns `None` if it can't be reached.
+    pub(crate) async fn connect<C>(
+        &mut self,
+        open: impl AsyncFn(SocketAddr) -> Option<C>,
+    ) -> (SocketAddr, C) {
         loop {
             let address = self.controls[self.next_host % self.controls.len()];
-            if let Some(client) = connect(address).await {
-                return (address, client);
+            if let Some(connection) = open(address).await {
+                return (address, connection);
             }
             self.next_host += 1;
             tokio::time::sleep(RETRY_DELAY).await;
--- a/crates/edges/src/lib.rs
+++ b/crates/edges/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod schedule_link;
 
 mod agent_link;
+mod agent_stream;
 mod announce_routes;
 mod caller_routes;
 mod edge_error;
@@ -35,7 +36,9 @@
 mod ledger_batches;
 mod peer_api;
 mod peer_connection;
+mod peer_listener;
 mod pending_calls;
+mod sent_messages;
 mod view_merge;
 
 pub use edge_error::EdgeError;
--- a/crates/edges/src/peer_api.rs
+++ b/crates/edges/src/peer_api.rs
@@ -9,9 +9,8 @@
 use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
 use model::{
-    AgentPoll, AgentReport, AgentView, AgentWatch, CatalogQuery, Command, ControlQuery,
-    ControlReplyBody, JobCall, NodeWatch, RecallAnswer, RecallOrder, ReplicaEnvelope, StartOrder,
-    TaskQuery, TaskReport,
+    AgentView, AgentWatch, CatalogQuery, Command, ControlQuery, ControlReplyBody, JobCall,
+    NodeWatch, RecallAnswer, RecallOrder, ReplicaEnvelope, StartOrder, TaskQuery, TaskReport,
 };
 
 /// Largest message between processes, in bytes.
@@ -73,24 +72,20 @@
     async fn replica(&self, envelope: ReplicaEnvelope) -> RpcResult<ControlReplyBody>;
 }
 
-/// Calls from agents to a scheduler, which is a control host or an entry.
-#[rpc(client, server, namespace = "schedule")]
-pub trait ScheduleApi {
-    /// Accepts an agent's report.
-    #[method(name = "report")]
-    async fn report(&self, report: AgentReport) -> RpcResult<ControlReplyBody>;
-
-    /// Long poll: replies when there are orders for an agent, or after a
-    /// bounded wait.
-    #[method(name = "poll")]
-    async fn poll(&self, poll: AgentPoll) -> RpcResult<ControlReplyBody>;
-}
-
 /// The error reply of a process whose rings are full.
 pub(crate) fn not_accepted() -> ErrorObjectOwned {
     ErrorObjectOwned::owned(NOT_ACCEPTED, "ring full; the message was not accepted", None::<()>)
 }
 
+/// Configuration of an RPC server.
+pub(crate) fn server_config(max_connections: u32) -> ServerConfig {
+    ServerConfig::builder()
+        .max_connections(max_connections)
+        .max_request_body_size(MAX_MESSAGE_BYTES)
+        .max_response_body_size(MAX_MESSAGE_BYTES)
+        .build()
+}
+
 /// Serves an RPC module on a listener.
 ///
 /// # Panics
@@ -100,11 +95,7 @@
     max_connections: u32,
     module: RpcModule<C>,
 ) -> ServerHandle {
-    let config = ServerConfig::builder()
-        .max_connections(max_connections)
-        .max_request_body_size(MAX_MESSAGE_BYTES)
-        .max_response_body_size(MAX_MESSAGE_BYTES)
-        .build();
+    let config = server_config(max_connections);
     let server = Server::builder().set_config(config).build_from_tcp(listener);
     server.expect("the listener is non-blocking").start(module)
 }
--- a/crates/edges/src/peer_connection.rs
+++ b/crates/edges/src/peer_connection.rs
@@ -41,9 +41,9 @@
     client.ok().map(Arc::new)
 }
 
-/// Retries only timeouts: a host that refuses a connection is up, and the
+/// Opens a TCP connection. Retries only timeouts: a host that refuses a connection is up, and the
 /// attempt fails at once.
-async fn open_stream(address: SocketAddr) -> Option<TcpStream> {
+pub(crate) async fn open_stream(address: SocketAddr) -> Option<TcpStream> {
     let mut attempt_timeout = FIRST_ATTEMPT_TIMEOUT;
     loop {
         match tokio::time::timeout(attempt_timeout, TcpStream::connect(address)).await {
--- a/crates/edges/src/schedule_edge.rs
+++ b/crates/edges/src/schedule_edge.rs
@@ -1,74 +1,179 @@
-//! The RPC server of an entry for the agents that it schedules jobs on.
+//! The duty that serves the streams of agents to the scheduler of this process.
+//!
+//! Invariants:
+//! - messages of one agent are forwarded in their order, and none is dropped while
+//!   its connection is open;
+//! - a connection whose agent does not read is closed, so that no order is dropped
+//!   silently.
 
-use jsonrpsee::core::{RpcResult, async_trait};
-use kernel::{Registry, Reservation, RingReceiver, RingSender};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use kernel::{PushError, Registry, RingReceiver, RingSender};
 use model::{
-    AgentPoll, AgentReport, CallId, ControlReply, ControlReplyBody, SchedulingMessage, ServiceName,
+    EventLine, EventLog, LinkId, ScheduleEdgeMessage, SchedulerMessage, SchedulingMessage,
+    ServiceName,
 };
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
 
+use crate::agent_stream::{
+    AGENT_PREAMBLE, StreamError, StreamReader, StreamWriter, read_preamble, split,
+};
 use crate::edge_runtime::block_on;
-use crate::peer_api::{ScheduleApiServer, not_accepted, start_server};
-use crate::pending_calls::PendingCalls;
 
 /// Maximum number of connected agents.
-const MAX_CONNECTIONS: u32 = 4_096;
+const MAX_LINKS: usize = 4_096;
+/// Messages that may wait for one agent's connection.
+const LINK_QUEUE_CAPACITY: usize = 64;
+/// Time without a message after which an agent's connection is closed; agents send
+/// heartbeats much more often.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Delay before a message is pushed again to a full ring.
+const FULL_RING_DELAY: Duration = Duration::from_millis(5);
+/// Delay after a connection could not be accepted.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Forwards agents' calls to the scheduling duty of this process.
-pub(crate) struct ScheduleHandler {
-    pub(crate) calls: PendingCalls<ControlReplyBody>,
-    pub(crate) replies: RingSender<ControlReply>,
-    pub(crate) scheduling: RingSender<SchedulingMessage>,
+/// Runs the duty until its ring is closed. `listener` is that of an entry; control
+/// shares one with its other peers and hands connections over.
+///
+/// # Panics
+/// When the scheduling duty is not registered, or the listener is not usable.
+pub fn run(
+    ring: &RingReceiver<ScheduleEdgeMessage>,
+    registry: &Registry<ServiceName>,
+    log: EventLog,
+    listener: Option<std::net::TcpListener>,
+) {
+    let scheduling =
+        registry.find(ServiceName::JobScheduling).expect("the scheduling duty is registered");
+    let server = Rc::new(StreamServer {
+        scheduling,
+        log,
+        links: RefCell::default(),
+        last_link: Cell::new(0),
+    });
+    block_on(async move {
+        if let Some(listener) = listener {
+            let listener = TcpListener::from_std(listener).expect("the listener is non-blocking");
+            tokio::task::spawn_local(Rc::clone(&server).accept(listener));
+        }
+        while let Some(message) = ring.next().await {
+            match message {
+                ScheduleEdgeMessage::Connected { stream } => server.adopt(stream),
+                ScheduleEdgeMessage::Send { link, message } => server.send(link, message),
+            }
+        }
+    });
 }
 
-impl ScheduleHandler {
-    /// Sends a message to the scheduling duty and waits for the reply. The reply
-    /// slot is reserved first, so that a message that is sent can be answered.
-    pub(crate) async fn request(
-        &self,
-        message: impl FnOnce(CallId, Reservation<ControlReply>) -> SchedulingMessage,
-    ) -> RpcResult<ControlReplyBody> {
-        let open = self.calls.open();
-        let reply = self.replies.reserve().ok_or_else(not_accepted)?;
-        if self.scheduling.push(message(open.call, reply)).is_err() {
-            return Err(not_accepted());
+/// State that the tasks of all connections share.
+struct StreamServer {
+    scheduling: RingSender<SchedulingMessage>,
+    log: EventLog,
+    /// Queues of the messages to each connected agent.
+    links: RefCell<IndexMap<LinkId, mpsc::Sender<SchedulerMessage>>>,
+    last_link: Cell<LinkId>,
+}
+
+impl StreamServer {
+    /// Accepts connections of agents.
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _peer)) => {
+                    tokio::task::spawn_local(Rc::clone(&self).check_preamble(stream));
+                }
+                Err(_refused) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+            }
         }
-        Ok(open.wait().await.unwrap_or(ControlReplyBody::Unknown))
     }
-}
 
-#[async_trait]
-impl ScheduleApiServer for ScheduleHandler {
-    async fn report(&self, report: AgentReport) -> RpcResult<ControlReplyBody> {
-        let report = Box::new(report);
-        self.request(|call, reply| SchedulingMessage::Report { call, report, reply }).await
+    async fn check_preamble(self: Rc<Self>, mut stream: TcpStream) {
+        if read_preamble(&mut stream).await == Some(AGENT_PREAMBLE) {
+            self.serve(stream).await;
+        }
     }
 
-    async fn poll(&self, poll: AgentPoll) -> RpcResult<ControlReplyBody> {
-        self.request(|call, reply| SchedulingMessage::Poll { call, poll, reply }).await
+    /// Serves a connection that another duty has accepted.
+    fn adopt(self: &Rc<Self>, stream: std::net::TcpStream) {
+        match TcpStream::from_std(stream) {
+            Ok(stream) => {
+                tokio::task::spawn_local(Rc::clone(self).serve(stream));
+            }
+            Err(error) => self.log.warn(EventLine::new("agent_refused").with("reason", error)),
+        }
+    }
+
+    /// Serves a connection until it ends.
+    async fn serve(self: Rc<Self>, stream: TcpStream) {
+        if self.links.borrow().len() >= MAX_LINKS || stream.set_nodelay(true).is_err() {
+            return self.log.warn(EventLine::new("agent_refused").with("reason", "links"));
+        }
+        let link = self.last_link.get() + 1;
+        self.last_link.set(link);
+        let (sender, outgoing) = mpsc::channel(LINK_QUEUE_CAPACITY);
+        self.links.borrow_mut().insert(link, sender);
+        let (reader, writer) = split(stream);
+        let ended = tokio::select! {
+            error = self.forward_messages(link, reader) => Err(error),
+            ended = send_messages(writer, outgoing) => ended,
+        };
+        self.links.borrow_mut().swap_remove(&link);
+        if let Err(error) = ended {
+            let line = EventLine::new("agent_link_lost").with("link", link).with("reason", error);
+            self.log.info(line);
+        }
+        self.forward(SchedulingMessage::LinkLost { link }).await;
+    }
+
+    /// Forwards an agent's messages until the stream ends.
+    async fn forward_messages(&self, link: LinkId, mut reader: StreamReader) -> StreamError {
+        loop {
+            match reader.next_from_agent(SILENCE_TIMEOUT).await {
+                Ok(message) => self.forward(SchedulingMessage::Agent { link, message }).await,
+                Err(error) => return error,
+            }
+        }
+    }
+
+    /// Pushes a message to the scheduling duty, as soon as its ring has a free slot.
+    async fn forward(&self, mut message: SchedulingMessage) {
+        while let Err(PushError::Full { message: rejected }) = self.scheduling.push(message) {
+            message = rejected;
+            tokio::time::sleep(FULL_RING_DELAY).await;
+        }
+    }
+
+    /// Queues a message to an agent. A full queue closes the connection.
+    fn send(&self, link: LinkId, message: SchedulerMessage) {
+        let mut links = self.links.borrow_mut();
+        let sent = links.get(&link).is_some_and(|queue| queue.try_send(message).is_ok());
+        if !sent && links.swap_remove(&link).is_some() {
+            self.log.warn(EventLine::new("agent_stalled").with("link", link));
+        }
     }
 }
 
-/// Runs the duty until its ring is closed.
-///
-/// # Panics
-/// When the scheduling duty is not registered, or the listener is not usable.
-pub fn run(
-    ring: &RingReceiver<ControlReply>,
-    registry: &Registry<ServiceName>,
-    listener: std::net::TcpListener,
-) {
-    let calls = PendingCalls::default();
-    let handler = ScheduleHandler {
-        calls: calls.clone(),
-        replies: registry.find(ServiceName::ScheduleEdge).expect("the schedule edge is registered"),
-        scheduling: registry.find(ServiceName::JobScheduling).expect("scheduling is registered"),
-    };
-    block_on(async move {
-        let handle = start_server(listener, MAX_CONNECTIONS, handler.into_rpc());
-        while let Some(reply) = ring.next().await {
-            calls.complete(reply.call, reply.body);
+/// Sends the queued messages, all that wait at a time, until the queue or the session
+/// is closed.
+async fn send_messages(
+    mut writer: StreamWriter,
+    mut outgoing: mpsc::Receiver<SchedulerMessage>,
+) -> Result<(), StreamError> {
+    let mut messages = Vec::new();
+    while outgoing.recv_many(&mut messages, LINK_QUEUE_CAPACITY).await > 0 {
+        let mut closes = false;
+        for message in messages.drain(..) {
+            closes |= matches!(message, SchedulerMessage::Closed { .. });
+            writer.append(&message)?;
         }
-        // The error means that the server has stopped already.
-        let _stopped = handle.stop();
-    });
+        writer.flush().await?;
+        if closes {
+            return Ok(());
+        }
+    }
+    Ok(())
 }
--- a/crates/edges/src/schedule_link.rs
+++ b/crates/edges/src/schedule_link.rs
@@ -2,34 +2,37 @@
 //! host, and the entries that control lists.
 //!
 //! Invariants:
-//! - at most one report and one poll are in flight to each scheduler;
-//! - each connection is a new session, and replies of an earlier session are
-//!   never forwarded;
+//! - each connection is a new session, and messages of an earlier session are never
+//!   forwarded;
+//! - orders that can't be forwarded end the session, so that the scheduler learns from
+//!   the next one which runs are missing;
 //! - an entry that control no longer lists is kept until its connection is
 //!   lost.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use compact_str::{CompactString, ToCompactString};
 use indexmap::IndexMap;
-use jsonrpsee::ws_client::WsClient;
 use kernel::{Registry, RingReceiver, RingSender, SharedClock};
 use model::{
-    AgentPoll, AgentReport, ControlReplyBody, EntryHost, EventLine, EventLog, Incarnation, NodeId,
-    ScheduleEvent, ScheduleLinkMessage, SchedulerKey, ServerRunsMessage, ServiceName, SessionId,
+    AgentHeartbeat, AgentMessage, AgentOrders, AgentReport, EntryHost, EventLine, EventLog,
+    Incarnation, NodeId, NumberedMessage, ScheduleEvent, ScheduleLinkMessage, SchedulerKey,
+    SchedulerMessage, ServerRunsMessage, ServiceName, SessionId,
 };
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{mpsc, watch};
 
+use crate::agent_stream::{StreamError, StreamReader, StreamWriter, connect};
 use crate::edge_runtime::block_on;
 use crate::leader_finder::LeaderFinder;
-use crate::peer_api::ScheduleApiClient;
-use crate::peer_connection::connect;
+use crate::sent_messages::SentMessages;
 
-/// Timeout of a report or poll; longer than a scheduler holds a poll open
-/// without orders.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long a message may stay without an acknowledgement.
+const ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after the latest message, once all are acknowledged, until a heartbeat is
+/// sent; together with the scheduler's wait well below its grant.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(350);
 /// Delay between attempts to connect to an entry.
 const ENTRY_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Reason of a session that ends since its host is not the leader.
@@ -39,7 +42,7 @@
 
 /// Configuration of an agent's link.
 pub struct ScheduleLink {
-    /// Source of the times at which polls are sent.
+    /// Source of the times at which messages are sent.
     pub clock: SharedClock,
     /// The agent's node id.
     pub agent: NodeId,
@@ -153,22 +156,31 @@
 
 /// Why a session ended.
 struct SessionEnd {
-    reason: &'static str,
+    reason: CompactString,
     leader: Option<SocketAddr>,
 }
 
+impl SessionEnd {
+    fn failed(error: &StreamError) -> SessionEnd {
+        SessionEnd { reason: error.to_compact_string(), leader: None }
+    }
+}
+
+/// Both halves of a scheduler's stream.
+type Streams = (StreamReader, StreamWriter);
+
 impl SchedulerConnection {
     async fn run(mut self, mut host: ScheduleHost) {
         loop {
-            let Some((address, client)) = self.connect(&mut host).await else { return };
+            let Some((address, streams)) = self.connect(&mut host).await else { return };
             self.session += 1;
             while self.reports.try_recv().is_ok() {}
             self.notify(ScheduleEvent::Opened);
-            let end = self.run_session(&client).await;
+            let end = self.run_session(streams).await;
             self.notify(ScheduleEvent::Closed);
             // Not logged: without a leader, non-leading hosts are tried often.
             if end.reason != NOT_LEADER {
-                self.log_end("session_lost", address, end.reason);
+                self.log_end("session_lost", address, &end.reason);
             }
             match &mut host {
                 ScheduleHost::Control(finder) => finder.advance(end.leader).await,
@@ -178,29 +190,38 @@
     }
 
     /// Connects to the scheduler; `None` when control no longer lists the entry.
-    async fn connect(&self, host: &mut ScheduleHost) -> Option<(SocketAddr, Arc<WsClient>)> {
+    async fn connect(&self, host: &mut ScheduleHost) -> Option<(SocketAddr, Streams)> {
         match host {
-            ScheduleHost::Control(finder) => Some(finder.connect().await),
+            ScheduleHost::Control(finder) => Some(finder.connect(connect).await),
             ScheduleHost::Entry(address) => loop {
                 let listed_address = *self.listed_address.borrow();
                 *address = listed_address?;
-                if let Some(client) = connect(*address).await {
-                    return Some((*address, client));
+                if let Some(streams) = connect(*address).await {
+                    return Some((*address, streams));
                 }
                 tokio::time::sleep(ENTRY_RETRY_DELAY).await;
             },
         }
     }
 
-    /// Runs one session until it fails; polls start once the first report was
-    /// accepted.
-    async fn run_session(&mut self, client: &Arc<WsClient>) -> SessionEnd {
-        let first_report_accepted = Notify::new();
+    /// Runs one session until it fails.
+    async fn run_session(&mut self, (mut reader, writer): Streams) -> SessionEnd {
         let SchedulerConnection { context, scheduler, session, reports, .. } = self;
-        let session_calls = SchedulerSession { context, scheduler, session: *session, client };
-        tokio::select! {
-            end = session_calls.send_reports(reports, &first_report_accepted) => end,
-            end = session_calls.poll_orders(&first_report_accepted) => end,
+        let sent = SentMessages::default();
+        let mut session = SchedulerSession { context, scheduler, session: *session, writer, sent };
+        loop {
+            let deadline = session.next_deadline().map(tokio::time::Instant::from_std);
+            let result = tokio::select! {
+                Some(report) = reports.recv() => session.send_reports(report, reports).await,
+                received = reader.next_from_scheduler() => match received {
+                    Ok(message) => session.receive(message),
+                    Err(error) => Err(SessionEnd::failed(&error)),
+                },
+                () = sleep_until(deadline) => session.on_deadline().await,
+            };
+            if let Err(end) = result {
+                return end;
+            }
         }
     }
 
@@ -214,82 +235,109 @@
     }
 
     fn notify(&self, event: ScheduleEvent) {
-        self.context.notify(&self.scheduler, self.session, event);
+        let _forwarded = self.context.notify(&self.scheduler, self.session, event);
     }
 }
 
 impl LinkContext {
-    /// Forwards an event to the run service. Orders are dropped when its ring is
-    /// full: the agent's list in the next session shows that they are missing,
-    /// and the log line gives the reason.
-    fn notify(&self, scheduler: &SchedulerKey, session: SessionId, event: ScheduleEvent) {
+    /// Forwards an event to the run service; `false` if its ring is full.
+    fn notify(&self, scheduler: &SchedulerKey, session: SessionId, event: ScheduleEvent) -> bool {
         let scheduler = scheduler.clone();
-        if self.runs.push(ServerRunsMessage::Schedule { scheduler, session, event }).is_err() {
+        let sent = self.runs.push(ServerRunsMessage::Schedule { scheduler, session, event });
+        if sent.is_err() {
             self.log.warn(EventLine::new("ring_full").with("ring", ServiceName::ServerRuns));
         }
+        sent.is_ok()
+    }
+}
+
+/// Waits until a time, or forever without one.
+async fn sleep_until(deadline: Option<tokio::time::Instant>) {
+    match deadline {
+        Some(deadline) => tokio::time::sleep_until(deadline).await,
+        None => std::future::pending().await,
     }
 }
 
-/// The calls of one session.
+/// The messages of one session.
 struct SchedulerSession<'a> {
     context: &'a LinkContext,
     scheduler: &'a SchedulerKey,
     session: SessionId,
-    client: &'a Arc<WsClient>,
+    writer: StreamWriter,
+    sent: SentMessages,
 }
 
 impl SchedulerSession<'_> {
+    /// Time of the next heartbeat, or of the timeout of a message; `None` before the
+    /// first report, which has to come first.
+    fn next_deadline(&self) -> Option<Instant> {
+        match self.sent.unacked_since() {
+            Some(since) => Some(since + ACK_TIMEOUT),
+            None => self.sent.last_sent_at().map(|at| at + HEARTBEAT_INTERVAL),
+        }
+    }
+
+    async fn on_deadline(&mut self) -> Result<(), SessionEnd> {
+        if self.sent.unacked_since().is_some() {
+            return Err(SessionEnd { reason: "unacknowledged".into(), leader: None });
+        }
+        let ScheduleLink { agent, incarnation, .. } = &self.context.link;
+        let heartbeat = AgentHeartbeat {
+            agent: agent.clone(),
+            incarnation: *incarnation,
+            session: self.session,
+        };
+        self.append(AgentMessage::Heartbeat(heartbeat))?;
+        self.flush().await
+    }
+
+    /// Sends a report, and the others that wait.
     async fn send_reports(
-        &self,
-        reports: &mut mpsc::Receiver<Box<AgentReport>>,
-        first_report_accepted: &Notify,
-    ) -> SessionEnd {
-        while let Some(report) = reports.recv().await {
-            if report.session != self.session {
-                continue;
+        &mut self,
+        first: Box<AgentReport>,
+        waiting: &mut mpsc::Receiver<Box<AgentReport>>,
+    ) -> Result<(), SessionEnd> {
+        let mut next = Some(first);
+        while let Some(report) = next {
+            // Reports of an earlier session may wait still.
+            if report.session == self.session {
+                self.append(AgentMessage::Report(report))?;
             }
-            if let Err(end) = self.send_report(*report).await {
-                return end;
-            }
-            first_report_accepted.notify_one();
-            self.context.notify(self.scheduler, self.session, ScheduleEvent::ReportAcked);
+            next = waiting.try_recv().ok();
         }
-        SessionEnd { reason: "the agent stops", leader: None }
+        self.flush().await
+    }
+
+    fn append(&mut self, message: AgentMessage) -> Result<(), SessionEnd> {
+        let is_report = matches!(message, AgentMessage::Report(_));
+        let number = self.sent.add(self.context.link.clock.now(), is_report);
+        let message = NumberedMessage { number, message };
+        self.writer.append(&message).map_err(|error| SessionEnd::failed(&error))
     }
 
-    async fn send_report(&self, report: AgentReport) -> Result<(), SessionEnd> {
-        let reply = tokio::time::timeout(REPLY_TIMEOUT, self.client.report(report)).await;
-        match reply {
-            Ok(Ok(ControlReplyBody::ReportAcked)) => Ok(()),
-            Ok(Ok(ControlReplyBody::NotLeader { leader })) => {
-                Err(SessionEnd { reason: NOT_LEADER, leader })
+    async fn flush(&mut self) -> Result<(), SessionEnd> {
+        self.writer.flush().await.map_err(|error| SessionEnd::failed(&error))
+    }
+
+    fn receive(&mut self, message: SchedulerMessage) -> Result<(), SessionEnd> {
+        match message {
+            SchedulerMessage::Orders(orders) => self.forward(orders),
+            SchedulerMessage::Closed { leader } => {
+                Err(SessionEnd { reason: NOT_LEADER.into(), leader })
             }
-            Ok(_) => Err(SessionEnd { reason: "report_failed", leader: None }),
-            Err(_) => Err(SessionEnd { reason: "report_unanswered", leader: None }),
         }
     }
 
-    async fn poll_orders(&self, first_report_accepted: &Notify) -> SessionEnd {
-        first_report_accepted.notified().await;
-        loop {
-            let polled_at = self.context.link.clock.now();
-            let poll = AgentPoll {
-                agent: self.context.link.agent.clone(),
-                incarnation: self.context.link.incarnation,
-                session: self.session,
-            };
-            let reply = tokio::time::timeout(REPLY_TIMEOUT, self.client.poll(poll)).await;
-            match reply {
-                Ok(Ok(ControlReplyBody::Orders(orders))) => {
-                    let event = ScheduleEvent::Orders { polled_at, orders };
-                    self.context.notify(self.scheduler, self.session, event);
-                }
-                Ok(Ok(ControlReplyBody::NotLeader { leader })) => {
-                    return SessionEnd { reason: NOT_LEADER, leader };
-                }
-                Ok(_) => return SessionEnd { reason: "poll_failed", leader: None },
-                Err(_) => return SessionEnd { reason: "poll_unanswered", leader: None },
-            }
+    fn forward(&mut self, orders: Box<AgentOrders>) -> Result<(), SessionEnd> {
+        let Some(ack) = self.sent.on_ack(orders.received) else {
+            return Err(SessionEnd { reason: "unknown_message_acked".into(), leader: None });
+        };
+        let (sent_at, acked_reports) = (ack.sent_at, ack.reports);
+        let event = ScheduleEvent::Orders { sent_at, acked_reports, orders };
+        match self.context.notify(self.scheduler, self.session, event) {
+            true => Ok(()),
+            false => Err(SessionEnd { reason: "ring_full".into(), leader: None }),
         }
     }
 }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -17,7 +17,7 @@
 mod stop;
 
 pub use clock::{Clock, ManualClock, SharedClock, SystemClock};
-pub use duty::{DutyHandler, run_duty};
+pub use duty::{BatchHandler, DutyHandler, run_batched_duty, run_duty};
 pub use gate::DrainGate;
 pub use registry::{Kernel, KernelError, Registry};
 pub use ring::{PopResult, PushError, Reservation, RingReceiver, RingSender, bounded};
--- a/crates/model/src/control_messages.rs
+++ b/crates/model/src/control_messages.rs
@@ -23,7 +23,7 @@
 use crate::journal_messages::SyncMark;
 use crate::queue_catalog::QueueCatalog;
 use crate::replica::ReplicaEnvelope;
-use crate::schedule_messages::{AgentOrders, JobReply};
+use crate::schedule_messages::JobReply;
 use crate::settings::ControlPeer;
 use crate::work::JobKey;
 
@@ -160,11 +160,6 @@
     Answer(Box<ControlAnswer>),
     /// Reply to a call about a queued job.
     Job(JobReply),
-    /// Reply to an agent's poll.
-    Orders(Box<AgentOrders>),
-    /// Acknowledges an agent's report.
-    #[serde(rename = "report_taken")]
-    ReportAcked,
     /// The catalog in force; `None` when the caller already has it.
     Catalog(Option<Arc<QueueCatalog>>),
     /// Reply to another replica; `None` for messages without a reply.
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -60,8 +60,13 @@
 /// Fencing token of calls to a backend server, which refuses a lower one than
 /// it has seen.
 pub type FenceNumber = u64;
-/// Sequence number of the connections from one agent to control.
+/// Sequence number of the connections from one agent to one scheduler.
 pub type SessionId = u64;
+/// Position of an agent's message within its session, from 1.
+pub type MessageNumber = u64;
+/// Id of a connection of an agent to a scheduler, unique within the scheduler's
+/// process.
+pub type LinkId = u64;
 /// Position in the replicated log, from 1; 0 is the position before the first
 /// record.
 pub type LogIndex = u64;
@@ -121,6 +126,6 @@
     ServerFront,
     /// Agent: the connections to schedulers.
     ScheduleLink,
-    /// Entry: the RPC server for agents.
+    /// Control and entry: the streams of agents to this process's scheduler.
     ScheduleEdge,
 }
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -2,9 +2,14 @@
 //! them, and the messages of the scheduling duty. A scheduler is the control
 //! leader (for stored jobs) or an entry (for best-effort jobs).
 //!
+//! An agent and a scheduler share one stream. The agent sends reports, and
+//! heartbeats where it has nothing to report; the scheduler sends orders as soon as
+//! there are any. Orders acknowledge all messages of the agent up to a number, so
+//! neither side sends a message only to answer one.
+//!
 //! Invariants:
-//! - an agent's reports and polls carry its session id; those of an earlier
-//!   session are ignored;
+//! - an agent's messages carry its session id; those of an earlier session are
+//!   ignored;
 //! - orders and reports carry the life id of the backend server that they refer
 //!   to.
 
@@ -18,8 +23,8 @@
 
 use crate::control_messages::ControlReply;
 use crate::ids::{
-    CallId, ConfigVersion, DomainId, EndNumber, Incarnation, JobId, LabelId, LifeId, NodeId,
-    QueueId, RunNumber, ServiceId, SessionId, StepIndex, TaskIndex, Term,
+    CallId, ConfigVersion, DomainId, EndNumber, Incarnation, JobId, LabelId, LifeId, LinkId,
+    MessageNumber, NodeId, QueueId, RunNumber, ServiceId, SessionId, StepIndex, TaskIndex, Term,
 };
 use crate::queue_catalog::QueueCatalog;
 use crate::queue_jobs::{EndKind, JobPhase, QueuedJob, ResourceAmount, TaskName, TaskRun};
@@ -70,6 +75,10 @@
     }
 }
 
+/// Most reports of an agent to one scheduler that are not acknowledged; later changes
+/// wait and go together.
+pub const MAX_UNACKED_REPORTS: usize = 4;
+
 /// Why a job was refused. No task of a refused job runs.
 #[derive(
     Debug,
@@ -236,6 +245,26 @@
     pub address: std::net::SocketAddr,
 }
 
+/// What a report says of the agent's backend server.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ServerReport {
+    /// The same as the previous report of the session.
+    #[default]
+    Unchanged,
+    /// None is known.
+    Absent,
+    /// It is this one.
+    Present(ServerView),
+}
+
+impl ServerReport {
+    /// Whether nothing changed since the previous report.
+    pub fn is_unchanged(&self) -> bool {
+        *self == ServerReport::Unchanged
+    }
+}
+
 /// A report of an agent to one scheduler.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AgentReport {
@@ -245,8 +274,9 @@
     pub incarnation: Incarnation,
     /// The agent's connection; reports of an earlier one are ignored.
     pub session: SessionId,
-    /// The agent's backend server; `None` while none is known.
-    pub server: Option<ServerView>,
+    /// The agent's backend server.
+    #[serde(default, skip_serializing_if = "ServerReport::is_unchanged")]
+    pub server: ServerReport,
     /// Every run of this scheduler that may still execute there. Present in the
     /// first report of a session and of each life.
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -256,24 +286,58 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub unowned: Vec<TaskRun>,
     /// Changes in the state of runs since the last report.
-    #[serde(rename = "news")]
+    #[serde(default, rename = "news", skip_serializing_if = "Vec::is_empty")]
     pub updates: Vec<RunUpdate>,
     /// Capacity used by the runs of other schedulers.
     #[serde(rename = "others")]
     pub other_usage: ResourceAmount,
 }
 
-/// An agent's long poll for orders.
+/// A message of an agent that has nothing to report; its acknowledgement extends the
+/// grant.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AgentPoll {
-    /// The polling agent.
+pub struct AgentHeartbeat {
+    /// The sending agent.
     pub agent: NodeId,
     /// The agent's incarnation, which increases with each start of its process.
     pub incarnation: Incarnation,
-    /// The agent's connection; polls of an earlier one are ignored.
+    /// The agent's connection; heartbeats of an earlier one are ignored.
     pub session: SessionId,
 }
 
+/// The content of a message of an agent to a scheduler.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AgentMessage {
+    /// What has changed at the agent.
+    Report(Box<AgentReport>),
+    /// Nothing has changed.
+    Heartbeat(AgentHeartbeat),
+}
+
+/// A message of an agent on its stream to a scheduler.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NumberedMessage {
+    /// Position of the message within the session.
+    pub number: MessageNumber,
+    /// Its content.
+    pub message: AgentMessage,
+}
+
+/// A message of a scheduler on an agent's stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum SchedulerMessage {
+    /// Orders, with an acknowledgement and a grant.
+    Orders(Box<AgentOrders>),
+    /// This host does not schedule, or doesn't know the agent's session; the session
+    /// ends.
+    Closed {
+        /// Address of the host that leads, if known.
+        leader: Option<std::net::SocketAddr>,
+    },
+}
+
 /// Cumulative acknowledgement of ended runs: those recorded by the scheduler,
 /// which the backend server may forget.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -312,23 +376,27 @@
     },
 }
 
-/// A scheduler's reply to a poll.
+/// A scheduler's message to an agent.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AgentOrders {
     /// The leader's term; orders of an earlier term are ignored. 0 in the
     /// replies of entries, which have no term.
     pub term: Term,
+    /// Number of the agent's latest message that was handled; acknowledges all up to
+    /// it.
+    pub received: MessageNumber,
     /// How long the agent may keep runs executing, in milliseconds from when it
-    /// sent the poll.
+    /// sent that message.
     pub grant_ms: u64,
     /// Minimum interval between two reports that carry only a change in other
     /// schedulers' usage, in milliseconds.
     #[serde(rename = "room_gap_ms")]
     pub usage_interval_ms: u64,
     /// Ended runs that may be forgotten, if any.
-    #[serde(rename = "noted")]
+    #[serde(default, rename = "noted", skip_serializing_if = "Option::is_none")]
     pub ack: Option<EndAck>,
     /// The orders, to be executed in this order.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub orders: Vec<AgentOrder>,
     /// Entries that schedule best-effort jobs; present when control sends a new
     /// list.
@@ -413,23 +481,17 @@
         /// The call that submitted the job.
         call: CallId,
     },
-    /// A report of an agent.
-    Report {
-        /// Echoed in the reply.
-        call: CallId,
-        /// The report, of any session.
-        report: Box<AgentReport>,
-        /// Ring slot reserved for the reply.
-        reply: Reservation<ControlReply>,
+    /// A message of an agent.
+    Agent {
+        /// The agent's connection.
+        link: LinkId,
+        /// The message, of any session.
+        message: NumberedMessage,
     },
-    /// A poll of an agent for orders.
-    Poll {
-        /// Echoed in the reply.
-        call: CallId,
-        /// The poll, of any session.
-        poll: AgentPoll,
-        /// Ring slot reserved for the reply.
-        reply: Reservation<ControlReply>,
+    /// The connection of an agent was lost.
+    LinkLost {
+        /// The lost connection.
+        link: LinkId,
     },
     /// An entry's query for a catalog newer than its own.
     CatalogWatch {
@@ -465,6 +527,24 @@
     },
 }
 
+/// Messages to the duty that serves the streams of agents.
+#[derive(Debug)]
+pub enum ScheduleEdgeMessage {
+    /// Serves a connection that was accepted by another duty.
+    Connected {
+        /// The connection, after its preamble.
+        stream: std::net::TcpStream,
+    },
+    /// Sends a message to an agent. The connection ends after
+    /// [`SchedulerMessage::Closed`].
+    Send {
+        /// The agent's connection.
+        link: LinkId,
+        /// The message to send.
+        message: SchedulerMessage,
+    },
+}
+
 /// Messages to the duty of an entry that forwards calls to control.
 #[derive(Debug)]
 pub enum JobCallMessage {
--- a/crates/model/src/server_messages.rs
+++ b/crates/model/src/server_messages.rs
@@ -113,12 +113,13 @@
 pub enum ScheduleEvent {
     /// The connection was opened.
     Opened,
-    /// The scheduler acknowledged the latest report.
-    ReportAcked,
-    /// The scheduler replied to a poll.
+    /// The scheduler sent orders, or acknowledged messages.
     Orders {
-        /// Time at which the poll was sent, from which the grant counts.
-        polled_at: Instant,
+        /// Time at which the latest acknowledged message was sent, from which the
+        /// grant counts.
+        sent_at: Instant,
+        /// Number of reports that are acknowledged for the first time.
+        acked_reports: usize,
         /// The orders, with the execution grant and the acknowledged ends.
         orders: Box<AgentOrders>,
     },
--- a/crates/services/src/job_scheduling.rs
+++ b/crates/services/src/job_scheduling.rs
@@ -11,11 +11,13 @@
 use decisions::schedule::{JobDecision, ScheduleLimits, ScheduleStep, Scheduler, SchedulerKind};
 use indexmap::IndexMap;
 use kernel::{
-    DutyHandler, KernelError, PushError, Registry, Reservation, RingReceiver, RingSender, run_duty,
+    BatchHandler, KernelError, PushError, Registry, Reservation, RingReceiver, RingSender,
+    run_batched_duty,
 };
 use model::{
     CallId, Command, ConfigVersion, ControlReply, ControlReplyBody, EventLine, EventLog, JobCall,
-    JobReply, JobReplySlot, LogMessage, QueueFrontMessage, SchedulingMessage, ServiceName,
+    JobReply, JobReplySlot, LinkId, LogMessage, QueueFrontMessage, ScheduleEdgeMessage,
+    SchedulerMessage, SchedulingMessage, ServiceName,
 };
 
 use crate::context::ServiceContext;
@@ -44,8 +46,8 @@
     log: EventLog,
     scheduler: Scheduler,
     leader: Option<SocketAddr>,
-    /// Reply slots of polls that wait for orders.
-    pending_polls: IndexMap<CallId, Reservation<ControlReply>>,
+    /// Ring of the duty that serves the streams of agents.
+    edge: RingSender<ScheduleEdgeMessage>,
     /// Reply slots of callers that wait for the end of a best-effort job.
     waiting_callers: IndexMap<CallId, JobReplySlot>,
     catalog_watchers: Vec<CatalogWatcher>,
@@ -75,13 +77,14 @@
         log: context.event_log(registry)?,
         scheduler: Scheduler::new(clock.now(), kind, limits),
         leader: None,
-        pending_polls: IndexMap::new(),
+        edge: registry.find(ServiceName::ScheduleEdge)?,
         waiting_callers: IndexMap::new(),
         catalog_watchers: Vec::new(),
         site,
         meter: LoadMeter::new(clock.now()),
     };
-    run_duty(ring, &clock, DutyHandler { state, handle, next_deadline });
+    let duty = BatchHandler { state, receive, on_deadline, settle, next_deadline };
+    run_batched_duty(ring, &clock, duty);
     Ok(())
 }
 
@@ -90,17 +93,18 @@
     [state.scheduler.next_deadline(), watch_deadline].into_iter().flatten().min()
 }
 
-fn handle(state: &mut JobScheduling, now: Instant, message: Option<SchedulingMessage>) {
-    match message {
-        Some(message) => {
-            state.meter.count(now, &message);
-            state.on_message(now, message);
-        }
-        None => {
-            let steps = state.scheduler.on_tick(now);
-            state.execute_steps(steps);
-        }
-    }
+fn receive(state: &mut JobScheduling, now: Instant, message: SchedulingMessage) {
+    state.meter.count(now, &message);
+    state.on_message(now, message);
+}
+
+fn on_deadline(state: &mut JobScheduling, now: Instant) {
+    state.scheduler.on_idle(now);
+}
+
+fn settle(state: &mut JobScheduling, now: Instant) {
+    let steps = state.scheduler.settle(now);
+    state.execute_steps(steps);
     state.answer_catalog_watchers(now);
     if let Some(line) = state.meter.take_line(now, &mut state.scheduler) {
         state.log.summary(line);
@@ -113,37 +117,26 @@
             SchedulingMessage::Job { call, job, reply, .. } => self.on_job(now, call, &job, reply),
             SchedulingMessage::CallerDisconnected { call } => {
                 self.waiting_callers.swap_remove(&call);
-                let steps = self.scheduler.on_abandoned(now, call);
-                self.execute_steps(steps);
+                self.scheduler.on_abandoned(now, call);
             }
-            SchedulingMessage::Report { call, report, reply } => {
-                let (accepted, steps) = self.scheduler.on_report(now, &report);
-                let body = if accepted { ControlReplyBody::ReportAcked } else { self.not_leader() };
-                send_reply(reply, call, body);
-                self.execute_steps(steps);
-            }
-            SchedulingMessage::Poll { call, poll, reply } => {
-                self.pending_polls.insert(call, reply);
-                let steps = self.scheduler.on_poll(now, call, &poll);
-                self.execute_steps(steps);
+            SchedulingMessage::Agent { link, message } => {
+                self.scheduler.on_agent_message(now, link, &message);
             }
+            SchedulingMessage::LinkLost { link } => self.scheduler.on_link_lost(link),
             SchedulingMessage::Catalog { catalog } => self.scheduler.on_catalog(&catalog),
             SchedulingMessage::CatalogWatch { call, query, reply } => {
-                let steps = self.scheduler.on_entry(now, &query.entry);
-                self.execute_steps(steps);
+                self.scheduler.on_entry(now, &query.entry);
                 let deadline = now + CATALOG_WATCH_TIMEOUT;
                 let version = query.version;
                 self.catalog_watchers.push(CatalogWatcher { call, version, deadline, reply });
             }
             SchedulingMessage::Applied { records } => {
-                let steps = self.scheduler.on_applied(now, &records);
-                self.execute_steps(steps);
+                self.scheduler.on_applied(now, &records);
             }
             SchedulingMessage::Restored { state } => self.scheduler.on_restored(*state),
             SchedulingMessage::Leading { term, leader } => {
                 self.leader = leader;
-                let steps = self.scheduler.on_leadership(now, term);
-                self.execute_steps(steps);
+                self.scheduler.on_leadership(now, term);
             }
         }
     }
@@ -157,8 +150,6 @@
             JobDecision::NotLeader => self.reject_not_leader(reply, call),
             JobDecision::Commit(command) => self.propose(call, command, reply),
         }
-        let steps = self.scheduler.after_job_call(now);
-        self.execute_steps(steps);
     }
 
     /// Proposes the command of a call, which the replicated log answers. Nothing
@@ -192,27 +183,33 @@
         for step in steps {
             match step {
                 ScheduleStep::Propose(commands) => self.propose_without_reply(commands),
-                ScheduleStep::Orders { call, orders } => {
-                    self.meter.count_poll_answer(&orders);
-                    if let Some(reply) = self.pending_polls.swap_remove(&call) {
-                        send_reply(reply, call, ControlReplyBody::Orders(Box::new(orders)));
-                    }
+                ScheduleStep::Orders { link, orders } => {
+                    self.meter.count_sent(&orders);
+                    self.send_to_agent(link, SchedulerMessage::Orders(Box::new(orders)));
                 }
                 ScheduleStep::JobEnd { call, reply: body } => {
                     if let Some(slot) = self.waiting_callers.swap_remove(&call) {
                         send_job_reply(slot, call, body);
                     }
                 }
-                ScheduleStep::DropPoll { call } => {
-                    if let Some(reply) = self.pending_polls.swap_remove(&call) {
-                        send_reply(reply, call, self.not_leader());
-                    }
+                ScheduleStep::CloseLink { link } => {
+                    let leader = self.leader;
+                    self.send_to_agent(link, SchedulerMessage::Closed { leader });
                 }
                 ScheduleStep::Log(line) => self.log.info(line),
             }
         }
     }
 
+    /// Sends a message to an agent. Orders that the full ring refuses are lost with the
+    /// agent's session: its next one begins with the list of its runs.
+    fn send_to_agent(&mut self, link: LinkId, message: SchedulerMessage) {
+        if self.edge.push(ScheduleEdgeMessage::Send { link, message }).is_err() {
+            self.log.warn(EventLine::new("ring_full").with("ring", ServiceName::ScheduleEdge));
+            self.scheduler.on_link_lost(link);
+        }
+    }
+
     fn propose_without_reply(&self, commands: Vec<Command>) {
         let SchedulerSite::Control(log) = &self.site else { return };
         if log.push(LogMessage::ProposeDetached { commands }).is_err() {
--- a/crates/services/src/load_meter.rs
+++ b/crates/services/src/load_meter.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use decisions::schedule::Scheduler;
-use model::{AgentOrders, AgentReport, EventLine, RunUpdate, SchedulingMessage};
+use model::{AgentMessage, AgentOrders, AgentReport, EventLine, RunUpdate, SchedulingMessage};
 
 /// Minimum interval between two lines; without messages none is written.
 const LINE_INTERVAL: Duration = Duration::from_secs(1);
@@ -23,10 +23,10 @@
     usage_reports: u64,
     /// Ended runs in all reports.
     ends: u64,
-    polls: u64,
-    /// Polls that were answered with orders; all others were answered empty or
-    /// dropped.
-    order_replies: u64,
+    heartbeats: u64,
+    /// Messages to agents, and those of them with orders.
+    sent: u64,
+    sent_orders: u64,
     others: u64,
     max_ring_wait: Duration,
 }
@@ -41,8 +41,9 @@
             refusal_reports: 0,
             usage_reports: 0,
             ends: 0,
-            polls: 0,
-            order_replies: 0,
+            heartbeats: 0,
+            sent: 0,
+            sent_orders: 0,
             others: 0,
             max_ring_wait: Duration::ZERO,
         }
@@ -57,8 +58,10 @@
                 let waited = now.saturating_duration_since(*arrived_at);
                 self.max_ring_wait = self.max_ring_wait.max(waited);
             }
-            SchedulingMessage::Report { report, .. } => self.count_report(report),
-            SchedulingMessage::Poll { .. } => self.polls += 1,
+            SchedulingMessage::Agent { message, .. } => match &message.message {
+                AgentMessage::Report(report) => self.count_report(report),
+                AgentMessage::Heartbeat(_) => self.heartbeats += 1,
+            },
             _ => self.others += 1,
         }
     }
@@ -77,9 +80,10 @@
         }
     }
 
-    /// Counts the answer to a poll.
-    pub(crate) fn count_poll_answer(&mut self, orders: &AgentOrders) {
-        self.order_replies += u64::from(!orders.orders.is_empty());
+    /// Counts a message to an agent.
+    pub(crate) fn count_sent(&mut self, orders: &AgentOrders) {
+        self.sent += 1;
+        self.sent_orders += u64::from(!orders.orders.is_empty());
     }
 
     /// The line that is due, if one is; starts the next interval.
@@ -101,8 +105,9 @@
             .with("refusal_reports", self.refusal_reports)
             .with("usage_reports", self.usage_reports)
             .with("ends", self.ends)
-            .with("polls", self.polls)
-            .with("order_replies", self.order_replies)
+            .with("heartbeats", self.heartbeats)
+            .with("sent", self.sent)
+            .with("sent_orders", self.sent_orders)
             .with("others", self.others)
             .with("ring_wait_ms", self.max_ring_wait.as_millis())
             .with("report_delay_ms", scheduler.report_delay().as_millis())
--- a/crates/services/src/server_runs.rs
+++ b/crates/services/src/server_runs.rs
@@ -106,9 +106,10 @@
         match event {
             ScheduleEvent::Opened => self.table.on_opened(now, scheduler, session),
             ScheduleEvent::Closed => self.table.on_closed(now, &scheduler, session),
-            ScheduleEvent::ReportAcked => self.table.on_report_acked(now, &scheduler, session),
-            ScheduleEvent::Orders { polled_at, orders } => {
-                self.table.on_orders(now, &scheduler, session, polled_at, *orders)
+            ScheduleEvent::Orders { sent_at, acked_reports, orders } => {
+                let steps = self.table.on_reports_acked(now, &scheduler, session, acked_reports);
+                self.execute_steps(steps);
+                self.table.on_orders(now, &scheduler, session, sent_at, *orders)
             }
         }
     }
--- a/tests/agent_fixture.rs
+++ b/tests/agent_fixture.rs
@@ -11,7 +11,7 @@
 
 use crate::schedule_model::run_limits;
 
-/// How long the agent keeps the entry's runs active after it sent a poll.
+/// How long the agent keeps the entry's runs active after it sent a message.
 pub(crate) const GRANT: Duration = Duration::from_secs(1);
 
 /// A run table with the calls that it has made and the updates that it has reported.
@@ -76,7 +76,8 @@
                 RunStep::Call(call) => self.calls.push(call),
                 RunStep::Report(scheduler, report) => {
                     self.updates.extend(report.updates);
-                    let steps = self.table.on_report_acked(self.now, &scheduler, report.session);
+                    let session = report.session;
+                    let steps = self.table.on_reports_acked(self.now, &scheduler, session, 1);
                     self.apply_steps(steps);
                 }
                 RunStep::Connect(_) | RunStep::Log(_) => {}
@@ -93,6 +94,7 @@
         let grant_ms = GRANT.as_millis() as u64;
         let orders = AgentOrders {
             term: 0,
+            received: 1,
             grant_ms,
             usage_interval_ms: 50,
             ack: None,
--- a/tests/entry_links.rs
+++ b/tests/entry_links.rs
@@ -1,70 +1,51 @@
-//! The transport between agents and entries in `EntryModel`. One session links an agent to
-//! an entry at a time, with at most one report and one poll in flight. A poll is answered
-//! with orders, or without any after a while.
+//! The transport between agents and entries in `EntryModel`: one stream each way. An agent
+//! sends reports, and heartbeats where it has nothing to report; an entry sends orders,
+//! which acknowledge the agent's messages.
 //!
 //! All that depends on how messages travel stands here: what is sent and when, what an
 //! entry pays for it, and when a session ends.
 
-use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use decisions::schedule::ScheduleStep;
-use model::{AgentOrders, AgentPoll, AgentReport, CallId, SessionId};
+use model::{
+    AgentHeartbeat, AgentMessage, AgentOrders, AgentReport, LinkId, NumberedMessage, SessionId,
+};
 
 use crate::entry_model::{EntryModel, Event, Inbound, agent_name};
-use crate::overload_model::{LINK_DELAY, MESSAGE_COST};
-
-/// Time without an answer to a report or a poll after which a session ends.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(1_500);
+use crate::link_model::LinkModel;
+use crate::overload_model::LINK_DELAY;
+
+/// Time that a host with an eighth of a core takes for one message of a stream, in either
+/// direction.
+pub(crate) const STREAM_COST: Duration = Duration::from_micros(200);
+/// Time without an acknowledgement after which a session ends.
+const ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Delay between attempts to open a session.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
-/// A message of an agent to an entry.
-pub(crate) enum ToEntry {
-    Report(Box<AgentReport>),
-    /// A poll with the time at which it was sent.
-    Poll(Instant),
-}
-
-impl ToEntry {
-    /// Processor time of the entry for this message and the replies that it causes.
-    pub(crate) fn cost(&self) -> Duration {
-        match self {
-            ToEntry::Report(_) | ToEntry::Poll(_) => MESSAGE_COST,
-        }
-    }
-}
-
 /// A message of an entry to an agent.
 pub(crate) enum ToAgent {
-    ReportAcked,
-    /// The reply to the poll that was sent at this time.
-    Orders(Instant, AgentOrders),
-    /// A report or poll is not accepted, so the session ends.
-    Rejected,
-}
-
-impl ToAgent {
-    /// Processor time of the entry for this message besides that of the message that it
-    /// replies to.
-    pub(crate) fn cost(&self) -> Duration {
-        match self {
-            ToAgent::ReportAcked | ToAgent::Orders(..) | ToAgent::Rejected => Duration::ZERO,
-        }
-    }
+    Orders(AgentOrders),
+    /// The session is over.
+    Closed,
 }
 
 /// An agent's end of its link to an entry.
 #[derive(Default)]
 pub(crate) struct AgentLink {
     session: SessionId,
-    is_open: bool,
-    report_sent_at: Option<Instant>,
-    poll_sent_at: Option<Instant>,
+    open: Option<LinkModel>,
 }
 
-/// An entry's end of its links: agent, session and time of each open poll.
-pub(crate) type OpenPolls = BTreeMap<CallId, (usize, SessionId, Instant)>;
+/// Id of the link of a session; sessions of one agent with one entry are numbered.
+fn link_id(agent: usize, session: SessionId) -> LinkId {
+    session << 32 | agent as u64
+}
+
+/// Agent and session of a link.
+fn owner_of(link: LinkId) -> (usize, SessionId) {
+    ((link & u64::from(u32::MAX)) as usize, link >> 32)
+}
 
 impl EntryModel {
     /// Opens a session; tries again later while the agent is cut off.
@@ -73,7 +54,7 @@
             return self.after(RETRY_DELAY, Event::Connect { agent, entry });
         }
         let link = &mut self.agents[agent].links[entry];
-        *link = AgentLink { session: link.session + 1, is_open: true, ..AgentLink::default() };
+        *link = AgentLink { session: link.session + 1, open: Some(LinkModel::new(self.now)) };
         let (session, key) = (link.session, self.entries[entry].key.clone());
         let steps = self.agents[agent].table.on_opened(self.now, key, session);
         self.apply_run_steps(agent, steps);
@@ -81,44 +62,48 @@
 
     fn close_session(&mut self, agent: usize, entry: usize) {
         let link = &mut self.agents[agent].links[entry];
-        link.is_open = false;
+        link.open = None;
         let (session, key) = (link.session, &self.entries[entry].key);
         let steps = self.agents[agent].table.on_closed(self.now, key, session);
         self.apply_run_steps(agent, steps);
         self.after(RETRY_DELAY, Event::Connect { agent, entry });
     }
 
-    /// Ends the sessions in which a report or a poll was not answered in time.
+    /// Ends the sessions in which a message was not acknowledged in time, and sends the
+    /// heartbeats that are due.
     pub(crate) fn check_links(&mut self) {
         for agent in 0..self.agents.len() {
             for entry in 0..self.entries.len() {
-                let link = &self.agents[agent].links[entry];
-                let sent_at = link.report_sent_at.into_iter().chain(link.poll_sent_at).min();
-                if link.is_open && sent_at.is_some_and(|at| at + REPLY_TIMEOUT <= self.now) {
+                let Some(open) = &self.agents[agent].links[entry].open else { continue };
+                let is_late = |since: Instant| since + ACK_TIMEOUT <= self.now;
+                if open.unacked_since().is_some_and(is_late) {
                     self.close_session(agent, entry);
+                } else if open.heartbeat_due(self.now) {
+                    self.send_heartbeat(agent, entry);
                 }
             }
         }
     }
 
+    fn send_heartbeat(&mut self, agent: usize, entry: usize) {
+        let session = self.agents[agent].links[entry].session;
+        let heartbeat = AgentHeartbeat { agent: agent_name(agent), incarnation: 1, session };
+        self.send_to_entry(agent, entry, AgentMessage::Heartbeat(heartbeat));
+    }
+
     /// Sends a report that the agent's run table has made.
     pub(crate) fn send_report(&mut self, agent: usize, entry: usize, report: AgentReport) {
-        let link = &mut self.agents[agent].links[entry];
-        if !link.is_open || report.session != link.session {
-            return;
+        let link = &self.agents[agent].links[entry];
+        if link.open.is_some() && report.session == link.session {
+            self.send_to_entry(agent, entry, AgentMessage::Report(Box::new(report)));
         }
-        link.report_sent_at = Some(self.now);
-        self.send_to_entry(agent, entry, ToEntry::Report(Box::new(report)));
-    }
-
-    fn send_poll(&mut self, agent: usize, entry: usize) {
-        self.agents[agent].links[entry].poll_sent_at = Some(self.now);
-        self.send_to_entry(agent, entry, ToEntry::Poll(self.now));
     }
 
-    fn send_to_entry(&mut self, agent: usize, entry: usize, message: ToEntry) {
-        let session = self.agents[agent].links[entry].session;
-        let message = Inbound::Agent { agent, session, message };
+    fn send_to_entry(&mut self, agent: usize, entry: usize, message: AgentMessage) {
+        let link = &mut self.agents[agent].links[entry];
+        let Some(open) = &mut link.open else { return };
+        let message = open.send(self.now, message);
+        let message = Inbound::Agent { agent, session: link.session, message };
         self.after(LINK_DELAY, Event::AtEntry { entry, message });
     }
 
@@ -128,44 +113,33 @@
         entry: usize,
         agent: usize,
         session: SessionId,
-        message: ToEntry,
-    ) -> Vec<ScheduleStep> {
-        let call = self.new_id();
+        message: &NumberedMessage,
+    ) {
         let node = &mut self.entries[entry];
-        match message {
-            ToEntry::Report(report) => {
-                if report.updates.is_empty() {
-                    node.counts.usage_reports += 1;
-                } else {
-                    node.counts.end_reports += 1;
-                }
-                let (accepted, steps) = node.scheduler.on_report(self.now, &report);
-                let reply = if accepted { ToAgent::ReportAcked } else { ToAgent::Rejected };
-                node.outgoing.push((agent, session, reply));
-                steps
-            }
-            ToEntry::Poll(polled_at) => {
-                node.counts.polls += 1;
-                node.polls.insert(call, (agent, session, polled_at));
-                let poll = AgentPoll { agent: agent_name(agent), incarnation: 1, session };
-                node.scheduler.on_poll(self.now, call, &poll)
+        match &message.message {
+            AgentMessage::Report(report) if report.updates.is_empty() => {
+                node.counts.usage_reports += 1;
             }
+            AgentMessage::Report(_) => node.counts.end_reports += 1,
+            AgentMessage::Heartbeat(_) => node.counts.heartbeats += 1,
         }
+        node.scheduler.on_agent_message(self.now, link_id(agent, session), message);
     }
 
-    /// Sends orders of an entry's scheduler with the reply to a poll.
-    pub(crate) fn send_orders(&mut self, entry: usize, call: CallId, orders: AgentOrders) {
+    /// Sends orders of an entry's scheduler to an agent.
+    pub(crate) fn send_orders(&mut self, entry: usize, link: LinkId, orders: AgentOrders) {
+        let (agent, session) = owner_of(link);
         let node = &mut self.entries[entry];
-        let Some((agent, session, polled_at)) = node.polls.remove(&call) else { return };
-        node.counts.orders += u64::from(!orders.orders.is_empty());
-        node.outgoing.push((agent, session, ToAgent::Orders(polled_at, orders)));
+        node.counts.sent += 1;
+        node.outgoing.push((agent, session, ToAgent::Orders(orders)));
     }
 
-    /// Answers a poll that the entry's scheduler drops.
-    pub(crate) fn drop_poll(&mut self, entry: usize, call: CallId) {
+    /// Closes a connection of an entry's scheduler.
+    pub(crate) fn close_link(&mut self, entry: usize, link: LinkId) {
+        let (agent, session) = owner_of(link);
         let node = &mut self.entries[entry];
-        let Some((agent, session, _)) = node.polls.remove(&call) else { return };
-        node.outgoing.push((agent, session, ToAgent::Rejected));
+        node.counts.sent += 1;
+        node.outgoing.push((agent, session, ToAgent::Closed));
     }
 
     /// Handles an entry's message at the agent.
@@ -179,26 +153,17 @@
         let key = self.entries[entry].key.clone();
         let node = &mut self.agents[agent];
         let link = &mut node.links[entry];
-        if !link.is_open || link.session != session {
-            return;
-        }
+        let Some(open) = link.open.as_mut().filter(|_| link.session == session) else { return };
         match message {
-            ToAgent::ReportAcked => {
-                link.report_sent_at = None;
-                // Polls start once the first report is accepted.
-                let polls = link.poll_sent_at.is_some();
-                let steps = node.table.on_report_acked(self.now, &key, session);
-                self.apply_run_steps(agent, steps);
-                if !polls {
-                    self.send_poll(agent, entry);
-                }
-            }
-            ToAgent::Orders(polled_at, orders) => {
-                let steps = node.table.on_orders(self.now, &key, session, polled_at, orders);
+            ToAgent::Orders(orders) => {
+                let reports = open.on_ack(orders.received);
+                let sent_at = open.acked_at();
+                let table = &mut node.table;
+                let mut steps = table.on_reports_acked(self.now, &key, session, reports);
+                steps.extend(table.on_orders(self.now, &key, session, sent_at, orders));
                 self.apply_run_steps(agent, steps);
-                self.send_poll(agent, entry);
             }
-            ToAgent::Rejected => self.close_session(agent, entry),
+            ToAgent::Closed => self.close_session(agent, entry),
         }
     }
 }
--- a/tests/entry_model.rs
+++ b/tests/entry_model.rs
@@ -10,22 +10,23 @@
 use decisions::agent::{RunStep, RunTable};
 use decisions::schedule::{JobDecision, ScheduleStep, Scheduler, SchedulerKind};
 use model::{
-    CallId, JobCall, JobReply, NodeId, ResourceAmount, SchedulerKey, ServerAnswer, ServerCall,
-    ServerHeartbeat, ServerRequest, ServerView, SessionId,
+    CallId, JobCall, JobReply, NodeId, NumberedMessage, ResourceAmount, SchedulerKey, ServerAnswer,
+    ServerCall, ServerHeartbeat, ServerRequest, ServerView, SessionId,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
 use crate::caller_jobs::{CALLER_WAIT, CallerJob, JobOutcome, TASK_CPU_MILLI, number_of};
-use crate::entry_links::{AgentLink, OpenPolls, ToAgent, ToEntry};
+use crate::entry_links::{AgentLink, STREAM_COST, ToAgent};
 use crate::overload_model::{JOB_COST, LINK_DELAY, MESSAGE_COST, PRICING_COST};
 use crate::schedule_model::{SERVICE, catalog, run_limits, schedule_limits};
 use crate::server_model::ServerModel;
 
 /// Time of a message between an agent and its backend server, on the same host.
 const SERVER_DELAY: Duration = Duration::from_micros(500);
-/// Interval at which agents look for reports and polls without an answer.
-const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which agents look for heartbeats that are due and for messages without an
+/// acknowledgement.
+const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Time over which the first sessions open, so that agents don't act in step.
 const CONNECT_SPREAD_MS: u64 = 60;
 /// Delay after which the next deadline of an agent or an idle entry is looked up.
@@ -63,9 +64,9 @@
     pub(crate) end_reports: u64,
     /// Reports with the usage by other entries only.
     pub(crate) usage_reports: u64,
-    pub(crate) polls: u64,
-    /// Replies with at least one order.
-    pub(crate) orders: u64,
+    pub(crate) heartbeats: u64,
+    /// Messages to agents.
+    pub(crate) sent: u64,
     /// Time for which the processor was busy.
     pub(crate) busy: Duration,
     /// Longest time that a job waited for the processor.
@@ -73,12 +74,12 @@
 }
 
 impl EntryCounts {
-    /// Messages of agents.
+    /// Messages from and to agents.
     pub(crate) fn messages(&self) -> u64 {
-        self.end_reports + self.usage_reports + self.polls
+        self.end_reports + self.usage_reports + self.heartbeats + self.sent
     }
 
-    /// Messages of agents for each job.
+    /// Messages from and to agents for each job.
     pub(crate) fn messages_per_job(&self) -> f64 {
         self.messages() as f64 / self.jobs.max(1) as f64
     }
@@ -89,7 +90,7 @@
     /// A caller submits the job of this number.
     Submit(usize),
     /// A message of an agent in this session.
-    Agent { agent: usize, session: SessionId, message: ToEntry },
+    Agent { agent: usize, session: SessionId, message: NumberedMessage },
 }
 
 pub(crate) enum Event {
@@ -153,7 +154,6 @@
     busy_until: Instant,
     /// Time of the only valid tick.
     tick_at: Option<Instant>,
-    pub(crate) polls: OpenPolls,
     /// Messages that leave once the processor is done with the present one.
     pub(crate) outgoing: Vec<(usize, SessionId, ToAgent)>,
     /// Job number of each open call.
@@ -398,14 +398,15 @@
         if self.entries[entry].busy_until > self.now {
             return;
         }
-        let (cost, steps) = match self.entries[entry].inbox.pop_front() {
+        let (cost, reply) = match self.entries[entry].inbox.pop_front() {
             Some(Inbound::Submit(number)) => (JOB_COST, self.submit(entry, number)),
             Some(Inbound::Agent { agent, session, message }) => {
-                (message.cost(), self.handle_at_entry(entry, agent, session, message))
+                self.handle_at_entry(entry, agent, session, &message);
+                (STREAM_COST, None)
             }
             None => return self.set_entry_tick(entry, self.now + TIMER_STEP),
         };
-        self.end_message(entry, cost, steps);
+        self.end_message(entry, cost, reply);
     }
 
     /// Lets an idle entry do what is due by now; else sets its tick to its next deadline.
@@ -416,8 +417,8 @@
         }
         match node.scheduler.next_deadline() {
             Some(due) if due <= self.now => {
-                let steps = node.scheduler.on_tick(self.now);
-                self.end_message(entry, MESSAGE_COST, steps);
+                node.scheduler.on_idle(self.now);
+                self.end_message(entry, MESSAGE_COST, None);
             }
             Some(due) => self.set_entry_tick(entry, due),
             None => {}
@@ -435,11 +436,18 @@
 
     /// Charges the entry for a message and what it caused, which is sent once the processor
     /// is done.
-    fn end_message(&mut self, entry: usize, message_cost: Duration, steps: Vec<ScheduleStep>) {
-        let finished = self.apply_schedule_steps(entry, steps);
+    fn end_message(
+        &mut self,
+        entry: usize,
+        message_cost: Duration,
+        reply: Option<(CallId, JobReply)>,
+    ) {
+        let steps = self.entries[entry].scheduler.settle(self.now);
+        let mut finished = self.apply_schedule_steps(entry, steps);
+        finished.extend(reply);
         let node = &mut self.entries[entry];
         let searches = PRICING_COST * node.scheduler.take_counts().agents_priced as u32;
-        let sent: Duration = node.outgoing.iter().map(|(_, _, message)| message.cost()).sum();
+        let sent = STREAM_COST * node.outgoing.len() as u32;
         let cost = if self.shape.charged { message_cost + searches + sent } else { Duration::ZERO };
         node.counts.busy += cost;
         node.busy_until = self.now + cost;
@@ -460,7 +468,8 @@
         self.at(done_at, Event::EntryDue(entry));
     }
 
-    fn submit(&mut self, entry: usize, number: usize) -> Vec<ScheduleStep> {
+    /// Submits a job; returns the reply if it is decided at once.
+    fn submit(&mut self, entry: usize, number: usize) -> Option<(CallId, JobReply)> {
         let call = self.new_id();
         let lag = self.now.saturating_duration_since(self.jobs[number].at);
         let job = std::sync::Arc::clone(&self.jobs[number].caller_job.job);
@@ -471,11 +480,10 @@
         node.calls.insert(call, number);
         let decision =
             node.scheduler.on_job_call(self.now, call, &JobCall::Submit { job, wait_ms });
-        let mut steps = node.scheduler.after_job_call(self.now);
-        if let JobDecision::Reply(reply) = decision {
-            steps.push(ScheduleStep::JobEnd { call, reply });
+        match decision {
+            JobDecision::Reply(reply) => Some((call, reply)),
+            _ => None,
         }
-        steps
     }
 
     /// Carries out a scheduler's steps; returns the calls that ended.
@@ -487,8 +495,8 @@
         let mut finished = Vec::new();
         for step in steps {
             match step {
-                ScheduleStep::Orders { call, orders } => self.send_orders(entry, call, orders),
-                ScheduleStep::DropPoll { call } => self.drop_poll(entry, call),
+                ScheduleStep::Orders { link, orders } => self.send_orders(entry, link, orders),
+                ScheduleStep::CloseLink { link } => self.close_link(entry, link),
                 ScheduleStep::JobEnd { call, reply } => finished.push((call, reply)),
                 ScheduleStep::Propose(_) | ScheduleStep::Log(_) => {}
             }
@@ -592,7 +600,6 @@
             inbox: VecDeque::new(),
             busy_until: now,
             tick_at: None,
-            polls: OpenPolls::new(),
             outgoing: Vec::new(),
             calls: BTreeMap::new(),
             counts: EntryCounts::default(),
--- a/tests/entry_share.rs
+++ b/tests/entry_share.rs
@@ -3,8 +3,9 @@
 
 use std::time::Duration;
 
+use crate::entry_links::STREAM_COST;
 use crate::entry_model::{EntryCounts, EntryModel, EntryShape};
-use crate::overload_model::{JOB_COST, MESSAGE_COST};
+use crate::overload_model::JOB_COST;
 
 /// Jobs a second of each entry at the usual load of the incident; grown deployments
 /// repeat them.
@@ -16,11 +17,12 @@
 
 /// Time of the entry's host for each job at that load, in microseconds.
 const JOB_TIME_US: u64 = 1_000_000 * 100 / (USUAL_RATES[FULLEST] * TARGET_PERCENT);
-/// What the job itself leaves of it for messages of agents.
+/// What the job itself leaves of it for messages from and to agents.
 const MESSAGE_TIME_US: u64 = JOB_TIME_US - JOB_COST.as_micros() as u64;
-/// Messages of agents for each job that fit into that time, rounded down to a tenth.
+/// Messages from and to agents for each job that fit into that time, rounded down to a
+/// tenth.
 const MAX_MESSAGES_PER_JOB: f64 =
-    (MESSAGE_TIME_US * 10 / MESSAGE_COST.as_micros() as u64) as f64 / 10.0;
+    (MESSAGE_TIME_US * 10 / STREAM_COST.as_micros() as u64) as f64 / 10.0;
 /// Greatest growth of that number with the number of entries and agents.
 const MAX_GROWTH: f64 = 1.1;
 
@@ -92,7 +94,7 @@
 const SMALL: EntryShape =
     EntryShape { entries: 4, agents: 50, cores: 16, charged: true, seed: SEED };
 
-// Guards against reports and polls that take the share which a busy entry's jobs need.
+// Guards against messages that take the share which a busy entry's jobs need.
 #[test]
 fn messages_leave_room() {
     let counts = usual_counts(SMALL, secs(2), secs(6));
--- /dev/null
+++ b/tests/link_model.rs
@@ -0,0 +1,64 @@
+//! An agent's end of its stream to a scheduler, as the models of schedulers and agents
+//! share it: numbers of messages, acknowledgements, and when a heartbeat is due.
+
+use std::time::{Duration, Instant};
+
+use model::{AgentMessage, NumberedMessage};
+
+/// Time after an agent's latest message, once all are acknowledged, until it sends a
+/// heartbeat.
+pub(crate) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(350);
+
+/// An open connection of an agent.
+#[derive(Debug, Clone)]
+pub(crate) struct LinkModel {
+    /// Unacknowledged messages: number, time, and whether it is a report.
+    unacked: Vec<(u64, Instant, bool)>,
+    last_number: u64,
+    last_sent_at: Instant,
+    acked_at: Instant,
+}
+
+impl LinkModel {
+    pub(crate) fn new(now: Instant) -> LinkModel {
+        LinkModel { unacked: Vec::new(), last_number: 0, last_sent_at: now, acked_at: now }
+    }
+
+    pub(crate) fn send(&mut self, now: Instant, message: AgentMessage) -> NumberedMessage {
+        self.last_number += 1;
+        self.last_sent_at = now;
+        let is_report = matches!(message, AgentMessage::Report(_));
+        self.unacked.push((self.last_number, now, is_report));
+        NumberedMessage { number: self.last_number, message }
+    }
+
+    /// Handles an acknowledgement; returns the number of reports that it covers.
+    pub(crate) fn on_ack(&mut self, received: u64) -> usize {
+        let acked = self.unacked.iter().filter(|(number, ..)| *number <= received);
+        let reports = acked.clone().filter(|(_, _, is_report)| *is_report).count();
+        self.acked_at = acked.map(|(_, at, _)| *at).max().unwrap_or(self.acked_at);
+        self.unacked.retain(|(number, ..)| *number > received);
+        reports
+    }
+
+    /// When the latest acknowledged message was sent.
+    pub(crate) fn acked_at(&self) -> Instant {
+        self.acked_at
+    }
+
+    /// When the first unacknowledged message was sent.
+    pub(crate) fn unacked_since(&self) -> Option<Instant> {
+        self.unacked.first().map(|(_, at, _)| *at)
+    }
+
+    /// Time of the next heartbeat; `None` before the first message and while one is not
+    /// acknowledged.
+    pub(crate) fn next_heartbeat(&self) -> Option<Instant> {
+        let is_idle = self.last_number > 0 && self.unacked.is_empty();
+        is_idle.then(|| self.last_sent_at + HEARTBEAT_INTERVAL)
+    }
+
+    pub(crate) fn heartbeat_due(&self, now: Instant) -> bool {
+        self.next_heartbeat().is_some_and(|at| at <= now)
+    }
+}
--- a/tests/overload_model.rs
+++ b/tests/overload_model.rs
@@ -10,19 +10,21 @@
 
 use decisions::schedule::{JobDecision, LoadCounts, ScheduleStep, Scheduler, SchedulerKind};
 use model::{
-    AgentOrder, AgentPoll, AgentReport, EndKind, JobCall, JobReply, QueuedJob, ResourceAmount,
-    RunUpdate, ServerView, TaskRun,
+    AgentHeartbeat, AgentMessage, AgentOrder, AgentReport, EndKind, JobCall, JobReply,
+    MAX_UNACKED_REPORTS, NumberedMessage, QueuedJob, ResourceAmount, RunUpdate, ServerReport,
+    ServerView, TaskRun,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
 use crate::caller_jobs::{CALLER_WAIT, CallerJob, JobOutcome, LONG_KIND, number_of};
+use crate::link_model::HEARTBEAT_INTERVAL;
 use crate::schedule_model::{SERVICE, catalog, schedule_limits};
 
 /// Time that a host with an eighth of a core takes for a caller's job, besides
 /// its placement.
 pub(crate) const JOB_COST: Duration = Duration::from_micros(1_200);
-/// The same for an agent's report or poll, and for a deadline.
+/// The same for an agent's report or heartbeat, and for a deadline.
 pub(crate) const MESSAGE_COST: Duration = Duration::from_micros(350);
 /// The same for pricing one agent in a search for one.
 pub(crate) const PRICING_COST: Duration = Duration::from_nanos(275);
@@ -44,8 +46,9 @@
     RunEnd(usize, String),
     /// Orders reach an agent.
     Orders(usize, u64),
-    /// The entry's acknowledgement of a report reaches an agent.
-    ReportAcked(usize),
+    /// An agent without unacknowledged messages sends a heartbeat, if this was the
+    /// number of its latest message.
+    Heartbeat(usize, u64),
     /// The connection to an agent breaks, or is there again.
     Link(usize, bool),
     /// The run times at an agent's backend server change, to this percentage.
@@ -60,8 +63,7 @@
 
 enum Message {
     Submit(Arc<QueuedJob>),
-    Report(usize, u64, Box<AgentReport>),
-    Poll(usize, u64),
+    Agent(u64, NumberedMessage),
 }
 
 #[derive(Default)]
@@ -73,7 +75,9 @@
     /// Active runs with their starts.
     runs: BTreeMap<String, (TaskRun, Instant)>,
     updates: Vec<RunUpdate>,
-    report_in_flight: bool,
+    /// Number of the latest message of the session, and of the latest acknowledged one.
+    sent: u64,
+    acked: u64,
 }
 
 /// A submitted job.
@@ -92,12 +96,13 @@
     events: BinaryHeap<Reverse<(Instant, u64, Event)>>,
     event_count: u64,
     in_transit: BTreeMap<u64, Message>,
-    orders_in_transit: BTreeMap<u64, (usize, Vec<AgentOrder>)>,
+    /// Session, acknowledged message and orders, by message.
+    orders_in_transit: BTreeMap<u64, (u64, u64, Vec<AgentOrder>)>,
     inbox: VecDeque<Message>,
     busy_until: Instant,
     next_id: u64,
-    /// Agent and session of each open poll, by call.
-    polls: BTreeMap<u64, (usize, u64)>,
+    /// Agent of each connection, which has the number of its session.
+    links: BTreeMap<u64, usize>,
     /// Submitted jobs, by number.
     jobs: Vec<JobEntry>,
     /// Source of the differences between jobs of a kind; without one there are none.
@@ -130,7 +135,7 @@
             inbox: VecDeque::new(),
             busy_until: start,
             next_id: 0,
-            polls: BTreeMap::new(),
+            links: BTreeMap::new(),
             jobs: Vec::new(),
             spread: None,
             calls: BTreeMap::new(),
@@ -253,10 +258,7 @@
             }
             Event::RunEnd(agent, name) => self.end_run(agent, &name),
             Event::Orders(agent, id) => self.take_orders(agent, id),
-            Event::ReportAcked(agent) => {
-                self.agents[agent].report_in_flight = false;
-                self.report(agent, None);
-            }
+            Event::Heartbeat(agent, number) => self.heartbeat(agent, number),
             Event::Link(agent, connected) => self.set_link(agent, connected),
             Event::Slowness(agent, slowness) => self.agents[agent].slowness = slowness,
             Event::Arrival(id) => {
@@ -282,37 +284,69 @@
         let slowness = state.slowness;
         *state = AgentModel { connected, session, slowness, ..AgentModel::default() };
         if connected {
+            self.links.insert(session, agent);
             self.report(agent, Some(Vec::new()));
-            self.send(Message::Poll(agent, session));
         }
     }
 
+    /// Sends a message of an agent over its connection.
+    fn send_message(&mut self, agent: usize, message: AgentMessage) {
+        let state = &mut self.agents[agent];
+        state.sent += 1;
+        let (session, number) = (state.session, state.sent);
+        self.send(Message::Agent(session, NumberedMessage { number, message }));
+        self.at(self.now + HEARTBEAT_INTERVAL, Event::Heartbeat(agent, number));
+    }
+
+    /// Sends a heartbeat unless another message was sent since, or one is unacknowledged
+    /// still.
+    fn heartbeat(&mut self, agent: usize, number: u64) {
+        let state = &self.agents[agent];
+        if !state.connected || state.sent != number {
+            return;
+        }
+        if state.acked < number {
+            return self.at(self.now + HEARTBEAT_INTERVAL, Event::Heartbeat(agent, number));
+        }
+        let heartbeat = AgentHeartbeat {
+            agent: format!("agent-{agent}").into(),
+            incarnation: 1,
+            session: state.session,
+        };
+        self.send_message(agent, AgentMessage::Heartbeat(heartbeat));
+    }
+
     fn report(&mut self, agent: usize, runs: Option<Vec<TaskRun>>) {
         let state = &mut self.agents[agent];
         let nothing_new = state.updates.is_empty() && runs.is_none();
-        if !state.connected || state.report_in_flight || nothing_new {
+        let unacked = (state.sent - state.acked) as usize;
+        if !state.connected || unacked >= MAX_UNACKED_REPORTS || nothing_new {
             return;
         }
-        state.report_in_flight = true;
+        let server = match runs.is_some() {
+            true => ServerReport::Present(server_view(agent)),
+            false => ServerReport::Unchanged,
+        };
         let report = AgentReport {
             agent: format!("agent-{agent}").into(),
             incarnation: 1,
             session: state.session,
-            server: Some(server_view(agent)),
+            server,
             runs,
             unowned: Vec::new(),
             updates: std::mem::take(&mut state.updates),
             other_usage: ResourceAmount::default(),
         };
-        let session = state.session;
-        self.send(Message::Report(agent, session, Box::new(report)));
+        self.send_message(agent, AgentMessage::Report(Box::new(report)));
     }
 
     fn take_orders(&mut self, agent: usize, id: u64) {
-        let Some((_, orders)) = self.orders_in_transit.remove(&id) else { return };
-        if !self.agents[agent].connected {
+        let Some((session, acked, orders)) = self.orders_in_transit.remove(&id) else { return };
+        let state = &mut self.agents[agent];
+        if !state.connected || state.session != session {
             return;
         }
+        state.acked = state.acked.max(acked);
         for order in orders {
             match order {
                 AgentOrder::Start { runs, size, .. } => {
@@ -325,8 +359,6 @@
             }
         }
         self.report(agent, None);
-        let session = self.agents[agent].session;
-        self.send(Message::Poll(agent, session));
     }
 
     fn start_run(&mut self, agent: usize, run: TaskRun, size: ResourceAmount) {
@@ -369,12 +401,12 @@
         }
         self.scheduler.take_counts();
         let mut cost = MESSAGE_COST;
-        let steps = match self.inbox.pop_front() {
+        match self.inbox.pop_front() {
             Some(message) => {
                 if matches!(message, Message::Submit(_)) {
                     cost = JOB_COST;
                 }
-                self.handle(message)
+                self.handle(message);
             }
             None => {
                 let due = self.scheduler.next_deadline();
@@ -384,9 +416,10 @@
                     }
                     return;
                 }
-                self.scheduler.on_tick(self.now)
+                self.scheduler.on_idle(self.now);
             }
-        };
+        }
+        let steps = self.scheduler.settle(self.now);
         let counts = self.scheduler.take_counts();
         self.counts.too_late += counts.too_late;
         self.counts.searches += counts.searches;
@@ -397,7 +430,7 @@
         self.at(free_at, Event::Tick);
     }
 
-    fn handle(&mut self, message: Message) -> Vec<ScheduleStep> {
+    fn handle(&mut self, message: Message) {
         let now = self.now;
         match message {
             Message::Submit(job) => {
@@ -412,22 +445,8 @@
                 {
                     self.finish_call(call, &reply);
                 }
-                self.scheduler.after_job_call(now)
-            }
-            Message::Report(agent, session, report) => {
-                let (accepted, steps) = self.scheduler.on_report(now, &report);
-                if accepted && self.agents[agent].session == session {
-                    self.at(now + LINK_DELAY, Event::ReportAcked(agent));
-                }
-                steps
-            }
-            Message::Poll(agent, session) => {
-                let call = self.new_id();
-                self.polls.insert(call, (agent, session));
-                let poll =
-                    AgentPoll { agent: format!("agent-{agent}").into(), incarnation: 1, session };
-                self.scheduler.on_poll(now, call, &poll)
             }
+            Message::Agent(link, message) => self.scheduler.on_agent_message(now, link, &message),
         }
     }
 
@@ -436,18 +455,16 @@
     fn apply(&mut self, steps: Vec<ScheduleStep>) {
         for step in steps {
             match step {
-                ScheduleStep::Orders { call, orders } => {
-                    let Some((agent, session)) = self.polls.remove(&call) else { continue };
-                    if self.agents[agent].session != session {
-                        continue;
-                    }
+                ScheduleStep::Orders { link, orders } => {
+                    let Some(agent) = self.links.get(&link).copied() else { continue };
                     let id = self.new_id();
-                    self.orders_in_transit.insert(id, (agent, orders.orders));
+                    let message = (link, orders.received, orders.orders);
+                    self.orders_in_transit.insert(id, message);
                     self.at(self.busy_until + LINK_DELAY, Event::Orders(agent, id));
                 }
                 ScheduleStep::JobEnd { call, reply } => self.finish_call(call, &reply),
-                ScheduleStep::DropPoll { call } => {
-                    self.polls.remove(&call);
+                ScheduleStep::CloseLink { link } => {
+                    self.links.remove(&link);
                 }
                 ScheduleStep::Propose(_) | ScheduleStep::Log(_) => {}
             }
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -15,16 +15,17 @@
     JobDecision, LoadCounts, ScheduleLimits, ScheduleStep, Scheduler, SchedulerKind,
 };
 use model::{
-    AgentPoll, Command, JobCall, JobPhase, JobReply, JobStep, LogRecord, QueueCatalog, QueueRule,
-    QueuedJob, ResourceAmount, SchedulerKey, ServerAnswer, ServerCall, ServerHeartbeat,
-    ServerRequest, ServerView, ServiceRule, TaskName,
+    AgentHeartbeat, AgentMessage, AgentOrders, AgentReport, Command, JobCall, JobPhase, JobReply,
+    JobStep, LogRecord, QueueCatalog, QueueRule, QueuedJob, ResourceAmount, SchedulerKey,
+    ServerAnswer, ServerCall, ServerHeartbeat, ServerRequest, ServerView, ServiceRule, TaskName,
 };
 
+use crate::link_model::LinkModel;
 use crate::server_model::ServerModel;
 
 /// Lease of an agent on its backend server; runs end when it expires.
 pub(crate) const LEASE: Duration = Duration::from_millis(1_000);
-/// How long an agent keeps an entry's runs active after it sent a poll.
+/// How long an agent keeps an entry's runs active after it sent a message.
 const ENTRY_GRANT: Duration = Duration::from_millis(1_000);
 /// The same for runs of the control scheduler.
 const CONTROL_GRANT: Duration = Duration::from_millis(4_000);
@@ -50,7 +51,7 @@
     ScheduleLimits {
         grant: if kind == SchedulerKind::Entry { ENTRY_GRANT } else { CONTROL_GRANT },
         lease: LEASE,
-        poll_wait: Duration::from_millis(350),
+        reply_wait: Duration::from_millis(200),
         ack_delay: Duration::from_millis(150),
         remote_factor: 1.5,
     }
@@ -101,8 +102,8 @@
 struct SchedulerModel {
     key: SchedulerKey,
     scheduler: Scheduler,
-    /// Open long polls by call: agent, session and time of the poll.
-    polls: BTreeMap<u64, (usize, u64, Instant)>,
+    /// Agent and connection by link; a link has the number of its session.
+    links: BTreeMap<u64, (usize, LinkModel)>,
     /// Agents whose next orders are lost together with the connection.
     lose_orders: BTreeSet<usize>,
 }
@@ -197,8 +198,8 @@
         if kind == SchedulerKind::Entry {
             scheduler.on_catalog(&catalog(1));
         }
-        let (polls, lose_orders) = (BTreeMap::new(), BTreeSet::new());
-        self.schedulers.push(SchedulerModel { key, scheduler, polls, lose_orders });
+        let (links, lose_orders) = (BTreeMap::new(), BTreeSet::new());
+        self.schedulers.push(SchedulerModel { key, scheduler, links, lose_orders });
     }
 
     fn propose(&mut self, commands: Vec<Command>) {
@@ -217,8 +218,14 @@
             records.push(record);
         }
         let now = self.now;
-        let steps = self.schedulers[0].scheduler.on_applied(now, &records);
-        self.apply_schedule_steps(0, steps);
+        self.schedulers[0].scheduler.on_applied(now, &records);
+        self.settle_scheduler(0);
+    }
+
+    /// Carries out what follows from a scheduler's inputs.
+    fn settle_scheduler(&mut self, number: usize) {
+        let steps = self.schedulers[number].scheduler.settle(self.now);
+        self.apply_schedule_steps(number, steps);
     }
 
     /// Elects another leader, which knows only the committed state. Pending
@@ -230,7 +237,7 @@
         let mut scheduler = Scheduler::new(self.now, SchedulerKind::Control, limits);
         scheduler.on_restored(self.job_store.state());
         self.schedulers[0].scheduler = scheduler;
-        self.schedulers[0].polls.clear();
+        self.schedulers[0].links.clear();
         for agent in 0..self.agents.len() {
             self.disconnect(0, agent);
         }
@@ -239,8 +246,8 @@
 
     fn become_leader(&mut self) {
         let (now, term) = (self.now, self.term);
-        let steps = self.schedulers[0].scheduler.on_leadership(now, Some(term));
-        self.apply_schedule_steps(0, steps);
+        self.schedulers[0].scheduler.on_leadership(now, Some(term));
+        self.settle_scheduler(0);
     }
 
     /// Restarts an entry without its state; its callers' calls are lost.
@@ -249,7 +256,7 @@
         let mut scheduler = Scheduler::new(self.now, SchedulerKind::Entry, limits);
         scheduler.on_catalog(&catalog(1));
         self.schedulers[number].scheduler = scheduler;
-        self.schedulers[number].polls.clear();
+        self.schedulers[number].links.clear();
         for agent in 0..self.agents.len() {
             self.disconnect(number, agent);
         }
@@ -262,7 +269,7 @@
         let calls = std::mem::take(&mut self.agents[agent].calls);
         self.delayed.extend(calls.into_iter().map(|call| (agent, call)));
         for number in 0..self.schedulers.len() {
-            self.schedulers[number].polls.retain(|_, (polling_agent, ..)| *polling_agent != agent);
+            self.schedulers[number].links.retain(|_, (owner, _)| *owner != agent);
         }
         self.agents[agent].table = RunTable::new(self.now, name, incarnation, run_limits());
         self.agents[agent].sessions.clear();
@@ -308,6 +315,8 @@
         }
         self.last_call += 1;
         self.agents[agent].sessions.insert(scheduler, self.last_call);
+        let link = LinkModel::new(self.now);
+        self.schedulers[scheduler].links.insert(self.last_call, (agent, link));
         let key = self.schedulers[scheduler].key.clone();
         let steps = self.agents[agent].table.on_opened(self.now, key, self.last_call);
         self.apply_run_steps(agent, steps);
@@ -316,6 +325,7 @@
     /// Breaks a connection; messages in transit are lost.
     pub(crate) fn disconnect(&mut self, scheduler: usize, agent: usize) {
         let Some(session) = self.agents[agent].sessions.remove(&scheduler) else { return };
+        self.schedulers[scheduler].links.remove(&session);
         let key = self.schedulers[scheduler].key.clone();
         let steps = self.agents[agent].table.on_closed(self.now, &key, session);
         self.apply_run_steps(agent, steps);
@@ -345,41 +355,24 @@
             }
         };
         self.replies.insert(call, reply);
-        let steps = self.schedulers[scheduler].scheduler.after_job_call(self.now);
-        self.apply_schedule_steps(scheduler, steps);
+        self.settle_scheduler(scheduler);
         call
     }
 
     /// Disconnects the caller of a best-effort job.
     pub(crate) fn abandon(&mut self, scheduler: usize, call: u64) {
-        let steps = self.schedulers[scheduler].scheduler.on_abandoned(self.now, call);
-        self.apply_schedule_steps(scheduler, steps);
+        self.schedulers[scheduler].scheduler.on_abandoned(self.now, call);
+        self.settle_scheduler(scheduler);
     }
 
     fn apply_schedule_steps(&mut self, number: usize, steps: Vec<ScheduleStep>) {
         for step in steps {
             match step {
                 ScheduleStep::Propose(commands) => self.propose(commands),
-                ScheduleStep::Orders { call, orders } => {
-                    let Some((agent, session, polled_at)) =
-                        self.schedulers[number].polls.remove(&call)
-                    else {
-                        continue;
-                    };
-                    if self.schedulers[number].lose_orders.remove(&agent) {
-                        self.disconnect(number, agent);
-                        continue;
-                    }
-                    let key = self.schedulers[number].key.clone();
-                    let table = &mut self.agents[agent].table;
-                    let steps = table.on_orders(self.now, &key, session, polled_at, orders);
-                    self.apply_run_steps(agent, steps);
-                    self.send_poll(number, agent, session);
-                }
-                ScheduleStep::DropPoll { call } => {
-                    if let Some((agent, session, _)) = self.schedulers[number].polls.remove(&call)
-                        && self.agents[agent].sessions.get(&number) == Some(&session)
-                    {
+                ScheduleStep::Orders { link, orders } => self.deliver_orders(number, link, orders),
+                ScheduleStep::CloseLink { link } => {
+                    let open = self.schedulers[number].links.get(&link);
+                    if let Some(agent) = open.map(|(agent, _)| *agent) {
                         self.disconnect(number, agent);
                     }
                 }
@@ -393,20 +386,45 @@
         }
     }
 
-    fn send_poll(&mut self, number: usize, agent: usize, session: u64) {
-        if self.agents[agent].sessions.get(&number) != Some(&session) {
-            return;
+    /// Delivers orders over a connection; they are lost if it is closed.
+    fn deliver_orders(&mut self, number: usize, link: u64, orders: AgentOrders) {
+        let scheduler = &mut self.schedulers[number];
+        let Some((agent, open)) = scheduler.links.get_mut(&link) else { return };
+        let agent = *agent;
+        if scheduler.lose_orders.remove(&agent) {
+            return self.disconnect(number, agent);
+        }
+        let reports = open.on_ack(orders.received);
+        let (key, sent_at) = (scheduler.key.clone(), open.acked_at());
+        let table = &mut self.agents[agent].table;
+        let mut steps = table.on_reports_acked(self.now, &key, link, reports);
+        steps.extend(table.on_orders(self.now, &key, link, sent_at, orders));
+        self.apply_run_steps(agent, steps);
+    }
+
+    /// Sends a message of an agent over its open connection to a scheduler.
+    fn send_message(&mut self, number: usize, link: u64, message: AgentMessage) {
+        let now = self.now;
+        let Some((_, open)) = self.schedulers[number].links.get_mut(&link) else { return };
+        let message = open.send(now, message);
+        self.schedulers[number].scheduler.on_agent_message(now, link, &message);
+        self.settle_scheduler(number);
+    }
+
+    fn send_heartbeats(&mut self, number: usize) {
+        let links = self.schedulers[number].links.iter();
+        let due: Vec<(u64, usize)> = links
+            .filter(|(_, (_, open))| open.heartbeat_due(self.now))
+            .map(|(link, (agent, _))| (*link, *agent))
+            .collect();
+        for (link, agent) in due {
+            let heartbeat = AgentHeartbeat {
+                agent: format!("agent-{agent}").into(),
+                incarnation: self.incarnation(agent),
+                session: link,
+            };
+            self.send_message(number, link, AgentMessage::Heartbeat(heartbeat));
         }
-        self.last_call += 1;
-        let call = self.last_call;
-        self.schedulers[number].polls.insert(call, (agent, session, self.now));
-        let poll = AgentPoll {
-            agent: format!("agent-{agent}").into(),
-            incarnation: self.incarnation(agent),
-            session,
-        };
-        let steps = self.schedulers[number].scheduler.on_poll(self.now, call, &poll);
-        self.apply_schedule_steps(number, steps);
     }
 
     fn incarnation(&self, agent: usize) -> u64 {
@@ -417,39 +435,21 @@
         for step in steps {
             match step {
                 RunStep::Call(call) => self.agents[agent].calls.push(call),
-                RunStep::Report(key, report) => self.deliver_report(agent, &key, &report),
+                RunStep::Report(key, report) => self.deliver_report(agent, &key, report),
                 RunStep::Log(line) => self.events.push(format!("{:?} a{agent} {line:?}", self.now)),
                 RunStep::Connect(_) => {}
             }
         }
     }
 
-    fn deliver_report(&mut self, agent: usize, key: &SchedulerKey, report: &model::AgentReport) {
+    fn deliver_report(&mut self, agent: usize, key: &SchedulerKey, report: AgentReport) {
         let position = self.schedulers.iter().position(|scheduler| scheduler.key == *key);
         let Some(number) = position else { return };
         if self.agents[agent].sessions.get(&number) != Some(&report.session) {
             return;
         }
-        let is_full_report = report.runs.is_some();
-        let scheduler = &mut self.schedulers[number].scheduler;
-        let (accepted, steps) = scheduler.on_report(self.now, report);
-        self.apply_schedule_steps(number, steps);
-        if !accepted {
-            return self.disconnect(number, agent);
-        }
-        if self.agents[agent].sessions.get(&number) != Some(&report.session) {
-            return;
-        }
-        let table = &mut self.agents[agent].table;
-        let steps = table.on_report_acked(self.now, key, report.session);
-        self.apply_run_steps(agent, steps);
-        let polls = self.schedulers[number].polls.values();
-        let polled = polls.into_iter().any(|(polling_agent, session, _)| {
-            *polling_agent == agent && *session == report.session
-        });
-        if is_full_report && !polled {
-            self.send_poll(number, agent, report.session);
-        }
+        let link = report.session;
+        self.send_message(number, link, AgentMessage::Report(Box::new(report)));
     }
 
     /// Executes a call at the backend server; the agent gets the answer unless it
@@ -549,8 +549,9 @@
             self.apply_run_steps(agent, steps);
         }
         for number in 0..self.schedulers.len() {
-            let steps = self.schedulers[number].scheduler.on_tick(self.now);
-            self.apply_schedule_steps(number, steps);
+            self.send_heartbeats(number);
+            self.schedulers[number].scheduler.on_idle(self.now);
+            self.settle_scheduler(number);
         }
         self.record_done();
     }
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -30,6 +30,7 @@
 mod lease_calls;
 mod lease_renewal;
 mod ledger_claims;
+mod link_model;
 mod log_agreement;
 mod log_exploration;
 mod log_lines;
