Scheduler looks through its agents when something is due, not for each message

Change: agents with orders are kept in a set; all agents are looked through only once one may be due, at most once a millisecond.

--- a/crates/decisions/src/schedule/agent_orders.rs
+++ b/crates/decisions/src/schedule/agent_orders.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use model::{AgentOrders, MAX_UNACKED_REPORTS, NodeId};
+use model::{AgentOrder, AgentOrders, MAX_UNACKED_REPORTS, NodeId};
 
 use super::agent_state::AgentState;
 use super::scheduler::{ScheduleStep, Scheduler};
@@ -43,15 +43,17 @@
         (Duration::from_secs(1) * agents / MAX_USAGE_REPORTS_PER_SECOND).max(MIN_USAGE_INTERVAL)
     }
 
-    /// Sends a message to each connected agent that has orders, or to which one is
-    /// due.
-    pub(super) fn send_orders(&mut self, now: Instant) {
-        let due = self.agents.iter().filter(|(_, state)| {
-            let has_orders = state.link.is_some() && !state.outbox.is_empty();
-            has_orders || self.message_due(state).is_some_and(|at| at <= now)
-        });
-        let due: Vec<NodeId> = due.map(|(agent, _)| agent.clone()).collect();
-        for agent in due {
+    /// Adds an order for an agent, which [`Scheduler::send_orders`] sends.
+    pub(super) fn push_order(&mut self, agent: &NodeId, order: AgentOrder) {
+        if let Some(state) = self.agents.get_mut(agent) {
+            state.outbox.push(order);
+            self.due_agents.insert(agent.clone());
+        }
+    }
+
+    /// Sends a message to each agent to which one is due, unless it is not connected.
+    pub(super) fn send_orders(&mut self) {
+        for agent in std::mem::take(&mut self.due_agents) {
             self.send_to_agent(&agent);
         }
     }
--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -40,6 +40,7 @@
                 link.on_message(now, message.number);
             }
         }
+        self.require_check(agent);
     }
 
     /// Handles the loss of an agent's connection. The agent's runs may still be active.
@@ -178,12 +179,6 @@
         self.recompute_usage(agent);
     }
 
-    fn push_order(&mut self, agent: &NodeId, order: AgentOrder) {
-        if let Some(state) = self.agents.get_mut(agent) {
-            state.outbox.push(order);
-        }
-    }
-
     /// Adopts a listed run if it is the task's placement, or if the task is open
     /// and not placed; `false` if the run should be stopped.
     fn adopt(&mut self, now: Instant, report: &AgentReport, run: &TaskRun) -> bool {
@@ -363,8 +358,11 @@
     /// Handles a recorded end: it can be acknowledged, and the job continues.
     pub(super) fn on_end_recorded(&mut self, now: Instant, end: &EndedRun) {
         let task = &end.run.task;
-        for state in self.agents.values_mut() {
-            state.mark_end_recorded(now, &end.run);
+        if self.kind == SchedulerKind::Control {
+            for state in self.agents.values_mut() {
+                state.mark_end_recorded(now, &end.run);
+            }
+            self.agent_checks.require(now + self.limits.ack_delay);
         }
         let was_proposed = self.proposed_ends.swap_remove(task);
         let current = self.placements.get(task).is_some_and(|placed| placed.run == end.run.run);
--- a/crates/decisions/src/schedule/entry_list.rs
+++ b/crates/decisions/src/schedule/entry_list.rs
@@ -17,14 +17,15 @@
 }
 
 impl EntryList {
-    /// Records a query from an entry and drops entries that timed out.
-    pub(super) fn refresh(&mut self, now: Instant, entry: &EntryHost) {
+    /// Records a query from an entry and drops entries that timed out; returns whether
+    /// the list has changed.
+    pub(super) fn refresh(&mut self, now: Instant, entry: &EntryHost) -> bool {
         let before = self.last_contact.len();
         self.last_contact.retain(|_, at| *at + ENTRY_CONTACT_TIMEOUT > now);
         let is_new = self.last_contact.insert(entry.clone(), now).is_none();
-        if is_new || self.last_contact.len() != before {
-            self.version += 1;
-        }
+        let changed = is_new || self.last_contact.len() != before;
+        self.version += u64::from(changed);
+        changed
     }
 
     /// Version of the list; rises with each change of its members.
--- a/crates/decisions/src/schedule/mod.rs
+++ b/crates/decisions/src/schedule/mod.rs
@@ -14,6 +14,7 @@
 //! - the state is volatile: a new leader rebuilds it from the stored jobs and
 //!   from the agents' reports.
 
+mod agent_checks;
 mod agent_link;
 mod agent_orders;
 mod agent_reports;
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -10,6 +10,7 @@
     JobReply, JobStep, LinkId, LogRecord, NodeId, QueueCatalog, ScheduleState, TaskName, Term,
 };
 
+use super::agent_checks::AgentChecks;
 use super::agent_state::AgentState;
 use super::entry_list::EntryList;
 use super::live_job::{JobWaiter, LiveJob, Placement};
@@ -134,6 +135,9 @@
     /// reported or timed out.
     pub(super) held_jobs: IndexSet<JobId>,
     pub(super) entries: EntryList,
+    pub(super) agent_checks: AgentChecks,
+    /// Agents to which a message is due.
+    pub(super) due_agents: IndexSet<NodeId>,
     /// When a waiting task last accepted only fast servers.
     pub(super) fast_wanted_at: Option<Instant>,
     pub(super) counts: LoadCounts,
@@ -165,6 +169,8 @@
             unreported_agents: IndexSet::new(),
             held_jobs: IndexSet::new(),
             entries: EntryList::default(),
+            agent_checks: AgentChecks::new(now),
+            due_agents: IndexSet::new(),
             fast_wanted_at: None,
             counts: LoadCounts::default(),
             report_delay: ReportDelay::default(),
@@ -188,7 +194,9 @@
 
     /// Records a query from an entry, so that agents learn its address.
     pub fn on_entry(&mut self, now: Instant, entry: &EntryHost) {
-        self.entries.refresh(now, entry);
+        if self.entries.refresh(now, entry) {
+            self.agent_checks.require(now);
+        }
     }
 
     /// Whether an agent may be given work. Control first records the agent in
@@ -390,23 +398,12 @@
     /// without an input.
     pub fn next_deadline(&self) -> Option<Instant> {
         self.term?;
-        let messages = self.agents.values().filter_map(|state| self.message_due(state));
-        let contact_timeouts =
-            self.agents.values().map(|state| state.last_contact + self.limits.contact_timeout());
         let takeover = (!self.held_jobs.is_empty() || !self.unreported_agents.is_empty())
             .then(|| self.leader_since + self.limits.contact_timeout());
-        let paused = (!self.ready.is_empty())
-            .then(|| self.agents.values().filter_map(|state| state.paused_until).min())
-            .flatten();
         let has_tasks = !self.placements.is_empty() || !self.ready.is_empty();
         let overdue = has_tasks.then(|| self.overdue_checked_at + OVERDUE_CHECK_INTERVAL);
-        messages
-            .chain(overdue)
-            .chain(self.next_expiry)
-            .chain(contact_timeouts)
-            .chain(takeover)
-            .chain(paused)
-            .min()
+        let checks = self.agent_checks.next();
+        [checks, overdue, self.next_expiry, takeover].into_iter().flatten().min()
     }
 
     /// Does what is due, places ready tasks, sends orders and returns all steps. It
@@ -415,14 +412,10 @@
     pub fn settle(&mut self, now: Instant) -> Vec<ScheduleStep> {
         if self.term.is_some() {
             self.expire_takeover(now);
-            self.expire_agents(now);
             self.expire_jobs(now);
-            for state in self.agents.values_mut() {
-                let pause_over = state.paused_until.take_if(|until| *until <= now).is_some();
-                self.placement_due |= pause_over;
-            }
+            self.check_agents(now);
             self.place_ready(now);
-            self.send_orders(now);
+            self.send_orders();
         }
         std::mem::take(&mut self.steps)
     }
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -136,9 +136,8 @@
                 continue;
             };
             let run = TaskRun { task, run: placed.run };
-            if let Some(state) = self.agents.get_mut(&placed.agent) {
-                state.outbox.push(AgentOrder::Stop { run });
-            }
+            let agent = placed.agent.clone();
+            self.push_order(&agent, AgentOrder::Stop { run });
         }
     }
 
@@ -256,7 +255,7 @@
                 live.map_or(Duration::ZERO, |live| now.saturating_duration_since(live.since));
             let caller = live.and_then(|live| live.waiter).map(|waiter| waiter.until);
             let caller = caller.map(|until| until.saturating_duration_since(now).as_millis());
-            let Some(state) = self.agents.get_mut(&agent) else { continue };
+            let Some(state) = self.agents.get(&agent) else { continue };
             let Some(life) = state.life().cloned() else { continue };
             let names: Vec<String> =
                 runs.iter().map(|run| format!("{}#{}", run.task.index, run.run)).collect();
@@ -274,7 +273,7 @@
             self.steps.push(ScheduleStep::Log(line));
             let size = search.step.size;
             let spec = job.spec.clone();
-            state.outbox.push(AgentOrder::Start { life, runs, spec, size });
+            self.push_order(&agent, AgentOrder::Start { life, runs, spec, size });
         }
     }
 }
