Jobs with odd numbers: refused with the field, never a panic

What callers saw: one job with an estimate, a size or a count far beyond any real one ended the entry that it was sent to, and, sent again after the lost connection, the next one. A stored job was committed first: then each control leader ended at its takeover, and again at each start.

Cause: `estimate_ms`, `cpu`, `mem_mb`, `gpu` and `count` were taken at any size. Sums and multiples of Duration and Instant panic on overflow in every build: the critical path of 1,200 chained steps of 2^64 - 1 ms ("overflow when adding durations"), its multiples by the stretch, the slowness and 3, and `from_secs_f64` of the expected wait. Products and sums of whole numbers (core milliseconds, resource amounts, the tasks of all steps) panic in builds with overflow checks ("attempt to multiply with overflow") and wrap in release. A count of 2^32 - 1 kept the scheduler in a loop of four billion tasks, each compared with all queued before it.

Queueing n tasks takes n steps instead of n squared, and the limit for one backend server is counted over the placements if these are fewer than the step's tasks.

--- a/crates/decisions/src/schedule/agent_search.rs
+++ b/crates/decisions/src/schedule/agent_search.rs
@@ -162,10 +162,22 @@
         if search.step.max_per_server == 0 {
             return true;
         }
+        self.count_placed(job, search, agent) < search.step.max_per_server as usize
+    }
+
+    /// Number of tasks of the step on an agent. Counts over the step's tasks or over all
+    /// placements, whichever are fewer.
+    fn count_placed(&self, job: &QueuedJob, search: &AgentSearch<'_>, agent: &NodeId) -> usize {
+        if search.step.count as usize > self.placements.len() {
+            let placed = self.placements.iter().filter(|(task, placed)| {
+                task.job == job.id && task.step == search.index && placed.agent == *agent
+            });
+            return placed.count();
+        }
         let on_agent = job
             .tasks_of(search.index)
             .filter(|task| self.placements.get(task).is_some_and(|placed| placed.agent == *agent));
-        on_agent.count() < search.step.max_per_server as usize
+        on_agent.count()
     }
 
     /// Computes the urgency of a task relative to servers of these run times.
--- a/crates/decisions/src/schedule/job_admission.rs
+++ b/crates/decisions/src/schedule/job_admission.rs
@@ -7,7 +7,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use model::{CallId, Command, EventLine, JobId, JobPhase, JobReply, QueuedJob, RefusalCause};
+use model::{
+    CallId, Command, EventLine, JobId, JobPhase, JobReply, QueuedJob, RefusalCause, scaled,
+    span_of_secs, span_sum,
+};
 
 use super::agent_state::AgentState;
 use super::live_job::{JobWaiter, LiveJob, MAX_OBJECTIVE_FACTOR};
@@ -65,9 +68,16 @@
         JobDecision::Wait
     }
 
-    /// Returns the refusal of a job whose queue is unknown or that is not expected
-    /// to end within both `limit` and its maximum useful duration.
+    /// Returns the refusal of a job that is beyond the bounds of jobs, whose queue is
+    /// unknown, or that is not expected to end within both `limit` and its maximum
+    /// useful duration.
     fn refusal(&mut self, job: &QueuedJob, limit: Option<Duration>) -> Option<JobReply> {
+        if let Err(error) = job.check_bounds() {
+            let line = EventLine::new("job_refused").with("job", &job.id).with("reason", error);
+            self.steps.push(ScheduleStep::Log(line));
+            let cause = RefusalCause::Unsupported;
+            return Some(JobReply::Refused { cause, retry_after_ms: 0 });
+        }
         let catalog = self.store.catalog();
         let queue = catalog.as_ref().and_then(|catalog| catalog.queues.get(&job.queue));
         let Some(queue) = queue else {
@@ -77,11 +87,11 @@
         let critical_path = job.critical_path();
         let objective = queue.objective(critical_path);
         let wait = self.expected_wait();
-        let max_duration = objective * MAX_OBJECTIVE_FACTOR;
+        let max_duration = objective.saturating_mul(MAX_OBJECTIVE_FACTOR);
         let limit = limit.map_or(max_duration, |limit| limit.min(max_duration));
         // Estimates are rough: with free capacity, an attempt delays no other job.
-        let run = critical_path.mul_f64(self.min_slowness());
-        if wait.is_zero() || wait + run <= limit {
+        let run = scaled(critical_path, self.min_slowness());
+        if wait.is_zero() || span_sum(wait, run) <= limit {
             return None;
         }
         let cause = RefusalCause::QueueFull;
@@ -156,7 +166,7 @@
         let line = EventLine::new("job_expired")
             .with("job", id)
             .with("started", started)
-            .with("run_ms", waiting.mul_f64(self.min_slowness()).as_millis())
+            .with("run_ms", scaled(waiting, self.min_slowness()).as_millis())
             .with("caller_ms", until.saturating_duration_since(now).as_millis());
         self.steps.push(ScheduleStep::Log(line));
     }
@@ -183,7 +193,7 @@
 
     /// Expected queueing delay of a job admitted now: the queued work divided by
     /// the part of the servers' total speed that this scheduler gets, which is
-    /// taken to be its share of the capacity in use.
+    /// taken to be its share of the capacity in use; at most [`model::MAX_SPAN`].
     pub(super) fn expected_wait(&self) -> Duration {
         if self.ready.is_empty() {
             return Duration::ZERO;
@@ -192,18 +202,18 @@
             .agents
             .values()
             .filter(|state| state.server.as_ref().is_some_and(|server| !server.draining));
-        let (mut speed, mut own, mut others) = (0.0, 0, 0);
+        let (mut speed, mut own, mut others) = (0.0, 0.0, 0.0);
         for state in servers {
             let capacity = state.server.as_ref().map_or(0, |server| server.capacity.cpu_milli);
             speed += capacity as f64 / 1_000.0 / state.slowness();
-            own += state.usage.cpu_milli;
-            others += state.other_usage.cpu_milli;
+            own += state.usage.cpu_milli as f64;
+            others += state.other_usage.cpu_milli as f64;
         }
-        let share = (own.max(1) as f64) / ((own + others).max(1) as f64);
+        let share = f64::max(own, 1.0) / f64::max(own + others, 1.0);
         if speed <= 0.0 {
             return Duration::ZERO;
         }
-        Duration::from_secs_f64(self.ready.work() as f64 / (speed * share) / 1_000.0)
+        span_of_secs(self.ready.work() as f64 / (speed * share) / 1_000.0)
     }
 
     pub(super) fn answer_waiter(&mut self, id: &JobId, reply: JobReply) {
--- a/crates/decisions/src/schedule/live_job.rs
+++ b/crates/decisions/src/schedule/live_job.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
-use model::{CallId, JobStep, LifeId, NodeId, QueuedJob, ResourceAmount, RunNumber, TaskName};
+use model::{
+    CallId, JobStep, LifeId, NodeId, QueuedJob, ResourceAmount, RunNumber, TaskName, later, scaled,
+};
 
 use super::task_urgency::MIN_RUN_TIME_SHARE;
 
@@ -92,9 +94,9 @@
         let objective = self.deadline.saturating_duration_since(self.since);
         let until = match self.started {
             true => until,
-            false => until.min(self.since + objective * MAX_OBJECTIVE_FACTOR),
+            false => until.min(later(self.since, objective.saturating_mul(MAX_OBJECTIVE_FACTOR))),
         };
-        let run = waiting.mul_f64(min_slowness * MIN_RUN_TIME_SHARE);
+        let run = scaled(waiting, min_slowness * MIN_RUN_TIME_SHARE);
         Some(until.checked_sub(run).unwrap_or(until).max(self.since))
     }
 }
--- a/crates/decisions/src/schedule/ready_queue.rs
+++ b/crates/decisions/src/schedule/ready_queue.rs
@@ -16,6 +16,8 @@
     pub(super) job: JobId,
     pub(super) step: StepIndex,
     pub(super) tasks: VecDeque<TaskIndex>,
+    /// Highest task that was ever added; a higher one is new.
+    highest: TaskIndex,
     /// Processor time that one task needs, in core-milliseconds.
     pub(super) work: u64,
     /// Whether work on the job is wasted unless these tasks end while its caller
@@ -32,7 +34,9 @@
     groups: BTreeMap<GroupKey, ReadyGroup>,
     keys: IndexMap<(JobId, StepIndex), GroupKey>,
     counter: u64,
-    work: u64,
+    /// Processor time of all queued tasks, in core-milliseconds; wide enough for any
+    /// number of tasks.
+    work: u128,
 }
 
 impl ReadyQueue {
@@ -55,14 +59,16 @@
             job: job.clone(),
             step,
             tasks: VecDeque::new(),
+            highest: task,
             work,
             at_stake: false,
         });
-        if group.tasks.contains(&task) {
+        if task <= group.highest && group.tasks.contains(&task) {
             return;
         }
+        group.highest = group.highest.max(task);
         group.tasks.push_back(task);
-        self.work += group.work;
+        self.work += u128::from(group.work);
     }
 
     /// Keys of the groups in placement order.
@@ -81,7 +87,7 @@
         let group = self.groups.get_mut(&key)?;
         let task = group.tasks.pop_front();
         if task.is_some() {
-            self.work -= group.work;
+            self.work -= u128::from(group.work);
         }
         if group.tasks.is_empty() {
             let step_key = (group.job.clone(), group.step);
@@ -123,7 +129,7 @@
         for step in 0..steps {
             let Some(key) = self.keys.swap_remove(&(job.clone(), step)) else { continue };
             if let Some(group) = self.groups.remove(&key) {
-                self.work -= group.work * group.tasks.len() as u64;
+                self.work -= u128::from(group.work) * group.tasks.len() as u128;
             }
         }
     }
@@ -138,7 +144,7 @@
     }
 
     /// Processor time of all queued tasks, in core-milliseconds.
-    pub(super) fn work(&self) -> u64 {
+    pub(super) fn work(&self) -> u128 {
         self.work
     }
 }
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -6,7 +6,8 @@
 use indexmap::{IndexMap, IndexSet};
 use model::{
     AgentOrders, CallId, Command, EntryHost, EventLine, JobCall, JobId, JobPhase, JobRecord,
-    JobReply, JobStep, LogRecord, NodeId, QueueCatalog, ScheduleState, TaskName, Term,
+    JobReply, JobStep, LogRecord, NodeId, QueueCatalog, ScheduleState, TaskName, Term, later,
+    scaled,
 };
 
 use super::agent_state::AgentState;
@@ -304,7 +305,7 @@
         }
         match call {
             JobCall::Submit { job, wait_ms } if job.best_effort => {
-                let until = now + Duration::from_millis(*wait_ms);
+                let until = later(now, Duration::from_millis(*wait_ms));
                 self.admit_best_effort(now, job, JobWaiter { call: id, until })
             }
             JobCall::Submit { job, .. } => self.admit(job),
@@ -379,7 +380,7 @@
             let Some(estimate) = step.map(JobStep::estimate) else { continue };
             let seen = now.saturating_duration_since(placed.since);
             let ran = seen.saturating_sub(self.report_delay.estimate());
-            let expected = estimate.mul_f64(state.slowness()) * placed.overdue_factor;
+            let expected = scaled(estimate, state.slowness()).saturating_mul(placed.overdue_factor);
             if !placed.ended && ran > expected {
                 placed.overdue_factor = placed.overdue_factor.saturating_add(1);
                 state.add_overdue_sample(now, ran, estimate);
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -6,7 +6,7 @@
 use indexmap::{IndexMap, IndexSet};
 use model::{
     AgentOrder, EventLine, JobId, JobPhase, JobReply, JobStep, NodeId, QueuedJob, RunNumber,
-    StepIndex, TaskName, TaskRun,
+    StepIndex, TaskName, TaskRun, later, scaled,
 };
 
 use super::agent_search::{AgentChoice, AgentSearch};
@@ -33,10 +33,16 @@
     }
 
     /// Creates the scheduling state of a job; `false` if its record has no job
-    /// description.
+    /// description, or if an earlier version stored it with more steps or tasks than
+    /// can be scheduled. Such a job stays queued until it is cancelled.
     pub(super) fn make_live(&mut self, now: Instant, id: &JobId) -> bool {
         let Some(record) = self.record(id) else { return false };
         let Some(job) = record.job.clone() else { return false };
+        if let Err(error) = job.check_size() {
+            let line = EventLine::new("job_unschedulable").with("job", id).with("reason", error);
+            self.steps.push(ScheduleStep::Log(line));
+            return false;
+        }
         let catalog = self.store.catalog();
         let queue = catalog.as_ref().and_then(|catalog| catalog.queues.get(&job.queue));
         let critical_path = job.critical_path();
@@ -44,7 +50,7 @@
         let terms = self.term.unwrap_or_default().saturating_sub(record.accepted_term);
         let live = LiveJob {
             job,
-            deadline: now + objective,
+            deadline: later(now, objective),
             since: now,
             critical_path,
             started: !record.done.is_empty(),
@@ -124,7 +130,7 @@
             .with("phase", phase)
             .with("after_ms", now.saturating_duration_since(live.since).as_millis())
             .with("objective_ms", live.deadline.saturating_duration_since(live.since).as_millis())
-            .with("tasks", live.job.steps.iter().map(|step| step.count).sum::<u32>())
+            .with("tasks", live.job.task_count())
             .with("placed", live.last_runs.len());
         self.steps.push(ScheduleStep::Log(line));
         if phase == JobPhase::Completed {
@@ -227,7 +233,7 @@
         let mut run = 1;
         if let Some(live) = self.live.get_mut(&task.job) {
             let last = live.last_runs.get(&task).copied().unwrap_or(0);
-            run = (last + 1).max(live.first_run);
+            run = last.saturating_add(1).max(live.first_run);
             live.last_runs.insert(task.clone(), run);
             live.started = true;
         }
@@ -269,7 +275,7 @@
                 .with("slowness", format_args!("{:.2}", state.slowness()))
                 .with("free_cpu_milli", state.free_capacity().cpu_milli)
                 .with("waited_ms", waited.as_millis())
-                .with("run_ms", search.step.estimate().mul_f64(state.slowness()).as_millis())
+                .with("run_ms", scaled(search.step.estimate(), state.slowness()).as_millis())
                 .with("caller_ms", caller.map_or_else(|| "none".into(), |ms| ms.to_string()));
             self.steps.push(ScheduleStep::Log(line));
             let size = search.step.size;
@@ -281,5 +287,5 @@
 
 /// Processor time of one task, in core-milliseconds.
 fn core_millis(step: &JobStep) -> u64 {
-    step.size.cpu_milli * step.estimate_ms / 1_000
+    step.size.cpu_milli.saturating_mul(step.estimate_ms) / 1_000
 }
--- a/crates/model/src/queue_jobs.rs
+++ b/crates/model/src/queue_jobs.rs
@@ -14,6 +14,7 @@
 use strum::{Display, EnumString, IntoStaticStr};
 
 use crate::ids::{JobId, LabelId, Occurrence, QueueId, RackId, RunNumber, StepIndex, TaskIndex};
+use crate::time_bounds::span_sum;
 
 /// An amount of resources: the capacity of a worker, or the need of a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -53,12 +54,12 @@
         }
     }
 
-    /// The sum of both amounts.
+    /// The sum of both amounts; each dimension saturates.
     pub fn with(&self, other: &ResourceAmount) -> ResourceAmount {
         ResourceAmount {
-            cpu_milli: self.cpu_milli + other.cpu_milli,
-            memory_mb: self.memory_mb + other.memory_mb,
-            accelerators: self.accelerators + other.accelerators,
+            cpu_milli: self.cpu_milli.saturating_add(other.cpu_milli),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 }
@@ -119,14 +120,14 @@
 
 impl QueuedJob {
     /// Estimated run time of the critical path: the longest chain of dependent
-    /// steps.
+    /// steps; at most [`crate::MAX_SPAN`].
     pub fn critical_path(&self) -> Duration {
         let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
         for step in &self.steps {
             let dependency_ends =
                 step.depends_on.iter().filter_map(|dependency| ends.get(*dependency as usize));
             let start = dependency_ends.max().copied().unwrap_or_default();
-            ends.push(start + step.estimate());
+            ends.push(span_sum(start, step.estimate()));
         }
         ends.into_iter().max().unwrap_or_default()
     }
@@ -142,11 +143,19 @@
                 true => Some(Duration::ZERO),
                 false => dependency_ends.max(),
             };
-            ends[index] = start.map(|start| start + step.estimate());
+            ends[index] = start.map(|start| span_sum(start, step.estimate()));
         }
         ends.into_iter().flatten().max().unwrap_or_default()
     }
 
+    /// Whether the name is that of a task of this job, which is not repeated.
+    pub fn has_task(&self, task: &TaskName) -> bool {
+        let step = self.steps.get(task.step as usize);
+        task.job == self.id
+            && task.occurrence == 0
+            && step.is_some_and(|step| task.index < step.count)
+    }
+
     /// Names of the tasks of one step; empty for a step that the job does not
     /// have.
     pub fn tasks_of(&self, step: StepIndex) -> impl Iterator<Item = TaskName> + use<'_> {
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -334,6 +334,12 @@
         self.apply_schedule_steps(0, steps);
     }
 
+    /// Commits a command at once, as the log of an earlier version may hold it.
+    pub(crate) fn commit_command(&mut self, command: Command) {
+        self.propose(vec![command]);
+        self.commit();
+    }
+
     /// Elects another leader, which knows only the committed state. Pending
     /// proposals are lost.
     pub(crate) fn change_leader(&mut self) {
