Ends of tasks that a job does not have no longer complete it

What callers saw: a job shown as `completed` none of whose tasks had run.

Cause: a backend server's list of ends names tasks by text. An end with an index beyond the step's count, a step that the job does not have, or another occurrence was recorded as one more finished task of the job, and a job counts as completed once it has as many of them as tasks. The scheduler also adopted such a run from a list of runs and reserved capacity for it.

Now `QueuedJob::has_task` decides: the replicated state ignores ends of other tasks, and the scheduler stops such a run instead of adopting it. The number of tasks is summed in 64 bits; it overflowed in 32.

tests/odd_jobs.rs foreign_ends_ignored failed before (left: Some(Completed), right: None).

--- a/crates/decisions/src/control/job_store.rs
+++ b/crates/decisions/src/control/job_store.rs
@@ -203,17 +203,20 @@
         JobChange::RunsEnded { ends: ends.to_vec(), closed }
     }
 
-    /// Records an ended run. Returns the final phase if this run ends the job: all
-    /// tasks done, or the maximum number of attempts at a task failed.
+    /// Records an ended run, unless it is of a task that the job does not have. Returns
+    /// the final phase if this run ends the job: all tasks done, or the maximum number
+    /// of attempts at a task failed.
     fn end_run(&mut self, end: &EndedRun) -> Option<JobPhase> {
         let task = &end.run.task;
         let record = self.jobs.get_mut(&task.job)?;
         let job = record.job.clone()?;
+        if !job.has_task(task) {
+            return None;
+        }
         match end.kind {
             EndKind::Done => {
                 record.done.insert((task.step, task.index));
-                let task_count: u32 = job.steps.iter().map(|step| step.count).sum();
-                (record.done.len() >= task_count as usize).then_some(JobPhase::Completed)
+                (record.done.len() as u64 >= job.task_count()).then_some(JobPhase::Completed)
             }
             EndKind::Failed => {
                 let runs = record.failures.entry(task.clone()).or_default();
--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -179,7 +179,8 @@
 
     fn size_of(&self, task: &TaskName) -> Option<ResourceAmount> {
         let live = self.live.get(&task.job)?;
-        live.job.steps.get(task.step as usize).map(|step| step.size)
+        let is_known = live.job.has_task(task);
+        live.job.steps.get(task.step as usize).filter(|_| is_known).map(|step| step.size)
     }
 
     /// Recomputes an agent's usage from the placements.
--- a/tests/odd_jobs.rs
+++ b/tests/odd_jobs.rs
@@ -6,7 +6,8 @@
 
 use assert_matches::assert_matches;
 use model::{
-    Command, JobPhase, JobReply, JobStep, QueuedJob, RefusalCause, ResourceAmount,
+    Command, EndKind, EndedRun, JobPhase, JobReply, JobStep, QueuedJob, RefusalCause,
+    ResourceAmount, TaskName, TaskRun,
 };
 use platform::{JobError, read_job};
 use serde_json::{Value, json};
@@ -157,3 +158,20 @@
         assert_eq!(model.stored_phase(&usual), Some(JobPhase::Completed));
     }
 }
+
+// An end of a task that the job does not have counted as one of its tasks: the job was
+// shown as completed although none of them had run.
+#[test]
+fn foreign_ends_ignored() {
+    let mut model = ScheduleModel::new(0, 0);
+    let stored = job(1, 2, false);
+    model.submit(0, Arc::clone(&stored));
+    model.commit();
+    let end = |occurrence, step, index| {
+        let task = TaskName { job: stored.id.clone(), occurrence, step, index };
+        EndedRun { run: TaskRun { task, run: 1 }, kind: EndKind::Done }
+    };
+    let ends = vec![end(0, 0, 2), end(0, 1, 0), end(0, 0, u32::MAX), end(1, 0, 0), end(2, 0, 1)];
+    model.commit_command(Command::EndRuns { ends });
+    assert_eq!(model.stored_phase(&stored), None);
+}
