--- a/crates/model/src/queue_catalog.rs
+++ b/crates/model/src/queue_catalog.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{ConfigVersion, QueueId, ServiceId};
+use crate::time_bounds::{scaled, span_sum};
 
 /// Routing and limits of one queue.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -37,10 +38,10 @@
 
 impl QueueRule {
     /// Target time from acceptance to completion for a job with this critical
-    /// path.
+    /// path; at most [`crate::MAX_SPAN`].
     pub fn objective(&self, critical_path: Duration) -> Duration {
-        critical_path.mul_f64(self.critical_path_factor)
-            + Duration::from_millis(self.base_objective_ms)
+        let base = Duration::from_millis(self.base_objective_ms);
+        span_sum(scaled(critical_path, self.critical_path_factor), base)
     }
 }
 
--- /dev/null
+++ b/tests/odd_catalogs.rs
@@ -0,0 +1,102 @@
+//! Catalogs with odd numbers, as an operator may send them, or as an earlier version
+//! may have stored them. None may end a scheduler, or keep it from scheduling.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::{Command, JobPhase, QueueCatalog};
+use platform::read_catalog;
+use serde_json::{Value, json};
+
+use crate::schedule_model::{QUEUE, ScheduleModel, catalog, job};
+
+fn document(field: &str, value: &str) -> String {
+    let mut route = json!({ "name": "r-1", "host": "a.example", "path_prefix": "/x/",
+        "timeout_ms": 1_500, "service": "s", "max_attempts": 4 });
+    route[field] = Value::from("ODD");
+    let config = json!({ "version": 7, "routes": [route], "services": [{ "name": "s" }] });
+    config.to_string().replace("\"ODD\"", value)
+}
+
+/// A catalog whose only queue has this factor and base objective.
+fn odd_catalog(factor: f64, base_objective_ms: u64) -> Arc<QueueCatalog> {
+    let mut odd = (*catalog(2)).clone();
+    let rule = odd.queues.get_mut(QUEUE).expect("the model has one queue");
+    rule.critical_path_factor = factor;
+    rule.base_objective_ms = base_objective_ms;
+    Arc::new(odd)
+}
+
+// Once committed, an odd value meets every scheduler at each of its starts.
+#[test]
+fn odd_fields_named() {
+    for (field, value) in [
+        ("stretch", "-1.5"),
+        ("stretch", "1e300"),
+        ("stretch", "null"),
+        ("stretch", "1e999"),
+        ("goal_ms", "18446744073709551615"),
+        ("goal_ms", "-60"),
+        ("timeout_ms", "0"),
+    ] {
+        let error = read_catalog(&document(field, value)).expect_err(value).to_string();
+        let undecodable = error.contains("cannot decode");
+        assert!(error.contains(field) || undecodable, "{field} {value}: {error}");
+    }
+}
+
+// The factor's own bounds, and values that an operator may use for "no limit".
+#[test]
+fn extreme_fields_accepted() {
+    for (field, value) in [
+        ("stretch", "0"),
+        ("stretch", "1000"),
+        ("goal_ms", "0"),
+        ("goal_ms", "31536000000"),
+        ("timeout_ms", "18446744073709551615"),
+        ("max_attempts", "4294967295"),
+        ("priority", "4294967295"),
+    ] {
+        assert!(read_catalog(&document(field, value)).is_ok(), "{field} {value}");
+    }
+}
+
+// Deep nesting must exhaust no stack, neither where a field is used nor where it isn't.
+#[test]
+fn nested_catalogs_refused() {
+    let deep = format!("{}{}", "{\"a\":".repeat(50_000), "1".to_owned() + &"}".repeat(50_000));
+    assert!(read_catalog(&document("stretch", &deep)).is_err());
+    assert!(read_catalog(&document("novel", &deep)).is_ok());
+    assert!(read_catalog(&deep).is_err());
+}
+
+// A catalog that an earlier version committed: each leader ended when it took over a
+// job of the queue, and each entry when it was sent one.
+#[test]
+fn stored_odd_catalogs_survived() {
+    for (factor, base_objective_ms) in
+        [(-1.5, 60), (f64::NAN, 60), (f64::MAX, 60), (f64::INFINITY, 60), (1e17, u64::MAX)]
+    {
+        let mut model = ScheduleModel::new(0, 1);
+        let catalog = odd_catalog(factor, base_objective_ms);
+        model.commit_command(Command::SetCatalog { catalog: Arc::clone(&catalog) });
+        let stored = job(1, 3, false);
+        model.submit(0, Arc::clone(&stored));
+        model.run_fault_free(2);
+        model.change_leader();
+        model.run_fault_free(400);
+        assert_eq!(model.stored_phase(&stored), Some(JobPhase::Completed), "factor {factor}");
+    }
+}
+
+// The objective of every accepted queue and job must be a time that can be waited for.
+#[test]
+fn objectives_bounded() {
+    for (factor, base_objective_ms) in [(-1.5, 60), (f64::NAN, 60), (f64::MAX, u64::MAX)] {
+        let catalog = odd_catalog(factor, base_objective_ms);
+        for path in [Duration::ZERO, Duration::from_millis(100), Duration::MAX] {
+            let objective = catalog.queues[QUEUE].objective(path);
+            assert!(std::time::Instant::now().checked_add(objective * 3).is_some());
+        }
+    }
+}
