--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -30,6 +30,7 @@
 mod log_lines;
 mod monthly_figures;
 mod odd_catalogs;
+mod odd_heartbeats;
 mod odd_jobs;
 mod overload_recovery;
 mod placement_rounds;
