Agent: a foreign or odd heartbeat neither ends nor bars a life

What was seen: a heartbeat under another id, with no `born` or any one that is not lower, ended the life of the backend server at once. A late heartbeat of an earlier instance did the same where `born` is not sent. A heartbeat with a high `sequence`, or a restart after the host's clock was set back (a lower `born`), barred all later true heartbeats for as long as the agent ran, so that capacity and draining were not followed any more.

Cause: the numbers of whoever wrote the heartbeat decided alone.

Now (agent/server_heartbeats.rs): a heartbeat of another instance is kept, and the current one's lists are queried at once, with a renewal that does not wait. The call names its instance, so the backend server itself decides: if it refuses the call (421), the earlier life is over and the kept heartbeat is followed at once; if it returns lists, the heartbeat was of no instance here and is dropped with the log line `heartbeat_foreign`; without an answer, the earlier life ends with its lease. A true restart is followed one call later than before. Within an instance a lower `sequence` or `born` counts as late only within 5 s of the latest heartbeat that was taken; a true server that sends one each heartbeat interval is then followed again.

--- a/crates/decisions/src/agent/mod.rs
+++ b/crates/decisions/src/agent/mod.rs
@@ -13,6 +13,7 @@
 mod run_calls;
 mod run_table;
 mod scheduler_session;
+mod server_heartbeats;
 mod server_life;
 mod start_queue;
 mod start_table;
--- a/crates/decisions/src/agent/run_calls.rs
+++ b/crates/decisions/src/agent/run_calls.rs
@@ -69,6 +69,7 @@
         match answer {
             ServerAnswer::Refused(StartRefusal::Gone) => {
                 self.end_life("another instance answered the call");
+                self.follow_candidate(now);
                 return self.finish(now);
             }
             ServerAnswer::Refused(StartRefusal::Fence) if call.fence == self.fence => {
@@ -155,6 +156,7 @@
         }
         self.require_reports(newly_listed);
         self.notify(updates);
+        self.refute_candidate(number);
     }
 
     /// Handles the expiry of the lease: without a renewal for longer than the
@@ -173,6 +175,7 @@
         let lapsed = life.take_lapsed();
         self.notify(lapsed);
         self.require_reports(true);
+        self.follow_candidate(now);
     }
 
     /// Stops runs whose scheduler's grant has expired, and runs that no scheduler
--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -20,12 +20,12 @@
 
 use indexmap::IndexMap;
 use model::{
-    AgentOrder, AgentOrders, AgentReport, EntryHost, EventLine, FenceNumber, Incarnation, LifeId,
-    NodeId, RunUpdate, SchedulerKey, ServerCall, ServerHeartbeat, ServerRequest, SessionId,
-    StartRefusal, TaskRun,
+    AgentOrder, AgentOrders, AgentReport, EntryHost, EventLine, FenceNumber, Incarnation, NodeId,
+    RunUpdate, SchedulerKey, ServerCall, ServerRequest, SessionId, StartRefusal, TaskRun,
 };
 
 use super::scheduler_session::SchedulerSession;
+use super::server_heartbeats::Candidate;
 use super::server_life::{OwnedUpdate, RunPhase, ServerLife};
 
 /// Timing parameters of a run table.
@@ -72,6 +72,8 @@
     pub(super) has_lists: bool,
     /// Current life of the backend server, if one is known.
     pub(super) life: Option<ServerLife>,
+    /// Heartbeat of another instance, which is followed once the current life is over.
+    pub(super) candidate: Option<Candidate>,
     pub(super) schedulers: IndexMap<SchedulerKey, SchedulerSession>,
     /// Fencing token of calls to the backend server. Only this agent calls it, so
     /// a token that rises with each start of the agent fences earlier processes.
@@ -94,34 +96,13 @@
             started_at: now,
             has_lists: false,
             life: None,
+            candidate: None,
             schedulers: IndexMap::new(),
             fence: incarnation,
             steps: Vec::new(),
         }
     }
 
-    /// Handles a heartbeat of the backend server; a reordered one, or one of an
-    /// earlier life, is ignored.
-    pub fn on_heartbeat(&mut self, now: Instant, heartbeat: &ServerHeartbeat) -> Vec<RunStep> {
-        match &mut self.life {
-            Some(life)
-                if life.instance == heartbeat.instance
-                    && life.generation == heartbeat.generation =>
-            {
-                if life.sequence < heartbeat.sequence {
-                    life.sequence = heartbeat.sequence;
-                    let changed = life.view != heartbeat.view;
-                    life.view = heartbeat.view.clone();
-                    life.address = heartbeat.address;
-                    self.require_reports(changed);
-                }
-            }
-            Some(life) if heartbeat.generation < life.generation => {}
-            _ => self.begin_life(now, heartbeat),
-        }
-        self.finish(now)
-    }
-
     /// Makes a report due in each session, if `required`.
     pub(super) fn require_reports(&mut self, required: bool) {
         for session in self.schedulers.values_mut() {
@@ -129,25 +110,6 @@
         }
     }
 
-    /// Ends the previous life and starts to track the one of this heartbeat.
-    fn begin_life(&mut self, now: Instant, heartbeat: &ServerHeartbeat) {
-        self.end_life("a newer life sent a heartbeat");
-        let line = EventLine::new("server_life")
-            .with("life", &heartbeat.view.life)
-            .with("address", heartbeat.address)
-            .with("cpu_milli", heartbeat.view.capacity.cpu_milli);
-        self.steps.push(RunStep::Log(line));
-        self.life = Some(ServerLife::new(now, heartbeat));
-    }
-
-    /// Handles the leave of the backend server.
-    pub fn on_leave(&mut self, now: Instant, instance: &LifeId) -> Vec<RunStep> {
-        if self.life.as_ref().is_some_and(|life| life.instance == *instance) {
-            self.end_life("backend server left");
-        }
-        self.finish(now)
-    }
-
     /// Ends a life of the backend server; all its runs are reported as lapsed.
     pub(super) fn end_life(&mut self, reason: &str) {
         let Some(mut life) = self.life.take() else { return };
--- /dev/null
+++ b/crates/decisions/src/agent/server_heartbeats.rs
@@ -0,0 +1,109 @@
+//! Decides by heartbeats which life of its backend server an agent follows.
+//!
+//! Invariants:
+//! - a heartbeat of another instance than the current life's ends that life only once
+//!   nothing of it can be left: the backend server has refused a call to its instance,
+//!   it has left, or its lease has expired. A heartbeat that no instance here sent
+//!   changes nothing;
+//! - a late heartbeat, of an earlier life of the instance or with a lower sequence
+//!   number, changes nothing. Both numbers are the sender's, and an odd one may be far
+//!   too high; so a lower one is followed after [`LATE_WINDOW`] without a higher one.
+
+use std::time::{Duration, Instant};
+
+use model::{EventLine, LifeId, ServerHeartbeat};
+
+use super::run_table::{RunStep, RunTable};
+use super::server_life::ServerLife;
+
+/// Longest time by which a heartbeat arrives late; several times the interval of
+/// heartbeats.
+const LATE_WINDOW: Duration = Duration::from_secs(5);
+
+/// Heartbeat of another instance than the current life's.
+#[derive(Debug, Clone)]
+pub(super) struct Candidate {
+    heartbeat: ServerHeartbeat,
+    /// Number of lease renewals sent before it arrived. If a later one is answered with
+    /// lists, the current life's instance is still there.
+    since_renewal: u64,
+}
+
+impl RunTable {
+    /// Handles a heartbeat of the backend server. A late one is ignored. One of another
+    /// instance is followed once the current life is over.
+    pub fn on_heartbeat(&mut self, now: Instant, heartbeat: &ServerHeartbeat) -> Vec<RunStep> {
+        match &mut self.life {
+            None => self.begin_life(now, heartbeat),
+            Some(life) if life.instance != heartbeat.instance => self.await_end(now, heartbeat),
+            Some(life) if life.generation == heartbeat.generation => {
+                if life.sequence < heartbeat.sequence || is_silent(life, now) {
+                    let changed = life.take_heartbeat(now, heartbeat);
+                    self.require_reports(changed);
+                }
+            }
+            Some(life) if life.generation < heartbeat.generation || is_silent(life, now) => {
+                self.begin_life(now, heartbeat);
+            }
+            Some(_) => {}
+        }
+        self.finish(now)
+    }
+
+    /// Ends the previous life and starts to track the one of this heartbeat.
+    fn begin_life(&mut self, now: Instant, heartbeat: &ServerHeartbeat) {
+        self.end_life("a newer life sent a heartbeat");
+        self.candidate = None;
+        let line = EventLine::new("server_life")
+            .with("life", &heartbeat.view.life)
+            .with("address", heartbeat.address)
+            .with("cpu_milli", heartbeat.view.capacity.cpu_milli);
+        self.steps.push(RunStep::Log(line));
+        self.life = Some(ServerLife::new(now, heartbeat));
+    }
+
+    /// Keeps the heartbeat of another instance, and queries the current one's lists: if
+    /// it is gone, the backend server refuses the call.
+    fn await_end(&mut self, now: Instant, heartbeat: &ServerHeartbeat) {
+        let Some(life) = &mut self.life else { return };
+        let known =
+            self.candidate.take().filter(|one| one.heartbeat.instance == heartbeat.instance);
+        let since_renewal = known.map_or(life.renewals_sent, |known| known.since_renewal);
+        self.candidate = Some(Candidate { heartbeat: heartbeat.clone(), since_renewal });
+        life.query_lists_at = Some(now);
+    }
+
+    /// Handles the leave of the backend server.
+    pub fn on_leave(&mut self, now: Instant, instance: &LifeId) -> Vec<RunStep> {
+        self.candidate.take_if(|candidate| candidate.heartbeat.instance == *instance);
+        if self.life.as_ref().is_some_and(|life| life.instance == *instance) {
+            self.end_life("backend server left");
+            self.follow_candidate(now);
+        }
+        self.finish(now)
+    }
+
+    /// Starts to track the instance whose heartbeat was kept, if one was; called once
+    /// the current life is over.
+    pub(super) fn follow_candidate(&mut self, now: Instant) {
+        if let Some(candidate) = self.candidate.take() {
+            self.begin_life(now, &candidate.heartbeat);
+        }
+    }
+
+    /// Drops the kept heartbeat if this renewal, which returned lists, was sent after it:
+    /// the current life's instance is still there, and only one runs at a time.
+    pub(super) fn refute_candidate(&mut self, renewal: u64) {
+        let refuted = self.candidate.take_if(|candidate| candidate.since_renewal < renewal);
+        if let Some(Candidate { heartbeat, .. }) = refuted {
+            let line = EventLine::new("heartbeat_foreign").with("life", &heartbeat.view.life);
+            self.steps.push(RunStep::Log(line));
+        }
+    }
+}
+
+/// Whether the life has sent no heartbeat for so long that a lower number can't be that
+/// of a late one.
+fn is_silent(life: &ServerLife, now: Instant) -> bool {
+    life.heartbeat_at + LATE_WINDOW <= now
+}
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -82,11 +82,11 @@
     pub(super) view: ServerView,
     pub(super) address: std::net::SocketAddr,
     pub(super) instance: LifeId,
-    /// Orders the lives of the backend server; heartbeats of earlier ones are
-    /// ignored.
+    /// Orders the lives of the instance; late heartbeats of earlier ones are ignored.
     pub(super) generation: u64,
-    /// Highest sequence number of a heartbeat in this life.
+    /// Sequence number of the latest heartbeat that was taken, and its arrival.
     pub(super) sequence: u64,
+    pub(super) heartbeat_at: Instant,
     /// Reading of the backend server's clock, and the local time it belongs to.
     clock: Option<(Duration, Instant)>,
     /// Time at which the lease has expired, with the margins for clock drift and
@@ -123,6 +123,7 @@
             instance: heartbeat.instance.clone(),
             generation: heartbeat.generation,
             sequence: heartbeat.sequence,
+            heartbeat_at: now,
             clock: heartbeat.clock.map(|clock| (clock, now)),
             lease_expires_at: None,
             listed: false,
@@ -140,6 +141,16 @@
         }
     }
 
+    /// Takes what a later heartbeat of this life says; `true` if it is news.
+    pub(super) fn take_heartbeat(&mut self, now: Instant, heartbeat: &ServerHeartbeat) -> bool {
+        self.sequence = heartbeat.sequence;
+        self.heartbeat_at = now;
+        self.address = heartbeat.address;
+        let changed = self.view != heartbeat.view;
+        self.view = heartbeat.view.clone();
+        changed
+    }
+
     pub(super) fn free_capacity(&self) -> ResourceAmount {
         let usage = self.usage_where(|run| run.phase != RunPhase::Waiting);
         self.view.capacity.saturating_sub(&usage)
--- a/tests/agent_fixture.rs
+++ b/tests/agent_fixture.rs
@@ -38,7 +38,8 @@
     TaskRun { task, run: 1 }
 }
 
-fn heartbeat(sequence: u64, draining: bool) -> ServerHeartbeat {
+/// The heartbeat of the agent's backend server.
+pub(crate) fn heartbeat(sequence: u64, draining: bool) -> ServerHeartbeat {
     ServerHeartbeat {
         view: ServerView {
             life: "i-1/7".into(),
@@ -152,6 +153,20 @@
         }
     }
 
+    /// Answers the oldest pending renewal.
+    pub(crate) fn answer_oldest_renewal(&mut self, answer: &ServerAnswer) {
+        if let Some(call) = self.take_call(is_renewal) {
+            self.answer(&call, answer.clone());
+        }
+    }
+
+    /// Answers every renewal that is pending now.
+    pub(crate) fn answer_renewals_with(&mut self, answer: &ServerAnswer) {
+        for _ in 0..self.pending_renewals() {
+            self.answer_oldest_renewal(answer);
+        }
+    }
+
     pub(crate) fn advance(&mut self, step: Duration) {
         self.now += step;
         let steps = self.table.on_tick(self.now);
--- a/tests/schedule_faults.rs
+++ b/tests/schedule_faults.rs
@@ -32,6 +32,8 @@
     /// The scheduler and the agent.
     LoseOrders(usize, usize),
     Heartbeat(usize),
+    /// A heartbeat that no instance there has sent: the agent and the generation.
+    ForeignHeartbeat(usize, u64),
     Commit,
     /// The scheduler and the number of tasks.
     Submit(usize, u32),
@@ -59,6 +61,8 @@
         2 => (scheduler.clone(), agent.clone())
             .prop_map(|(scheduler, agent)| Action::LoseOrders(scheduler, agent)),
         4 => agent.clone().prop_map(Action::Heartbeat),
+        1 => (agent.clone(), prop_oneof![Just(0), 1_u64..9, Just(1 << 50)])
+            .prop_map(|(agent, generation)| Action::ForeignHeartbeat(agent, generation)),
         8 => Just(Action::Commit),
         6 => (scheduler, 1_u32..5).prop_map(|(scheduler, tasks)| Action::Submit(scheduler, tasks)),
         1 => Just(Action::ChangeLeader),
@@ -79,6 +83,9 @@
         Action::Disconnect(scheduler, agent) => model.disconnect(*scheduler, *agent),
         Action::LoseOrders(scheduler, agent) => model.lose_orders(*scheduler, *agent),
         Action::Heartbeat(agent) => model.heartbeat(*agent),
+        Action::ForeignHeartbeat(agent, generation) => {
+            model.foreign_heartbeat(*agent, *generation);
+        }
         Action::Commit => model.commit(),
         Action::Submit(scheduler, tasks) => {
             *jobs += 1;
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -395,8 +395,25 @@
 
     /// Sends the heartbeat of a backend server to its agent.
     pub(crate) fn heartbeat(&mut self, agent: usize) {
+        self.agents[agent].heartbeats += 1;
+        let heartbeat = self.heartbeat_of(agent);
+        let steps = self.agents[agent].table.on_heartbeat(self.now, &heartbeat);
+        self.apply_run_steps(agent, steps);
+    }
+
+    /// Sends the agent a heartbeat of an instance that does not run there.
+    pub(crate) fn foreign_heartbeat(&mut self, agent: usize, generation: u64) {
+        let mut heartbeat = self.heartbeat_of(agent);
+        heartbeat.instance = "i-foreign".into();
+        heartbeat.generation = generation;
+        heartbeat.view.life = format!("i-foreign/{generation}").into();
+        let steps = self.agents[agent].table.on_heartbeat(self.now, &heartbeat);
+        self.apply_run_steps(agent, steps);
+    }
+
+    fn heartbeat_of(&self, agent: usize) -> ServerHeartbeat {
         let server = &self.servers[agent];
-        let heartbeat = ServerHeartbeat {
+        ServerHeartbeat {
             view: ServerView {
                 life: format!("{}/{}", server.instance(), server.generation).into(),
                 service: SERVICE.into(),
@@ -412,12 +429,9 @@
             address: ([127, 0, 0, 1], 9_000).into(),
             instance: server.instance().into(),
             generation: server.generation,
-            sequence: self.agents[agent].heartbeats + 1,
+            sequence: self.agents[agent].heartbeats,
             clock: Some(server.clock(self.now)),
-        };
-        self.agents[agent].heartbeats += 1;
-        let steps = self.agents[agent].table.on_heartbeat(self.now, &heartbeat);
-        self.apply_run_steps(agent, steps);
+        }
     }
 
     /// Opens a connection unless there is one.
