Odd rows in a backend server's lists hide none of the others

What was seen: one row of `running` or `ended` that could not be decoded, or a `clock_ms` of another type, made the whole reply unreadable, in each renewal again: no end was reported any more, for as long as the row was listed. An end with a number far too high was taken, barred all later true ends as known ones, and acknowledged them unseen. Ends out of order were dropped as known.

Ends are taken in the order of their numbers; one more than 1,000,000 above the latest is left out. The agent logs `lists_partial` when it begins.

--- a/crates/decisions/src/agent/run_calls.rs
+++ b/crates/decisions/src/agent/run_calls.rs
@@ -136,20 +136,23 @@
         let before = life.outstanding_renewals.len();
         life.outstanding_renewals.retain(|out| *out != number);
         let was_outstanding = life.outstanding_renewals.len() < before;
-        let ServerAnswer::Lists { running, ended } = answer else {
-            if was_outstanding {
-                let retry_delay = limits.renewal_interval
-                    * (1 << life.failed_renewals.min(MAX_BACKOFF_DOUBLINGS));
-                life.failed_renewals += 1;
-                life.renew_at = now + retry_delay;
-            } else {
-                life.query_lists_at = Some(now + limits.retry_delay);
-            }
-            return;
+        let (running, ended, complete) = match answer {
+            ServerAnswer::Lists { running, ended } => (running, ended, true),
+            ServerAnswer::PartialLists { running, ended } => (running, ended, false),
+            _ => return self.on_renewal_failed(now, was_outstanding),
         };
         let newly_listed = !std::mem::replace(&mut life.listed, true);
         self.has_lists = true;
-        let updates = life.take_lists(now, number, &running, ended);
+        let row_count = ended.len();
+        let ended = life.plausible_ends(ended);
+        let complete = complete && ended.len() == row_count;
+        if life.set_lists_complete(complete) {
+            let line = EventLine::new("lists_partial")
+                .with("life", &life.view.life)
+                .with("usable", running.len() + ended.len());
+            self.steps.push(RunStep::Log(line));
+        }
+        let updates = life.take_lists(now, number, &running, ended, complete);
         if was_outstanding {
             life.failed_renewals = 0;
             life.renew_at = if updates.is_empty() { now + limits.renewal_interval } else { now };
@@ -159,6 +162,20 @@
         self.refute_candidate(number);
     }
 
+    /// Schedules another attempt after a renewal that returned no lists.
+    fn on_renewal_failed(&mut self, now: Instant, was_outstanding: bool) {
+        let limits = self.limits;
+        let Some(life) = &mut self.life else { return };
+        if was_outstanding {
+            let retry_delay =
+                limits.renewal_interval * (1 << life.failed_renewals.min(MAX_BACKOFF_DOUBLINGS));
+            life.failed_renewals += 1;
+            life.renew_at = now + retry_delay;
+        } else {
+            life.query_lists_at = Some(now + limits.retry_delay);
+        }
+    }
+
     /// Handles the expiry of the lease: without a renewal for longer than the
     /// lease, the backend server has stopped all runs.
     pub(super) fn expire_lease(&mut self, now: Instant) {
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -19,6 +19,10 @@
 
 /// Maximum number of ends in one list; a full list may be incomplete.
 const MAX_LISTED_ENDS: usize = 500;
+/// Maximum step from the latest end that was taken, or from the lowest end of the first
+/// list, to the number of a listed end. One beyond it is not taken: it would bar all
+/// true ends up to it, and acknowledge them unseen.
+const MAX_END_STEP: EndNumber = 1_000_000;
 /// Time after the end of the lease that is allowed for stopping runs and for
 /// messages in flight; both together take less.
 const LEASE_MARGIN: Duration = Duration::from_millis(150);
@@ -113,6 +117,8 @@
     pub(super) renewals_sent: u64,
     /// Number of the latest renewal whose lists were taken.
     latest_listed_renewal: u64,
+    /// Whether rows of the latest lists could not be decoded.
+    lists_partial: bool,
 }
 
 impl ServerLife {
@@ -138,6 +144,7 @@
             failed_renewals: 0,
             renewals_sent: 0,
             latest_listed_renewal: 0,
+            lists_partial: false,
         }
     }
 
@@ -215,14 +222,24 @@
         unacked.map(|unacked| unacked.update.clone()).collect()
     }
 
+    /// The listed ends whose numbers are plausible, in their order.
+    pub(super) fn plausible_ends(&self, mut ended: Vec<ListedEnd>) -> Vec<ListedEnd> {
+        ended.sort_by_key(|end| end.number);
+        let first = ended.first().map_or(0, |end| end.number);
+        let base = if self.last_end == 0 { first } else { self.last_end };
+        ended.retain(|end| end.number <= base.saturating_add(MAX_END_STEP));
+        ended
+    }
+
     /// Takes the lists that lease renewal `number` returned; returns the new
-    /// updates.
+    /// updates. `complete` is whether they show all runs and ends.
     pub(super) fn take_lists(
         &mut self,
         now: Instant,
         number: u64,
         running: &[TaskRun],
         ended: Vec<ListedEnd>,
+        complete: bool,
     ) -> Vec<OwnedUpdate> {
         let is_full = ended.len() >= MAX_LISTED_ENDS;
         // Answers on different connections may be reordered.
@@ -255,7 +272,7 @@
                 since: now,
             });
         }
-        if !is_full {
+        if complete && !is_full {
             updates.extend(self.drop_unlisted(number, running));
         }
         updates
@@ -285,6 +302,11 @@
         updates
     }
 
+    /// Records whether the latest lists are complete; `true` if they no longer are.
+    pub(super) fn set_lists_complete(&mut self, complete: bool) -> bool {
+        !std::mem::replace(&mut self.lists_partial, !complete) && !complete
+    }
+
     /// Whether several renewals are kept outstanding, since a call got no answer.
     pub(super) fn is_hedging(&self, now: Instant) -> bool {
         self.hedge_until.is_some_and(|until| until > now)
--- a/crates/model/src/server_messages.rs
+++ b/crates/model/src/server_messages.rs
@@ -102,6 +102,15 @@
         /// Ended runs that the server has not yet forgotten.
         ended: Vec<ListedEnd>,
     },
+    /// The lists that a lease renewal returns, without the rows that could not be
+    /// decoded. What they don't show may still be there.
+    PartialLists {
+        /// Runs that are executing, as far as they could be decoded.
+        running: Vec<TaskRun>,
+        /// Ended runs that the server has not yet forgotten, as far as they could be
+        /// decoded.
+        ended: Vec<ListedEnd>,
+    },
     /// The request was refused and had no effect.
     Refused(StartRefusal),
     /// Outcome unknown: the call may have taken effect, or may still do so.
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -32,6 +32,7 @@
 mod odd_catalogs;
 mod odd_heartbeats;
 mod odd_jobs;
+mod odd_lists;
 mod overload_recovery;
 mod placement_rounds;
 mod platform_wire;
