Announcements with odd slots or port: refused, no sum overflows

What was seen: two announcements with 2^32 - 1 slots ended the agent's start duty in builds with overflow checks ("attempt to add with overflow", instance_pool.rs), and in release the agent reported almost no slots. Port 0 was accepted.

Now slots and connections are 1 to 100,000 and the port 1 to 65535; the reply is 400 with the field and its range. The sum saturates.

tests/odd_announcements.rs: both tests failed before, with the panic above.

--- a/crates/decisions/src/agent/instance_pool.rs
+++ b/crates/decisions/src/agent/instance_pool.rs
@@ -117,11 +117,12 @@
         self.instances.values().filter(|i| i.service == *service).map(|i| i.running).sum()
     }
 
-    /// Number of slots of available backend servers, by service.
+    /// Number of slots of available backend servers, by service; saturates.
     pub fn slots(&self) -> IndexMap<ServiceId, u32> {
         let mut slots = IndexMap::new();
         for instance in self.instances.values().filter(|instance| instance.available) {
-            *slots.entry(instance.service.clone()).or_default() += instance.slots;
+            let sum: &mut u32 = slots.entry(instance.service.clone()).or_default();
+            *sum = sum.saturating_add(instance.slots);
         }
         slots
     }
--- a/crates/edges/src/announce_routes.rs
+++ b/crates/edges/src/announce_routes.rs
@@ -14,6 +14,8 @@
 
 /// Maximum size of an announcement, in bytes.
 const MAX_ANNOUNCEMENT_BYTES: usize = 16 * 1024;
+/// Maximum number of slots, and of connections, of one backend server.
+const MAX_SLOTS: u32 = 100_000;
 
 /// All routes of an agent's announcement server.
 pub(crate) fn announce_routes(
@@ -58,8 +60,15 @@
     if !is_name(&announcement.service) {
         return Err(malformed("service must have 1 to 64 letters, digits, '-', '_' or '.'"));
     }
-    if announcement.slots == 0 || announcement.connections == 0 {
-        return Err(malformed("slots and connections must be above zero"));
+    for (field, value) in [("slots", announcement.slots), ("connections", announcement.connections)]
+    {
+        if !(1..=MAX_SLOTS).contains(&value) {
+            let detail = format!("{field} is {value}; the minimum is 1, the maximum {MAX_SLOTS}");
+            return Err(malformed(&detail));
+        }
+    }
+    if announcement.address.port() == 0 {
+        return Err(malformed("address must have a port from 1 to 65535"));
     }
     Ok(StartMessage::Announced { announcement })
 }
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -29,6 +29,7 @@
 mod log_exploration;
 mod log_lines;
 mod monthly_figures;
+mod odd_announcements;
 mod odd_catalogs;
 mod odd_heartbeats;
 mod odd_jobs;
