Property tests: odd reports and orders between our own processes

tests/odd_messages.rs sends schedulers random odd reports, and agents random odd orders, then true ones that must be followed.

--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -34,6 +34,7 @@
 mod odd_heartbeats;
 mod odd_jobs;
 mod odd_lists;
+mod odd_messages;
 mod overload_recovery;
 mod placement_rounds;
 mod platform_wire;
