--- a/tests/queue_path.rs
+++ b/tests/queue_path.rs
@@ -141,11 +141,17 @@
 
     /// Sends a heartbeat of the stub backend server to the agent.
     async fn send_heartbeat(&self) -> Option<CallReply> {
-        let heartbeat = json!({
+        self.send_heartbeat_with("sequence", json!(1)).await
+    }
+
+    /// Sends a heartbeat of the stub backend server with this value of one field.
+    async fn send_heartbeat_with(&self, field: &str, value: Value) -> Option<CallReply> {
+        let mut heartbeat = json!({
             "service": "s", "address": "127.0.0.1:1", "zone": "north", "state": "ready",
             "capacity": { "cpu": 4000, "mem_mb": 1000, "gpu": 0 }, "labels": ["a", "r1"],
             "clock_ms": 1000, "sequence": 1, "born": 1
         });
+        heartbeat[field] = value;
         let (agent, path) = (self.agent.address, "/cactuswing/instances/i-1");
         Caller::new().call("PUT", agent, path, &[], heartbeat.to_string()).await.ok()
     }
@@ -240,6 +246,45 @@
     system.stop();
 }
 
+/// The body of a reply with status 400.
+fn refusal_text(reply: Option<CallReply>) -> String {
+    let reply = reply.expect("the call gets a reply");
+    assert_eq!(reply.status, 400, "{reply:?}");
+    reply.body
+}
+
+// Odd numbers over HTTP: each caller is told the field, and the system goes on.
+#[tokio::test]
+async fn odd_calls_refused() {
+    let system = QueueSystem::start("queue-odd", 4);
+    let mut odd_config = config_body(3);
+    odd_config["routes"][0]["stretch"] = json!(-1);
+    let reply =
+        system.retry_until(400, async || system.put("/cactuswing/config", &odd_config).await);
+    assert!(refusal_text(Some(reply.await)).contains("stretch"));
+    system.retry_until(200, async || system.put("/cactuswing/config", &config_body(4)).await).await;
+    system.retry_until(200, async || system.send_heartbeat().await).await;
+    for (field, value) in [
+        ("sequence", json!(u64::MAX)),
+        ("born", json!(u64::MAX)),
+        ("born", json!(1_u64 << 52)),
+        ("capacity", json!({ "cpu": u64::MAX })),
+        ("address", json!("127.0.0.1:65536")),
+    ] {
+        let reply = system.send_heartbeat_with(field, value).await;
+        assert!(refusal_text(reply).contains(field), "{field}");
+    }
+    let mut odd_job = json!({ "steps": one_step(), "best_effort": true });
+    odd_job["steps"][0]["estimate_ms"] = json!(u64::MAX);
+    let path = format!("/x/{JOB_ID}");
+    system.retry_until(404, async || system.call_job("GET", "/y/", &Value::Null).await).await;
+    let reply = system.call_job("POST", &path, &odd_job).await;
+    assert!(refusal_text(reply).contains("estimate_ms"));
+    let job = json!({ "steps": one_step(), "best_effort": true });
+    system.retry_until(200, async || system.call_job("POST", &path, &job).await).await;
+    system.stop();
+}
+
 #[tokio::test]
 async fn older_config_ignored() {
     let system = QueueSystem::start("queue-configs", 3);
