A run of an ended job is stopped by the next session, if the stop was lost

What callers would see: a job is given up (504), its caller sends it again elsewhere, and both run; a cancelled job keeps running. Cause: a stop is sent once. If the connection is lost with it, the next session lists the run, and a run that is the task's placement was kept, also when its job had ended. Fix: a listed run is kept only while its job is live; otherwise it is stopped.

--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -179,11 +179,12 @@
         self.recompute_usage(agent);
     }
 
-    /// Adopts a listed run if it is the task's placement, or if the task is open
-    /// and not placed; `false` if the run should be stopped.
+    /// Adopts a listed run if it is the task's placement and its job has not ended, or if
+    /// the task is open and not placed; `false` if the run should be stopped.
     fn adopt(&mut self, now: Instant, report: &AgentReport, run: &TaskRun) -> bool {
         if let Some(placed) = self.placements.get(&run.task) {
-            return placed.agent == report.agent && placed.run == run.run;
+            let is_placed = placed.agent == report.agent && placed.run == run.run;
+            return is_placed && self.live.contains_key(&run.task.job);
         }
         let record = self.record(&run.task.job);
         let open = record.is_some_and(|record| !record.is_done(&run.task));
--- a/tests/early_end.rs
+++ b/tests/early_end.rs
@@ -30,6 +30,22 @@
     assert_eq!(model.replies[&call], CallStatus::Reply(JobReply::Unclear));
 }
 
+// Guards against a stop that is lost with the connection: the runs of a job whose caller
+// has left go on, beside those of a repeated submission elsewhere.
+#[test]
+fn lost_stop_repeated() {
+    let mut model = ScheduleModel::new(ENTRY, 1);
+    let call = model.submit(ENTRY, job(1, CAPACITY, true));
+    while model.running() < CAPACITY as usize {
+        model.deliver(0, 0, false);
+    }
+    model.lose_orders(ENTRY, 0);
+    model.abandon(ENTRY, call);
+    model.run_fault_free(1);
+    model.run_fault_free(1);
+    assert_eq!(model.running(), 0, "the runs are stopped by the next session");
+}
+
 #[test]
 fn started_job_first() {
     let mut model = ScheduleModel::new(ENTRY, 1);
