Admission counts what a round left waiting; a caller's wait counts from its arrival

Cause: an admission inside a batch ran a placement round of its own, so batches saved nothing for jobs; and an entry that lags counted its own lag as patience of its callers, and worked for some who had left. Change: the expected wait goes by the work that the latest round left waiting; the time that a submission waited in the process is taken off its caller's wait.

--- a/crates/decisions/src/schedule/job_admission.rs
+++ b/crates/decisions/src/schedule/job_admission.rs
@@ -194,7 +194,7 @@
     /// the part of the servers' total speed that this scheduler gets, which is
     /// taken to be its share of the capacity in use; at most [`model::MAX_SPAN`].
     pub(super) fn expected_wait(&self) -> Duration {
-        if self.ready.is_empty() {
+        if self.ready.left_work() == 0 {
             return Duration::ZERO;
         }
         let servers = self
@@ -212,7 +212,7 @@
         if speed <= 0.0 {
             return Duration::ZERO;
         }
-        span_of_secs(self.ready.work() as f64 / (speed * share) / 1_000.0)
+        span_of_secs(self.ready.left_work() as f64 / (speed * share) / 1_000.0)
     }
 
     pub(super) fn answer_waiter(&mut self, id: &JobId, reply: JobReply) {
--- a/crates/decisions/src/schedule/ready_queue.rs
+++ b/crates/decisions/src/schedule/ready_queue.rs
@@ -37,6 +37,8 @@
     /// Processor time of all queued tasks, in core-milliseconds; wide enough for any
     /// number of tasks.
     work: u128,
+    /// The same of the tasks that the latest placement round left waiting.
+    left_work: u128,
 }
 
 impl ReadyQueue {
@@ -134,6 +136,17 @@
         }
     }
 
+    /// Records that a placement round has left the queued tasks waiting.
+    pub(super) fn end_round(&mut self) {
+        self.left_work = self.work;
+    }
+
+    /// Processor time of the tasks that wait for free capacity, in core-milliseconds,
+    /// without those that no round has tried to place yet.
+    pub(super) fn left_work(&self) -> u128 {
+        self.left_work.min(self.work)
+    }
+
     /// Number of groups, one for each step with waiting tasks.
     pub(super) fn len(&self) -> usize {
         self.groups.len()
@@ -142,9 +155,4 @@
     pub(super) fn is_empty(&self) -> bool {
         self.groups.is_empty()
     }
-
-    /// Processor time of all queued tasks, in core-milliseconds.
-    pub(super) fn work(&self) -> u128 {
-        self.work
-    }
 }
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -310,8 +310,6 @@
         if self.term.is_none() {
             return JobDecision::NotLeader;
         }
-        // Admission goes by what has to wait, not by what is not placed yet.
-        self.place_ready(now);
         match call {
             JobCall::Submit { job, wait_ms } if job.best_effort => {
                 let until = later(now, Duration::from_millis(*wait_ms));
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -153,6 +153,11 @@
         if self.ready.is_empty() || !std::mem::take(&mut self.placement_due) {
             return;
         }
+        self.run_placement_round(now);
+        self.ready.end_round();
+    }
+
+    fn run_placement_round(&mut self, now: Instant) {
         let mut round = PlacementRound::default();
         let mut skipped_groups = 0;
         for key in self.placement_order(now, &mut round) {
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -65,6 +65,13 @@
 }
 
 impl JobCall {
+    /// Takes the time that the call itself has waited off its caller's wait.
+    pub fn shorten_wait(&mut self, lag: std::time::Duration) {
+        if let JobCall::Submit { wait_ms, .. } = self {
+            *wait_ms = wait_ms.saturating_sub(lag.as_millis() as u64);
+        }
+    }
+
     /// The job that the call refers to; `None` for calls about a whole queue.
     pub fn job(&self) -> Option<&JobId> {
         match self {
--- a/crates/services/src/job_scheduling.rs
+++ b/crates/services/src/job_scheduling.rs
@@ -114,7 +114,11 @@
 impl JobScheduling {
     fn on_message(&mut self, now: Instant, message: SchedulingMessage) {
         match message {
-            SchedulingMessage::Job { call, job, reply, .. } => self.on_job(now, call, &job, reply),
+            SchedulingMessage::Job { call, arrived_at, mut job, reply } => {
+                let lag = now.saturating_duration_since(arrived_at);
+                job.shorten_wait(lag);
+                self.on_job(now, call, &job, reply);
+            }
             SchedulingMessage::CallerDisconnected { call } => {
                 self.waiting_callers.swap_remove(&call);
                 self.scheduler.on_abandoned(now, call);
