Sessions: heartbeats also while one is unacknowledged, and smaller faults of the review

Cause and change, each found by review or by the model of entries: a heartbeat waited for the acknowledgement of the last message, so that with 300 ms of lag a grant could lapse while its agent was in touch; a deadline that had passed could win over an acknowledgement that was there already; a session whose first event found the ring full was never reported on; a catalog that found a ring full was never fetched again; an end waited for ends of other steps of its job; agents reported each change of usage until the first orders named an interval.

--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -148,7 +148,7 @@
     }
 
     /// Urgency of an update. The end of a completed run only releases capacity while
-    /// other runs of its job are to end here.
+    /// other runs of its step are to end here.
     fn urgency(&self, owner: Option<&SchedulerKey>, update: &RunUpdate) -> UpdateUrgency {
         let RunUpdate::Ended { run, kind: EndKind::Done, .. } = update else {
             return UpdateUrgency::AtOnce;
--- a/crates/decisions/src/agent/scheduler_session.rs
+++ b/crates/decisions/src/agent/scheduler_session.rs
@@ -11,6 +11,9 @@
 /// How long an update that only releases capacity may wait for others.
 const CAPACITY_UPDATE_DELAY: Duration = Duration::from_millis(20);
 
+/// Interval of reports of changed usage until the scheduler has named its own.
+const INITIAL_USAGE_INTERVAL: Duration = Duration::from_millis(200);
+
 /// When an update has to be reported.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum UpdateUrgency {
@@ -55,6 +58,7 @@
         self.must_list_runs = true;
         self.needs_report = true;
         self.unacked_reports = 0;
+        self.usage_interval = self.usage_interval.max(INITIAL_USAGE_INTERVAL);
         self.updates = updates;
         self.updates_due = None;
         self.reported_server = ServerReport::Unchanged;
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -180,11 +180,13 @@
         owned.map(|(run, _)| run.clone()).collect()
     }
 
-    /// Whether a scheduler awaits the end of other runs of this run's job here.
+    /// Whether a scheduler awaits the end of other runs of this run's step here.
     pub(super) fn has_runs_of(&self, owner: Option<&SchedulerKey>, ended: &TaskRun) -> bool {
         self.runs.iter().any(|(run, state)| {
             let is_awaited = state.phase.needs_grant() && state.owner.as_ref() == owner;
-            is_awaited && run.task.job == ended.task.job && run.task != ended.task
+            let (task, ended) = (&run.task, &ended.task);
+            let same_step = task.job == ended.job && task.step == ended.step;
+            is_awaited && same_step && task != ended
         })
     }
 
--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -155,8 +155,8 @@
             .iter()
             .filter(|(task, placed)| {
                 let mut listed = runs.iter().chain(&report.unowned);
-                let listed = listed.any(|run| run.task == **task && run.run == placed.run);
-                placed.agent == *agent && !placed.ended && !listed
+                let is_active = placed.agent == *agent && !placed.ended;
+                is_active && !listed.any(|run| run.task == **task && run.run == placed.run)
             })
             .map(|(task, placed)| TaskRun { task: task.clone(), run: placed.run })
             .collect();
--- a/crates/edges/src/job_calls.rs
+++ b/crates/edges/src/job_calls.rs
@@ -128,15 +128,21 @@
         if catalog.version <= self.query.version {
             return;
         }
-        self.query.version = catalog.version;
-        self.log.info(EventLine::new("catalog_in_force").with("version", catalog.version));
+        let version = catalog.version;
         let message = SchedulingMessage::Catalog { catalog: Arc::clone(&catalog) };
         if self.scheduling.push(message).is_err() {
-            self.log.warn(EventLine::new("ring_full").with("ring", ServiceName::JobScheduling));
+            return self.log_full_ring(ServiceName::JobScheduling);
         }
         if self.front.push(QueueFrontMessage::Catalog { catalog }).is_err() {
-            self.log.warn(EventLine::new("ring_full").with("ring", ServiceName::QueueFront));
+            return self.log_full_ring(ServiceName::QueueFront);
         }
+        self.query.version = version;
+        self.log.info(EventLine::new("catalog_in_force").with("version", version));
+    }
+
+    /// Logs that a catalog was not forwarded; the next watch returns it again.
+    fn log_full_ring(&self, ring: ServiceName) {
+        self.log.warn(EventLine::new("ring_full").with("ring", ring));
     }
 }
 
--- a/crates/edges/src/schedule_link.rs
+++ b/crates/edges/src/schedule_link.rs
@@ -30,8 +30,8 @@
 
 /// How long a message may stay without an acknowledgement.
 const ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Time after the latest message, once all are acknowledged, until a heartbeat is
-/// sent; together with the scheduler's wait well below its grant.
+/// Time after the latest message until a heartbeat is sent; together with the scheduler's
+/// wait well below its grant.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(350);
 /// Delay between attempts to connect to an entry.
 const ENTRY_RETRY_DELAY: Duration = Duration::from_millis(150);
@@ -175,8 +175,11 @@
             let Some((address, streams)) = self.connect(&mut host).await else { return };
             self.session += 1;
             while self.reports.try_recv().is_ok() {}
-            self.notify(ScheduleEvent::Opened);
-            let end = self.run_session(streams).await;
+            // Without the first event there would be no first report.
+            let end = match self.notify(ScheduleEvent::Opened) {
+                true => self.run_session(streams).await,
+                false => SessionEnd { reason: "ring_full".into(), leader: None },
+            };
             self.notify(ScheduleEvent::Closed);
             // Not logged: without a leader, non-leading hosts are tried often.
             if end.reason != NOT_LEADER {
@@ -212,11 +215,13 @@
         loop {
             let deadline = session.next_deadline().map(tokio::time::Instant::from_std);
             let result = tokio::select! {
-                Some(report) = reports.recv() => session.send_reports(report, reports).await,
+                // What was received goes before a deadline that has passed meanwhile.
+                biased;
                 received = reader.next_from_scheduler() => match received {
                     Ok(message) => session.receive(message),
                     Err(error) => Err(SessionEnd::failed(&error)),
                 },
+                Some(report) = reports.recv() => session.send_reports(report, reports).await,
                 () = sleep_until(deadline) => session.on_deadline().await,
             };
             if let Err(end) = result {
@@ -234,8 +239,9 @@
         self.context.log.info(line);
     }
 
-    fn notify(&self, event: ScheduleEvent) {
-        let _forwarded = self.context.notify(&self.scheduler, self.session, event);
+    /// Forwards an event to the run service; `false` if its ring is full.
+    fn notify(&self, event: ScheduleEvent) -> bool {
+        self.context.notify(&self.scheduler, self.session, event)
     }
 }
 
@@ -272,14 +278,19 @@
     /// Time of the next heartbeat, or of the timeout of a message; `None` before the
     /// first report, which has to come first.
     fn next_deadline(&self) -> Option<Instant> {
-        match self.sent.unacked_since() {
-            Some(since) => Some(since + ACK_TIMEOUT),
-            None => self.sent.last_sent_at().map(|at| at + HEARTBEAT_INTERVAL),
-        }
+        let timeout = self.ack_deadline();
+        let heartbeat = self.sent.last_sent_at().map(|at| at + HEARTBEAT_INTERVAL);
+        timeout.into_iter().chain(heartbeat).min()
+    }
+
+    /// Time by which the first unacknowledged message has to be acknowledged.
+    fn ack_deadline(&self) -> Option<Instant> {
+        self.sent.unacked_since().map(|since| since + ACK_TIMEOUT)
     }
 
     async fn on_deadline(&mut self) -> Result<(), SessionEnd> {
-        if self.sent.unacked_since().is_some() {
+        let now = self.context.link.clock.now();
+        if self.ack_deadline().is_some_and(|at| at <= now) {
             return Err(SessionEnd { reason: "unacknowledged".into(), leader: None });
         }
         let ScheduleLink { agent, incarnation, .. } = &self.context.link;
