Tasks are placed on connected agents only

What callers saw: tasks of an agent whose connection was lost waited for the contact timeout, 2.4 s at an entry, longer than callers wait. Cause: a lost connection was not told to the scheduler, and placing did not ask for one. Found by review. A silent connection still counts. Evidence: early_end::lost_link_avoided failed before (0 of 2 tasks ran).

--- a/crates/decisions/src/schedule/agent_state.rs
+++ b/crates/decisions/src/schedule/agent_state.rs
@@ -93,10 +93,13 @@
         self.server.as_ref().map(|server| &server.life)
     }
 
-    /// Whether there is a backend server that is neither paused nor draining.
+    /// Whether the agent is connected, with a backend server that is neither paused nor
+    /// draining.
     pub(super) fn accepts_work(&self, now: Instant) -> bool {
         let unpaused = self.paused_until.is_none_or(|until| until <= now);
-        unpaused && self.server.as_ref().is_some_and(|server| !server.draining)
+        self.link.is_some()
+            && unpaused
+            && self.server.as_ref().is_some_and(|server| !server.draining)
     }
 
     /// Resets everything that belongs to the previous life of the backend server.
--- a/tests/early_end.rs
+++ b/tests/early_end.rs
@@ -46,6 +46,22 @@
     assert_eq!(model.running(), 0, "the runs are stopped by the next session");
 }
 
+// Guards against tasks that wait, until the contact timeout, for an agent whose connection
+// is known to be lost.
+#[test]
+fn lost_link_avoided() {
+    let mut model = ScheduleModel::new(ENTRY, 2);
+    model.lose_link(ENTRY, 0);
+    model.submit(ENTRY, job(1, 2, true));
+    while model.calls_in_transit(1) > 0 {
+        model.deliver(1, 0, false);
+        if model.running() == 2 {
+            return;
+        }
+    }
+    panic!("{} of 2 tasks run on the connected agent", model.running());
+}
+
 #[test]
 fn started_job_first() {
     let mut model = ScheduleModel::new(ENTRY, 1);
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -351,6 +351,15 @@
         self.apply_run_steps(agent, steps);
     }
 
+    /// Breaks a connection, and tells the scheduler.
+    pub(crate) fn lose_link(&mut self, scheduler: usize, agent: usize) {
+        let session = self.agents[agent].sessions.get(&scheduler).copied();
+        self.disconnect(scheduler, agent);
+        if let Some(link) = session {
+            self.schedulers[scheduler].scheduler.on_link_lost(link);
+        }
+    }
+
     /// Loses the next orders to an agent together with the connection.
     pub(crate) fn lose_orders(&mut self, scheduler: usize, agent: usize) {
         self.schedulers[scheduler].lose_orders.insert(agent);
