Test: an entry acknowledges no ends

Guards the fix that came with the streams: an agent followed any scheduler's acknowledgement, so that of an entry let the backend server forget an end of a stored job that control had not recorded (the task would run again, or its end be lost). With the condition taken out the test fails (1 acknowledged, 0 expected).

--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -18,6 +18,7 @@
 mod catalog_versions;
 mod config_versions;
 mod early_end;
+mod end_acks;
 mod entry_share;
 mod fair_sharing;
 mod graceful_drain;
