--- a/crates/decisions/src/schedule/agent_checks.rs
+++ b/crates/decisions/src/schedule/agent_checks.rs
@@ -7,7 +7,6 @@
 
 use model::NodeId;
 
-use super::agent_state::AgentState;
 use super::scheduler::Scheduler;
 
 /// Minimum time between two passes over all agents.
@@ -70,13 +69,10 @@
     /// changed.
     pub(super) fn require_check(&mut self, agent: &NodeId) {
         let Some(state) = self.agents.get(agent) else { return };
-        let due = [self.message_due(state), state.paused_until, self.contact_due(state)];
+        let contact_timeout = state.last_contact + self.limits.contact_timeout();
+        let due = [self.message_due(state), state.paused_until, Some(contact_timeout)];
         if let Some(at) = due.into_iter().flatten().min() {
             self.agent_checks.require(at);
         }
     }
-
-    fn contact_due(&self, state: &AgentState) -> Option<Instant> {
-        Some(state.last_contact + self.limits.contact_timeout())
-    }
 }
--- a/crates/decisions/src/schedule/step_spread.rs
+++ b/crates/decisions/src/schedule/step_spread.rs
@@ -1,8 +1,7 @@
 //! Limits how many agents the tasks of one step are spread over.
 //!
 //! Handles the load pattern *many wide jobs of short tasks*: each further agent
-//! costs an order, a poll and reports, which overload a scheduler on a small
-//! host, and is one more that can be lost before the job has ended. Tasks that
+//! costs an order and reports, which overload a scheduler on a small host, and is one more that can be lost before the job has ended. Tasks that
 //! are placed in one round share agents while these have free capacity.
 
 use indexmap::IndexMap;
--- a/crates/edges/src/peer_connection.rs
+++ b/crates/edges/src/peer_connection.rs
@@ -1,4 +1,4 @@
-//! Opens connections to other processes of the system.
+//! Opens and accepts connections between processes of the system.
 //!
 //! A host that is powered off does not reply, and the operating system
 //! retransmits a lost SYN only after a second. Several short attempts connect to
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::peer_api::MAX_MESSAGE_BYTES;
 
@@ -23,6 +23,19 @@
 /// Maximum number of requests in flight on one connection.
 const MAX_REQUESTS: usize = 1_024;
 
+/// Delay after a connection could not be accepted.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Waits for the next connection.
+pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _peer)) => return stream,
+            Err(_refused) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+        }
+    }
+}
+
 /// Opens a connection to a process; `None` when it can't be reached in time.
 pub(crate) async fn connect(address: SocketAddr) -> Option<Arc<WsClient>> {
     tokio::time::timeout(CONNECT_TIMEOUT, open_client(address)).await.ok()?
--- a/crates/edges/src/peer_listener.rs
+++ b/crates/edges/src/peer_listener.rs
@@ -2,7 +2,6 @@
 //! streams of agents are handed over. The first byte of a connection tells them apart.
 
 use std::io::Cursor;
-use std::time::Duration;
 
 use jsonrpsee::Methods;
 use jsonrpsee::server::{Server, serve_with_graceful_shutdown, stop_channel};
@@ -13,9 +12,7 @@
 
 use crate::agent_stream::{AGENT_PREAMBLE, read_preamble};
 use crate::peer_api::server_config;
-
-/// Delay after a connection could not be accepted.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+use crate::peer_connection::accept;
 
 /// Accepts connections until the task is dropped.
 ///
@@ -32,10 +29,7 @@
     let (stop, _server) = stop_channel();
     let rpc = Server::builder().set_config(server_config(max_connections)).to_service_builder();
     loop {
-        let Ok((mut stream, _peer)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
+        let mut stream = accept(&listener).await;
         let (rpc, methods, stop) = (rpc.clone(), methods.clone(), stop.clone());
         let streams = streams.clone();
         tokio::task::spawn_local(async move {
--- a/crates/edges/src/schedule_edge.rs
+++ b/crates/edges/src/schedule_edge.rs
@@ -23,6 +23,7 @@
     AGENT_PREAMBLE, StreamError, StreamReader, StreamWriter, read_preamble, split,
 };
 use crate::edge_runtime::block_on;
+use crate::peer_connection::accept;
 
 /// Maximum number of connected agents.
 const MAX_LINKS: usize = 4_096;
@@ -33,8 +34,6 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Delay before a message is pushed again to a full ring.
 const FULL_RING_DELAY: Duration = Duration::from_millis(5);
-/// Delay after a connection could not be accepted.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Runs the duty until its ring is closed. `listener` is that of an entry; control
 /// shares one with its other peers and hands connections over.
@@ -82,12 +81,8 @@
     /// Accepts connections of agents.
     async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
-            match listener.accept().await {
-                Ok((stream, _peer)) => {
-                    tokio::task::spawn_local(Rc::clone(&self).check_preamble(stream));
-                }
-                Err(_refused) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
-            }
+            let stream = accept(&listener).await;
+            tokio::task::spawn_local(Rc::clone(&self).check_preamble(stream));
         }
     }
 
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -248,7 +248,7 @@
 pub struct EntryHost {
     /// The entry's name.
     pub name: NodeId,
-    /// Address of its RPC server for agents.
+    /// Address at which it accepts the streams of agents.
     pub address: std::net::SocketAddr,
 }
 
@@ -387,7 +387,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AgentOrders {
     /// The leader's term; orders of an earlier term are ignored. 0 in the
-    /// replies of entries, which have no term.
+    /// messages of entries, which have no term.
     pub term: Term,
     /// Number of the agent's latest message that was handled; acknowledges all up to
     /// it.
