Messages to a replica go on a new connection when the old one falls silent

A replica that lost power at 11.5 s was back at 18.5 s, and heard of the leader only at 24.9 s; another, off from 1.5 to 3.0 s, heard nothing until the leader removed it from the group at 4.5 s. Entries that ask such a host learn of no leader.

Cause: the host that lost power closes no connection. The leader's link sent on over the old one, whose calls timed out one by one, until TCP's next retransmission, up to twice as late as the silence had lasted.

Change: after 0.6 s without any answer, later messages go on a new connection; open calls keep the old one, so answers that are merely slow still count.

Measured: silent_replica::silent_connection_replaced, no answer in 60 messages over 3 s before, answered after.

--- a/crates/edges/src/replica_links.rs
+++ b/crates/edges/src/replica_links.rs
@@ -3,7 +3,9 @@
 //! A message that can't be sent is dropped: the replication protocol repeats
 //! messages that matter.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +18,7 @@
 };
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use crate::edge_runtime::block_on;
 use crate::peer_api::ControlApiClient;
@@ -27,6 +30,9 @@
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// How long another replica may take to answer.
 const REPLY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time without any answer on a connection after which later messages go on a new one. The
+/// other end of a connection may be gone without a trace: a host that lost power closes none.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// A link to one replica, with the task that runs it.
 struct OpenLink {
@@ -90,6 +96,22 @@
     }
 }
 
+/// One connection to a replica; open calls keep it alive.
+struct LinkConnection {
+    client: Arc<WsClient>,
+    /// Time of the first message that was sent since the latest answer.
+    unanswered_since: Cell<Option<Instant>>,
+}
+
+impl LinkConnection {
+    /// Whether the other end may still be there.
+    fn is_alive(&self) -> bool {
+        let is_silent =
+            self.unanswered_since.get().is_some_and(|since| since.elapsed() > SILENCE_TIMEOUT);
+        self.client.is_connected() && !is_silent
+    }
+}
+
 /// Keeps a connection to one replica and sends it the messages of the queue; the
 /// calls of one connection run concurrently.
 async fn run_link(
@@ -103,11 +125,12 @@
             discard_for(&mut waiting, RETRY_DELAY).await;
             continue;
         };
-        while client.is_connected() {
+        let connection = Rc::new(LinkConnection { client, unanswered_since: Cell::new(None) });
+        while connection.is_alive() {
             let Some(envelope) = waiting.recv().await else { return };
             count(&counters, &envelope.message);
-            let client = Arc::clone(&client);
-            tokio::task::spawn_local(send(client, *envelope, replicated_log.clone()));
+            let connection = Rc::clone(&connection);
+            tokio::task::spawn_local(send(connection, *envelope, replicated_log.clone()));
         }
     }
 }
@@ -126,11 +149,16 @@
 
 /// Sends one message and forwards the reply to the replicated log.
 async fn send(
-    client: Arc<WsClient>,
+    connection: Rc<LinkConnection>,
     envelope: ReplicaEnvelope,
     replicated_log: RingSender<LogMessage>,
 ) {
-    let reply = tokio::time::timeout(REPLY_TIMEOUT, client.replica(envelope)).await;
+    let since = connection.unanswered_since.get().unwrap_or_else(Instant::now);
+    connection.unanswered_since.set(Some(since));
+    let reply = tokio::time::timeout(REPLY_TIMEOUT, connection.client.replica(envelope)).await;
+    if matches!(reply, Ok(Ok(_))) {
+        connection.unanswered_since.set(None);
+    }
     if let Ok(Ok(ControlReplyBody::Replica(Some(envelope)))) = reply {
         // The protocol repeats messages that a full ring drops.
         let _dropped = replicated_log.push(LogMessage::ReplicaAnswer { envelope });
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -53,6 +53,7 @@
 mod run_updates;
 mod schedule_faults;
 mod settings_errors;
+mod silent_replica;
 mod speed_estimates;
 mod stale_answers;
 mod start_queue;
