--- a/crates/cactuswing/src/control_client.rs
+++ b/crates/cactuswing/src/control_client.rs
@@ -5,16 +5,20 @@
 //! `NoLeader`, which says that nothing was changed.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use edges::ControlApiClient;
+use edges::leader_finder::{HostAnswer, LeaderFinder};
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
-use model::{Command, CommandResult, ControlAnswer, ControlQuery, ControlReplyBody};
+use kernel::SystemClock;
+use model::{Command, CommandResult, ControlAnswer, ControlQuery, ControlReplyBody, LeaderHint};
 use snafu::Snafu;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const REPLY_TIMEOUT: Duration = Duration::from_secs(5);
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// How long the search for a host that can be reached may take.
+const SEARCH_TIMEOUT: Duration = Duration::from_secs(5);
 /// Attempts before a call fails with `NoLeader`.
 const MAX_ATTEMPTS: usize = 25;
 const MAX_MESSAGE_BYTES: u32 = 32 * 1024 * 1024;
@@ -32,19 +36,16 @@
 
 /// A client with one connection at a time, to the host last known to lead.
 pub struct ControlClient {
-    controls: Vec<SocketAddr>,
-    /// Index of the host to connect to; taken modulo their number.
-    selected: usize,
-    client: Option<WsClient>,
+    finder: LeaderFinder,
+    connection: Option<(SocketAddr, Arc<WsClient>)>,
 }
 
 /// The outcome of one attempt to propose a command.
 enum ProposeAttempt {
     /// The leader's reply.
     Replied(Box<ControlReplyBody>),
-    /// Not applied: there was no connection, or the host is not the leader; it
-    /// may name the leader.
-    NotApplied(Option<SocketAddr>),
+    /// Not applied: the host is not the leader.
+    NotApplied,
     /// Sent, but without a reply.
     Unknown,
 }
@@ -52,7 +53,8 @@
 impl ControlClient {
     /// Creates a client of the control hosts at `controls`, without connecting.
     pub fn new(controls: Vec<SocketAddr>) -> ControlClient {
-        ControlClient { controls, selected: 0, client: None }
+        let finder = LeaderFinder::new(Arc::new(SystemClock), controls, "", None);
+        ControlClient { finder, connection: None }
     }
 
     /// Proposes a command to the replicated log and returns its result.
@@ -62,9 +64,9 @@
     /// `Unknown` if it may have been applied.
     pub async fn propose(&mut self, command: Command) -> Result<CommandResult, ControlFailure> {
         for _ in 0..MAX_ATTEMPTS {
-            match self.try_propose(&command).await {
+            match self.try_propose(&command).await? {
                 ProposeAttempt::Replied(body) => return single_result(*body),
-                ProposeAttempt::NotApplied(leader) => self.switch_to(leader).await,
+                ProposeAttempt::NotApplied => {}
                 ProposeAttempt::Unknown => return Err(ControlFailure::Unknown),
             }
         }
@@ -77,53 +79,70 @@
     /// `NoLeader` if no leader answers within `MAX_ATTEMPTS`.
     pub async fn query(&mut self, query: ControlQuery) -> Result<ControlAnswer, ControlFailure> {
         for _ in 0..MAX_ATTEMPTS {
-            let Some(client) = self.connect().await else {
-                self.switch_to(None).await;
-                continue;
-            };
+            let (host, client) = self.connect().await?;
             match client.query(query.clone()).await {
                 Ok(ControlReplyBody::Answer(answer)) => return Ok(*answer),
-                Ok(ControlReplyBody::NotLeader { leader }) => self.switch_to(leader).await,
-                Ok(_) | Err(_) => self.switch_to(None).await,
+                Ok(ControlReplyBody::NotLeader(hint)) => self.leave(host, &hint),
+                Ok(_) | Err(_) => self.lose(host),
             }
         }
         Err(ControlFailure::NoLeader)
     }
 
-    async fn try_propose(&mut self, command: &Command) -> ProposeAttempt {
-        let Some(client) = self.connect().await else { return ProposeAttempt::NotApplied(None) };
-        match client.propose(vec![command.clone()]).await {
-            Ok(ControlReplyBody::NotLeader { leader }) => ProposeAttempt::NotApplied(leader),
+    async fn try_propose(&mut self, command: &Command) -> Result<ProposeAttempt, ControlFailure> {
+        let (host, client) = self.connect().await?;
+        Ok(match client.propose(vec![command.clone()]).await {
+            Ok(ControlReplyBody::NotLeader(hint)) => {
+                self.leave(host, &hint);
+                ProposeAttempt::NotApplied
+            }
             Ok(body) => ProposeAttempt::Replied(Box::new(body)),
-            Err(_) => ProposeAttempt::Unknown,
-        }
+            Err(_) => {
+                self.lose(host);
+                ProposeAttempt::Unknown
+            }
+        })
     }
 
-    async fn connect(&mut self) -> Option<&WsClient> {
-        if self.client.is_none() {
-            let address = self.controls[self.selected % self.controls.len()];
-            let builder = WsClientBuilder::default()
-                .connection_timeout(CONNECT_TIMEOUT)
-                .request_timeout(REPLY_TIMEOUT)
-                .max_request_size(MAX_MESSAGE_BYTES)
-                .max_response_size(MAX_MESSAGE_BYTES);
-            self.client = builder.build(format!("ws://{address}")).await.ok();
+    /// Connects to a host that may lead.
+    ///
+    /// # Errors
+    /// `NoLeader` if no host can be reached.
+    async fn connect(&mut self) -> Result<(SocketAddr, Arc<WsClient>), ControlFailure> {
+        if let Some(connection) = &self.connection {
+            return Ok(connection.clone());
         }
-        self.client.as_ref()
+        let ask = async |host| match open(host).await {
+            Some(client) => HostAnswer::Leads(client),
+            None => HostAnswer::Silent,
+        };
+        let found = tokio::time::timeout(SEARCH_TIMEOUT, self.finder.find(ask)).await;
+        let (host, client) = found.map_err(|_elapsed| ControlFailure::NoLeader)?;
+        Ok(self.connection.insert((host, Arc::new(client))).clone())
     }
 
-    /// Drops the connection and selects `leader`, if it is one of `controls`;
-    /// otherwise selects the next host after a pause.
-    async fn switch_to(&mut self, leader: Option<SocketAddr>) {
-        self.client = None;
-        let position = self.controls.iter().position(|address| Some(*address) == leader);
-        self.selected = position.unwrap_or(self.selected + 1);
-        if position.is_none() {
-            tokio::time::sleep(RETRY_PAUSE).await;
-        }
+    /// Drops the connection to a host that does not lead.
+    fn leave(&mut self, host: SocketAddr, hint: &LeaderHint) {
+        self.connection = None;
+        self.finder.deny(host, hint);
+    }
+
+    /// Drops a connection that has failed.
+    fn lose(&mut self, host: SocketAddr) {
+        self.connection = None;
+        self.finder.lose(host);
     }
 }
 
+async fn open(host: SocketAddr) -> Option<WsClient> {
+    let builder = WsClientBuilder::default()
+        .connection_timeout(CONNECT_TIMEOUT)
+        .request_timeout(REPLY_TIMEOUT)
+        .max_request_size(MAX_MESSAGE_BYTES)
+        .max_response_size(MAX_MESSAGE_BYTES);
+    builder.build(format!("ws://{host}")).await.ok()
+}
+
 fn single_result(body: ControlReplyBody) -> Result<CommandResult, ControlFailure> {
     match body {
         ControlReplyBody::Results(mut results) if results.len() == 1 => Ok(results.remove(0)),
--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -94,11 +94,11 @@
         edges::control_edge::run(&ring, &registry, listener, edge_clock);
     })?;
 
-    if let Some(join) = group_join(settings) {
+    if let Some(join) = group_join(settings, clock) {
         let join_context = context.clone();
-        kernel.register::<(), _>(ServiceName::GroupJoin, 1, move |ring, registry| {
+        kernel.register(ServiceName::GroupJoin, DUTY_RING_SLOTS, move |ring, registry| {
             let log = join_context.event_log(&registry).expect("the log writer is registered");
-            edges::group_join::run(&ring, join, log);
+            edges::group_join::run(&ring, &registry, join, log);
         })?;
     }
 
@@ -132,19 +132,19 @@
     })
 }
 
-/// The join of a host that doesn't bootstrap the group, or `None` for one that
-/// does or has no other seed. A host that is already a member learns so as soon
-/// as it asks.
-fn group_join(settings: &ControlSettings) -> Option<GroupJoin> {
+/// The join of a host whose group forms from seeds, or `None` without another seed. A host
+/// that is already a member learns so as soon as it asks.
+fn group_join(settings: &ControlSettings, clock: &SharedClock) -> Option<GroupJoin> {
     let own_peer = ControlPeer { name: own_name(settings), address: settings.listen };
     let group = settings.initial_group();
     let bootstraps = settings.bootstrap && group.contains(&own_peer);
-    if bootstraps || settings.seeds.is_empty() {
+    if settings.seeds.is_empty() {
         return None;
     }
     let seeds = group.into_iter().map(|peer| peer.address);
     let seeds: Vec<SocketAddr> = seeds.filter(|seed| *seed != settings.listen).collect();
-    (!seeds.is_empty()).then_some(GroupJoin { own_peer, seeds })
+    let clock = clock.clone();
+    (!seeds.is_empty()).then_some(GroupJoin { clock, own_peer, seeds, bootstraps })
 }
 
 /// The host's name in the group: derived from its address where the group is
--- /dev/null
+++ b/crates/decisions/src/discovery/leader_search.rs
@@ -0,0 +1,205 @@
+//! Decides which control host to ask next for the leader of their group.
+//!
+//! The settings name a few seeds, which may be down, replaced or no longer members.
+//! Members that a host names are remembered, and the seeds are kept beside them. The
+//! hosts are asked in rounds: one after another, without waiting for the answers of
+//! earlier ones, and with a growing pause between rounds.
+//!
+//! Invariants:
+//! - a member list is replaced by a newer one only;
+//! - a host that did not answer, or denied that it leads, is asked out of turn again only
+//!   if another names it as the leader of a later term.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use indexmap::{IndexMap, IndexSet};
+use model::{LeaderHint, LogIndex, Term};
+
+/// Time after which the next host is asked if the earlier ones have not answered.
+const ASK_INTERVAL: Duration = Duration::from_millis(60);
+/// Pause after the first round without a leader; it doubles with each further round.
+const FIRST_ROUND_PAUSE: Duration = Duration::from_millis(60);
+/// Maximum pause after a round.
+const MAX_ROUND_PAUSE: Duration = Duration::from_millis(480);
+/// Doublings of the pause until it is at its maximum.
+const MAX_PAUSE_DOUBLINGS: u32 = 3;
+/// Maximum number of hosts that are asked at the same time.
+const MAX_CONCURRENT_ASKS: usize = 4;
+
+/// What a search does next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SearchStep {
+    /// Ask this host whether it leads.
+    Ask(SocketAddr),
+    /// Wait for answers, at most until this time.
+    WaitUntil(Instant),
+    /// Wait for answers: there are enough open questions.
+    AwaitAnswer,
+}
+
+/// The control hosts that a process knows, and the state of its search for the leader.
+#[derive(Debug, Clone)]
+pub struct LeaderSearch {
+    seeds: Vec<SocketAddr>,
+    members: Vec<SocketAddr>,
+    members_version: (Term, LogIndex),
+    /// The host to ask next, out of turn: a leader that was named, or the one that was
+    /// followed before.
+    named_leader: Option<SocketAddr>,
+    /// The latest term of which a leader is known.
+    term: Term,
+    /// Hosts that do not lead, with the term in which that is known.
+    denied: IndexMap<SocketAddr, Term>,
+    /// Hosts that were asked in this round.
+    asked: IndexSet<SocketAddr>,
+    /// Hosts that were asked and have not answered.
+    open: IndexSet<SocketAddr>,
+    next_ask_at: Instant,
+    vain_rounds: u32,
+    /// Number by which different processes begin with different hosts.
+    offset: usize,
+}
+
+impl LeaderSearch {
+    /// Creates a search among the seeds. `offset` differs between processes, so that
+    /// they don't all ask the same host first.
+    pub fn new(now: Instant, seeds: Vec<SocketAddr>, offset: usize) -> LeaderSearch {
+        LeaderSearch {
+            seeds,
+            members: Vec::new(),
+            members_version: (0, 0),
+            named_leader: None,
+            term: 0,
+            denied: IndexMap::new(),
+            asked: IndexSet::new(),
+            open: IndexSet::new(),
+            next_ask_at: now,
+            vain_rounds: 0,
+            offset,
+        }
+    }
+
+    /// Members of the group as far as they are known, then the seeds.
+    pub fn hosts(&self) -> Vec<SocketAddr> {
+        let seeds = self.seeds.iter().filter(|seed| !self.members.contains(seed));
+        self.members.iter().chain(seeds).copied().collect()
+    }
+
+    /// Returns what to do next. A step [`SearchStep::Ask`] counts as carried out.
+    pub fn next_step(&mut self, now: Instant) -> SearchStep {
+        if let Some(leader) = self.named_leader.take()
+            && !self.open.contains(&leader)
+        {
+            return self.ask(now, leader);
+        }
+        if self.open.len() >= MAX_CONCURRENT_ASKS {
+            return SearchStep::AwaitAnswer;
+        }
+        if now < self.next_ask_at {
+            return SearchStep::WaitUntil(self.next_ask_at);
+        }
+        match self.next_host() {
+            Some(host) => self.ask(now, host),
+            None if self.open.is_empty() => self.end_round(now),
+            None => SearchStep::AwaitAnswer,
+        }
+    }
+
+    fn ask(&mut self, now: Instant, host: SocketAddr) -> SearchStep {
+        self.asked.insert(host);
+        self.open.insert(host);
+        self.next_ask_at = now + ASK_INTERVAL;
+        SearchStep::Ask(host)
+    }
+
+    /// The next host of the round.
+    fn next_host(&self) -> Option<SocketAddr> {
+        let mut hosts = self.hosts();
+        let first = self.offset % hosts.len().max(1);
+        hosts.rotate_left(first);
+        hosts.into_iter().find(|host| !self.asked.contains(host))
+    }
+
+    fn end_round(&mut self, now: Instant) -> SearchStep {
+        self.asked.clear();
+        let doublings = self.vain_rounds.min(MAX_PAUSE_DOUBLINGS);
+        let pause = (FIRST_ROUND_PAUSE * 2_u32.pow(doublings)).min(MAX_ROUND_PAUSE);
+        self.vain_rounds += 1;
+        self.next_ask_at = now + pause;
+        SearchStep::WaitUntil(self.next_ask_at)
+    }
+
+    /// Remembers what a control host told, whether it leads or not.
+    pub fn learn(&mut self, hint: &LeaderHint) {
+        let is_newer = self.members.is_empty() || hint.group_version() > self.members_version;
+        if is_newer && !hint.members.is_empty() {
+            self.members.clone_from(&hint.members);
+            self.members_version = hint.group_version();
+        }
+    }
+
+    /// Handles the answer of a host that does not lead.
+    pub fn on_hint(&mut self, host: SocketAddr, hint: &LeaderHint) {
+        self.open.swap_remove(&host);
+        self.learn(hint);
+        match hint.leader {
+            // It was elected, and leads as soon as it has committed a record.
+            Some(leader) if leader == host => {
+                self.asked.swap_remove(&host);
+            }
+            Some(leader) => {
+                self.deny(host);
+                self.name_leader(leader, hint.term);
+            }
+            None => self.deny(host),
+        }
+    }
+
+    fn name_leader(&mut self, leader: SocketAddr, term: Term) {
+        let is_denied = self.denied.get(&leader).is_some_and(|denied| *denied >= term);
+        if term >= self.term && !is_denied {
+            self.term = term;
+            self.named_leader = Some(leader);
+        }
+    }
+
+    /// Handles a host that can't be reached or does not answer.
+    pub fn on_silent(&mut self, host: SocketAddr) {
+        self.open.swap_remove(&host);
+        self.deny(host);
+    }
+
+    fn deny(&mut self, host: SocketAddr) {
+        self.denied.insert(host, self.term);
+        self.named_leader.take_if(|leader| *leader == host);
+    }
+
+    /// Abandons the open questions, since a host has answered that may lead.
+    pub fn on_answer(&mut self) {
+        self.open.clear();
+    }
+
+    /// Handles the proof that a host leads. Hosts of earlier versions give no hint.
+    pub fn on_leader(&mut self, leader: SocketAddr, hint: &LeaderHint) {
+        self.learn(hint);
+        self.term = self.term.max(hint.term);
+        self.denied.swap_remove(&leader);
+        self.open.clear();
+        self.asked.clear();
+        self.named_leader = None;
+        self.vain_rounds = 0;
+    }
+
+    /// Handles the loss of contact with a host that was followed. It is asked first, as its
+    /// connection alone may be lost, and the others right after it; a host that is lost at
+    /// once is asked in turn.
+    pub fn on_lost(&mut self, now: Instant, host: SocketAddr) {
+        self.open.clear();
+        self.asked.clear();
+        if now >= self.next_ask_at {
+            self.named_leader = Some(host);
+            self.next_ask_at = now;
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/discovery/mod.rs
@@ -0,0 +1,7 @@
+//! Decisions of every process that has to find the leader of the control group.
+
+mod join_tracker;
+mod leader_search;
+
+pub use join_tracker::{JoinStep, JoinTracker};
+pub use leader_search::{LeaderSearch, SearchStep};
--- a/crates/decisions/src/entry/mod.rs
+++ b/crates/decisions/src/entry/mod.rs
@@ -25,7 +25,7 @@
 pub use fair_queue::{FairQueue, QueuedTask};
 pub use job_tracker::{FigureEvent, JobTracker, TrackerLimits, TrackerStep};
 pub use placement::{Candidate, Placement, WorkerChooser};
-pub use queue_routes::{QueueRoutes, RouteMatch};
+pub use queue_routes::{ConfirmedRoutes, QueueRoutes, RouteLookup, RouteMatch};
 pub use retry_budget::{RetryBudget, backoff_delay};
 pub use run_times::RunTimes;
 pub use worker_health::{HealthChange, HealthTracker};
--- a/crates/decisions/src/entry/queue_routes.rs
+++ b/crates/decisions/src/entry/queue_routes.rs
@@ -2,7 +2,8 @@
 //!
 //! Invariant: of the matching prefixes, the longest wins.
 
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 use indexmap::IndexMap;
@@ -72,3 +73,46 @@
         Some(RouteMatch { queue: &route.queue, path_suffix, timeout: route.timeout })
     }
 }
+
+/// Result of the search for a request's route.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RouteLookup<'a> {
+    /// The request goes to this queue.
+    Found(RouteMatch<'a>),
+    /// The catalog in force has no route for it.
+    NoRoute,
+    /// The known catalog has no route for it, but a newer one may be in force.
+    Unconfirmed,
+}
+
+/// The routes of the newest known catalog, and how long they are known to be in force.
+#[derive(Debug, Clone)]
+pub struct ConfirmedRoutes {
+    /// The routes.
+    pub routes: Arc<QueueRoutes>,
+    confirmed_at: Instant,
+    max_age: Duration,
+}
+
+impl ConfirmedRoutes {
+    /// Creates the routes of a catalog that was in force at `confirmed_at`. For `max_age`
+    /// after it, what is missing there is taken not to exist.
+    pub fn new(routes: QueueRoutes, confirmed_at: Instant, max_age: Duration) -> ConfirmedRoutes {
+        ConfirmedRoutes { routes: Arc::new(routes), confirmed_at, max_age }
+    }
+
+    /// Records that no newer catalog was in force at this time.
+    pub fn confirm(&mut self, at: Instant) {
+        self.confirmed_at = self.confirmed_at.max(at);
+    }
+
+    /// Finds the route of a request. Known routes are used however old the catalog is:
+    /// callers are served also while no leader can be reached.
+    pub fn find<'a>(&'a self, now: Instant, host: &str, path: &'a str) -> RouteLookup<'a> {
+        match self.routes.find(host, path) {
+            Some(route) => RouteLookup::Found(route),
+            None if now > self.confirmed_at + self.max_age => RouteLookup::Unconfirmed,
+            None => RouteLookup::NoRoute,
+        }
+    }
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -1,12 +1,13 @@
 //! Pure decision logic: admission, routing, retries, jobs, starts, leases,
 //! membership, the replicated log and the state built from it.
 //!
-//! One module for each kind of process, and one for what two kinds share:
+//! One module for each kind of process, and one for each part that several kinds share:
 //! - `entry`: accepts the submissions of clients and places their tasks at
 //!   workers;
 //! - `agent`: starts tasks at the backend servers of its worker;
 //! - `control`: a Raft group that keeps the replicated state and the leases of
 //!   entries and agents;
+//! - `discovery`: finds the leader of control, for every process;
 //! - `schedule`: places the tasks of queued jobs; run by the leader of control
 //!   and by each entry.
 //!
@@ -18,5 +19,6 @@
 
 pub mod agent;
 pub mod control;
+pub mod discovery;
 pub mod entry;
 pub mod schedule;
--- a/crates/decisions/src/schedule/agent_orders.rs
+++ b/crates/decisions/src/schedule/agent_orders.rs
@@ -19,12 +19,12 @@
 
 impl Scheduler {
     /// Time at which a message to an agent is due even without orders: at once if
-    /// the entry list has changed or many messages wait for their acknowledgement,
+    /// a list of hosts has changed or many messages wait for their acknowledgement,
     /// after `ack_delay` if there are ends to acknowledge, and otherwise `reply_wait`
     /// after the first message that is not acknowledged.
     pub(super) fn message_due(&self, state: &AgentState) -> Option<Instant> {
         let link = state.link?;
-        if state.sent_entries_version != self.entries.version() {
+        if state.sent_hosts_version != self.hosts.version() {
             return Some(state.last_contact);
         }
         let reply_wait = match link.unacked() {
@@ -64,8 +64,8 @@
         let Some(state) = self.agents.get_mut(agent) else { return };
         let Some(link) = &mut state.link else { return };
         let (id, received) = (link.id, link.ack_all());
-        let entries_changed = state.sent_entries_version != self.entries.version();
-        state.sent_entries_version = self.entries.version();
+        let hosts_changed = state.sent_hosts_version != self.hosts.version();
+        state.sent_hosts_version = self.hosts.version();
         let orders = AgentOrders {
             term,
             received,
@@ -73,7 +73,8 @@
             usage_interval_ms,
             ack: state.take_ack(),
             orders: std::mem::take(&mut state.outbox),
-            entries: entries_changed.then(|| self.entries.hosts()),
+            entries: hosts_changed.then(|| self.hosts.entries()),
+            controls: hosts_changed.then(|| self.hosts.controls()).flatten(),
         };
         self.steps.push(ScheduleStep::Orders { link: id, orders });
     }
--- a/crates/decisions/src/schedule/agent_state.rs
+++ b/crates/decisions/src/schedule/agent_state.rs
@@ -39,8 +39,8 @@
     pub(super) usage: ResourceAmount,
     /// Resources taken by other schedulers' runs, as last reported.
     pub(super) other_usage: ResourceAmount,
-    /// Version of the entry list that was last sent to the agent.
-    pub(super) sent_entries_version: u64,
+    /// Version of the lists of hosts that were last sent to the agent.
+    pub(super) sent_hosts_version: u64,
     /// The open connection, if there is one.
     pub(super) link: Option<AgentLink>,
     /// Orders that are not sent yet.
@@ -65,7 +65,7 @@
             server: None,
             usage: ResourceAmount::default(),
             other_usage: ResourceAmount::default(),
-            sent_entries_version: 0,
+            sent_hosts_version: 0,
             link: None,
             outbox: Vec::new(),
             paused_until: None,
@@ -125,7 +125,7 @@
         self.outbox.clear();
         self.link = None;
         self.unsent_ack_since = (self.last_acked_end > 0).then_some(now);
-        self.sent_entries_version = 0;
+        self.sent_hosts_version = 0;
     }
 
     /// Records the run time of a successful run.
--- a/crates/decisions/src/schedule/mod.rs
+++ b/crates/decisions/src/schedule/mod.rs
@@ -20,7 +20,7 @@
 mod agent_reports;
 mod agent_search;
 mod agent_state;
-mod entry_list;
+mod host_lists;
 mod job_admission;
 mod live_job;
 mod load_counts;
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -7,13 +7,13 @@
 use indexmap::{IndexMap, IndexSet};
 use model::{
     AgentOrders, CallId, Command, EntryHost, EventLine, JobCall, JobId, JobPhase, JobRecord,
-    JobReply, JobStep, LinkId, LogRecord, NodeId, QueueCatalog, ScheduleState, TaskName, Term,
-    later, scaled,
+    JobReply, JobStep, LeaderHint, LinkId, LogRecord, NodeId, QueueCatalog, ScheduleState,
+    TaskName, Term, later, scaled,
 };
 
 use super::agent_checks::AgentChecks;
 use super::agent_state::AgentState;
-use super::entry_list::EntryList;
+use super::host_lists::HostLists;
 use super::live_job::{JobWaiter, LiveJob, Placement};
 use super::load_counts::LoadCounts;
 use super::ready_queue::ReadyQueue;
@@ -135,7 +135,7 @@
     /// takeover: none of their tasks starts until every registered agent has
     /// reported or timed out.
     pub(super) held_jobs: IndexSet<JobId>,
-    pub(super) entries: EntryList,
+    pub(super) hosts: HostLists,
     pub(super) agent_checks: AgentChecks,
     /// Agents to which a message is due.
     pub(super) due_agents: IndexSet<NodeId>,
@@ -169,7 +169,7 @@
             proposed_ends: IndexSet::new(),
             unreported_agents: IndexSet::new(),
             held_jobs: IndexSet::new(),
-            entries: EntryList::default(),
+            hosts: HostLists::default(),
             agent_checks: AgentChecks::new(now),
             due_agents: IndexSet::new(),
             fast_wanted_at: None,
@@ -195,7 +195,14 @@
 
     /// Records a query from an entry, so that agents learn its address.
     pub fn on_entry(&mut self, now: Instant, entry: &EntryHost) {
-        if self.entries.refresh(now, entry) {
+        if self.hosts.refresh(now, entry) {
+            self.agent_checks.require(now);
+        }
+    }
+
+    /// Records the control group, so that agents learn its members.
+    pub fn on_controls(&mut self, now: Instant, controls: LeaderHint) {
+        if self.hosts.set_controls(controls) {
             self.agent_checks.require(now);
         }
     }
--- a/crates/edges/src/control_link.rs
+++ b/crates/edges/src/control_link.rs
@@ -164,7 +164,7 @@
             };
             match reply.ok()? {
                 ControlReplyBody::View(view) => self.on_view(sent_at, *view).await,
-                ControlReplyBody::NotLeader { leader } => return leader,
+                ControlReplyBody::NotLeader(hint) => return hint.leader,
                 _ => return None,
             }
         }
--- a/crates/edges/src/job_calls.rs
+++ b/crates/edges/src/job_calls.rs
@@ -14,19 +14,21 @@
 use kernel::{Registry, Reservation, RingReceiver, RingSender, SharedClock};
 use model::{
     CallId, CatalogQuery, CommandResult, ControlReplyBody, EntryHost, EventLine, EventLog, JobCall,
-    JobCallMessage, JobReply, QueueCatalog, QueueFrontMessage, RefusalCause, SchedulingMessage,
-    ServiceName,
+    JobCallMessage, JobReply, LeaderHint, QueueCatalog, QueueFrontMessage, RefusalCause,
+    SchedulingMessage, ServiceName,
 };
 use tokio::sync::watch;
 
 use crate::edge_runtime::block_on;
-use crate::leader_finder::LeaderFinder;
+use crate::leader_finder::{HostAnswer, LeaderFinder};
 use crate::peer_api::ControlApiClient;
 use crate::peer_connection::connect;
 
 /// Timeout of a catalog watch; longer than control holds one open without a
 /// change.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(1_500);
+const WATCH_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long a host may take to answer whether it leads, once it is connected.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout of one attempt of a call.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Delay before a call is retried.
@@ -59,13 +61,16 @@
         registry.find(ServiceName::JobScheduling).expect("the scheduling duty is registered");
     block_on(async move {
         let (connection_sender, connection) = watch::channel(None);
+        let (clock, name) = (calls.clock.clone(), calls.entry.name.clone());
+        let query = CatalogQuery { version: 0, entry: calls.entry, group_version: Some((0, 0)) };
         let watcher = CatalogWatcher {
-            finder: LeaderFinder::new(calls.controls.clone()),
+            finder: LeaderFinder::new(clock.clone(), calls.controls, &name, Some(log.clone())),
+            clock,
             connection: connection_sender,
             front,
             scheduling,
             log: log.clone(),
-            query: CatalogQuery { version: 0, entry: calls.entry },
+            query,
         };
         tokio::task::spawn_local(watcher.run());
         let context = Rc::new(CallContext { clock: calls.clock, connection, log });
@@ -84,6 +89,7 @@
 /// Keeps a connection to the leader and long-polls it for newer catalogs.
 struct CatalogWatcher {
     finder: LeaderFinder,
+    clock: SharedClock,
     connection: watch::Sender<Connection>,
     front: RingSender<QueueFrontMessage>,
     scheduling: RingSender<SchedulingMessage>,
@@ -91,49 +97,74 @@
     query: CatalogQuery,
 }
 
+/// The leader's first answer, and when it was asked.
+type FirstAnswer = (Arc<WsClient>, Instant, ControlReplyBody);
+
 impl CatalogWatcher {
     async fn run(mut self) {
         loop {
-            let (address, client) = self.finder.connect(connect).await;
-            let leader = self.watch(address, &client).await;
+            // Every leader answers this at once, as the entry claims to know no group.
+            let query = CatalogQuery { group_version: Some((0, 0)), ..self.query.clone() };
+            let clock = self.clock.clone();
+            let ask = async |host| ask_leader(host, &query, &clock).await;
+            let (host, (client, sent_at, body)) = self.finder.find(ask).await;
+            self.follow(host, &client, sent_at, body).await;
             if self.connection.send_replace(None).is_some() {
-                self.log.warn(EventLine::new("control_lost").with("host", address));
+                let age = self.clock.now().saturating_duration_since(sent_at);
+                let line = EventLine::new("control_lost").with("host", host);
+                self.log.warn(line.with("followed_ms", age.as_millis()));
             }
-            self.finder.advance(leader).await;
         }
     }
 
-    /// Polls one host until a call fails or the host is not the leader; returns
-    /// the leader that it names.
-    async fn watch(&mut self, address: SocketAddr, client: &Arc<WsClient>) -> Option<SocketAddr> {
+    /// Polls the leader until a call fails or the host does not lead any more.
+    async fn follow(
+        &mut self,
+        host: SocketAddr,
+        client: &Arc<WsClient>,
+        mut sent_at: Instant,
+        mut body: ControlReplyBody,
+    ) {
+        if let ControlReplyBody::Catalog(_) = &body {
+            self.finder.confirm(host, &LeaderHint::default());
+        }
+        self.connection.send_replace(Some(Arc::clone(client)));
+        self.log.info(EventLine::new("control_found").with("host", host));
         loop {
-            let answer =
-                tokio::time::timeout(WATCH_TIMEOUT, client.catalog(self.query.clone())).await;
-            let Ok(Ok(body)) = answer else { return None };
             match body {
-                ControlReplyBody::Catalog(newer) => self.update_catalog(newer),
-                ControlReplyBody::NotLeader { leader } => return leader,
-                _ => return None,
-            }
-            if self.connection.borrow().is_none() {
-                self.connection.send_replace(Some(Arc::clone(client)));
-                self.log.info(EventLine::new("control_found").with("host", address));
+                ControlReplyBody::Catalog(newer) => self.update_catalog(sent_at, newer),
+                ControlReplyBody::Group(hint) => {
+                    self.query.group_version = Some(hint.group_version());
+                    self.finder.confirm(host, &hint);
+                }
+                ControlReplyBody::NotLeader(hint) => return self.finder.deny(host, &hint),
+                _ => return self.finder.lose(host),
             }
+            sent_at = self.clock.now();
+            let watch = client.catalog(self.query.clone());
+            body = match tokio::time::timeout(WATCH_TIMEOUT, watch).await {
+                Ok(Ok(body)) => body,
+                _ => return self.finder.lose(host),
+            };
         }
     }
 
-    /// Forwards a newer catalog; an older one never replaces it.
-    fn update_catalog(&mut self, newer: Option<Arc<QueueCatalog>>) {
-        let Some(catalog) = newer else { return };
-        if catalog.version <= self.query.version {
+    /// Forwards a newer catalog, or the confirmation of the one that is known; an older
+    /// one never replaces it.
+    fn update_catalog(&mut self, sent_at: Instant, newer: Option<Arc<QueueCatalog>>) {
+        let newer = newer.filter(|catalog| catalog.version > self.query.version);
+        let Some(catalog) = newer else {
+            // Without this message the catalog only seems older than it is.
+            let _full = self.front.push(QueueFrontMessage::CatalogConfirmed { at: sent_at });
             return;
-        }
+        };
         let version = catalog.version;
         let message = SchedulingMessage::Catalog { catalog: Arc::clone(&catalog) };
         if self.scheduling.push(message).is_err() {
             return self.log_full_ring(ServiceName::JobScheduling);
         }
-        if self.front.push(QueueFrontMessage::Catalog { catalog }).is_err() {
+        let message = QueueFrontMessage::Catalog { catalog, confirmed_at: sent_at };
+        if self.front.push(message).is_err() {
             return self.log_full_ring(ServiceName::QueueFront);
         }
         self.query.version = version;
@@ -146,6 +177,23 @@
     }
 }
 
+/// Asks a control host whether it leads.
+async fn ask_leader(
+    host: SocketAddr,
+    query: &CatalogQuery,
+    clock: &SharedClock,
+) -> HostAnswer<FirstAnswer> {
+    let Some(client) = connect(host).await else { return HostAnswer::Silent };
+    let sent_at = clock.now();
+    match tokio::time::timeout(ANSWER_TIMEOUT, client.catalog(query.clone())).await {
+        Ok(Ok(ControlReplyBody::NotLeader(hint))) => HostAnswer::Follows(hint),
+        Ok(Ok(body @ (ControlReplyBody::Catalog(_) | ControlReplyBody::Group(_)))) => {
+            HostAnswer::Leads((client, sent_at, body))
+        }
+        _ => HostAnswer::Silent,
+    }
+}
+
 /// State that all calls share.
 struct CallContext {
     clock: SharedClock,
@@ -207,7 +255,7 @@
             Ok(Ok(ControlReplyBody::Results(results))) => {
                 AttemptResult::Answered(committed_reply(job, &results))
             }
-            Ok(Ok(ControlReplyBody::NotLeader { .. })) => AttemptResult::NotAccepted,
+            Ok(Ok(ControlReplyBody::NotLeader(_))) => AttemptResult::NotAccepted,
             _ => AttemptResult::OutcomeUnknown,
         }
     }
--- a/crates/edges/src/leader_finder.rs
+++ b/crates/edges/src/leader_finder.rs
@@ -1,54 +1,134 @@
-//! Owns the search for the leading control host: tries the known hosts in turn
-//! and follows redirects to the leader.
+//! Carries out the search for the leading control host: asks the hosts that the search
+//! names, several at a time, and follows what they answer.
 
+use std::fmt::Write;
 use std::net::SocketAddr;
-use std::time::Duration;
 
-/// Delay before the next host is tried.
-const RETRY_DELAY: Duration = Duration::from_millis(60);
+use compact_str::{CompactString, format_compact};
+use decisions::discovery::{LeaderSearch, SearchStep};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use kernel::SharedClock;
+use model::{EventLine, EventLog, LeaderHint, fingerprint};
 
-/// The known control hosts, and the one to try next.
-pub(crate) struct LeaderFinder {
-    controls: Vec<SocketAddr>,
-    /// Position of the next host in `controls`, modulo its length.
-    next_host: usize,
+/// Length from which the course of a search is not extended any more.
+const MAX_COURSE_BYTES: usize = 400;
+
+/// The answer of a host that was asked whether it leads.
+pub enum HostAnswer<C> {
+    /// It may lead; the connection to it.
+    Leads(C),
+    /// It does not lead.
+    Follows(LeaderHint),
+    /// It can't be reached, or did not answer in time.
+    Silent,
+}
+
+/// Finds the leading control host, for one connection of a process.
+pub struct LeaderFinder {
+    search: LeaderSearch,
+    clock: SharedClock,
+    /// Where the course of a search is logged; commands of operators have no log.
+    log: Option<EventLog>,
+    /// Whether the host that is followed has not been logged yet.
+    is_searching: bool,
+    /// The hosts asked since the last log line, with their answers.
+    course: CompactString,
 }
 
 impl LeaderFinder {
-    pub(crate) fn new(controls: Vec<SocketAddr>) -> LeaderFinder {
-        LeaderFinder { controls, next_host: 0 }
+    /// Creates a finder that knows the hosts of the settings. Processes of different names
+    /// begin with different hosts.
+    pub fn new(
+        clock: SharedClock,
+        seeds: Vec<SocketAddr>,
+        process: &str,
+        log: Option<EventLog>,
+    ) -> LeaderFinder {
+        let offset = fingerprint([process.as_bytes()]) as usize;
+        let search = LeaderSearch::new(clock.now(), seeds, offset);
+        LeaderFinder { search, clock, log, is_searching: true, course: CompactString::default() }
     }
 
-    /// Connects to the first host that accepts a connection. `open` connects to one
-    /// host and returns `None` if it can't be reached.
-    pub(crate) async fn connect<C>(
+    /// Asks hosts until one answers that it may lead. The caller reports what comes of it
+    /// with [`LeaderFinder::confirm`], [`LeaderFinder::deny`] or [`LeaderFinder::lose`].
+    pub async fn find<C>(
         &mut self,
-        open: impl AsyncFn(SocketAddr) -> Option<C>,
+        ask: impl AsyncFn(SocketAddr) -> HostAnswer<C>,
     ) -> (SocketAddr, C) {
+        let mut open = FuturesUnordered::new();
         loop {
-            let address = self.controls[self.next_host % self.controls.len()];
-            if let Some(connection) = open(address).await {
-                return (address, connection);
+            let wait_until = match self.search.next_step(self.clock.now()) {
+                SearchStep::Ask(host) => {
+                    let ask = &ask;
+                    open.push(async move { (host, ask(host).await) });
+                    continue;
+                }
+                SearchStep::WaitUntil(at) => Some(tokio::time::Instant::from_std(at)),
+                SearchStep::AwaitAnswer => None,
+            };
+            tokio::select! {
+                Some((host, answer)) = open.next() => match answer {
+                    HostAnswer::Leads(connection) => {
+                        self.search.on_answer();
+                        return (host, connection);
+                    }
+                    HostAnswer::Follows(hint) => self.deny(host, &hint),
+                    HostAnswer::Silent => {
+                        self.note(host, "silent");
+                        self.search.on_silent(host);
+                    }
+                },
+                () = sleep_until(wait_until) => {}
             }
-            self.next_host += 1;
-            tokio::time::sleep(RETRY_DELAY).await;
         }
     }
 
-    /// Chooses the next host after one that is not the leader or was lost: the
-    /// leader if that host named it, the next one in turn otherwise. A leader
-    /// that is missing from the settings is added to the known hosts.
-    pub(crate) async fn advance(&mut self, leader: Option<SocketAddr>) {
-        match leader {
-            Some(leader) => {
-                let known = self.controls.iter().position(|address| *address == leader);
-                self.next_host = known.unwrap_or_else(|| {
-                    self.controls.push(leader);
-                    self.controls.len() - 1
-                });
-            }
-            None => self.next_host += 1,
+    /// Records that a host leads, and what it told of its group.
+    pub fn confirm(&mut self, host: SocketAddr, hint: &LeaderHint) {
+        self.search.on_leader(host, hint);
+        if !std::mem::take(&mut self.is_searching) {
+            return;
+        }
+        let course = std::mem::take(&mut self.course);
+        if let Some(log) = &self.log {
+            let known = self.search.hosts().len();
+            let line = EventLine::new("leader_found").with("host", host).with("known", known);
+            log.info(line.with("asked", course));
+        }
+    }
+
+    /// Records that a host does not lead, and whom it named.
+    pub fn deny(&mut self, host: SocketAddr, hint: &LeaderHint) {
+        self.is_searching = true;
+        match hint.leader {
+            Some(leader) => self.note(host, &format_compact!("names {leader}")),
+            None => self.note(host, "no leader"),
         }
-        tokio::time::sleep(RETRY_DELAY).await;
+        self.search.on_hint(host, hint);
+    }
+
+    /// Records the loss of contact with a host that was found.
+    pub fn lose(&mut self, host: SocketAddr) {
+        self.is_searching = true;
+        self.note(host, "lost");
+        self.search.on_lost(self.clock.now(), host);
+    }
+
+    /// Adds an answer to the course of the search, up to [`MAX_COURSE_BYTES`].
+    fn note(&mut self, host: SocketAddr, answer: &str) {
+        if self.course.len() < MAX_COURSE_BYTES {
+            let separator = if self.course.is_empty() { "" } else { ", " };
+            // Writing to a string does not fail.
+            let _written = write!(self.course, "{separator}{host}: {answer}");
+        }
+    }
+}
+
+/// Waits until a time, or forever without one.
+pub(crate) async fn sleep_until(deadline: Option<tokio::time::Instant>) {
+    match deadline {
+        Some(deadline) => tokio::time::sleep_until(deadline).await,
+        None => std::future::pending().await,
     }
 }
--- a/crates/edges/src/ledger_batches.rs
+++ b/crates/edges/src/ledger_batches.rs
@@ -150,7 +150,9 @@
             Ok(ControlReplyBody::Results(results)) if results.len() == commands.len() => {
                 ProposeResult::Results(results)
             }
-            Ok(ControlReplyBody::NotLeader { leader }) => ProposeResult::NotAccepted { leader },
+            Ok(ControlReplyBody::NotLeader(hint)) => {
+                ProposeResult::NotAccepted { leader: hint.leader }
+            }
             Err(ClientError::Call(error)) if error.code() == NOT_ACCEPTED => {
                 ProposeResult::NotAccepted { leader: None }
             }
--- a/crates/edges/src/schedule_edge.rs
+++ b/crates/edges/src/schedule_edge.rs
@@ -162,7 +162,7 @@
     while outgoing.recv_many(&mut messages, LINK_QUEUE_CAPACITY).await > 0 {
         let mut closes = false;
         for message in messages.drain(..) {
-            closes |= matches!(message, SchedulerMessage::Closed { .. });
+            closes |= matches!(message, SchedulerMessage::Closed(_));
             writer.append(&message)?;
         }
         writer.flush().await?;
--- a/crates/edges/src/schedule_link.rs
+++ b/crates/edges/src/schedule_link.rs
@@ -18,18 +18,20 @@
 use kernel::{Registry, RingReceiver, RingSender, SharedClock};
 use model::{
     AgentHeartbeat, AgentMessage, AgentOrders, AgentReport, EntryHost, EventLine, EventLog,
-    Incarnation, NodeId, NumberedMessage, ScheduleEvent, ScheduleLinkMessage, SchedulerKey,
-    SchedulerMessage, ServerRunsMessage, ServiceName, SessionId,
+    Incarnation, LeaderHint, NodeId, NumberedMessage, ScheduleEvent, ScheduleLinkMessage,
+    SchedulerKey, SchedulerMessage, ServerRunsMessage, ServiceName, SessionId,
 };
 use tokio::sync::{mpsc, watch};
 
 use crate::agent_stream::{StreamError, StreamReader, StreamWriter, connect};
 use crate::edge_runtime::block_on;
-use crate::leader_finder::LeaderFinder;
+use crate::leader_finder::{HostAnswer, LeaderFinder, sleep_until};
 use crate::sent_messages::SentMessages;
 
-/// How long a message may stay without an acknowledgement.
+/// How long a message to an entry may stay without an acknowledgement.
 const ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long a message to control may stay without one; another host may lead by then.
+const CONTROL_ACK_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time after the latest message until a heartbeat is sent; together with the scheduler's
 /// wait well below its grant.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(350);
@@ -64,10 +66,11 @@
 ) {
     let runs = registry.find(ServiceName::ServerRuns).expect("the run service is registered");
     block_on(async move {
-        let controls = link.controls.clone();
+        let (clock, controls) = (link.clock.clone(), link.controls.clone());
+        let finder = LeaderFinder::new(clock, controls, &link.agent, Some(log.clone()));
         let context = Rc::new(LinkContext { link, log, runs });
         let mut open: IndexMap<SchedulerKey, OpenLink> = IndexMap::new();
-        let host = ScheduleHost::Control(LeaderFinder::new(controls));
+        let host = ScheduleHost::Control(Box::new(finder));
         open.insert(SchedulerKey::Control, open_link(&context, SchedulerKey::Control, host));
         while let Some(message) = ring.next().await {
             match message {
@@ -141,10 +144,21 @@
 /// How the host of a scheduler is found: the leader is searched for among the
 /// control hosts, an entry has an address.
 enum ScheduleHost {
-    Control(LeaderFinder),
+    Control(Box<LeaderFinder>),
     Entry(SocketAddr),
 }
 
+impl ScheduleHost {
+    /// Records what a message of the leader tells of its group.
+    fn learn(&mut self, address: SocketAddr, message: &SchedulerMessage) {
+        let ScheduleHost::Control(finder) = self else { return };
+        let SchedulerMessage::Orders(orders) = message else { return };
+        if let Some(hint) = &orders.controls {
+            finder.confirm(address, hint);
+        }
+    }
+}
+
 /// Connects to one scheduler and runs one session after another on it.
 struct SchedulerConnection {
     context: Rc<LinkContext>,
@@ -157,12 +171,17 @@
 /// Why a session ended.
 struct SessionEnd {
     reason: CompactString,
-    leader: Option<SocketAddr>,
+    /// What the host told if it does not lead.
+    hint: Option<LeaderHint>,
 }
 
 impl SessionEnd {
     fn failed(error: &StreamError) -> SessionEnd {
-        SessionEnd { reason: error.to_compact_string(), leader: None }
+        SessionEnd::new(error.to_compact_string())
+    }
+
+    fn new(reason: impl Into<CompactString>) -> SessionEnd {
+        SessionEnd { reason: reason.into(), hint: None }
     }
 }
 
@@ -177,8 +196,8 @@
             while self.reports.try_recv().is_ok() {}
             // Without the first event there would be no first report.
             let end = match self.notify(ScheduleEvent::Opened) {
-                true => self.run_session(streams).await,
-                false => SessionEnd { reason: "ring_full".into(), leader: None },
+                true => self.run_session(streams, address, &mut host).await,
+                false => SessionEnd::new("ring_full"),
             };
             self.notify(ScheduleEvent::Closed);
             // Not logged: without a leader, non-leading hosts are tried often.
@@ -186,7 +205,10 @@
                 self.log_end("session_lost", address, &end.reason);
             }
             match &mut host {
-                ScheduleHost::Control(finder) => finder.advance(end.leader).await,
+                ScheduleHost::Control(finder) => match end.hint {
+                    Some(hint) => finder.deny(address, &hint),
+                    None => finder.lose(address),
+                },
                 ScheduleHost::Entry(_) => tokio::time::sleep(ENTRY_RETRY_DELAY).await,
             }
         }
@@ -195,7 +217,13 @@
     /// Connects to the scheduler; `None` when control no longer lists the entry.
     async fn connect(&self, host: &mut ScheduleHost) -> Option<(SocketAddr, Streams)> {
         match host {
-            ScheduleHost::Control(finder) => Some(finder.connect(connect).await),
+            ScheduleHost::Control(finder) => {
+                let ask = async |host| match connect(host).await {
+                    Some(streams) => HostAnswer::Leads(streams),
+                    None => HostAnswer::Silent,
+                };
+                Some(finder.find(ask).await)
+            }
             ScheduleHost::Entry(address) => loop {
                 let listed_address = *self.listed_address.borrow();
                 *address = listed_address?;
@@ -208,7 +236,12 @@
     }
 
     /// Runs one session until it fails.
-    async fn run_session(&mut self, (mut reader, writer): Streams) -> SessionEnd {
+    async fn run_session(
+        &mut self,
+        (mut reader, writer): Streams,
+        address: SocketAddr,
+        host: &mut ScheduleHost,
+    ) -> SessionEnd {
         let SchedulerConnection { context, scheduler, session, reports, .. } = self;
         let sent = SentMessages::default();
         let mut session = SchedulerSession { context, scheduler, session: *session, writer, sent };
@@ -218,7 +251,10 @@
                 // What was received goes before a deadline that has passed meanwhile.
                 biased;
                 received = reader.next_from_scheduler() => match received {
-                    Ok(message) => session.receive(message),
+                    Ok(message) => {
+                        host.learn(address, &message);
+                        session.receive(message)
+                    }
                     Err(error) => Err(SessionEnd::failed(&error)),
                 },
                 Some(report) = reports.recv() => session.send_reports(report, reports).await,
@@ -257,14 +293,6 @@
     }
 }
 
-/// Waits until a time, or forever without one.
-async fn sleep_until(deadline: Option<tokio::time::Instant>) {
-    match deadline {
-        Some(deadline) => tokio::time::sleep_until(deadline).await,
-        None => std::future::pending().await,
-    }
-}
-
 /// The messages of one session.
 struct SchedulerSession<'a> {
     context: &'a LinkContext,
@@ -285,13 +313,17 @@
 
     /// Time by which the first unacknowledged message has to be acknowledged.
     fn ack_deadline(&self) -> Option<Instant> {
-        self.sent.unacked_since().map(|since| since + ACK_TIMEOUT)
+        let timeout = match self.scheduler {
+            SchedulerKey::Control => CONTROL_ACK_TIMEOUT,
+            SchedulerKey::Entry(_) => ACK_TIMEOUT,
+        };
+        self.sent.unacked_since().map(|since| since + timeout)
     }
 
     async fn on_deadline(&mut self) -> Result<(), SessionEnd> {
         let now = self.context.link.clock.now();
         if self.ack_deadline().is_some_and(|at| at <= now) {
-            return Err(SessionEnd { reason: "unacknowledged".into(), leader: None });
+            return Err(SessionEnd::new("unacknowledged"));
         }
         let ScheduleLink { agent, incarnation, .. } = &self.context.link;
         let heartbeat = AgentHeartbeat {
@@ -334,21 +366,21 @@
     fn receive(&mut self, message: SchedulerMessage) -> Result<(), SessionEnd> {
         match message {
             SchedulerMessage::Orders(orders) => self.forward(orders),
-            SchedulerMessage::Closed { leader } => {
-                Err(SessionEnd { reason: NOT_LEADER.into(), leader })
+            SchedulerMessage::Closed(hint) => {
+                Err(SessionEnd { reason: NOT_LEADER.into(), hint: Some(hint) })
             }
         }
     }
 
     fn forward(&mut self, orders: Box<AgentOrders>) -> Result<(), SessionEnd> {
         let Some(ack) = self.sent.on_ack(orders.received) else {
-            return Err(SessionEnd { reason: "unknown_message_acked".into(), leader: None });
+            return Err(SessionEnd::new("unknown_message_acked"));
         };
         let (sent_at, acked_reports) = (ack.sent_at, ack.reports);
         let event = ScheduleEvent::Orders { sent_at, acked_reports, orders };
         match self.context.notify(self.scheduler, self.session, event) {
             true => Ok(()),
-            false => Err(SessionEnd { reason: "ring_full".into(), leader: None }),
+            false => Err(SessionEnd::new("ring_full")),
         }
     }
 }
--- a/crates/model/src/control_messages.rs
+++ b/crates/model/src/control_messages.rs
@@ -9,7 +9,6 @@
 use kernel::Reservation;
 use serde::Deserialize;
 use serde::Serialize;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -21,6 +20,7 @@
     CallId, ConfigVersion, Incarnation, LogIndex, MembersVersion, NodeId, RequestId, Term,
 };
 use crate::journal_messages::SyncMark;
+use crate::leader_hint::LeaderHint;
 use crate::queue_catalog::QueueCatalog;
 use crate::replica::ReplicaEnvelope;
 use crate::schedule_messages::JobReply;
@@ -164,11 +164,10 @@
     Catalog(Option<Arc<QueueCatalog>>),
     /// Reply to another replica; `None` for messages without a reply.
     Replica(Option<Box<ReplicaEnvelope>>),
+    /// This host leads, and its group has changed since the caller last learnt it.
+    Group(LeaderHint),
     /// This host is not the leader; nothing was changed.
-    NotLeader {
-        /// The leader's address, if known.
-        leader: Option<SocketAddr>,
-    },
+    NotLeader(LeaderHint),
     /// Outcome unknown: leadership was lost before the commands were committed;
     /// they may still be applied.
     Unknown,
@@ -200,6 +199,11 @@
         /// The commands, appended in this order.
         commands: Vec<Command>,
     },
+    /// The leader has told this host, which may not be a member, of the group.
+    GroupLearned {
+        /// What the leader told.
+        hint: LeaderHint,
+    },
     /// An operator's query.
     Query {
         /// Echoed in the reply.
@@ -265,8 +269,8 @@
     Leading {
         /// Term in which this host leads; `None` while it does not.
         term: Option<Term>,
-        /// The leader's address, if known.
-        leader: Option<SocketAddr>,
+        /// The leader and the group, as far as this host knows them.
+        hint: LeaderHint,
     },
     /// A `Status` query, to which membership adds the members' reports before
     /// it forwards it to the replicated log.
@@ -310,6 +314,16 @@
     pub members_version: MembersVersion,
 }
 
+/// Messages to the duty that keeps this host a member of its group.
+#[derive(Debug)]
+pub enum GroupJoinMessage {
+    /// Whether this host's replica knows a leader has changed.
+    Leader {
+        /// Whether it knows one.
+        known: bool,
+    },
+}
+
 /// Messages to the connections between replicas.
 #[derive(Debug)]
 pub enum ReplicaLinkMessage {
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -24,8 +24,10 @@
 use crate::control_messages::ControlReply;
 use crate::ids::{
     CallId, ConfigVersion, DomainId, EndNumber, Incarnation, JobId, LabelId, LifeId, LinkId,
-    MessageNumber, NodeId, QueueId, RunNumber, ServiceId, SessionId, StepIndex, TaskIndex, Term,
+    LogIndex, MessageNumber, NodeId, QueueId, RunNumber, ServiceId, SessionId, StepIndex,
+    TaskIndex, Term,
 };
+use crate::leader_hint::LeaderHint;
 use crate::queue_catalog::QueueCatalog;
 use crate::queue_jobs::{EndKind, JobPhase, QueuedJob, ResourceAmount, TaskName, TaskRun};
 use crate::replica::LogRecord;
@@ -339,10 +341,7 @@
     Orders(Box<AgentOrders>),
     /// This host does not schedule, or doesn't know the agent's session; the session
     /// ends.
-    Closed {
-        /// Address of the host that leads, if known.
-        leader: Option<std::net::SocketAddr>,
-    },
+    Closed(LeaderHint),
 }
 
 /// Cumulative acknowledgement of ended runs: those recorded by the scheduler,
@@ -409,6 +408,9 @@
     /// list.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub entries: Option<Vec<EntryHost>>,
+    /// The group of control hosts; present when control sends a changed one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub controls: Option<LeaderHint>,
 }
 
 /// An entry's query for a catalog newer than its own. It also registers the
@@ -419,6 +421,10 @@
     pub version: ConfigVersion,
     /// The querying entry.
     pub entry: EntryHost,
+    /// Age of the entry's list of control hosts, which a newer one answers; `None` in
+    /// queries of earlier versions, which know no such answer.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub group_version: Option<(Term, LogIndex)>,
 }
 
 /// Ring slot reserved for the reply to a call about a job.
@@ -529,8 +535,8 @@
     Leading {
         /// Term in which this host leads; `None` while it does not.
         term: Option<Term>,
-        /// The leader's address, if known.
-        leader: Option<std::net::SocketAddr>,
+        /// The leader and the group, as far as this host knows them.
+        hint: LeaderHint,
     },
 }
 
@@ -582,6 +588,13 @@
     Catalog {
         /// The catalog now in force.
         catalog: Arc<QueueCatalog>,
+        /// Time at which it was in force: when the query was sent that returned it.
+        confirmed_at: std::time::Instant,
+    },
+    /// The leader has confirmed that no newer catalog was in force at this time.
+    CatalogConfirmed {
+        /// When the query was sent.
+        at: std::time::Instant,
     },
     /// The process is shutting down.
     Drain,
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -124,6 +124,15 @@
     /// data.
     #[serde(default = "default_remote_factor")]
     pub remote_factor: f64,
+    /// Time after which a catalog that no leader has confirmed is taken for old, in
+    /// milliseconds; what it lacks may exist then. At most the time in which a change has
+    /// to be in force everywhere.
+    #[serde(default = "default_catalog_age")]
+    pub max_catalog_age_ms: u64,
+}
+
+fn default_catalog_age() -> u64 {
+    2_000
 }
 
 fn default_linger() -> u64 {
@@ -394,6 +403,7 @@
     optional("linger_ms", DURATION_MS),
     optional("run_lease_ms", DURATION_MS),
     optional("remote_factor", ValueSchema::Number(1.0, 100.0)),
+    optional("max_catalog_age_ms", DURATION_MS),
 ];
 const SERVER_FIELDS: &[FieldRule] =
     &[required("address", ValueSchema::Address), required("lease_ms", DURATION_MS)];
--- a/crates/services/src/job_scheduling.rs
+++ b/crates/services/src/job_scheduling.rs
@@ -5,7 +5,6 @@
 //! - a control host accepts a job only through a committed log record;
 //! - pending calls are answered when this host loses leadership.
 
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use decisions::schedule::{JobDecision, ScheduleLimits, ScheduleStep, Scheduler, SchedulerKind};
@@ -15,9 +14,9 @@
     run_batched_duty,
 };
 use model::{
-    CallId, Command, ConfigVersion, ControlReply, ControlReplyBody, EventLine, EventLog, JobCall,
-    JobReply, JobReplySlot, LinkId, LogMessage, QueueFrontMessage, ScheduleEdgeMessage,
-    SchedulerMessage, SchedulingMessage, ServiceName,
+    CallId, CatalogQuery, Command, ConfigVersion, ControlReply, ControlReplyBody, EventLine,
+    EventLog, JobCall, JobReply, JobReplySlot, LeaderHint, LinkId, LogIndex, LogMessage,
+    QueueFrontMessage, ScheduleEdgeMessage, SchedulerMessage, SchedulingMessage, ServiceName, Term,
 };
 
 use crate::context::ServiceContext;
@@ -30,6 +29,8 @@
 struct CatalogWatcher {
     call: CallId,
     version: ConfigVersion,
+    /// Age of the entry's list of control hosts, if it takes a newer one.
+    group_version: Option<(Term, LogIndex)>,
     deadline: Instant,
     reply: Reservation<ControlReply>,
 }
@@ -45,7 +46,8 @@
 struct JobScheduling {
     log: EventLog,
     scheduler: Scheduler,
-    leader: Option<SocketAddr>,
+    /// The leader and the group of control hosts, as far as this host knows them.
+    hint: LeaderHint,
     /// Ring of the duty that serves the streams of agents.
     edge: RingSender<ScheduleEdgeMessage>,
     /// Reply slots of callers that wait for the end of a best-effort job.
@@ -76,7 +78,7 @@
     let state = JobScheduling {
         log: context.event_log(registry)?,
         scheduler: Scheduler::new(clock.now(), kind, limits),
-        leader: None,
+        hint: LeaderHint::default(),
         edge: registry.find(ServiceName::ScheduleEdge)?,
         waiting_callers: IndexMap::new(),
         catalog_watchers: Vec::new(),
@@ -131,16 +133,18 @@
             SchedulingMessage::CatalogWatch { call, query, reply } => {
                 self.scheduler.on_entry(now, &query.entry);
                 let deadline = now + CATALOG_WATCH_TIMEOUT;
-                let version = query.version;
-                self.catalog_watchers.push(CatalogWatcher { call, version, deadline, reply });
+                let CatalogQuery { version, group_version, .. } = query;
+                let watcher = CatalogWatcher { call, version, group_version, deadline, reply };
+                self.catalog_watchers.push(watcher);
             }
             SchedulingMessage::Applied { records } => {
                 self.scheduler.on_applied(now, &records);
             }
             SchedulingMessage::Restored { state } => self.scheduler.on_restored(*state),
-            SchedulingMessage::Leading { term, leader } => {
-                self.leader = leader;
+            SchedulingMessage::Leading { term, hint } => {
+                self.hint = hint.clone();
                 self.scheduler.on_leadership(now, term);
+                self.scheduler.on_controls(now, hint);
             }
         }
     }
@@ -180,7 +184,7 @@
     }
 
     fn not_leader(&self) -> ControlReplyBody {
-        ControlReplyBody::NotLeader { leader: self.leader }
+        ControlReplyBody::NotLeader(self.hint.clone())
     }
 
     fn execute_steps(&mut self, steps: Vec<ScheduleStep>) {
@@ -197,8 +201,8 @@
                     }
                 }
                 ScheduleStep::CloseLink { link } => {
-                    let leader = self.leader;
-                    self.send_to_agent(link, SchedulerMessage::Closed { leader });
+                    let hint = self.hint.clone();
+                    self.send_to_agent(link, SchedulerMessage::Closed(hint));
                 }
                 ScheduleStep::Log(line) => self.log.info(line),
             }
@@ -221,7 +225,7 @@
         }
     }
 
-    /// Answers each watch as soon as a newer catalog is in force, and without one
+    /// Answers each watch as soon as a newer catalog or group is in force, and without one
     /// at its deadline. Only the leader reports catalogs: another host may hold
     /// a stale one.
     fn answer_catalog_watchers(&mut self, now: Instant) {
@@ -232,16 +236,20 @@
         let catalog = self.scheduler.catalog();
         let latest_version = catalog.as_ref().map_or(0, |catalog| catalog.version);
         for watcher in std::mem::take(&mut self.catalog_watchers) {
-            let CatalogWatcher { call, version, deadline, reply } = watcher;
-            if !is_leader {
-                send_reply(reply, call, self.not_leader());
-            } else if latest_version > version {
-                send_reply(reply, call, ControlReplyBody::Catalog(catalog.clone()));
-            } else if deadline <= now {
-                send_reply(reply, call, ControlReplyBody::Catalog(None));
+            let is_newer = |known: (Term, LogIndex)| self.hint.group_version() > known;
+            let body = if !is_leader {
+                self.not_leader()
+            } else if latest_version > watcher.version {
+                ControlReplyBody::Catalog(catalog.clone())
+            } else if watcher.group_version.is_some_and(is_newer) {
+                ControlReplyBody::Group(self.hint.clone())
+            } else if watcher.deadline <= now {
+                ControlReplyBody::Catalog(None)
             } else {
-                self.catalog_watchers.push(CatalogWatcher { call, version, deadline, reply });
-            }
+                self.catalog_watchers.push(watcher);
+                continue;
+            };
+            send_reply(watcher.reply, watcher.call, body);
         }
     }
 }
--- a/crates/services/src/membership.rs
+++ b/crates/services/src/membership.rs
@@ -4,14 +4,13 @@
 //! only joins, lease expirations and fences in force are proposed to the
 //! replicated log.
 
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use decisions::control::{MembershipStep, MembershipTracker};
 use indexmap::IndexMap;
 use kernel::{DutyHandler, KernelError, Registry, Reservation, RingReceiver, RingSender, run_duty};
 use model::{
-    CallId, Command, ControlReply, ControlReplyBody, EventLine, EventLog, LogMessage,
+    CallId, Command, ControlReply, ControlReplyBody, EventLine, EventLog, LeaderHint, LogMessage,
     MembershipMessage, ServiceName,
 };
 
@@ -20,7 +19,8 @@
 struct Membership {
     log: EventLog,
     tracker: MembershipTracker,
-    leader: Option<SocketAddr>,
+    /// The leader and the group, as far as this host knows them.
+    hint: LeaderHint,
     pending_replies: IndexMap<CallId, Reservation<ControlReply>>,
     replicated_log: RingSender<LogMessage>,
 }
@@ -38,7 +38,7 @@
     let state = Membership {
         log: context.event_log(registry)?,
         tracker: MembershipTracker::new(lease),
-        leader: None,
+        hint: LeaderHint::default(),
         pending_replies: IndexMap::new(),
         replicated_log: registry.find(ServiceName::ReplicatedLog)?,
     };
@@ -70,8 +70,8 @@
                 self.tracker.on_watch(now, call, *watch)
             }
             MembershipMessage::Applied { snapshot } => self.tracker.on_state(now, snapshot),
-            MembershipMessage::Leading { term, leader } => {
-                self.leader = leader;
+            MembershipMessage::Leading { term, hint } => {
+                self.hint = hint;
                 self.tracker.on_leadership(now, term)
             }
             MembershipMessage::Reports { call, reply } => {
@@ -93,8 +93,8 @@
                     self.answer(call, ControlReplyBody::View(view));
                 }
                 MembershipStep::NotLeader { call } => {
-                    let leader = self.leader;
-                    self.answer(call, ControlReplyBody::NotLeader { leader });
+                    let hint = self.hint.clone();
+                    self.answer(call, ControlReplyBody::NotLeader(hint));
                 }
                 MembershipStep::Propose(command) => commands.push(command),
             }
--- a/crates/services/src/replicated_log.rs
+++ b/crates/services/src/replicated_log.rs
@@ -8,7 +8,6 @@
 //!   that is, while no other host can lead.
 
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
@@ -19,10 +18,10 @@
 use kernel::{DutyHandler, KernelError, Registry, Reservation, RingReceiver, RingSender, run_duty};
 use model::{
     CallId, Command, CommandResult, ControlAnswer, ControlPeer, ControlQuery, ControlReply,
-    ControlReplyBody, ControlStatus, EventLine, EventLog, Incarnation, JournalEntry,
-    JournalMessage, LineLevel, LogIndex, LogMessage, MemberStatus, MembershipMessage, NodeId,
-    ReplicaEnvelope, ReplicaLinkMessage, ReplicaMessage, SchedulingMessage, ServiceName,
-    SnapshotMark, SyncMark, Term,
+    ControlReplyBody, ControlStatus, EventLine, EventLog, GroupJoinMessage, Incarnation,
+    JournalEntry, JournalMessage, LeaderHint, LineLevel, LogIndex, LogMessage, MemberStatus,
+    MembershipMessage, NodeId, ReplicaEnvelope, ReplicaLinkMessage, ReplicaMessage,
+    SchedulingMessage, ServiceName, SnapshotMark, SyncMark, Term,
 };
 
 use crate::context::ServiceContext;
@@ -85,8 +84,10 @@
     /// Open calls of each replica, oldest first.
     replica_calls: IndexMap<NodeId, Vec<(CallId, Reservation<ControlReply>)>>,
     /// Leadership that the other services were last notified of: the term in
-    /// which this host leads, and the address of the known leader.
-    notified_leadership: (Option<Term>, Option<SocketAddr>),
+    /// which this host leads, and what it knows of the leader and the group.
+    notified_leadership: (Option<Term>, LeaderHint),
+    /// What the leader told this host when it asked to join.
+    learned_group: LeaderHint,
     notified_group: Vec<ControlPeer>,
     next_expiry: Instant,
     target_hosts: Option<usize>,
@@ -95,6 +96,8 @@
     links: RingSender<ReplicaLinkMessage>,
     membership: RingSender<MembershipMessage>,
     scheduling: RingSender<SchedulingMessage>,
+    /// `None` on a host whose group is in its settings.
+    group_join: Option<RingSender<GroupJoinMessage>>,
 }
 
 /// Runs the service until its ring is closed.
@@ -126,7 +129,8 @@
         pending_batches: VecDeque::new(),
         group_change_calls: Vec::new(),
         replica_calls: IndexMap::new(),
-        notified_leadership: (None, None),
+        notified_leadership: (None, LeaderHint::default()),
+        learned_group: LeaderHint::default(),
         notified_group: Vec::new(),
         next_expiry: now + EXPIRY_INTERVAL,
         target_hosts,
@@ -135,6 +139,7 @@
         links: registry.find(ServiceName::ReplicaLinks)?,
         membership: registry.find(ServiceName::Membership)?,
         scheduling: registry.find(ServiceName::JobScheduling)?,
+        group_join: registry.find(ServiceName::GroupJoin).ok(),
         context,
     };
     state.notify_applied();
@@ -174,6 +179,7 @@
                     self.execute_steps(steps);
                 }
             }
+            LogMessage::GroupLearned { hint } => self.learned_group = hint,
             LogMessage::Query { call, query, reply } => self.on_query(now, call, &query, reply),
             LogMessage::Replica { call, envelope, reply } => {
                 self.on_replica_message(now, call, *envelope, reply);
@@ -275,8 +281,19 @@
     }
 
     fn answer_not_leader(&self, call: CallId, reply: Reservation<ControlReply>) {
+        send_reply(reply, call, ControlReplyBody::NotLeader(self.leader_hint()));
+    }
+
+    /// The leader and the group. Without a leader of its own, a host that was told of a
+    /// later term passes that on: it may not be a member.
+    fn leader_hint(&self) -> LeaderHint {
         let leader = self.replica.leader().map(|peer| peer.address);
-        send_reply(reply, call, ControlReplyBody::NotLeader { leader });
+        let term = self.replica.term();
+        if leader.is_none() && self.learned_group.term >= term {
+            return self.learned_group.clone();
+        }
+        let members = self.replica.log().group().iter().map(|peer| peer.address).collect();
+        LeaderHint { leader, term, members, group_index: self.replica.log().group_index() }
     }
 
     fn change_group(
@@ -535,26 +552,34 @@
             self.abandon_pending_calls();
         }
         self.notify_group();
-        let leader = self.replica.leader().map(|peer| peer.address);
-        let leadership = (self.replica.established_term(now), leader);
+        let leadership = (self.replica.established_term(now), self.leader_hint());
         if leadership == self.notified_leadership {
             return;
         }
+        self.notify_group_join();
         if leadership.0 != self.notified_leadership.0 {
             let line = EventLine::new("leadership")
                 .with("term", self.replica.term())
                 .with("leading", leadership.0.is_some());
             self.log.info(line);
         }
-        self.notified_leadership = leadership;
-        self.notify_membership(MembershipMessage::Leading {
-            term: leadership.0,
-            leader: leadership.1,
-        });
-        self.notify_scheduling(SchedulingMessage::Leading {
-            term: leadership.0,
-            leader: leadership.1,
-        });
+        self.notified_leadership = leadership.clone();
+        let (term, hint) = leadership;
+        self.notify_membership(MembershipMessage::Leading { term, hint: hint.clone() });
+        self.notify_scheduling(SchedulingMessage::Leading { term, hint });
+    }
+
+    /// Notifies the duty that keeps this host a member, where there is one.
+    fn notify_group_join(&mut self) {
+        let known = self.replica.leader().is_some();
+        if known {
+            self.learned_group = LeaderHint::default();
+        }
+        if let Some(join) = &self.group_join
+            && join.push(GroupJoinMessage::Leader { known }).is_err()
+        {
+            self.log.warn(EventLine::new("ring_full").with("ring", ServiceName::GroupJoin));
+        }
     }
 
     fn notify_restored(&self) {
--- a/tests/agent_fixture.rs
+++ b/tests/agent_fixture.rs
@@ -101,6 +101,7 @@
             ack: None,
             orders,
             entries: None,
+            controls: None,
         };
         let steps = self.table.on_orders(self.now, &entry(), 1, self.now, orders);
         self.apply_steps(steps);
--- a/tests/end_acks.rs
+++ b/tests/end_acks.rs
@@ -22,6 +22,7 @@
         ack: upto.map(|upto| EndAck { life: "i-1/7".into(), upto }),
         orders,
         entries: None,
+        controls: None,
     }
 }
 
--- a/tests/odd_messages.rs
+++ b/tests/odd_messages.rs
@@ -177,9 +177,17 @@
                 size,
             };
             let orders = vec![start, AgentOrder::Keep { run: run.clone() }, AgentOrder::Stop { run }];
-            let (term, received, entries) = (0, 1, None);
-            let orders =
-                AgentOrders { term, received, grant_ms, usage_interval_ms, ack, orders, entries };
+            let (term, received) = (0, 1);
+            let orders = AgentOrders {
+                term,
+                received,
+                grant_ms,
+                usage_interval_ms,
+                ack,
+                orders,
+                entries: None,
+                controls: None,
+            };
             let steps = agent.table.on_orders(agent.now, &entry(), 1, agent.now, orders);
             agent.apply_steps(steps);
             agent.advance(Duration::from_millis(30));
