A start waits at the agent for a valid grant

The server's lease may still be valid by another scheduler's grant, and the task's scheduler may have placed it elsewhere meanwhile: two runs at once.

Change: a start is sent only while its scheduler's grant is valid. A start that found capacity only after its wait was over is still sent, as before.

--- a/crates/decisions/src/agent/run_calls.rs
+++ b/crates/decisions/src/agent/run_calls.rs
@@ -205,7 +205,7 @@
     pub(super) fn stop_ungranted_runs(&mut self, now: Instant) {
         let Some(life) = &self.life else { return };
         let expired = life.runs.iter().filter(|(_, state)| {
-            state.phase.needs_grant() && self.granted_until(state).is_none_or(|until| until <= now)
+            state.phase.is_active() && self.granted_until(state).is_none_or(|until| until <= now)
         });
         let expired: Vec<TaskRun> = expired.map(|(run, _)| run.clone()).collect();
         for run in expired {
--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -11,7 +11,8 @@
 //! - a start without an answer is followed by a stop that bars it, and is
 //!   reported as not started only when a later list shows neither the run nor
 //!   its end;
-//! - a run is stopped when the grant of its scheduler expires;
+//! - no run starts unless the grant of its scheduler is valid, and a run is stopped when
+//!   it expires;
 //! - ends, except those of best-effort jobs, are reported in each new session
 //!   until control acknowledges that they are recorded.
 
@@ -367,7 +368,7 @@
         let list_deadline = report_needed.then(|| self.lapsed_at());
         let life = self.life.as_ref();
         let granted = life.into_iter().flat_map(|life| {
-            let active = life.runs.values().filter(|state| state.phase.needs_grant());
+            let active = life.runs.values().filter(|state| state.phase.is_active());
             active.filter_map(|state| self.granted_until(state))
         });
         let listed = life.filter(|life| life.listed);
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -30,7 +30,7 @@
 /// Phase of a run.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) enum RunPhase {
-    /// The start waits for free capacity and was not sent.
+    /// The start waits for free capacity, or for a valid grant, and was not sent.
     Waiting,
     /// The start was sent and is not answered yet.
     Starting,
@@ -47,11 +47,16 @@
 }
 
 impl RunPhase {
-    /// Whether the run is stopped once its scheduler's grant expires.
+    /// Whether the run needs its scheduler's grant, to start or to stay active.
     pub(super) fn needs_grant(self) -> bool {
+        self == RunPhase::Waiting || self.is_active()
+    }
+
+    /// Whether the run is stopped once its scheduler's grant expires.
+    pub(super) fn is_active(self) -> bool {
         match self {
-            RunPhase::Waiting | RunPhase::Starting | RunPhase::Running { .. } => true,
-            RunPhase::Stopping { .. } | RunPhase::Barred { .. } => false,
+            RunPhase::Starting | RunPhase::Running { .. } => true,
+            RunPhase::Waiting | RunPhase::Stopping { .. } | RunPhase::Barred { .. } => false,
         }
     }
 }
--- a/crates/decisions/src/agent/start_queue.rs
+++ b/crates/decisions/src/agent/start_queue.rs
@@ -77,20 +77,27 @@
         self.start_waiting(now);
     }
 
-    /// Starts the waiting runs for which there is free capacity, and refuses those
-    /// that have waited too long or can't start any more.
+    /// Starts the waiting runs for which there is free capacity and a valid grant, and
+    /// refuses those that have waited too long or can't start any more.
     pub(super) fn start_waiting(&mut self, now: Instant) {
         let Some(life) = self.life.as_mut().filter(|life| !life.start_queue.starts.is_empty())
         else {
             return;
         };
+        let schedulers = &self.schedulers;
+        let is_granted = |owner: &SchedulerKey| {
+            let session = schedulers.get(owner);
+            session.is_some_and(|session| !session.remaining_grant(now).is_zero())
+        };
         let mut refused = Vec::new();
         let mut requests = Vec::new();
         for start in std::mem::take(&mut life.start_queue.starts) {
-            if let Some(refusal) = life.start_refusal(now, &start) {
+            if let Some(refusal) = life.start_refusal(&start.run) {
                 refused.extend(life.refuse(&start.run, refusal));
-            } else if life.begin(now, &start.run) {
+            } else if life.is_owned_by(&start.run, is_granted) && life.begin(now, &start.run) {
                 requests.push(ServerRequest::Start { run: start.run, spec: start.spec });
+            } else if start.until <= now {
+                refused.extend(life.refuse(&start.run, StartRefusal::Room));
             } else {
                 life.start_queue.starts.push_back(start);
             }
@@ -104,14 +111,17 @@
 
 impl ServerLife {
     /// Reason to refuse a waiting start for good, if there is one.
-    fn start_refusal(&self, now: Instant, start: &WaitingStart) -> Option<StartRefusal> {
+    fn start_refusal(&self, run: &TaskRun) -> Option<StartRefusal> {
         if self.view.draining || !self.listed {
             return Some(StartRefusal::Gone);
         }
-        let size = self.runs.get(&start.run).map(|state| state.size).unwrap_or_default();
-        let fits_at_all = self.view.capacity.fits(&size);
-        let in_time = start.until > now || self.free_capacity().fits(&size);
-        (!fits_at_all || !in_time).then_some(StartRefusal::Room)
+        let size = self.runs.get(run).map(|state| state.size).unwrap_or_default();
+        (!self.view.capacity.fits(&size)).then_some(StartRefusal::Room)
+    }
+
+    /// Whether a run has an owner that meets a condition.
+    fn is_owned_by(&self, run: &TaskRun, meets: impl Fn(&SchedulerKey) -> bool) -> bool {
+        self.runs.get(run).and_then(|state| state.owner.as_ref()).is_some_and(meets)
     }
 
     /// Removes a run that has not started.
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -29,6 +29,7 @@
 mod job_path;
 mod job_sizes;
 mod journal_recovery;
+mod late_orders;
 mod leader_search;
 mod lease_calls;
 mod lease_renewal;
