Test: hints of earlier versions are understood, and the reverse

An entry or agent of an earlier version reads only the leader of a hint, and names no age of its list, so it gets no reply that it doesn't know.

--- a/tests/leader_search.rs
+++ b/tests/leader_search.rs
@@ -6,7 +6,7 @@
 
 use decisions::discovery::{LeaderSearch, SearchStep};
 use indexmap::IndexMap;
-use model::LeaderHint;
+use model::{CatalogQuery, ControlReplyBody, LeaderHint, SchedulerMessage};
 use proptest::prelude::*;
 
 /// Time that a host takes to answer.
@@ -176,6 +176,31 @@
     assert!(world.now - now <= SILENCE_TIMEOUT);
 }
 
+// Guards against a roll in which entries and agents don't understand a host of another version.
+#[test]
+fn earlier_versions_understood() {
+    let text = r#"{"not_leader":{"leader":"10.0.0.3:7000"}}"#;
+    let body: ControlReplyBody = serde_json::from_str(text).expect("an earlier reply");
+    let named = LeaderHint { leader: Some(host(3)), ..LeaderHint::default() };
+    assert_eq!(body, ControlReplyBody::NotLeader(named));
+    let text = r#"{"closed":{"leader":null}}"#;
+    let message: SchedulerMessage = serde_json::from_str(text).expect("an earlier message");
+    assert_eq!(message, SchedulerMessage::Closed(LeaderHint::default()));
+    let text = r#"{"version":4,"entry":{"name":"e","address":"10.0.0.9:7000"}}"#;
+    let query: CatalogQuery = serde_json::from_str(text).expect("an earlier query");
+    assert_eq!(query.group_version, None, "it is not told of groups");
+}
+
+#[test]
+fn earlier_versions_find_leader() {
+    let body = ControlReplyBody::NotLeader(hint(Some(3), 2, &[1, 2, 3], 5));
+    let json = serde_json::to_value(&body).expect("a reply");
+    assert_eq!(json["not_leader"]["leader"], "10.0.0.3:7000");
+    let message = SchedulerMessage::Closed(hint(Some(3), 2, &[1, 2, 3], 5));
+    let json = serde_json::to_value(&message).expect("a message");
+    assert_eq!(json["closed"]["leader"], "10.0.0.3:7000");
+}
+
 /// State of a host that does not lead, with the leader that it names.
 fn other_state(kind: u8, named: u8, term: u64) -> HostState {
     match kind {
