A new leader sends agents no empty list of entries

Agents would not connect again to an entry whose connection they lose meanwhile.

Change: no list of entries is sent while none is known.

--- a/crates/decisions/src/schedule/agent_orders.rs
+++ b/crates/decisions/src/schedule/agent_orders.rs
@@ -73,7 +73,7 @@
             usage_interval_ms,
             ack: state.take_ack(),
             orders: std::mem::take(&mut state.outbox),
-            entries: hosts_changed.then(|| self.hosts.entries()),
+            entries: hosts_changed.then(|| self.hosts.entries()).flatten(),
             controls: hosts_changed.then(|| self.hosts.controls()).flatten(),
         };
         self.steps.push(ScheduleStep::Orders { link: id, orders });
--- a/crates/decisions/src/schedule/host_lists.rs
+++ b/crates/decisions/src/schedule/host_lists.rs
@@ -43,8 +43,11 @@
         self.version
     }
 
-    pub(super) fn entries(&self) -> Vec<EntryHost> {
-        self.last_contact.keys().cloned().collect()
+    /// The entries; `None` while none is known, as at a new leader: agents keep those that
+    /// they know.
+    pub(super) fn entries(&self) -> Option<Vec<EntryHost>> {
+        let entries: Vec<EntryHost> = self.last_contact.keys().cloned().collect();
+        (!entries.is_empty()).then_some(entries)
     }
 
     /// The control group; `None` at an entry, which knows none.
