Review case 3: steps that no server can run hide all later ones

Cause: a placement round ends after 24 groups with tasks left over, and a group for which no server is eligible counts like one that waits for capacity.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,6 +7,7 @@
 mod json;
 mod lost_minion;
 mod minion;
+mod missing_label;
 mod record;
 mod system;
 
@@ -26,6 +27,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match case.as_str() {
         "lost-minion" => lost_minion::run(record.clone(), trouble),
+        "missing-label" => missing_label::run(record.clone(), trouble),
         _ => Verdict::CouldNotRun("no such case"),
     };
     let (line, status) = match verdict {
