Review case 4: an entry and agents killed together run tasks twice at once

Cause: a restarted agent keeps runs of unknown owners for 1.5 s, longer than callers wait before they submit again; and the end of such a run is matched with placements by task and run number alone.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -5,6 +5,7 @@
 mod client;
 mod http;
 mod json;
+mod killed_together;
 mod lost_minion;
 mod minion;
 mod missing_label;
@@ -26,6 +27,7 @@
     let record = Record::create(&path.expect("the path of the record"));
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match case.as_str() {
+        "killed-together" => killed_together::run(record.clone(), trouble),
         "lost-minion" => lost_minion::run(record.clone(), trouble),
         "missing-label" => missing_label::run(record.clone(), trouble),
         _ => Verdict::CouldNotRun("no such case"),
