Review case 5: a configuration that is not UTF-8 is acknowledged and altered

Cause: the operator front replaces bytes that can't be read by U+FFFD before it decodes the document.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -11,6 +11,7 @@
 mod missing_label;
 mod record;
 mod system;
+mod unreadable_text;
 
 use record::Record;
 
@@ -30,6 +31,7 @@
         "killed-together" => killed_together::run(record.clone(), trouble),
         "lost-minion" => lost_minion::run(record.clone(), trouble),
         "missing-label" => missing_label::run(record.clone(), trouble),
+        "unreadable-text" => unreadable_text::run(record.clone(), trouble),
         _ => Verdict::CouldNotRun("no such case"),
     };
     let (line, status) = match verdict {
