--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod json;
 mod killed_together;
+mod large_jobs;
 mod lost_minion;
 mod minion;
 mod missing_label;
@@ -29,6 +30,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match case.as_str() {
         "killed-together" => killed_together::run(record.clone(), trouble),
+        "large-jobs" => large_jobs::run(record.clone(), trouble),
         "lost-minion" => lost_minion::run(record.clone(), trouble),
         "missing-label" => missing_label::run(record.clone(), trouble),
         "unreadable-text" => unreadable_text::run(record.clone(), trouble),
--- a/review/standins/system.rs
+++ b/review/standins/system.rs
@@ -203,6 +203,30 @@
         }
     }
 
+    /// Kills a control host.
+    pub fn kill_control(&mut self, number: usize) {
+        self.controls[number].kill(&self.record);
+    }
+
+    /// Starts a control host again; it is no first start any more.
+    pub fn restart_control(&mut self, number: usize) {
+        let settings = &self.controls[number].settings;
+        let text = std::fs::read_to_string(settings).expect("the settings were written");
+        let text = text.replace("\"found\":true", "\"found\":false");
+        std::fs::write(settings, text).expect("the settings can be written");
+        self.controls[number].start(&self.record);
+    }
+
+    /// The control host that leads: it answers a read itself.
+    pub fn leader(&self) -> Option<usize> {
+        (0..self.controls.len()).find(|number| {
+            let address = self.operator_address(*number);
+            let timeout = Duration::from_secs(1);
+            let read = http::call(address, "GET", "/cactuswing/config", &[], b"", timeout);
+            read.is_ok_and(|response| response.status == 200)
+        })
+    }
+
     /// A call of the operator, who follows redirects twice and tries the control hosts in
     /// turn until one gives a clear answer.
     pub fn operate(&self, method: &str, body: &[u8], patience: Duration) -> Option<Response> {
