--- a/review/standins/large_jobs.rs
+++ b/review/standins/large_jobs.rs
@@ -14,7 +14,8 @@
 /// Jobs that are accepted while the first control host is down, by this many clients.
 const JOBS: u64 = 840;
 const CLIENTS: u64 = 12;
-/// Steps of one task each: the second half depends on all of the first half.
+/// Steps of one task each, for minions with a label that none has yet, so that none of the
+/// jobs is begun before it is cancelled. The second half depends on all of the first half.
 const STEPS: u64 = 180;
 const SPEC_BYTES: usize = 4_000;
 /// Time from the return of the first control host to the job of two steps; more than
@@ -134,7 +135,10 @@
                 true => String::new(),
                 false => format!(",\"depends_on\":[{}]", earlier.join(",")),
             };
-            format!("{{\"count\":1,\"cpu\":1000,\"mem_mb\":64,\"estimate_ms\":200{after}}}")
+            format!(
+                "{{\"count\":1,\"cpu\":1000,\"mem_mb\":64,\"estimate_ms\":200,\
+                 \"required_label\":\"b\"{after}}}"
+            )
         })
         .collect();
     let body =
