--- a/review/standins/killed_together.rs
+++ b/review/standins/killed_together.rs
@@ -75,7 +75,7 @@
 }
 
 /// Records the pairs of runs of one task that ran at the same time; returns their number.
-fn record_overlaps(record: &Record, traces: &[RunTrace]) -> usize {
+pub fn record_overlaps(record: &Record, traces: &[RunTrace]) -> usize {
     let mut overlaps = 0;
     for (position, first) in traces.iter().enumerate() {
         for second in &traces[position + 1..] {
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -10,6 +10,7 @@
 mod lost_minion;
 mod minion;
 mod missing_label;
+mod reborn_minion;
 mod record;
 mod system;
 mod unreadable_text;
@@ -33,6 +34,7 @@
         "large-jobs" => large_jobs::run(record.clone(), trouble),
         "lost-minion" => lost_minion::run(record.clone(), trouble),
         "missing-label" => missing_label::run(record.clone(), trouble),
+        "reborn-minion" => reborn_minion::run(record.clone(), trouble),
         "unreadable-text" => unreadable_text::run(record.clone(), trouble),
         _ => Verdict::CouldNotRun("no such case"),
     };
--- a/review/standins/minion.rs
+++ b/review/standins/minion.rs
@@ -118,6 +118,12 @@
         self.record.write(&format!("{} crashes for good", self.shape.name));
     }
 
+    /// Starts a new life of a minion that has crashed, under the same id and address.
+    pub fn start_again(&self) -> Minion {
+        self.record.write(&format!("{} starts again under its id", self.shape.name));
+        Minion::start((*self.shape).clone(), &self.record)
+    }
+
     /// Takes the minion away in good order: it reports that it drains, serves on for
     /// `drain_ms`, says that it leaves, and ends.
     pub fn leave(&self) {
--- a/review/standins/system.rs
+++ b/review/standins/system.rs
@@ -3,6 +3,7 @@
 //! settings of its templates.
 
 use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -20,6 +21,31 @@
 const START_INTERVAL: Duration = Duration::from_millis(190);
 pub const SERVICE: &str = "wax-orders";
 
+unsafe extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64, ...) -> i32;
+}
+
+/// Option of `prctl`: the signal that a process gets when the one that started it ends.
+const PARENT_DEATH_SIGNAL: i32 = 1;
+const SIGKILL: u64 = 9;
+
+/// Makes this process end with the one that started it.
+fn set_parent_death_signal() -> std::io::Result<()> {
+    // SAFETY: the call has no pointers.
+    match unsafe { prctl(PARENT_DEATH_SIGNAL, SIGKILL) } {
+        0 => Ok(()),
+        _ => Err(std::io::Error::last_os_error()),
+    }
+}
+
+/// A signal, with its number on Linux.
+#[derive(Debug, Clone, Copy)]
+pub enum Signal {
+    Continue = 18,
+    Stop = 19,
+}
+
 /// One process of the system, which can be killed and started again.
 pub struct Process {
     name: String,
@@ -34,7 +60,10 @@
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log);
         let log = log.expect("the log can be written");
         let errors = log.try_clone().expect("the log can be shared");
-        let child = Command::new("target/release/cactuswing")
+        let mut command = Command::new("target/release/cactuswing");
+        // SAFETY: the call between fork and exec only sets a number of the new process.
+        unsafe { command.pre_exec(|| set_parent_death_signal()) };
+        let child = command
             .args([self.role, "--settings"])
             .arg(&self.settings)
             .stdin(Stdio::null())
@@ -46,6 +75,14 @@
         self.child = Some(child);
     }
 
+    fn signal(&self, record: &Record, signal: Signal) {
+        let Some(child) = &self.child else { return };
+        // SAFETY: the process was started here and was not waited for, so its id is not reused.
+        let sent = unsafe { kill(child.id() as i32, signal as i32) };
+        assert_eq!(sent, 0, "the process was started here");
+        record.write(&format!("{} gets {signal:?}", self.name));
+    }
+
     fn kill(&mut self, record: &Record) {
         if let Some(mut child) = self.child.take() {
             child.kill().expect("the process was started here");
@@ -203,6 +240,17 @@
         }
     }
 
+    /// Sends a signal to an agent.
+    pub fn signal_agent(&self, number: usize, signal: Signal) {
+        self.agents[number].signal(&self.record, signal);
+    }
+
+    /// Starts a minion that has crashed again, under the id that it had; returns the old one.
+    pub fn restart_minion(&mut self, number: usize) -> Minion {
+        let minion = self.minions[number].start_again();
+        std::mem::replace(&mut self.minions[number], minion)
+    }
+
     /// Kills a control host.
     pub fn kill_control(&mut self, number: usize) {
         self.controls[number].kill(&self.record);
