--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -54,8 +54,9 @@
     })?;
 
     let (journal, recovered) = open_journal(settings)?;
+    let journal_clock = clock.clone();
     kernel.register(ServiceName::JournalWriter, DUTY_RING_SLOTS, move |ring, registry| {
-        edges::journal_writer::run(&ring, &registry, journal);
+        edges::journal_writer::run(&ring, &registry, &journal_clock, journal);
     })?;
 
     let own_name = own_name(settings);
--- a/crates/decisions/src/control/replica/mod.rs
+++ b/crates/decisions/src/control/replica/mod.rs
@@ -155,6 +155,7 @@
     fresh_peers: IndexSet<NodeId>,
     next_hello_at: Instant,
     may_bootstrap: bool,
+    /// Whether the replica is suspended, since the journal can't write.
     journal_failed: bool,
 }
 
@@ -279,12 +280,24 @@
         steps
     }
 
-    /// Stops the replica after the journal has failed. It handles no more messages
-    /// and timers, so that nothing later is acknowledged.
-    pub fn on_journal_failed(&mut self) {
-        self.journal_failed = true;
+    /// Suspends the replica while the journal can't write: it gives up the lead, and
+    /// handles no messages and timers, so that what is to be written stays bounded. What
+    /// waits for a sync is still sent once that is reported. Returns `false` if the
+    /// replica was suspended already.
+    pub fn on_journal_failed(&mut self) -> bool {
         self.role = Role::Follower;
         self.leader = None;
+        !std::mem::replace(&mut self.journal_failed, true)
+    }
+
+    /// Resumes as a follower after the journal has written what was left. Returns
+    /// `false` if the replica was not suspended.
+    pub fn on_journal_recovered(&mut self, now: Instant) -> bool {
+        if !std::mem::take(&mut self.journal_failed) {
+            return false;
+        }
+        self.set_election_timer(now);
+        true
     }
 
     /// Processes expired timers.
--- a/crates/model/src/control_messages.rs
+++ b/crates/model/src/control_messages.rs
@@ -232,7 +232,8 @@
         /// What is now durable.
         mark: SyncMark,
     },
-    /// The journal can't write any more; no later entry will be confirmed.
+    /// The journal could not write. It tries again; the next entry that is reported as
+    /// synced ends the failure.
     JournalFailed {
         /// The I/O error.
         reason: CompactString,
--- a/crates/services/src/replicated_log.rs
+++ b/crates/services/src/replicated_log.rs
@@ -15,7 +15,9 @@
     ControlState, GroupChange, Replica, ReplicaLimits, ReplicaStep, StoredReplica,
 };
 use indexmap::IndexMap;
-use kernel::{DutyHandler, KernelError, Registry, Reservation, RingReceiver, RingSender, run_duty};
+use kernel::{
+    DutyHandler, KernelError, PushError, Registry, Reservation, RingReceiver, RingSender, run_duty,
+};
 use model::{
     CallId, Command, CommandResult, ControlAnswer, ControlPeer, ControlQuery, ControlReply,
     ControlReplyBody, ControlStatus, EventLine, EventLog, GroupJoinMessage, Incarnation,
@@ -91,6 +93,8 @@
     notified_group: Vec<ControlPeer>,
     next_expiry: Instant,
     target_hosts: Option<usize>,
+    /// Entries that found the journal writer's ring, or the own one, full.
+    unsent_entries: VecDeque<JournalEntry>,
     own_ring: RingSender<LogMessage>,
     journal: RingSender<JournalMessage>,
     links: RingSender<ReplicaLinkMessage>,
@@ -134,6 +138,7 @@
         notified_group: Vec::new(),
         next_expiry: now + EXPIRY_INTERVAL,
         target_hosts,
+        unsent_entries: VecDeque::new(),
         own_ring: registry.find(ServiceName::ReplicatedLog)?,
         journal: registry.find(ServiceName::JournalWriter)?,
         links: registry.find(ServiceName::ReplicaLinks)?,
@@ -157,6 +162,7 @@
     if let Some(message) = message {
         state.on_message(now, message);
     }
+    state.send_unsent_entries();
     if state.replica.next_deadline().is_some_and(|at| at <= now) {
         let steps = state.replica.on_tick(now);
         state.execute_steps(steps);
@@ -189,11 +195,7 @@
                 self.execute_steps(steps);
             }
             LogMessage::Synced { mark } => self.on_synced(now, mark),
-            LogMessage::JournalFailed { reason } => {
-                let line = EventLine::new("journal_failed").with("reason", reason);
-                self.log.write(LineLevel::Error, line);
-                self.replica.on_journal_failed();
-            }
+            LogMessage::JournalFailed { reason } => self.suspend(&reason),
             LogMessage::MemberReports { call, members, reply } => {
                 let answer = ControlAnswer::Status(self.status(members));
                 send_reply(reply, call, ControlReplyBody::Answer(Box::new(answer)));
@@ -201,7 +203,11 @@
         }
     }
 
+    /// Handles the sync of an entry. It also shows that the journal writes again.
     fn on_synced(&mut self, now: Instant, mark: SyncMark) {
+        if self.unsent_entries.is_empty() && self.replica.on_journal_recovered(now) {
+            self.log.warn(EventLine::new("journal_recovered"));
+        }
         let steps = match mark {
             SyncMark::HardState(state) => self.replica.on_hard_state_synced(now, state),
             SyncMark::Records { index, term } => self.replica.on_synced(now, index, term),
@@ -391,18 +397,35 @@
         let _dropped = self.links.push(ReplicaLinkMessage::Send { to, envelope });
     }
 
-    /// Sends an entry to the journal writer, with a reserved slot for the
-    /// notification of its sync. If that fails, the sync can't be confirmed, so
-    /// the replica stops acknowledging as after a write error.
-    fn write_journal(&mut self, entry: JournalEntry) {
-        let sent = self
-            .own_ring
-            .reserve()
-            .is_some_and(|reply| self.journal.push(JournalMessage { entry, reply }).is_ok());
-        if !sent {
-            let line = EventLine::new("journal_failed").with("reason", "a ring is full or closed");
+    /// Suspends the replica while the journal can't write.
+    fn suspend(&mut self, reason: &str) {
+        if self.replica.on_journal_failed() {
+            let line = EventLine::new("journal_failed").with("reason", reason);
             self.log.write(LineLevel::Error, line);
-            self.replica.on_journal_failed();
+        }
+    }
+
+    /// Sends an entry to the journal writer. One that finds a ring full is kept, so that
+    /// the journal has no gap, and the replica is suspended until it is sent.
+    fn write_journal(&mut self, entry: JournalEntry) {
+        self.unsent_entries.push_back(entry);
+        self.send_unsent_entries();
+        if !self.unsent_entries.is_empty() {
+            self.suspend("a ring is full or closed");
+        }
+    }
+
+    /// Sends the entries that wait to the journal writer, in order, each with a reserved
+    /// slot for the notification of its sync.
+    fn send_unsent_entries(&mut self) {
+        while let Some(entry) = self.unsent_entries.pop_front() {
+            let Some(reply) = self.own_ring.reserve() else {
+                return self.unsent_entries.push_front(entry);
+            };
+            if let Err(error) = self.journal.push(JournalMessage { entry, reply }) {
+                let (PushError::Full { message } | PushError::Closed { message }) = error;
+                return self.unsent_entries.push_front(message.entry);
+            }
         }
     }
 
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -21,6 +21,7 @@
 mod end_acks;
 mod entry_share;
 mod fair_sharing;
+mod full_disk;
 mod graceful_drain;
 mod group_restart;
 mod group_size;
