Calls that nobody answers no longer renew a lease in the agent's eyes

Cause: every call of an agent moved the end of the lease, answered or not, and holds are repeated each 15 to 240 ms.

Change: after calls went unanswered for the length of a lease, they carry no lease any more, so the one given before expires and the runs are reported as lapsed; nothing starts meanwhile. One answer restores everything. A call that finds the agent's own ring full ends as one without an answer, where it never ended.

--- a/crates/decisions/src/agent/run_calls.rs
+++ b/crates/decisions/src/agent/run_calls.rs
@@ -33,12 +33,15 @@
 
 impl RunTable {
     /// Calls the backend server. Each call extends its lease, by no more than the
-    /// longest remaining grant.
+    /// longest remaining grant, unless the backend server is silent.
     pub(super) fn call(&mut self, now: Instant, request: ServerRequest) {
         let grants = self.schedulers.values().map(|session| session.remaining_grant(now));
         let lease = grants.max().unwrap_or_default().min(self.limits.lease);
         let Some(life) = &mut self.life else { return };
-        let lease_until = life.extend_lease(now, lease);
+        let lease_until = match life.is_silent(now) {
+            true => None,
+            false => life.extend_lease(now, lease),
+        };
         let call = ServerCall {
             address: life.address,
             life: life.view.life.clone(),
@@ -63,7 +66,9 @@
             return Vec::new();
         };
         life.update_clock(clock);
-        if answer == ServerAnswer::NoAnswer {
+        let answered = answer != ServerAnswer::NoAnswer;
+        life.record_contact(now, answered, self.limits.lease);
+        if !answered {
             life.hedge_until = Some(now + HEDGE_DURATION);
         }
         match answer {
@@ -182,11 +187,11 @@
     }
 
     /// Handles the expiry of the lease: without a renewal for longer than the
-    /// lease, the backend server has stopped all runs.
+    /// lease, the backend server has stopped all runs. One without a lease that answers
+    /// no calls is lost too.
     pub(super) fn expire_lease(&mut self, now: Instant) {
-        let Some(life) = self.life.as_mut().filter(|life| life.is_lease_expired(now)) else {
-            return;
-        };
+        let lapsed = |life: &&mut ServerLife| life.lapses_at().is_some_and(|at| at <= now);
+        let Some(life) = self.life.as_mut().filter(lapsed) else { return };
         life.listed = false;
         life.lease_expires_at = None;
         let line = EventLine::new("lease_lapsed")
@@ -250,7 +255,7 @@
         };
         if life.outstanding_renewals.len() < max_outstanding && life.renew_at <= now {
             let number = life.next_renewal();
-            let wait = if life.listed { wait } else { Duration::ZERO };
+            let wait = if life.listed && !life.is_silent(now) { wait } else { Duration::ZERO };
             life.outstanding_renewals.push(number);
             self.renew_lease(now, number, wait);
         }
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -4,7 +4,10 @@
 //! Invariants:
 //! - the numbers of ends rise; each end is taken once;
 //! - ends are acknowledged cumulatively, up to the first one that its scheduler
-//!   has not recorded.
+//!   has not recorded;
+//! - the lease is not extended beyond the contact: a backend server that answers no
+//!   call is lost, however many are sent, and its runs are over once the lease that the
+//!   calls before may have given it has expired.
 
 use std::time::{Duration, Instant};
 
@@ -100,6 +103,9 @@
     pub(super) heartbeat_at: Instant,
     /// Reading of the backend server's clock, and the local time it belongs to.
     clock: Option<(Duration, Instant)>,
+    /// Time from which the backend server counts as silent, unless it answers a call
+    /// before; `None` while all calls are answered.
+    silent_from: Option<Instant>,
     /// Time at which the lease has expired, with the margins for clock drift and
     /// stops, so that no run is active any more unless it is renewed.
     pub(super) lease_expires_at: Option<Instant>,
@@ -138,6 +144,7 @@
             sequence: heartbeat.sequence,
             heartbeat_at: now,
             clock: heartbeat.clock.map(|clock| (clock, now)),
+            silent_from: None,
             lease_expires_at: None,
             listed: false,
             runs: IndexMap::new(),
@@ -204,6 +211,21 @@
         }
     }
 
+    /// Records whether a call was answered. After calls have gone unanswered for
+    /// `max_silence`, the backend server counts as silent.
+    pub(super) fn record_contact(&mut self, now: Instant, answered: bool, max_silence: Duration) {
+        match answered {
+            true => self.silent_from = None,
+            false => _ = self.silent_from.get_or_insert(now + max_silence),
+        }
+    }
+
+    /// Whether the backend server has answered no call for so long that its lease is not
+    /// extended any more.
+    pub(super) fn is_silent(&self, now: Instant) -> bool {
+        self.silent_from.is_some_and(|from| from <= now)
+    }
+
     /// Extends the lease by `lease` from now. Returns the expiry on the backend
     /// server's clock; `None` if its clock is unknown or `lease` is zero.
     pub(super) fn extend_lease(&mut self, now: Instant, lease: Duration) -> Option<Duration> {
@@ -216,8 +238,10 @@
         Some(clock + now.saturating_duration_since(at) + lease)
     }
 
-    pub(super) fn is_lease_expired(&self, now: Instant) -> bool {
-        self.lease_expires_at.is_some_and(|at| at <= now)
+    /// Time at which no run is active any more, and the lists are out of date: the end of
+    /// the lease, or without one the beginning of a silence.
+    pub(super) fn lapses_at(&self) -> Option<Instant> {
+        self.lease_expires_at.or(self.silent_from.filter(|_| self.listed))
     }
 
     /// Handles a cumulative acknowledgement: control has recorded its ends up to
@@ -357,7 +381,7 @@
             RunPhase::Stopping { retry_at } => retry_at,
             _ => None,
         });
-        [renewal, self.query_lists_at, self.lease_expires_at, self.start_queue.next_deadline()]
+        [renewal, self.query_lists_at, self.lapses_at(), self.start_queue.next_deadline()]
             .into_iter()
             .flatten()
             .chain(retries)
--- a/crates/decisions/src/agent/start_queue.rs
+++ b/crates/decisions/src/agent/start_queue.rs
@@ -78,12 +78,14 @@
     }
 
     /// Starts the waiting runs for which there is free capacity and a valid grant, and
-    /// refuses those that have waited too long or can't start any more.
+    /// refuses those that have waited too long or can't start any more. On a silent
+    /// backend server none starts.
     pub(super) fn start_waiting(&mut self, now: Instant) {
         let Some(life) = self.life.as_mut().filter(|life| !life.start_queue.starts.is_empty())
         else {
             return;
         };
+        let is_silent = life.is_silent(now);
         let schedulers = &self.schedulers;
         let is_granted = |owner: &SchedulerKey| {
             let session = schedulers.get(owner);
@@ -94,10 +96,14 @@
         for start in std::mem::take(&mut life.start_queue.starts) {
             if let Some(refusal) = life.start_refusal(&start.run) {
                 refused.extend(life.refuse(&start.run, refusal));
-            } else if life.is_owned_by(&start.run, is_granted) && life.begin(now, &start.run) {
+            } else if !is_silent
+                && life.is_owned_by(&start.run, is_granted)
+                && life.begin(now, &start.run)
+            {
                 requests.push(ServerRequest::Start { run: start.run, spec: start.spec });
             } else if start.until <= now {
-                refused.extend(life.refuse(&start.run, StartRefusal::Room));
+                let refusal = if is_silent { StartRefusal::Unhealthy } else { StartRefusal::Room };
+                refused.extend(life.refuse(&start.run, refusal));
             } else {
                 life.start_queue.starts.push_back(start);
             }
--- a/crates/services/src/server_runs.rs
+++ b/crates/services/src/server_runs.rs
@@ -131,12 +131,15 @@
         }
     }
 
-    /// Sends a call to the backend server. If the front's ring is full or closed,
-    /// the call ends as one without an answer: that outcome allows for the call
-    /// having been executed or not, so it is always safe.
+    /// Sends a call to the backend server. If a ring is full or closed, the call ends
+    /// as one without an answer: that outcome allows for the call having been executed
+    /// or not, so it is always safe. Without an end, no renewal would follow this one.
     fn send_call(&mut self, call: model::ServerCall) {
         let Some(done) = self.own_ring.reserve() else {
-            return self.log_full_ring(ServiceName::ServerRuns);
+            self.log_full_ring(ServiceName::ServerRuns);
+            let answer = model::ServerAnswer::NoAnswer;
+            let steps = self.table.on_answer(self.context.clock.now(), &call, None, answer);
+            return self.execute_steps(steps);
         };
         let message = ServerFrontMessage::Call { call: Box::new(call), done };
         if let Err(error) = self.front.push(message) {
--- a/tests/agent_fixture.rs
+++ b/tests/agent_fixture.rs
@@ -6,7 +6,7 @@
 use decisions::agent::{RunStep, RunTable};
 use model::{
     AgentOrder, AgentOrders, ListedEnd, ResourceAmount, RunUpdate, SchedulerKey, ServerAnswer,
-    ServerCall, ServerHeartbeat, ServerRequest, ServerView, TaskName, TaskRun,
+    ServerCall, ServerHeartbeat, ServerReport, ServerRequest, ServerView, TaskName, TaskRun,
 };
 
 use crate::schedule_model::run_limits;
@@ -14,6 +14,9 @@
 /// How long the agent keeps the entry's runs active after it sent a message.
 pub(crate) const GRANT: Duration = Duration::from_secs(1);
 
+/// Step of the time in which the backend server is silent.
+const SILENT_STEP: Duration = Duration::from_millis(10);
+
 /// A run table with the calls that it has made and the updates that it has reported.
 pub(crate) struct AgentFixture {
     pub(crate) now: Instant,
@@ -21,6 +24,8 @@
     /// Calls to the backend server that the test has not taken yet.
     calls: Vec<ServerCall>,
     pub(crate) updates: Vec<RunUpdate>,
+    /// What the reports say of the backend server.
+    pub(crate) server: ServerReport,
 }
 
 pub(crate) fn entry() -> SchedulerKey {
@@ -62,7 +67,13 @@
     pub(crate) fn new() -> AgentFixture {
         let now = Instant::now();
         let table = RunTable::new(now, "agent-1".into(), 40, run_limits());
-        let mut agent = AgentFixture { now, table, calls: Vec::new(), updates: Vec::new() };
+        let mut agent = AgentFixture {
+            now,
+            table,
+            calls: Vec::new(),
+            updates: Vec::new(),
+            server: ServerReport::Absent,
+        };
         agent.heartbeat(1, false);
         agent.answer_renewal();
         let steps = agent.table.on_opened(now, entry(), 1);
@@ -77,6 +88,9 @@
                 RunStep::Call(call) => self.calls.push(call),
                 RunStep::Report(scheduler, report) => {
                     self.updates.extend(report.updates);
+                    if report.server != ServerReport::Unchanged {
+                        self.server = report.server;
+                    }
                     let session = report.session;
                     let steps = self.table.on_reports_acked(self.now, &scheduler, session, 1);
                     self.apply_steps(steps);
@@ -163,6 +177,21 @@
         }
     }
 
+    /// Leaves every call unanswered for a time, while the schedulers' grants last.
+    pub(crate) fn stay_silent(&mut self, time: Duration) -> Vec<ServerCall> {
+        let until = self.now + time;
+        let mut unanswered = Vec::new();
+        while self.now < until {
+            self.advance(SILENT_STEP);
+            self.order(Vec::new());
+            while let Some(call) = self.take_call(|_| true) {
+                self.answer(&call, ServerAnswer::NoAnswer);
+                unanswered.push(call);
+            }
+        }
+        unanswered
+    }
+
     /// Answers every renewal that is pending now.
     pub(crate) fn answer_renewals_with(&mut self, answer: &ServerAnswer) {
         for _ in 0..self.pending_renewals() {
@@ -176,6 +205,16 @@
         self.apply_steps(steps);
     }
 
+    /// Takes a renewal that is pending, or the next one.
+    pub(crate) fn take_pending_renewal(&mut self) -> ServerCall {
+        loop {
+            if let Some(call) = self.take_call(is_renewal) {
+                return call;
+            }
+            self.advance(SILENT_STEP);
+        }
+    }
+
     pub(crate) fn pending_renewals(&self) -> usize {
         self.calls.iter().filter(|call| is_renewal(&call.request)).count()
     }
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -121,6 +121,8 @@
     schedulers: Vec<SchedulerModel>,
     agents: Vec<AgentModel>,
     servers: Vec<ServerModel>,
+    /// Backend servers that are gone for good.
+    lost_servers: BTreeSet<usize>,
     /// Calls that timed out at the agent and may still reach the backend server.
     delayed: Vec<(usize, ServerCall)>,
     job_store: JobStore,
@@ -152,6 +154,7 @@
             schedulers: Vec::new(),
             agents: Vec::new(),
             servers: Vec::new(),
+            lost_servers: BTreeSet::new(),
             delayed: Vec::new(),
             job_store: JobStore::default(),
             proposals: Vec::new(),
@@ -287,8 +290,18 @@
         self.servers[server] = ServerModel::new(self.now, self.last_generation, SERVER_SLOTS);
     }
 
+    /// Ends a backend server for good, with its runs; nothing reaches it any more, and its
+    /// agent runs on.
+    pub(crate) fn lose_server(&mut self, server: usize) {
+        self.servers[server].runs.clear();
+        self.lost_servers.insert(server);
+    }
+
     /// Sends the heartbeat of a backend server to its agent.
     pub(crate) fn heartbeat(&mut self, agent: usize) {
+        if self.lost_servers.contains(&agent) {
+            return;
+        }
         self.agents[agent].heartbeats += 1;
         let heartbeat = self.heartbeat_of(agent);
         let steps = self.agents[agent].table.on_heartbeat(self.now, &heartbeat);
@@ -490,6 +503,9 @@
         if position >= self.agents[agent].calls.len() {
             return;
         }
+        if self.lost_servers.contains(&agent) {
+            return self.delay(agent, position);
+        }
         let call = self.agents[agent].calls.remove(position);
         let answer = self.execute_call(agent, &call);
         let clock = Some((self.servers[agent].clock(self.now), self.now));
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -59,6 +59,7 @@
 mod schedule_faults;
 mod settings_errors;
 mod silent_replica;
+mod silent_server;
 mod speed_estimates;
 mod stale_answers;
 mod start_queue;
