Steps that no server can run no longer hide later ones

Cause: a placement round ended after 24 groups with tasks left over, also those known to find no agent, and began with the same ones each time. Evidence: control logged waiting_steps=40 searches=0 agents_priced=272 each second, that is only the agents of the one class were ever looked at.

Change: only groups that cost a search count, and when the bound is reached eight of the others are tried in turns.

Four of the five tests of hidden_steps failed on the old code.

--- a/crates/decisions/src/schedule/placement_round.rs
+++ b/crates/decisions/src/schedule/placement_round.rs
@@ -129,6 +129,11 @@
         range
     }
 
+    /// Number of classes that were added.
+    pub(super) fn class_count(&self) -> usize {
+        self.views.len()
+    }
+
     /// Agents of a class; none if it was not added.
     pub(super) fn candidates(&self, class: &AgentClass) -> &[Candidate] {
         self.view(class).map_or(&[], |view| &view.candidates)
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -127,6 +127,9 @@
     /// Whether anything changed since the last placement round that a placement
     /// depends on: waiting tasks, free capacity, or the agents that accept work.
     pub(super) placement_due: bool,
+    /// Lowest sequence number of the waiting groups that a round tries next, of those
+    /// that it would skip.
+    pub(super) next_turn: u64,
     /// Tasks with an end that is proposed to the log but not applied yet.
     pub(super) proposed_ends: IndexSet<TaskName>,
     /// Registered agents that have not reported in this term yet.
@@ -165,6 +168,7 @@
             live: IndexMap::new(),
             placements: IndexMap::new(),
             ready: ReadyQueue::default(),
+            next_turn: 0,
             placement_due: false,
             proposed_ends: IndexSet::new(),
             unreported_agents: IndexSet::new(),
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -17,9 +17,12 @@
 use super::step_spread::StepSpread;
 use crate::control::JobStore;
 
-/// Number of groups with tasks left over after which a placement round ends,
-/// which bounds the cost of a round while capacity is short.
-const MAX_SKIPPED_GROUPS: usize = 24;
+/// Number of groups that were searched for in vain after which a placement round skips
+/// most others, which bounds the cost of a round while capacity is short.
+const MAX_VAIN_GROUPS: usize = 24;
+/// Number of the skipped groups that a round tries all the same. They take turns, so that
+/// no group is hidden for good by others that can't run.
+const MAX_RETRIED_GROUPS: usize = 8;
 /// Size of the range of run numbers that each leadership term has for a task, so
 /// that the runs of different leaders have different numbers.
 const RUNS_PER_TERM: RunNumber = 64;
@@ -159,20 +162,57 @@
 
     fn run_placement_round(&mut self, now: Instant) {
         let mut round = PlacementRound::default();
-        let mut skipped_groups = 0;
-        for key in self.placement_order(now, &mut round) {
-            let Some(group) = self.ready.group(key) else { continue };
+        let order = self.placement_order(now, &mut round);
+        let tried = self.place_groups(now, &order, &mut round);
+        let retried = self.take_turns(&order[tried..]);
+        self.place_groups(now, &retried, &mut round);
+    }
+
+    /// Places the tasks of groups in this order. Stops once too many of them were
+    /// searched for in vain, and returns how many were tried. A group that is known to
+    /// find no agent costs nothing and doesn't count.
+    fn place_groups(
+        &mut self,
+        now: Instant,
+        keys: &[GroupKey],
+        round: &mut PlacementRound,
+    ) -> usize {
+        let mut vain_groups = 0;
+        for (position, key) in keys.iter().enumerate() {
+            if vain_groups >= MAX_VAIN_GROUPS {
+                return position;
+            }
+            let Some(group) = self.ready.group(*key) else { continue };
             let step = group.step;
             let Some(live) = self.live.get(&group.job) else { continue };
             let job = live.job.clone();
-            self.place_group(now, key, &job, step, &mut round);
-            if self.ready.group(key).is_some() {
-                skipped_groups += 1;
-                if skipped_groups >= MAX_SKIPPED_GROUPS {
-                    return;
-                }
-            }
+            let before = self.search_effort(round);
+            self.place_group(now, *key, &job, step, round);
+            let is_left = self.ready.group(*key).is_some();
+            vain_groups += usize::from(is_left && self.search_effort(round) > before);
+        }
+        keys.len()
+    }
+
+    /// Number of passes over agents so far, up to a constant.
+    fn search_effort(&self, round: &PlacementRound) -> u64 {
+        self.counts.searches + round.class_count() as u64
+    }
+
+    /// Chooses the skipped groups whose turn it is, oldest first.
+    fn take_turns(&mut self, skipped: &[GroupKey]) -> Vec<GroupKey> {
+        if skipped.is_empty() {
+            return Vec::new();
         }
+        let next = self.next_turn;
+        let turn = |(_, number): &GroupKey| (*number < next, *number);
+        let mut chosen = skipped.to_vec();
+        let count = MAX_RETRIED_GROUPS.min(chosen.len());
+        chosen.select_nth_unstable_by_key(count - 1, turn);
+        chosen.truncate(count);
+        chosen.sort_unstable_by_key(turn);
+        self.next_turn = chosen.last().map_or(0, |(_, number)| number + 1);
+        chosen
     }
 
     /// Places the tasks of one group while an agent meets their demand.
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -25,6 +25,7 @@
 mod graceful_drain;
 mod group_restart;
 mod group_size;
+mod hidden_steps;
 mod idle_heartbeats;
 mod job_guarantees;
 mod job_path;
