Runs that nobody has claimed keep their lease's end, and ends are matched by agent

Cause: a restarted agent renewed the lease of runs whose scheduler it does not know, for 1.5 s; the end of such a run goes to all schedulers and was matched by task and run number, though every entry numbers runs from 1.

Change: no call extends the lease while there are unclaimed runs or unlisted ones; they are stopped after 0.3 s. Ends of best-effort runs count only where the run is placed; control acknowledges those that concern nobody. An order for another scheduler's run is refused. Proposed ends are known by run; a term has 100,000 run numbers for a task instead of 64.

--- a/crates/cactuswing/src/roles/server_agent.rs
+++ b/crates/cactuswing/src/roles/server_agent.rs
@@ -23,8 +23,9 @@
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(15);
 /// Pause before a call to the backend server that got no reply is retried.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
-/// How long a run whose scheduler is unknown may stay active for one to claim it.
-const CLAIM_WAIT: Duration = Duration::from_millis(1_500);
+/// How long a run whose scheduler is unknown may stay active for one to claim it. Its
+/// lease is not extended meanwhile, nor that of the others.
+const CLAIM_WAIT: Duration = Duration::from_millis(300);
 
 /// Starts an agent beside one backend server.
 ///
--- a/crates/decisions/src/agent/run_calls.rs
+++ b/crates/decisions/src/agent/run_calls.rs
@@ -32,16 +32,11 @@
 const MAX_BACKOFF_DOUBLINGS: u32 = 4;
 
 impl RunTable {
-    /// Calls the backend server. Each call extends its lease, by no more than the
-    /// longest remaining grant, unless the backend server is silent.
+    /// Calls the backend server. Each call extends its lease as far as that is allowed.
     pub(super) fn call(&mut self, now: Instant, request: ServerRequest) {
-        let grants = self.schedulers.values().map(|session| session.remaining_grant(now));
-        let lease = grants.max().unwrap_or_default().min(self.limits.lease);
+        let lease = self.allowed_lease(now);
         let Some(life) = &mut self.life else { return };
-        let lease_until = match life.is_silent(now) {
-            true => None,
-            false => life.extend_lease(now, lease),
-        };
+        let lease_until = life.extend_lease(now, lease);
         let call = ServerCall {
             address: life.address,
             life: life.view.life.clone(),
@@ -53,6 +48,20 @@
         self.steps.push(RunStep::Call(call));
     }
 
+    /// How long the runs on the backend server may stay active from now on: no longer
+    /// than the longest remaining grant. A call renews the lease of all runs there, so it
+    /// is zero while the backend server is silent, while it is not known what it runs, and
+    /// while there are runs that nobody has claimed, whose scheduler may long have lost
+    /// contact with this agent.
+    pub(super) fn allowed_lease(&self, now: Instant) -> Duration {
+        let Some(life) = &self.life else { return Duration::ZERO };
+        if life.is_silent(now) || !life.listed || life.has_unclaimed_runs() {
+            return Duration::ZERO;
+        }
+        let grants = self.schedulers.values().map(|session| session.remaining_grant(now));
+        grants.max().unwrap_or_default().min(self.limits.lease)
+    }
+
     /// Handles the answer to a call, or its failure. `clock` is a reading of the
     /// backend server's clock and the local time it belongs to.
     pub fn on_answer(
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -7,7 +7,9 @@
 //!   has not recorded;
 //! - the lease is not extended beyond the contact: a backend server that answers no
 //!   call is lost, however many are sent, and its runs are over once the lease that the
-//!   calls before may have given it has expired.
+//!   calls before may have given it has expired;
+//! - nor is it extended for runs that an earlier process of the agent started, before a
+//!   scheduler has claimed them: they end with the lease that it gave them.
 
 use std::time::{Duration, Instant};
 
@@ -55,6 +57,14 @@
         self == RunPhase::Waiting || self.is_active()
     }
 
+    /// Whether the run may be active at the backend server.
+    pub(super) fn may_be_active(self) -> bool {
+        match self {
+            RunPhase::Starting | RunPhase::Running { .. } | RunPhase::Stopping { .. } => true,
+            RunPhase::Waiting | RunPhase::Barred { .. } => false,
+        }
+    }
+
     /// Whether the run is stopped once its scheduler's grant expires.
     pub(super) fn is_active(self) -> bool {
         match self {
@@ -194,6 +204,11 @@
         owned.map(|(run, _)| run.clone()).collect()
     }
 
+    /// Whether there are runs that may be active and that no scheduler has claimed.
+    pub(super) fn has_unclaimed_runs(&self) -> bool {
+        self.runs.values().any(|run| run.owner.is_none() && run.phase.may_be_active())
+    }
+
     /// Whether a scheduler awaits the end of other runs of this run's step here.
     pub(super) fn has_runs_of(&self, owner: Option<&SchedulerKey>, ended: &TaskRun) -> bool {
         self.runs.iter().any(|(run, state)| {
--- a/crates/decisions/src/agent/start_queue.rs
+++ b/crates/decisions/src/agent/start_queue.rs
@@ -63,11 +63,19 @@
                 self.notify(now, vec![(Some(scheduler.clone()), update)]);
                 continue;
             };
-            // A run that is known was ordered before: it runs, or is being stopped.
-            if life.runs.contains_key(&run) {
-                continue;
-            }
             let owner = Some(scheduler.clone());
+            match life.runs.get(&run).map(|state| state.owner == owner) {
+                // It was ordered before: it runs, or is being stopped.
+                Some(true) => continue,
+                // Every entry numbers the runs of a task from 1: this one is of another
+                // scheduler, which alone learns of its end.
+                Some(false) => {
+                    let update = RunUpdate::Refused { run, refusal: StartRefusal::OldRun };
+                    self.notify(now, vec![(owner, update)]);
+                    continue;
+                }
+                None => {}
+            }
             let state =
                 RunState { phase: RunPhase::Waiting, size, owner, ordered_at: now, since: now };
             life.runs.insert(run.clone(), state);
@@ -78,9 +86,10 @@
     }
 
     /// Starts the waiting runs for which there is free capacity and a valid grant, and
-    /// refuses those that have waited too long or can't start any more. On a silent
-    /// backend server none starts.
+    /// refuses those that have waited too long or can't start any more. While the lease
+    /// may not be extended none starts, since a start extends it.
     pub(super) fn start_waiting(&mut self, now: Instant) {
+        let may_start = !self.allowed_lease(now).is_zero();
         let Some(life) = self.life.as_mut().filter(|life| !life.start_queue.starts.is_empty())
         else {
             return;
@@ -96,7 +105,7 @@
         for start in std::mem::take(&mut life.start_queue.starts) {
             if let Some(refusal) = life.start_refusal(&start.run) {
                 refused.extend(life.refuse(&start.run, refusal));
-            } else if !is_silent
+            } else if may_start
                 && life.is_owned_by(&start.run, is_granted)
                 && life.begin(now, &start.run)
             {
--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -221,7 +221,9 @@
     }
 
     /// Applies refused starts and ended runs. Ends of stored jobs are proposed to
-    /// the log; those of best-effort jobs take effect at once.
+    /// the log; those of best-effort jobs take effect at once, if the run is placed here:
+    /// every entry numbers its runs from 1, and the agent reports the end of a run that
+    /// nobody claimed to all of them.
     fn apply_updates(&mut self, now: Instant, report: &AgentReport) {
         let mut ends = Vec::new();
         for update in &report.updates {
@@ -232,8 +234,13 @@
                 RunUpdate::Ended { number, run, kind, ran_ms } => {
                     if self.is_new_end(&report.agent, *number, run) {
                         let ran = ran_ms.map(Duration::from_millis);
-                        self.on_ended(now, &report.agent, run, *kind, ran);
-                        ends.push(EndedRun { run: run.clone(), kind: *kind });
+                        let is_placed = self.on_ended(now, &report.agent, run, *kind, ran);
+                        if is_placed || self.is_stored(run) {
+                            ends.push(EndedRun { run: run.clone(), kind: *kind });
+                        } else {
+                            // There is nothing to record here.
+                            self.acknowledge_end(now, run);
+                        }
                     }
                 }
             }
@@ -245,7 +252,9 @@
             self.on_change(now, change);
         }
         if !ends.is_empty() {
-            self.proposed_ends.extend(ends.iter().map(|end| end.run.task.clone()));
+            for end in &ends {
+                self.proposed_ends.add(&end.run);
+            }
             self.steps.push(ScheduleStep::Propose(vec![Command::EndRuns { ends }]));
         }
     }
@@ -315,7 +324,8 @@
 
     /// Handles a reported end: its capacity is released at once, while the job
     /// continues only once the end is recorded. `ran` is the run time that the
-    /// agent measured; without it this scheduler's own delays count as run time.
+    /// agent measured; without it this scheduler's own delays count as run time. Returns
+    /// `false` if the run is not placed on the agent.
     fn on_ended(
         &mut self,
         now: Instant,
@@ -323,11 +333,11 @@
         run: &TaskRun,
         kind: EndKind,
         ran: Option<Duration>,
-    ) {
+    ) -> bool {
         let placed = self.placements.get(&run.task).cloned();
         let Some(placed) = placed.filter(|placed| placed.agent == *agent && placed.run == run.run)
         else {
-            return;
+            return false;
         };
         self.release_capacity(&placed);
         let seen = now.saturating_duration_since(placed.since);
@@ -355,18 +365,25 @@
                 .with("ran_ms", ran.as_millis());
             self.steps.push(ScheduleStep::Log(line));
         }
+        true
     }
 
-    /// Handles a recorded end: it can be acknowledged, and the job continues.
-    pub(super) fn on_end_recorded(&mut self, now: Instant, end: &EndedRun) {
-        let task = &end.run.task;
+    /// Allows agents to acknowledge the end of a run to their backend servers. Only
+    /// control does.
+    fn acknowledge_end(&mut self, now: Instant, run: &TaskRun) {
         if self.kind == SchedulerKind::Control {
             for state in self.agents.values_mut() {
-                state.mark_end_recorded(now, &end.run);
+                state.mark_end_recorded(now, run);
             }
             self.agent_checks.require(now + self.limits.ack_delay);
         }
-        let was_proposed = self.proposed_ends.swap_remove(task);
+    }
+
+    /// Handles a recorded end: it can be acknowledged, and the job continues.
+    pub(super) fn on_end_recorded(&mut self, now: Instant, end: &EndedRun) {
+        let task = &end.run.task;
+        self.acknowledge_end(now, &end.run);
+        let was_proposed = self.proposed_ends.remove(&end.run);
         let current = self.placements.get(task).is_some_and(|placed| placed.run == end.run.run);
         if current {
             self.placements.swap_remove(task);
--- a/crates/decisions/src/schedule/mod.rs
+++ b/crates/decisions/src/schedule/mod.rs
@@ -26,6 +26,7 @@
 mod load_counts;
 mod placement_order;
 mod placement_round;
+mod proposed_ends;
 mod ready_queue;
 mod report_delay;
 mod scheduler;
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -16,6 +16,7 @@
 use super::host_lists::HostLists;
 use super::live_job::{JobWaiter, LiveJob, Placement};
 use super::load_counts::LoadCounts;
+use super::proposed_ends::ProposedEnds;
 use super::ready_queue::ReadyQueue;
 use super::report_delay::ReportDelay;
 use crate::control::{JobChange, JobStore};
@@ -130,8 +131,7 @@
     /// Lowest sequence number of the waiting groups that a round tries next, of those
     /// that it would skip.
     pub(super) next_turn: u64,
-    /// Tasks with an end that is proposed to the log but not applied yet.
-    pub(super) proposed_ends: IndexSet<TaskName>,
+    pub(super) proposed_ends: ProposedEnds,
     /// Registered agents that have not reported in this term yet.
     pub(super) unreported_agents: IndexSet<NodeId>,
     /// Jobs from before this term, and best-effort jobs admitted during the
@@ -170,7 +170,7 @@
             ready: ReadyQueue::default(),
             next_turn: 0,
             placement_due: false,
-            proposed_ends: IndexSet::new(),
+            proposed_ends: ProposedEnds::default(),
             unreported_agents: IndexSet::new(),
             held_jobs: IndexSet::new(),
             hosts: HostLists::default(),
--- a/crates/decisions/src/schedule/takeover.rs
+++ b/crates/decisions/src/schedule/takeover.rs
@@ -8,6 +8,7 @@
 use indexmap::IndexSet;
 use model::{Command, EventLine, JobId, JobReply, NodeId, TaskName};
 
+use super::proposed_ends::ProposedEnds;
 use super::ready_queue::ReadyQueue;
 use super::scheduler::{ScheduleStep, Scheduler, SchedulerKind};
 
@@ -27,7 +28,7 @@
         self.live.clear();
         self.placements.clear();
         self.ready = ReadyQueue::default();
-        self.proposed_ends = IndexSet::new();
+        self.proposed_ends = ProposedEnds::default();
         self.unreported_agents = IndexSet::new();
         self.held_jobs.clear();
     }
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -24,8 +24,9 @@
 /// no group is hidden for good by others that can't run.
 const MAX_RETRIED_GROUPS: usize = 8;
 /// Size of the range of run numbers that each leadership term has for a task, so
-/// that the runs of different leaders have different numbers.
-const RUNS_PER_TERM: RunNumber = 64;
+/// that the runs of different leaders have different numbers. A task that lasts has
+/// many runs in one term.
+const RUNS_PER_TERM: RunNumber = 100_000;
 
 impl Scheduler {
     /// Starts scheduling a newly accepted job.
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -32,7 +32,9 @@
 const SERVER_CPU_MILLI: u64 = 4_000;
 /// Tasks of one core that a backend server runs at a time.
 const SERVER_SLOTS: usize = 4;
-/// Run time of every task; the estimate is 100 ms.
+/// How long callers usually wait.
+const CALLER_WAIT: Duration = Duration::from_millis(1_500);
+/// Usual run time of a task.
 const RUN_TIME: Duration = Duration::from_millis(120);
 pub(crate) const SERVICE: &str = "stock";
 pub(crate) const QUEUE: &str = "lookups";
@@ -43,7 +45,7 @@
         renewal_wait: Duration::from_millis(400),
         renewal_interval: Duration::from_millis(15),
         retry_delay: Duration::from_millis(100),
-        claim_wait: Duration::from_millis(1_500),
+        claim_wait: Duration::from_millis(300),
     }
 }
 
@@ -115,14 +117,27 @@
     Reply(JobReply),
 }
 
+/// What waits for an agent that stands still.
+enum HeldInput {
+    /// Orders of a scheduler, over a link.
+    Orders(usize, u64, AgentOrders),
+    Heartbeat(ServerHeartbeat),
+}
+
 /// One control scheduler, entry schedulers, and agents with a backend server each.
 pub(crate) struct ScheduleModel {
     pub(crate) now: Instant,
+    /// Run time of every task; the estimate is 100 ms.
+    pub(crate) run_time: Duration,
+    /// How long callers of best-effort jobs wait.
+    pub(crate) caller_wait: Duration,
     schedulers: Vec<SchedulerModel>,
     agents: Vec<AgentModel>,
     servers: Vec<ServerModel>,
     /// Backend servers that are gone for good.
     lost_servers: BTreeSet<usize>,
+    /// Agents that stand still, and what waits for them.
+    frozen_agents: BTreeMap<usize, Vec<HeldInput>>,
     /// Calls that timed out at the agent and may still reach the backend server.
     delayed: Vec<(usize, ServerCall)>,
     job_store: JobStore,
@@ -151,10 +166,13 @@
         let now = Instant::now();
         let mut model = ScheduleModel {
             now,
+            run_time: RUN_TIME,
+            caller_wait: CALLER_WAIT,
             schedulers: Vec::new(),
             agents: Vec::new(),
             servers: Vec::new(),
             lost_servers: BTreeSet::new(),
+            frozen_agents: BTreeMap::new(),
             delayed: Vec::new(),
             job_store: JobStore::default(),
             proposals: Vec::new(),
@@ -273,6 +291,7 @@
 
     /// Restarts an agent without its state; its calls stay in transit.
     pub(crate) fn restart_agent(&mut self, agent: usize) {
+        self.frozen_agents.remove(&agent);
         let incarnation = self.agents[agent].heartbeats + 2;
         let name = format!("agent-{agent}").into();
         let calls = std::mem::take(&mut self.agents[agent].calls);
@@ -297,6 +316,12 @@
         self.lost_servers.insert(server);
     }
 
+    /// Crashes a backend server, which starts again at once under its id.
+    pub(crate) fn restart_server(&mut self, server: usize) {
+        self.last_generation += 1;
+        self.servers[server] = self.servers[server].reborn(self.now, self.last_generation);
+    }
+
     /// Sends the heartbeat of a backend server to its agent.
     pub(crate) fn heartbeat(&mut self, agent: usize) {
         if self.lost_servers.contains(&agent) {
@@ -304,10 +329,37 @@
         }
         self.agents[agent].heartbeats += 1;
         let heartbeat = self.heartbeat_of(agent);
+        if let Some(held) = self.frozen_agents.get_mut(&agent) {
+            return held.push(HeldInput::Heartbeat(heartbeat));
+        }
         let steps = self.agents[agent].table.on_heartbeat(self.now, &heartbeat);
         self.apply_run_steps(agent, steps);
     }
 
+    /// Makes an agent stand still. Its calls stay in transit.
+    pub(crate) fn freeze_agent(&mut self, agent: usize) {
+        self.frozen_agents.entry(agent).or_default();
+    }
+
+    /// Lets an agent go on; what waited for it is handled in order.
+    pub(crate) fn thaw_agent(&mut self, agent: usize) {
+        for input in self.frozen_agents.remove(&agent).unwrap_or_default() {
+            match input {
+                HeldInput::Orders(number, link, orders) => {
+                    self.deliver_orders(number, link, orders);
+                }
+                HeldInput::Heartbeat(heartbeat) => {
+                    let steps = self.agents[agent].table.on_heartbeat(self.now, &heartbeat);
+                    self.apply_run_steps(agent, steps);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn is_frozen(&self, agent: usize) -> bool {
+        self.frozen_agents.contains_key(&agent)
+    }
+
     /// Sends the agent a heartbeat of an instance that does not run there.
     pub(crate) fn foreign_heartbeat(&mut self, agent: usize, generation: u64) {
         let mut heartbeat = self.heartbeat_of(agent);
@@ -386,7 +438,7 @@
         if !job.best_effort {
             self.stored.insert(job.id.to_string());
         }
-        let job_call = JobCall::Submit { job, wait_ms: 1_500 };
+        let job_call = JobCall::Submit { job, wait_ms: self.caller_wait.as_millis() as u64 };
         let decision = self.schedulers[scheduler].scheduler.on_job_call(self.now, call, &job_call);
         let reply = match decision {
             JobDecision::Reply(reply) => CallStatus::Reply(reply),
@@ -436,6 +488,9 @@
         if scheduler.lose_orders.remove(&agent) {
             return self.disconnect(number, agent);
         }
+        if let Some(held) = self.frozen_agents.get_mut(&agent) {
+            return held.push(HeldInput::Orders(number, link, orders));
+        }
         let reports = open.on_ack(orders.received);
         let (key, sent_at) = (scheduler.key.clone(), open.acked_at());
         let table = &mut self.agents[agent].table;
@@ -458,7 +513,8 @@
         let links = node.links.iter();
         let due: Vec<(u64, usize)> = links
             .filter(|(_, (agent, open))| {
-                open.heartbeat_due(self.now, self.agents[*agent].table.is_active(&node.key))
+                !self.is_frozen(*agent)
+                    && open.heartbeat_due(self.now, self.agents[*agent].table.is_active(&node.key))
             })
             .map(|(link, (agent, _))| (*link, *agent))
             .collect();
@@ -549,7 +605,7 @@
             "{:?} server{server} {:?} fence {} of {}",
             self.now, call.request, call.fence, self.servers[server].fence
         ));
-        let answer = self.servers[server].handle_call(self.now, call, RUN_TIME);
+        let answer = self.servers[server].handle_call(self.now, call, self.run_time);
         if self.servers[server].runs.len() > before
             && let ServerRequest::Start { run, .. } = &call.request
         {
@@ -592,7 +648,9 @@
         for server in &mut self.servers {
             server.advance(self.now);
         }
-        for agent in 0..self.agents.len() {
+        for agent in
+            (0..self.agents.len()).filter(|agent| !self.is_frozen(*agent)).collect::<Vec<_>>()
+        {
             let steps = self.agents[agent].table.on_tick(self.now);
             self.apply_run_steps(agent, steps);
         }
@@ -656,6 +714,11 @@
         self.agents[agent].calls.len()
     }
 
+    /// The number of calls that have timed out and may still be executed.
+    pub(crate) fn delayed_calls(&self) -> usize {
+        self.delayed.len()
+    }
+
     /// The number of steps with tasks that wait at a scheduler.
     pub(crate) fn waiting_steps(&self, scheduler: usize) -> usize {
         self.schedulers[scheduler].scheduler.waiting_steps()
@@ -666,6 +729,12 @@
         self.schedulers[scheduler].scheduler.take_counts()
     }
 
+    /// The number of ends that backend servers still list, since they were not
+    /// acknowledged.
+    pub(crate) fn unacked_ends(&self) -> usize {
+        self.servers.iter().map(|server| server.unacked_ends.len()).sum()
+    }
+
     /// The number of running tasks on all backend servers.
     pub(crate) fn running(&self) -> usize {
         self.servers.iter().map(|server| server.runs.len()).sum()
--- a/tests/server_model.rs
+++ b/tests/server_model.rs
@@ -15,6 +15,7 @@
     /// Number of runs that it executes at a time.
     slots: usize,
     started_at: Instant,
+    instance: String,
     pub(crate) generation: u64,
     pub(crate) fence: u64,
     /// End of the lease on the server's own clock, which counts from its start.
@@ -37,6 +38,7 @@
         ServerModel {
             slots,
             started_at: now,
+            instance: format!("i-{generation}"),
             generation,
             fence: 0,
             lease_until: Duration::ZERO,
@@ -53,7 +55,13 @@
     }
 
     pub(crate) fn instance(&self) -> String {
-        format!("i-{}", self.generation)
+        self.instance.clone()
+    }
+
+    /// The next life of this instance, which knows nothing of before.
+    pub(crate) fn reborn(&self, now: Instant, generation: u64) -> ServerModel {
+        let instance = self.instance.clone();
+        ServerModel { instance, ..ServerModel::new(now, generation, self.slots) }
     }
 
     fn end(&mut self, name: &str, kind: EndKind) {
--- a/tests/silent_server.rs
+++ b/tests/silent_server.rs
@@ -8,7 +8,7 @@
 use assert_matches::assert_matches;
 use model::{JobPhase, RunUpdate, ServerAnswer, ServerReport, StartRefusal};
 
-use crate::agent_fixture::{AgentFixture, is_renewal, is_start, run, run_of};
+use crate::agent_fixture::{AgentFixture, is_start, run, run_of};
 use crate::schedule_model::{LEASE, ScheduleModel, job};
 
 /// Creates an agent with one run, whose start was answered.
@@ -58,12 +58,12 @@
     let until = |calls: Vec<model::ServerCall>| calls.into_iter().filter_map(|c| c.lease_until);
     let last = until(agent.stay_silent(LEASE.mul_f64(1.1))).max();
     assert!(last.is_some(), "a short silence changes nothing");
-    assert_eq!(until(agent.stay_silent(LEASE)).max(), None);
-    let renewal = agent.take_pending_renewal();
+    assert_eq!(until(agent.stay_silent(LEASE.mul_f64(0.5))).max(), None);
     let lists = ServerAnswer::Lists { running: vec![run()], ended: Vec::new() };
-    agent.answer(&renewal, lists);
-    agent.advance(Duration::from_millis(20));
-    let renewal = agent.take_call(is_renewal).expect("a renewal is due");
+    let renewal = agent.take_pending_renewal();
+    agent.answer(&renewal, lists.clone());
+    agent.answer_renewals_with(&lists);
+    let renewal = agent.take_pending_renewal();
     assert!(renewal.lease_until > last, "an answer lets the lease be renewed again");
 }
 
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -66,5 +66,6 @@
 mod start_queue;
 mod start_table;
 mod task_urgency;
+mod unclaimed_runs;
 mod unconfirmed_catalog;
 mod wide_jobs;
