A restart of a backend server under its id ends no run that the new life has

Cause: calls name only the instance, so the new life accepts starts meant for the former one; its first heartbeat reported these as lapsed with all the others.

Change: the new life takes over the runs until its first lists, or the end of the former lease, show which are over. Starts and stops in doubt are stopped there, the fencing token rises with each life, and the generation in replies is read.

--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -117,11 +117,7 @@
     /// Ends a life of the backend server; all its runs are reported as lapsed.
     pub(super) fn end_life(&mut self, now: Instant, reason: &str) {
         let Some(mut life) = self.life.take() else { return };
-        let line = EventLine::new("server_life_ended")
-            .with("life", &life.view.life)
-            .with("reason", reason)
-            .with("runs", life.runs.len());
-        self.steps.push(RunStep::Log(line));
+        self.log_life_end(&life, reason);
         self.notify(now, life.take_lapsed());
         for session in self.schedulers.values_mut() {
             session.must_list_runs = true;
@@ -129,6 +125,14 @@
         }
     }
 
+    pub(super) fn log_life_end(&mut self, life: &ServerLife, reason: &str) {
+        let line = EventLine::new("server_life_ended")
+            .with("life", &life.view.life)
+            .with("reason", reason)
+            .with("runs", life.runs.len());
+        self.steps.push(RunStep::Log(line));
+    }
+
     /// Queues updates for the schedulers that own the runs; those about unclaimed
     /// runs go to all schedulers.
     pub(super) fn notify(&mut self, now: Instant, updates: Vec<OwnedUpdate>) {
@@ -297,8 +301,8 @@
         if !self.can_list_runs(now) {
             return;
         }
-        let life = self.life.as_ref().filter(|life| life.listed);
-        let server = || match life {
+        let life = self.life.as_ref();
+        let server = || match life.filter(|life| life.listed) {
             Some(life) => ServerReport::Present(life.view.clone()),
             None => ServerReport::Absent,
         };
@@ -371,9 +375,8 @@
             let active = life.runs.values().filter(|state| state.phase.is_active());
             active.filter_map(|state| self.granted_until(state))
         });
-        let listed = life.filter(|life| life.listed);
         let reports = self.schedulers.iter().filter_map(|(scheduler, session)| {
-            let other_usage = listed.map(|life| life.other_usage(scheduler)).unwrap_or_default();
+            let other_usage = life.map(|life| life.other_usage(scheduler)).unwrap_or_default();
             session.next_report(&other_usage)
         });
         let life = life.and_then(ServerLife::next_deadline);
--- a/crates/decisions/src/agent/server_heartbeats.rs
+++ b/crates/decisions/src/agent/server_heartbeats.rs
@@ -5,13 +5,15 @@
 //!   nothing of it can be left: the backend server has refused a call to its instance,
 //!   it has left, or its lease has expired. A heartbeat that no instance here sent
 //!   changes nothing;
+//! - a later generation of the instance ends no run by itself: calls name only the
+//!   instance, so the later life may have accepted them;
 //! - a late heartbeat, of an earlier life of the instance or with a lower sequence
 //!   number, changes nothing. Both numbers are the sender's, and an odd one may be far
 //!   too high; so a lower one is followed after [`LATE_WINDOW`] without a higher one.
 
 use std::time::{Duration, Instant};
 
-use model::{EventLine, LifeId, ServerHeartbeat};
+use model::{EventLine, LifeId, ServerCall, ServerHeartbeat, life_id};
 
 use super::run_table::{RunStep, RunTable};
 use super::server_life::ServerLife;
@@ -43,16 +45,66 @@
                 }
             }
             Some(life) if life.generation < heartbeat.generation || is_silent(life, now) => {
-                self.begin_life(now, heartbeat);
+                self.follow_restart(now, heartbeat, "a newer life sent a heartbeat");
             }
             Some(_) => {}
         }
         self.finish(now)
     }
 
-    /// Ends the previous life and starts to track the one of this heartbeat.
+    /// Handles the generation that a reply names. A later one than that of the life that
+    /// was called shows that the instance was started again; the answer is of no use then.
+    pub fn on_generation(
+        &mut self,
+        now: Instant,
+        call: &ServerCall,
+        clock: Option<(Duration, Instant)>,
+        generation: Option<u64>,
+    ) -> Vec<RunStep> {
+        let Some(life) = self.life.as_ref().filter(|life| life.view.life == call.life) else {
+            return Vec::new();
+        };
+        let Some(generation) = generation.filter(|generation| *generation > life.generation) else {
+            return Vec::new();
+        };
+        let mut view = life.view.clone();
+        view.life = life_id(&life.instance, generation);
+        view.draining = false;
+        let heartbeat = ServerHeartbeat {
+            view,
+            address: life.address,
+            instance: life.instance.clone(),
+            generation,
+            sequence: 0,
+            clock: clock.map(|(clock, _)| clock),
+        };
+        self.follow_restart(now, &heartbeat, "a newer life answered a call");
+        self.finish(now)
+    }
+
+    /// Follows the next life of an instance that was started again under its name. Calls
+    /// carry only that name, so the new life may have carried out those that were sent
+    /// since; its first lists show which runs it has. A start or stop without an answer
+    /// may still reach it, so these runs are stopped there before they count as over. A
+    /// higher fencing token bars what was sent to the earlier life and is late.
+    fn follow_restart(&mut self, now: Instant, heartbeat: &ServerHeartbeat, reason: &str) {
+        let Some(mut earlier) = self.life.take() else { return };
+        self.log_life_end(&earlier, reason);
+        let refused = earlier.take_waiting();
+        self.begin_life(now, heartbeat);
+        if let Some(life) = &mut self.life {
+            life.take_over_runs(now, earlier);
+        }
+        self.fence += 1;
+        self.notify(now, refused);
+        for session in self.schedulers.values_mut() {
+            session.must_list_runs = true;
+            session.needs_report = true;
+        }
+    }
+
+    /// Starts to track the life of this heartbeat.
     fn begin_life(&mut self, now: Instant, heartbeat: &ServerHeartbeat) {
-        self.end_life(now, "a newer life sent a heartbeat");
         self.candidate = None;
         let line = EventLine::new("server_life")
             .with("life", &heartbeat.view.life)
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -375,6 +375,28 @@
         self.renewals_sent
     }
 
+    /// Removes the runs whose start was not sent, and returns them as refused.
+    pub(super) fn take_waiting(&mut self) -> Vec<OwnedUpdate> {
+        self.start_queue = StartQueue::default();
+        let waiting = self.runs.extract_if(.., |_, state| state.phase == RunPhase::Waiting);
+        let refused = |run| RunUpdate::Refused { run, refusal: StartRefusal::Gone };
+        waiting.map(|(run, state)| (state.owner, refused(run))).collect()
+    }
+
+    /// Takes over the runs of an earlier life of the instance, until the first lists show
+    /// which of them this life has, or the lease that they were given has expired. Those
+    /// that were to end, or whose start is in doubt, are stopped again.
+    pub(super) fn take_over_runs(&mut self, now: Instant, earlier: ServerLife) {
+        self.lease_expires_at = earlier.lease_expires_at;
+        self.runs = earlier.runs;
+        for state in self.runs.values_mut() {
+            state.phase = match state.phase {
+                RunPhase::Running { .. } => RunPhase::Running { since_renewal: 0 },
+                _ => RunPhase::Stopping { retry_at: Some(now) },
+            };
+        }
+    }
+
     /// Removes all runs and returns them as lapsed, or as refused if they have not
     /// started.
     pub(super) fn take_lapsed(&mut self) -> Vec<OwnedUpdate> {
--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -133,6 +133,7 @@
         state.server = server.cloned();
         if new_life {
             state.begin_life(now);
+            self.move_placements(&report.agent);
         }
         let line = EventLine::new("server_view").with("agent", &report.agent);
         let line = match server {
@@ -145,6 +146,18 @@
         self.steps.push(ScheduleStep::Log(line));
     }
 
+    /// Moves the placements on an agent to the current life of its backend server, which
+    /// may have accepted runs that were ordered for an earlier one. Those that it does not
+    /// have are reported as ended.
+    fn move_placements(&mut self, agent: &NodeId) {
+        let life = self.agents.get(agent).and_then(|state| state.life().cloned());
+        let placed = self.placements.values_mut();
+        for placed in placed.filter(|placed| placed.agent == *agent && !placed.ended) {
+            placed.life = life.clone().unwrap_or_default();
+        }
+        self.recompute_usage(agent);
+    }
+
     /// Reconciles the placements on an agent with its full list of runs. A placed
     /// run that is not listed never arrived there, or ended with its life; a
     /// listed run that is not placed there is adopted or stopped.
--- a/crates/model/src/server_messages.rs
+++ b/crates/model/src/server_messages.rs
@@ -33,6 +33,11 @@
     pub clock: Option<Duration>,
 }
 
+/// Name of a life of an instance. `generation` orders the lives of the instance.
+pub fn life_id(instance: &LifeId, generation: u64) -> LifeId {
+    compact_str::format_compact!("{instance}/{generation}")
+}
+
 /// A call to the backend server.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServerCall {
@@ -164,6 +169,8 @@
         /// The backend server's clock reading in its reply, with the local time
         /// at which the reply arrived.
         clock: Option<(Duration, Instant)>,
+        /// Generation of the life that replied, if the reply names it.
+        generation: Option<u64>,
         /// Result of the call.
         answer: ServerAnswer,
     },
--- a/crates/services/src/server_runs.rs
+++ b/crates/services/src/server_runs.rs
@@ -86,7 +86,9 @@
                 acknowledge(call, reply);
                 steps
             }
-            ServerRunsMessage::Answer { call, clock, answer } => {
+            ServerRunsMessage::Answer { call, clock, generation, answer } => {
+                let steps = self.table.on_generation(now, &call, clock, generation);
+                self.execute_steps(steps);
                 self.table.on_answer(now, &call, clock, answer)
             }
             ServerRunsMessage::Schedule { scheduler, session, event } => {
@@ -148,7 +150,8 @@
             self.log_full_ring(ServiceName::ServerFront);
             if let ServerFrontMessage::Call { call, done } = message {
                 let answer = model::ServerAnswer::NoAnswer;
-                done.push(ServerRunsMessage::Answer { call, clock: None, answer });
+                let (clock, generation) = (None, None);
+                done.push(ServerRunsMessage::Answer { call, clock, generation, answer });
             }
         }
     }
--- a/tests/odd_lists.rs
+++ b/tests/odd_lists.rs
@@ -4,7 +4,7 @@
 
 use assert_matches::assert_matches;
 use model::{EndKind, ListedEnd, RunUpdate, ServerAnswer, TaskRun};
-use platform::read_reply;
+use platform::{ServerReply, read_reply};
 use proptest::prelude::*;
 use serde_json::{Value, json};
 
@@ -15,7 +15,7 @@
 
 fn read_lists(running: &str, ended: &str) -> ServerAnswer {
     let body = format!("{{\"clock_ms\":1,\"running\":{running},\"ended\":{ended}}}");
-    read_reply(200, body.as_bytes()).expect("the reply as a whole can be read").0
+    read_reply(200, body.as_bytes()).expect("the reply as a whole can be read").answer
 }
 
 fn odd_rows() -> Vec<String> {
@@ -90,7 +90,8 @@
 fn odd_clocks_ignored() {
     for clock in ["18446744073709551615", "-1", "1.5", "\"1\"", "null", "[[]]", "1e999"] {
         let body = format!("{{\"clock_ms\":{clock},\"running\":[],\"ended\":[]}}");
-        let (answer, clock) = read_reply(200, body.as_bytes()).expect("a readable reply");
+        let reply = read_reply(200, body.as_bytes()).expect("a readable reply");
+        let ServerReply { answer, clock, .. } = reply;
         assert_matches!(answer, ServerAnswer::Lists { .. });
         assert_eq!(clock, None);
     }
@@ -208,7 +209,7 @@
     fn odd_rows_survived(running in odd_list(), ended in odd_list()) {
         let mut agent = started_agent();
         let body = json!({ "running": running, "ended": ended }).to_string();
-        if let Ok((answer, clock)) = read_reply(200, body.as_bytes()) {
+        if let Ok(ServerReply { answer, clock, .. }) = read_reply(200, body.as_bytes()) {
             prop_assert_eq!(clock, None);
             answer_lists(&mut agent, &answer);
         }
--- a/tests/platform_wire.rs
+++ b/tests/platform_wire.rs
@@ -5,7 +5,8 @@
 use assert_matches::assert_matches;
 use model::{EndKind, ServerAnswer, StartRefusal};
 use platform::{
-    CatalogError, JobError, read_catalog, read_heartbeat, read_job, read_job_id, read_reply,
+    CatalogError, JobError, ServerReply, read_catalog, read_heartbeat, read_job, read_job_id,
+    read_reply,
 };
 use serde_json::{Value, json};
 
@@ -152,7 +153,8 @@
         "ended": [[58, "5c0e7a21d94b36f8.0.1.9", 1, "done", "", "more"],
                   [59, "5c0e7a21d94b36f8.0.1.8", 1, "broken", ""]]
     });
-    let (answer, clock) = read_reply(200, body.to_string().as_bytes()).expect("valid reply");
+    let reply = read_reply(200, body.to_string().as_bytes()).expect("valid reply");
+    let ServerReply { answer, clock, .. } = reply;
     assert_eq!(clock.map(|clock| clock.as_millis()), Some(482_113));
     assert_matches!(answer, ServerAnswer::Lists { running, ended } => {
         assert_eq!((running[0].task.index, running[0].run), (17, 2));
@@ -161,15 +163,34 @@
     });
 }
 
+#[test]
+fn reply_names_life() {
+    let generation = |body: &str| read_reply(200, body.as_bytes()).expect("valid").generation;
+    let lists = "\"clock_ms\":1,\"running\":[],\"ended\":[]";
+    assert_eq!(generation(&format!("{{{lists},\"born\":1783700586461}}")), Some(1_783_700_586_461));
+    assert_eq!(generation(&format!("{{{lists}}}")), None);
+    for odd in ["0", "-1", "\"x\"", "null", "1e300"] {
+        assert_eq!(generation(&format!("{{{lists},\"born\":{odd}}}")), None, "{odd}");
+    }
+}
+
 #[test]
 fn error_replies_classified() {
     let odd_row = read_reply(200, b"{\"clock_ms\":1,\"running\":[[7]],\"ended\":[]}");
-    assert_matches!(odd_row, Ok((ServerAnswer::PartialLists { running, ended }, Some(_))) => {
+    let odd_row = odd_row.expect("the rest of the reply can be read");
+    assert!(odd_row.clock.is_some());
+    assert_matches!(odd_row.answer, ServerAnswer::PartialLists { running, ended } => {
         assert!(running.is_empty() && ended.is_empty(), "nothing of an odd row is used");
     });
     assert!(read_reply(200, b"{\"clock_ms\":1,\"running\":7,\"ended\":[]}").is_err());
     assert!(read_reply(500, b"").is_err());
     let refused = read_reply(409, b"{\"clock_ms\":1,\"reason\":\"room\"}");
-    assert_matches!(refused, Ok((ServerAnswer::Refused(StartRefusal::Room), Some(_))));
-    assert_matches!(read_reply(421, b""), Ok((ServerAnswer::Refused(StartRefusal::Gone), None)));
+    assert_matches!(
+        refused,
+        Ok(ServerReply { answer: ServerAnswer::Refused(StartRefusal::Room), clock: Some(_), .. })
+    );
+    assert_matches!(
+        read_reply(421, b""),
+        Ok(ServerReply { answer: ServerAnswer::Refused(StartRefusal::Gone), clock: None, .. })
+    );
 }
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -18,6 +18,7 @@
     AgentHeartbeat, AgentMessage, AgentOrders, AgentReport, Command, JobCall, JobPhase, JobReply,
     JobStep, LogRecord, QueueCatalog, QueueRule, QueuedJob, ResourceAmount, SchedulerKey,
     ServerAnswer, ServerCall, ServerHeartbeat, ServerRequest, ServerView, ServiceRule, TaskName,
+    life_id,
 };
 
 use crate::link_model::LinkModel;
@@ -319,7 +320,7 @@
     /// Crashes a backend server, which starts again at once under its id.
     pub(crate) fn restart_server(&mut self, server: usize) {
         self.last_generation += 1;
-        self.servers[server] = self.servers[server].reborn(self.now, self.last_generation);
+        self.servers[server] = self.servers[server].reborn(self.last_generation);
     }
 
     /// Sends the heartbeat of a backend server to its agent.
@@ -374,7 +375,7 @@
         let server = &self.servers[agent];
         ServerHeartbeat {
             view: ServerView {
-                life: format!("{}/{}", server.instance(), server.generation).into(),
+                life: life_id(&server.instance().into(), server.generation),
                 service: SERVICE.into(),
                 domain: "north".into(),
                 capacity: ResourceAmount {
@@ -567,9 +568,22 @@
         let clock = Some((self.servers[agent].clock(self.now), self.now));
         let (answer, clock) =
             if lose_answer { (ServerAnswer::NoAnswer, None) } else { (answer, clock) };
+        // Only lists name the life that they are of.
+        if let (ServerAnswer::Lists { .. }, Some(_)) = (&answer, clock) {
+            let generation = Some(self.servers[agent].generation);
+            let table = &mut self.agents[agent].table;
+            let steps = table.on_generation(self.now, &call, clock, generation);
+            self.apply_run_steps(agent, steps);
+        }
         self.deliver_answer(agent, &call, clock, answer);
     }
 
+    /// Whether an agent's call in transit is to stop a run.
+    pub(crate) fn is_stop(&self, agent: usize, position: usize) -> bool {
+        let call = self.agents[agent].calls.get(position);
+        call.is_some_and(|call| matches!(call.request, ServerRequest::Stop { .. }))
+    }
+
     /// Times a call out at the agent; it may be executed later.
     pub(crate) fn delay(&mut self, agent: usize, position: usize) {
         if position >= self.agents[agent].calls.len() {
@@ -638,7 +652,10 @@
     /// The events that concern a job, with all takeovers and sessions.
     pub(crate) fn event_trace(&self, job: &str) -> String {
         let related = self.events.iter().filter(|event| {
-            event.contains(job) || event.contains("takeover") || event.contains("session")
+            event.contains(job)
+                || event.contains("takeover")
+                || event.contains("session")
+                || event.contains("agent_lost")
         });
         related.cloned().collect::<Vec<_>>().join("\n")
     }
