--- a/tests/odd_catalogs.rs
+++ b/tests/odd_catalogs.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use assert_matches::assert_matches;
 use model::{Command, JobPhase, QueueCatalog};
-use platform::read_catalog;
+use platform::{CatalogError, read_catalog};
 use serde_json::{Value, json};
 
 use crate::schedule_model::{QUEUE, ScheduleModel, catalog, job};
@@ -39,7 +40,7 @@
         ("goal_ms", "-60"),
         ("timeout_ms", "0"),
     ] {
-        let error = read_catalog(&document(field, value)).expect_err(value).to_string();
+        let error = read_catalog(document(field, value)).expect_err(value).to_string();
         let undecodable = error.contains("cannot decode");
         assert!(error.contains(field) || undecodable, "{field} {value}: {error}");
     }
@@ -57,16 +58,26 @@
         ("max_attempts", "4294967295"),
         ("priority", "4294967295"),
     ] {
-        assert!(read_catalog(&document(field, value)).is_ok(), "{field} {value}");
+        assert!(read_catalog(document(field, value)).is_ok(), "{field} {value}");
     }
 }
 
 // Deep nesting must exhaust no stack, neither where a field is used nor where it isn't.
+// Guards against a configuration that is acknowledged, and served in another form than it
+// was sent.
+#[test]
+fn altered_text_refused() {
+    let text = document("host", "\"a\u{fc}.example\"");
+    assert!(read_catalog(&text).is_ok());
+    let odd: Vec<u8> = text.chars().map(|letter| letter as u8).collect();
+    assert_matches!(read_catalog(&odd), Err(CatalogError::NotText { .. }));
+}
+
 #[test]
 fn nested_catalogs_refused() {
     let deep = format!("{}{}", "{\"a\":".repeat(50_000), "1".to_owned() + &"}".repeat(50_000));
-    assert!(read_catalog(&document("stretch", &deep)).is_err());
-    assert!(read_catalog(&document("novel", &deep)).is_ok());
+    assert!(read_catalog(document("stretch", &deep)).is_err());
+    assert!(read_catalog(document("novel", &deep)).is_ok());
     assert!(read_catalog(&deep).is_err());
 }
 
