--- a/crates/decisions/src/control/replica/leader.rs
+++ b/crates/decisions/src/control/replica/leader.rs
@@ -231,7 +231,8 @@
         }
         let prev_index = peer.next_index - 1;
         let prev_term = self.log.term_at(prev_index)?;
-        let records = self.log.slice(peer.next_index, batch);
+        let mut records = self.log.slice(peer.next_index, batch);
+        truncate_to_bytes(&mut records, self.limits.max_batch_bytes);
         peer.next_index += records.len() as LogIndex;
         peer.in_flight_since = (!records.is_empty()).then_some(now);
         let message = ReplicaMessage::Append {
@@ -429,3 +430,14 @@
         })
     }
 }
+
+/// Drops the last records beyond an encoded size in bytes; the first one stays.
+fn truncate_to_bytes(records: &mut Vec<LogRecord>, max_bytes: usize) {
+    let mut bytes = 0;
+    let fitting = records.iter().take_while(|record| {
+        bytes += record.encoded_len();
+        bytes <= max_bytes
+    });
+    let count = fitting.count();
+    records.truncate(count.max(1));
+}
--- a/crates/decisions/src/control/replica/mod.rs
+++ b/crates/decisions/src/control/replica/mod.rs
@@ -54,6 +54,9 @@
     pub heartbeat_interval: Duration,
     /// Maximum number of records per append message.
     pub max_batch_records: usize,
+    /// Maximum encoded size of the records of an append message, in bytes, unless one
+    /// alone is larger.
+    pub max_batch_bytes: usize,
 }
 
 /// An action that a replica requests from its caller.
--- a/crates/model/src/replica.rs
+++ b/crates/model/src/replica.rs
@@ -26,6 +26,33 @@
     pub command: Command,
 }
 
+impl LogRecord {
+    /// Size of the encoded record in bytes.
+    pub fn encoded_len(&self) -> usize {
+        let mut counter = ByteCounter::default();
+        // Counting can't fail, and every command can be encoded.
+        let _counted = serde_json::to_writer(&mut counter, self);
+        counter.bytes
+    }
+}
+
+/// Counts the bytes that are written.
+#[derive(Default)]
+struct ByteCounter {
+    bytes: usize,
+}
+
+impl std::io::Write for ByteCounter {
+    fn write(&mut self, buffer: &[u8]) -> std::io::Result<usize> {
+        self.bytes += buffer.len();
+        Ok(buffer.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
 /// State that a replica must sync to disk before it replies to a vote request.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct HardState {
--- a/crates/services/src/replicated_log.rs
+++ b/crates/services/src/replicated_log.rs
@@ -30,6 +30,9 @@
 
 /// Maximum number of records in one message between replicas.
 const MAX_BATCH_RECORDS: usize = 1_024;
+/// Maximum size of the records in one message, in bytes; an eighth of the largest message
+/// between processes.
+const MAX_BATCH_BYTES: usize = 4 * 1024 * 1024;
 /// Heartbeat interval of a leader as a fraction of the minimum election timeout.
 const HEARTBEAT_FRACTION: f64 = 0.35;
 /// Time without contact after which a host is removed from a group that has
@@ -120,6 +123,7 @@
         min_election_timeout: setup.election,
         heartbeat_interval: setup.election.mul_f64(HEARTBEAT_FRACTION),
         max_batch_records: MAX_BATCH_RECORDS,
+        max_batch_bytes: MAX_BATCH_BYTES,
     };
     let target_hosts = setup.target_hosts;
     let mut replica = Replica::new(now, setup.name, setup.boot, limits, setup.group, setup.stored);
--- a/tests/log_model.rs
+++ b/tests/log_model.rs
@@ -14,6 +14,10 @@
     ReplicaMessage, SyncMark, Term,
 };
 
+/// Maximum size of a message; a record alone may take most of it.
+const MAX_MESSAGE_BYTES: usize = 2 * MAX_BATCH_BYTES;
+/// Maximum size of the records in one message, unless one alone is larger.
+pub(crate) const MAX_BATCH_BYTES: usize = 1_000;
 /// Minimum election timeout of the replicas.
 pub(crate) const MIN_ELECTION_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -55,6 +59,7 @@
         min_election_timeout: MIN_ELECTION_TIMEOUT,
         heartbeat_interval: MIN_ELECTION_TIMEOUT / 3,
         max_batch_records: 4,
+        max_batch_bytes: MAX_BATCH_BYTES,
     }
 }
 
@@ -112,7 +117,12 @@
         for step in steps {
             let host = &mut self.hosts[number];
             match step {
-                ReplicaStep::Send { to, envelope } => self.network.push((to, *envelope)),
+                ReplicaStep::Send { to, envelope } => {
+                    // A message that is too large is never delivered.
+                    if message_bytes(&envelope.message) <= MAX_MESSAGE_BYTES {
+                        self.network.push((to, *envelope));
+                    }
+                }
                 ReplicaStep::PersistHardState(state) => {
                     host.unsynced.push(JournalEntry::HardState { state });
                 }
@@ -227,7 +237,11 @@
     /// Proposes a distinct command; returns whether the host took it as leader.
     pub(crate) fn propose(&mut self, number: usize) -> bool {
         self.proposals += 1;
-        let command = Command::Expire { before_ms: self.proposals };
+        self.propose_command(number, Command::Expire { before_ms: self.proposals })
+    }
+
+    /// Proposes a command; returns whether the host took it as leader.
+    pub(crate) fn propose_command(&mut self, number: usize, command: Command) -> bool {
         let proposed = self.hosts[number].replica.propose(self.now, 0, vec![command]);
         let Some((_, steps)) = proposed else { return false };
         self.apply_steps(number, steps);
@@ -322,6 +336,14 @@
     }
 }
 
+/// Size of the records that a message carries.
+fn message_bytes(message: &ReplicaMessage) -> usize {
+    match message {
+        ReplicaMessage::Append { records, .. } => records.iter().map(LogRecord::encoded_len).sum(),
+        _ => 0,
+    }
+}
+
 fn apply_entry(stored: &mut StoredReplica, entry: JournalEntry) {
     match entry {
         JournalEntry::HardState { state } => stored.hard_state = state,
--- a/tests/long_runs.rs
+++ b/tests/long_runs.rs
@@ -203,6 +203,7 @@
 #[test]
 fn long_runs_single() {
     for seed in 1..=u64::from(crate::support::case_count(20)) {
+        println!("seed {seed}");
         play_day(seed);
     }
 }
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -320,7 +320,7 @@
     /// Crashes a backend server, which starts again at once under its id.
     pub(crate) fn restart_server(&mut self, server: usize) {
         self.last_generation += 1;
-        self.servers[server] = self.servers[server].reborn(self.last_generation);
+        self.servers[server] = self.servers[server].reborn(self.now, self.last_generation);
     }
 
     /// Sends the heartbeat of a backend server to its agent.
--- a/tests/server_model.rs
+++ b/tests/server_model.rs
@@ -58,11 +58,10 @@
         self.instance.clone()
     }
 
-    /// The next life of this instance, which knows nothing of before. Its clock goes on, so
-    /// that it refuses starts which were sent long before, by their lease.
-    pub(crate) fn reborn(&self, generation: u64) -> ServerModel {
+    /// The next life of this instance, which knows nothing of before; its clock starts anew.
+    pub(crate) fn reborn(&self, now: Instant, generation: u64) -> ServerModel {
         let instance = self.instance.clone();
-        ServerModel { instance, ..ServerModel::new(self.started_at, generation, self.slots) }
+        ServerModel { instance, ..ServerModel::new(now, generation, self.slots) }
     }
 
     fn end(&mut self, name: &str, kind: EndKind) {
