--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -156,6 +156,7 @@
 
 fn schedule_limits(settings: &ControlSettings) -> ScheduleLimits {
     ScheduleLimits {
+        incarnation: 0,
         grant: RUN_GRANT,
         lease: settings.run_lease(),
         reply_wait: REPLY_WAIT,
--- a/crates/cactuswing/src/roles/queue_entry.rs
+++ b/crates/cactuswing/src/roles/queue_entry.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use decisions::schedule::{ScheduleLimits, SchedulerKind};
+use edges::control_link::incarnation_at;
 use edges::job_calls::JobCalls;
 use kernel::{Kernel, SharedClock, StopSignal};
 use model::{EntryHost, EntrySettings, FrontSettings, QueueFrontMessage, ServiceName};
@@ -42,6 +43,7 @@
         address: local_address(&agents, settings.listen)?,
     };
     let limits = ScheduleLimits {
+        incarnation: incarnation_at(clock.wall_clock()),
         grant: RUN_GRANT,
         lease: Duration::from_millis(front.run_lease_ms),
         reply_wait: REPLY_WAIT,
--- /dev/null
+++ b/crates/decisions/src/agent/job_claims.rs
@@ -0,0 +1,196 @@
+//! Owns the claims of entries to best-effort jobs, of those jobs whose claims this agent
+//! keeps. Entries choose the agent by the job's id.
+//!
+//! Invariants:
+//! - a claim has one holder, which alone runs the job;
+//! - it passes to another entry only once the holder has released it, or once none of
+//!   the holder's runs can be active any more since its contact was lost;
+//! - the latest claimant is next: its caller sent the job again, so the holder's caller
+//!   no longer waits;
+//! - an agent that has just started grants nothing until holders have had time to list
+//!   their claims again.
+
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use model::{ClaimOrders, ClaimUpdate, Incarnation, JobId, SchedulerKey};
+
+/// A process that claims jobs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Claimant {
+    pub(super) scheduler: SchedulerKey,
+    pub(super) incarnation: Incarnation,
+}
+
+/// The claim to one job.
+#[derive(Debug, Clone)]
+struct JobClaim {
+    holder: Claimant,
+    /// Whether the holder may run the job.
+    granted: bool,
+    /// Time from which no run of the holder is active; set while it has no connection.
+    free_at: Option<Instant>,
+    /// Who gets the claim next.
+    next: Option<Claimant>,
+}
+
+/// A claim update and the scheduler it is for.
+pub(super) type ClaimNotice = (SchedulerKey, ClaimUpdate);
+
+/// The claims that an agent keeps.
+#[derive(Debug, Clone)]
+pub(super) struct JobClaims {
+    claims: IndexMap<JobId, JobClaim>,
+    /// Time before which nothing is granted.
+    grants_from: Instant,
+}
+
+impl JobClaim {
+    fn granted_to(holder: Claimant) -> JobClaim {
+        JobClaim { holder, granted: true, free_at: None, next: None }
+    }
+
+    /// The updates that are due to the holder, and to the next claimant.
+    fn notices(&self, job: &JobId) -> Vec<ClaimNotice> {
+        let holder = |update| (self.holder.scheduler.clone(), update);
+        let job = job.clone();
+        let Some(next) = &self.next else {
+            let granted = self.granted.then(|| holder(ClaimUpdate::Granted { job }));
+            return granted.into_iter().collect();
+        };
+        let held = (next.scheduler.clone(), ClaimUpdate::Held { job: job.clone() });
+        match self.free_at {
+            None => vec![holder(ClaimUpdate::Recalled { job }), held],
+            Some(_) => vec![held],
+        }
+    }
+}
+
+impl JobClaims {
+    /// Creates claims of which none is granted before a time.
+    pub(super) fn new(grants_from: Instant) -> JobClaims {
+        JobClaims { claims: IndexMap::new(), grants_from }
+    }
+
+    /// Handles an entry's message; returns the updates that follow.
+    pub(super) fn on_orders(
+        &mut self,
+        now: Instant,
+        scheduler: &SchedulerKey,
+        orders: ClaimOrders,
+    ) -> Vec<ClaimNotice> {
+        let claimant = Claimant { scheduler: scheduler.clone(), incarnation: orders.incarnation };
+        let mut notices = Vec::new();
+        if orders.is_first {
+            notices.extend(self.release_unlisted(&claimant, &orders.held));
+        }
+        for job in orders.held {
+            notices.extend(self.restore(job, &claimant));
+        }
+        for job in orders.released {
+            notices.extend(self.release(&job, &claimant));
+        }
+        for job in orders.claimed {
+            notices.extend(self.claim(now, job, &claimant));
+        }
+        notices
+    }
+
+    /// Releases the claims that an entry no longer holds after a lost connection. The runs
+    /// of an earlier process of it may still be active.
+    fn release_unlisted(&mut self, holder: &Claimant, held: &[JobId]) -> Vec<ClaimNotice> {
+        let known = self.claims.iter().filter(|(_, claim)| claim.holder == *holder);
+        let released: Vec<JobId> =
+            known.map(|(job, _)| job).filter(|job| !held.contains(job)).cloned().collect();
+        released.iter().flat_map(|job| self.release(job, holder)).collect()
+    }
+
+    /// Restores a claim. Another entry that was granted the claim meanwhile goes first.
+    fn restore(&mut self, job: JobId, holder: &Claimant) -> Vec<ClaimNotice> {
+        let claim = self.claims.entry(job.clone());
+        let claim = claim.or_insert_with(|| JobClaim::granted_to(holder.clone()));
+        if claim.holder != *holder && !claim.granted {
+            let next = std::mem::replace(claim, JobClaim::granted_to(holder.clone())).holder;
+            claim.next = Some(next);
+        }
+        if claim.holder != *holder {
+            return vec![(holder.scheduler.clone(), ClaimUpdate::Recalled { job })];
+        }
+        claim.free_at = None;
+        claim.granted = true;
+        claim.notices(&job)
+    }
+
+    fn claim(&mut self, now: Instant, job: JobId, claimant: &Claimant) -> Vec<ClaimNotice> {
+        let granted = now >= self.grants_from;
+        let claim = self.claims.entry(job.clone());
+        let claim =
+            claim.or_insert_with(|| JobClaim { granted, ..JobClaim::granted_to(claimant.clone()) });
+        if claim.holder == *claimant {
+            claim.free_at = None;
+        } else if claim.granted {
+            claim.next = Some(claimant.clone());
+        } else {
+            claim.holder = claimant.clone();
+        }
+        claim.notices(&job)
+    }
+
+    fn release(&mut self, job: &JobId, claimant: &Claimant) -> Vec<ClaimNotice> {
+        let Some(claim) = self.claims.get_mut(job) else { return Vec::new() };
+        claim.next.take_if(|next| next == claimant);
+        if claim.holder != *claimant {
+            return Vec::new();
+        }
+        self.pass_on(job)
+    }
+
+    /// Passes a claim to the next claimant, or forgets it.
+    fn pass_on(&mut self, job: &JobId) -> Vec<ClaimNotice> {
+        let Some(claim) = self.claims.get_mut(job) else { return Vec::new() };
+        let Some(next) = claim.next.take() else {
+            self.claims.swap_remove(job);
+            return Vec::new();
+        };
+        *claim = JobClaim::granted_to(next);
+        claim.notices(job)
+    }
+
+    /// Handles the loss of an entry's connection: its runs are over at `free_at`, unless
+    /// it comes back.
+    pub(super) fn on_closed(&mut self, scheduler: &SchedulerKey, free_at: Instant) {
+        for claim in self.claims.values_mut() {
+            claim.next.take_if(|next| next.scheduler == *scheduler);
+            if claim.holder.scheduler == *scheduler {
+                claim.free_at = Some(free_at);
+            }
+        }
+    }
+
+    /// Passes on the claims whose holder's runs are over, and grants what was claimed
+    /// before the first grants.
+    pub(super) fn on_tick(&mut self, now: Instant) -> Vec<ClaimNotice> {
+        let mut notices = Vec::new();
+        if now >= self.grants_from {
+            for (job, claim) in self.claims.iter_mut().filter(|(_, claim)| !claim.granted) {
+                claim.granted = true;
+                notices.extend(claim.notices(job));
+            }
+        }
+        let free = |claim: &JobClaim| claim.free_at.is_some_and(|at| at <= now);
+        let freed = self.claims.iter().filter(|(_, claim)| free(claim));
+        let freed: Vec<JobId> = freed.map(|(job, _)| job.clone()).collect();
+        for job in freed {
+            notices.extend(self.pass_on(&job));
+        }
+        notices
+    }
+
+    /// Time at which [`JobClaims::on_tick`] is next due.
+    pub(super) fn next_deadline(&self) -> Option<Instant> {
+        let claims = self.claims.values();
+        claims
+            .filter_map(|claim| claim.free_at.or((!claim.granted).then_some(self.grants_from)))
+            .min()
+    }
+}
--- a/crates/decisions/src/agent/mod.rs
+++ b/crates/decisions/src/agent/mod.rs
@@ -11,6 +11,7 @@
 
 mod heartbeat_interval;
 mod instance_pool;
+mod job_claims;
 mod run_calls;
 mod run_table;
 mod scheduler_session;
--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -21,14 +21,16 @@
 
 use indexmap::IndexMap;
 use model::{
-    AgentOrder, AgentOrders, AgentReport, EndKind, EntryHost, EventLine, FenceNumber, Incarnation,
-    NodeId, RunUpdate, SchedulerKey, ServerCall, ServerReport, ServerRequest, SessionId,
-    StartRefusal, TaskRun,
+    AgentOrder, AgentOrders, AgentReport, ClaimUpdate, EndKind, EntryHost, EventLine, FenceNumber,
+    Incarnation, NodeId, RunUpdate, SchedulerKey, ServerCall, ServerReport, ServerRequest,
+    SessionId, StartRefusal, TaskRun,
 };
 
+use super::job_claims::{ClaimNotice, JobClaims};
 use super::scheduler_session::{SchedulerSession, UpdateUrgency};
 use super::server_heartbeats::Candidate;
 use super::server_life::{OwnedUpdate, RunPhase, ServerLife};
+use crate::run_bounds::{MAX_CLOCK_DRIFT_RATIO, contact_timeout};
 
 /// Timing parameters of a run table.
 #[derive(Debug, Clone, Copy)]
@@ -46,9 +48,9 @@
     pub claim_wait: Duration,
 }
 
-/// Upper bound on the relative clock drift between two hosts, or between a host
-/// and its backend server.
-pub(super) const MAX_CLOCK_DRIFT_RATIO: f64 = 0.05;
+/// Time after the start of an agent in which entries connect and list the claims that
+/// they hold.
+const CLAIM_RESTORE_TIME: Duration = Duration::from_millis(300);
 
 /// An effect for the agent's run service to carry out.
 #[derive(Debug, Clone, PartialEq)]
@@ -79,6 +81,7 @@
     /// Heartbeat of another instance, which is followed once the current life is over.
     pub(super) candidate: Option<Candidate>,
     pub(super) schedulers: IndexMap<SchedulerKey, SchedulerSession>,
+    claims: JobClaims,
     /// Fencing token of calls to the backend server. Only this agent calls it, so
     /// a token that rises with each start of the agent fences earlier processes.
     pub(super) fence: FenceNumber,
@@ -102,6 +105,7 @@
             life: None,
             candidate: None,
             schedulers: IndexMap::new(),
+            claims: JobClaims::new(now + CLAIM_RESTORE_TIME),
             fence: incarnation,
             steps: Vec::new(),
         }
@@ -186,6 +190,8 @@
     ) -> Vec<RunStep> {
         if let Some(known) = self.schedulers.get_mut(scheduler) {
             known.close(session);
+            let timeout = contact_timeout(known.grant, self.limits.lease);
+            self.claims.on_closed(scheduler, now + timeout);
         }
         self.finish(now)
     }
@@ -230,6 +236,7 @@
         known.usage_interval = Duration::from_millis(orders.usage_interval_ms);
         let grant = Duration::from_millis(orders.grant_ms).mul_f64(1.0 - MAX_CLOCK_DRIFT_RATIO);
         known.grant_until = known.grant_until.max(Some(sent_at + grant));
+        known.grant = Duration::from_millis(orders.grant_ms);
         if let (SchedulerKey::Control, Some(ack), Some(life)) =
             (scheduler, &orders.ack, &mut self.life)
             && ack.life == life.view.life
@@ -239,6 +246,10 @@
         if let Some(entries) = orders.entries {
             self.steps.push(RunStep::Connect(entries));
         }
+        if let Some(claims) = orders.claims {
+            let notices = self.claims.on_orders(now, scheduler, *claims);
+            self.notify_claims(now, notices);
+        }
         for order in orders.orders {
             match order {
                 AgentOrder::Start { life, runs, spec, size } => {
@@ -270,6 +281,26 @@
         }
     }
 
+    /// Queues claim updates for their schedulers.
+    fn notify_claims(&mut self, now: Instant, notices: Vec<ClaimNotice>) {
+        for (scheduler, update) in notices {
+            let line = match &update {
+                ClaimUpdate::Granted { .. } => None,
+                ClaimUpdate::Held { job } => {
+                    Some(EventLine::new("claim_contended").with("job", job).with("by", &scheduler))
+                }
+                ClaimUpdate::Recalled { job } => {
+                    let line = EventLine::new("claim_recalled").with("job", job);
+                    Some(line.with("holder", &scheduler))
+                }
+            };
+            self.steps.extend(line.map(RunStep::Log));
+            if let Some(session) = self.schedulers.get_mut(&scheduler) {
+                session.add_claim_update(now, update);
+            }
+        }
+    }
+
     /// Assigns an unclaimed run to the scheduler that claims it.
     fn claim_run(&mut self, scheduler: &SchedulerKey, run: &TaskRun) {
         let state = self.life.as_mut().and_then(|life| life.runs.get_mut(run));
@@ -286,6 +317,8 @@
     /// Carries out all that is due after an input, and returns the steps.
     pub(super) fn finish(&mut self, now: Instant) -> Vec<RunStep> {
         self.expire_lease(now);
+        let notices = self.claims.on_tick(now);
+        self.notify_claims(now, notices);
         self.stop_ungranted_runs(now);
         self.retry_stops(now);
         self.start_waiting(now);
@@ -321,6 +354,7 @@
                 runs: session.must_list_runs.then(|| listed(Some(scheduler))),
                 unowned: if session.must_list_runs { listed(None) } else { Vec::new() },
                 updates: session.take_updates(now, other_usage),
+                claims: session.take_claim_updates(),
                 other_usage,
             };
             self.steps.push(RunStep::Report(scheduler.clone(), report));
@@ -380,7 +414,8 @@
             session.next_report(&other_usage)
         });
         let life = life.and_then(ServerLife::next_deadline);
-        list_deadline.into_iter().chain(granted).chain(reports).chain(life).min()
+        let claims = self.claims.next_deadline();
+        list_deadline.into_iter().chain(granted).chain(reports).chain(life).chain(claims).min()
     }
 
     /// Incarnation of the agent; rises with each of its starts.
--- a/crates/decisions/src/agent/scheduler_session.rs
+++ b/crates/decisions/src/agent/scheduler_session.rs
@@ -6,7 +6,9 @@
 
 use std::time::{Duration, Instant};
 
-use model::{MAX_UNACKED_REPORTS, ResourceAmount, RunUpdate, ServerReport, SessionId, Term};
+use model::{
+    ClaimUpdate, MAX_UNACKED_REPORTS, ResourceAmount, RunUpdate, ServerReport, SessionId, Term,
+};
 
 /// How long an update that only releases capacity may wait for others.
 const CAPACITY_UPDATE_DELAY: Duration = Duration::from_millis(20);
@@ -37,8 +39,12 @@
     pub(super) term: Term,
     /// Time until which runs of this scheduler may stay active.
     pub(super) grant_until: Option<Instant>,
+    /// Duration of its grants.
+    pub(super) grant: Duration,
     /// Updates to send with the next report.
     updates: Vec<RunUpdate>,
+    /// Claim updates to send with the next report.
+    claim_updates: Vec<ClaimUpdate>,
     /// Time by which the updates have to be reported.
     updates_due: Option<Instant>,
     /// What the latest report of the session said of the backend server.
@@ -62,6 +68,7 @@
         self.unacked_reports = 0;
         self.usage_interval = self.usage_interval.max(INITIAL_USAGE_INTERVAL);
         self.updates = updates;
+        self.claim_updates.clear();
         self.updates_due = None;
         self.notified_active = None;
         self.reported_server = ServerReport::Unchanged;
@@ -72,9 +79,24 @@
         if self.session == Some(session) {
             self.session = None;
             self.updates.clear();
+            self.claim_updates.clear();
         }
     }
 
+    /// Adds a claim update, which is reported at once. Without a session it is dropped:
+    /// an entry lists its claims again in the next one.
+    pub(super) fn add_claim_update(&mut self, now: Instant, update: ClaimUpdate) {
+        if self.session.is_some() {
+            self.claim_updates.push(update);
+            self.updates_due = Some(now);
+        }
+    }
+
+    /// Takes the claim updates for a report that is sent now.
+    pub(super) fn take_claim_updates(&mut self) -> Vec<ClaimUpdate> {
+        std::mem::take(&mut self.claim_updates)
+    }
+
     /// Adds an update to the next report. Without a session it is dropped: the next
     /// session begins with the list of runs and the unacknowledged ends.
     pub(super) fn add_update(&mut self, now: Instant, update: RunUpdate, urgency: UpdateUrgency) {
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -19,8 +19,8 @@
     ServerView, StartRefusal, TaskRun,
 };
 
-use super::run_table::MAX_CLOCK_DRIFT_RATIO;
 use super::start_queue::StartQueue;
+use crate::run_bounds::MAX_CLOCK_DRIFT_RATIO;
 
 /// Maximum number of ends in one list; a full list may be incomplete.
 const MAX_LISTED_ENDS: usize = 500;
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod control;
 pub mod discovery;
 pub mod entry;
+mod run_bounds;
 pub mod schedule;
--- /dev/null
+++ b/crates/decisions/src/run_bounds.rs
@@ -0,0 +1,18 @@
+//! Bounds on how long the runs of a scheduler stay active without contact, on which
+//! schedulers and agents both rely.
+
+use std::time::Duration;
+
+/// Upper bound on the relative clock drift between two hosts, or between a host
+/// and its backend server.
+pub(crate) const MAX_CLOCK_DRIFT_RATIO: f64 = 0.05;
+/// Time after the end of grant and lease that is allowed for stopping runs and
+/// for messages in flight; both together take less.
+const STOP_MARGIN: Duration = Duration::from_millis(300);
+
+/// Time since the last contact of a scheduler and an agent after which none of the
+/// scheduler's runs there is active: grant and lease, with the margins for clock drift
+/// and stops.
+pub(crate) fn contact_timeout(grant: Duration, lease: Duration) -> Duration {
+    (grant + lease).mul_f64(1.0 + MAX_CLOCK_DRIFT_RATIO) + STOP_MARGIN
+}
--- a/crates/decisions/src/schedule/agent_orders.rs
+++ b/crates/decisions/src/schedule/agent_orders.rs
@@ -73,6 +73,7 @@
             usage_interval_ms,
             ack: state.take_ack(),
             orders: std::mem::take(&mut state.outbox),
+            claims: state.take_claim_orders(self.limits.incarnation),
             entries: hosts_changed.then(|| self.hosts.entries()).flatten(),
             controls: hosts_changed.then(|| self.hosts.controls()).flatten(),
         };
--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -44,10 +44,13 @@
     }
 
     /// Handles the loss of an agent's connection. The agent's runs may still be active.
-    pub fn on_link_lost(&mut self, link: LinkId) {
+    pub fn on_link_lost(&mut self, now: Instant, link: LinkId) {
         for state in self.agents.values_mut() {
-            state.link.take_if(|open| open.id == link);
+            if state.link.take_if(|open| open.id == link).is_some() {
+                state.link_lost_at = Some(now);
+            }
         }
+        self.on_claim_keeper_lost(now);
     }
 
     /// Handles a heartbeat; `None` if it is not accepted.
@@ -71,6 +74,9 @@
             self.reconcile_runs(now, report, runs);
         }
         self.apply_updates(now, report);
+        for update in &report.claims {
+            self.on_claim_update(now, &report.agent, update);
+        }
         self.unreported_agents.swap_remove(&report.agent);
         self.try_complete_takeover(now);
         Some(&report.agent)
@@ -100,6 +106,7 @@
         }
         state.begin_session(now, incarnation, session);
         state.link = Some(AgentLink::new(link));
+        state.link_lost_at = None;
         state.last_contact = now;
         let line = EventLine::new("agent_session")
             .with("agent", agent)
@@ -107,6 +114,7 @@
             .with("session", session)
             .with("runs", report.runs.as_ref().map_or(0, Vec::len));
         self.steps.push(ScheduleStep::Log(line));
+        self.list_claims(now, agent);
         true
     }
 
--- a/crates/decisions/src/schedule/agent_state.rs
+++ b/crates/decisions/src/schedule/agent_state.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant};
 
 use model::{
-    AgentOrder, EndAck, EndNumber, Incarnation, LifeId, ResourceAmount, ServerView, SessionId,
-    TaskRun,
+    AgentOrder, ClaimOrders, EndAck, EndNumber, Incarnation, LifeId, ResourceAmount, ServerView,
+    SessionId, TaskRun,
 };
 
 use super::agent_link::AgentLink;
@@ -43,8 +43,12 @@
     pub(super) sent_hosts_version: u64,
     /// The open connection, if there is one.
     pub(super) link: Option<AgentLink>,
+    /// Time at which its connection was lost; `None` while it is connected.
+    pub(super) link_lost_at: Option<Instant>,
     /// Orders that are not sent yet.
     pub(super) outbox: Vec<AgentOrder>,
+    /// Claims to send with the next message.
+    pub(super) claim_outbox: ClaimOrders,
     /// Time until which the backend server gets no work.
     pub(super) paused_until: Option<Instant>,
     speed: SpeedEstimate,
@@ -67,7 +71,9 @@
             other_usage: ResourceAmount::default(),
             sent_hosts_version: 0,
             link: None,
+            link_lost_at: Some(now),
             outbox: Vec::new(),
+            claim_outbox: ClaimOrders::default(),
             paused_until: None,
             speed: SpeedEstimate::new(now),
             consecutive_failures: 0,
@@ -123,7 +129,9 @@
         self.incarnation = incarnation;
         self.session = session;
         self.outbox.clear();
+        self.claim_outbox = ClaimOrders::default();
         self.link = None;
+        self.link_lost_at = Some(now);
         self.unsent_ack_since = (self.last_acked_end > 0).then_some(now);
         self.sent_hosts_version = 0;
     }
@@ -184,6 +192,16 @@
         }
     }
 
+    /// Returns the claim orders to send, if there are any.
+    pub(super) fn take_claim_orders(
+        &mut self,
+        incarnation: Incarnation,
+    ) -> Option<Box<ClaimOrders>> {
+        let orders = std::mem::take(&mut self.claim_outbox);
+        let is_empty = orders == ClaimOrders::default();
+        (!is_empty).then(|| Box::new(ClaimOrders { incarnation, ..orders }))
+    }
+
     /// Returns the acknowledgement to send and marks it as sent.
     pub(super) fn take_ack(&mut self) -> Option<EndAck> {
         self.unsent_ack_since = None;
--- a/crates/decisions/src/schedule/job_admission.rs
+++ b/crates/decisions/src/schedule/job_admission.rs
@@ -13,6 +13,7 @@
 };
 
 use super::agent_state::AgentState;
+use super::job_claims::ClaimStart;
 use super::live_job::{JobWaiter, LiveJob, MAX_OBJECTIVE_FACTOR};
 use super::scheduler::{JobDecision, ScheduleStep, Scheduler};
 use crate::control::JobChange;
@@ -45,6 +46,10 @@
             }
             return JobDecision::Wait;
         }
+        if self.is_claim_recalled(&job.id) {
+            // Its caller has sent it to another entry, which waits for its runs to end.
+            return JobDecision::Reply(JobReply::Unclear);
+        }
         let wait = waiter.until.saturating_duration_since(now);
         if let Some(reply) = self.refusal(job, Some(wait)) {
             return JobDecision::Reply(reply);
@@ -58,11 +63,12 @@
             if let Some(live) = self.live.get_mut(&job.id) {
                 live.waiter = Some(waiter);
             }
-            if self.unreported_agents.is_empty() {
-                self.release_steps(&job.id);
-            } else {
+            if !self.unreported_agents.is_empty() {
                 self.held_jobs.insert(job.id.clone());
             }
+            if self.claim_job(now, &job.id) == ClaimStart::Granted {
+                self.release_steps(&job.id);
+            }
             self.note_expiry(&job.id);
         }
         JobDecision::Wait
@@ -123,7 +129,7 @@
     /// Estimated run time from the earliest task of a job that waits for a placement
     /// to its end; `None` if no task waits.
     fn waiting_path(&self, id: &JobId, live: &LiveJob) -> Option<Duration> {
-        if self.held_jobs.contains(id) {
+        if self.is_held(id) {
             return Some(live.critical_path);
         }
         self.ready.steps_of(id, &live.job).map(|step| live.job.path_from(step)).max()
--- /dev/null
+++ b/crates/decisions/src/schedule/job_claims.rs
@@ -0,0 +1,396 @@
+//! Claims best-effort jobs at agents, so that no two entries run one job at a time.
+//!
+//! A caller whose connection breaks sends its job again, to any entry and without delay,
+//! while the first entry may not even know that its caller is gone. So an entry starts a
+//! job's tasks only once it holds the claim to the job, which the agent that comes first
+//! in an order by the job's id keeps. All entries compute the same order.
+//!
+//! Invariants:
+//! - no task of a job is placed before its claim is granted, nor after the connection to
+//!   the agent that keeps it was lost, until that agent or another one grants it again;
+//! - a claim is released only when no run of the job can be active;
+//! - a job whose claim is recalled is ended: its caller has sent it again.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use model::{
+    ClaimOrders, ClaimUpdate, EventLine, JobId, JobPhase, JobReply, NodeId, TaskName, fingerprint,
+};
+
+use super::scheduler::{ScheduleStep, Scheduler, SchedulerKind};
+
+/// How long a connected agent may take to answer a claim before another one is asked too.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long a claim waits for an agent whose connection was lost to connect again.
+const RECONNECT_WAIT: Duration = Duration::from_millis(300);
+/// Time after the connection of an agent, while no other one was connected, in which the
+/// others connect.
+const CONNECT_TIME: Duration = Duration::from_millis(200);
+
+/// State of a claim.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ClaimPhase {
+    /// No agent has granted it yet.
+    Pending,
+    /// Another entry holds it; the agent grants it later.
+    Contended,
+    /// The job may run.
+    Granted,
+    /// The job runs, but the agent that has granted the claim may have lost it.
+    Unconfirmed,
+    /// The job has ended here; the claim is released once its last run is over.
+    Closing,
+}
+
+impl ClaimPhase {
+    /// Whether no agent has granted the claim yet.
+    fn is_ungranted(self) -> bool {
+        matches!(self, ClaimPhase::Pending | ClaimPhase::Contended)
+    }
+}
+
+/// Claim of this entry to one job.
+#[derive(Debug, Clone)]
+struct JobClaim {
+    phase: ClaimPhase,
+    /// Whether another entry waits for the release.
+    is_recalled: bool,
+    since: Instant,
+    /// Agents that were asked, the latest last.
+    asked: Vec<NodeId>,
+    asked_at: Instant,
+    /// Tasks whose runs may still be active although the job has ended.
+    stopping: Vec<TaskName>,
+}
+
+/// How a job that is submitted may proceed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ClaimStart {
+    /// Its tasks may be placed.
+    Granted,
+    /// It waits for the grant.
+    Wait,
+    /// Another entry is about to run it.
+    Recalled,
+}
+
+/// What to do about a claim without a grant.
+enum ClaimStep {
+    /// Ask this agent.
+    Ask(NodeId),
+    /// Check again at this time.
+    WaitUntil(Instant),
+    /// Wait for an agent to connect.
+    Wait,
+}
+
+/// The claims of an entry.
+#[derive(Debug, Clone, Default)]
+pub(super) struct JobClaims {
+    claims: IndexMap<JobId, JobClaim>,
+    /// Number of claims that are closing.
+    closing: usize,
+    /// Time of the next check for claims without a grant.
+    next_check: Option<Instant>,
+    /// Time since which an agent is connected.
+    connected_at: Option<Instant>,
+}
+
+impl JobClaims {
+    /// Whether a job waits for the first grant of its claim.
+    pub(super) fn is_pending(&self, job: &JobId) -> bool {
+        let claim = self.claims.get(job);
+        claim.is_some_and(|claim| claim.phase.is_ungranted())
+    }
+
+    /// Whether the tasks of a job may be placed.
+    pub(super) fn allows_placement(&self, job: &JobId) -> bool {
+        self.claims.get(job).is_none_or(|claim| claim.phase == ClaimPhase::Granted)
+    }
+
+    /// Time of the next check for claims without a grant.
+    pub(super) fn next_check(&self) -> Option<Instant> {
+        self.next_check
+    }
+
+    fn require_check(&mut self, at: Instant) {
+        self.next_check = self.next_check.into_iter().chain([at]).min();
+    }
+}
+
+impl Scheduler {
+    /// Whether the tasks of a job must not be placed yet.
+    pub(super) fn is_held(&self, job: &JobId) -> bool {
+        self.held_jobs.contains(job) || self.claims.is_pending(job)
+    }
+
+    /// Whether another entry waits for this one to release its claim to a job.
+    pub(super) fn is_claim_recalled(&self, job: &JobId) -> bool {
+        self.claims.claims.get(job).is_some_and(|claim| claim.is_recalled)
+    }
+
+    /// Claims a job that was submitted to an entry.
+    pub(super) fn claim_job(&mut self, now: Instant, job: &JobId) -> ClaimStart {
+        if self.kind != SchedulerKind::Entry {
+            return ClaimStart::Granted;
+        }
+        match self.claims.claims.get_mut(job) {
+            Some(claim) if claim.is_recalled => ClaimStart::Recalled,
+            Some(claim) => {
+                if claim.phase == ClaimPhase::Closing {
+                    claim.phase = ClaimPhase::Granted;
+                    self.claims.closing -= 1;
+                }
+                ClaimStart::Granted
+            }
+            None => {
+                let claim = JobClaim {
+                    phase: ClaimPhase::Pending,
+                    is_recalled: false,
+                    since: now,
+                    asked: Vec::new(),
+                    asked_at: now,
+                    stopping: Vec::new(),
+                };
+                self.claims.claims.insert(job.clone(), claim);
+                self.claims.require_check(now);
+                ClaimStart::Wait
+            }
+        }
+    }
+
+    /// Asks agents to grant the claims for which that is due.
+    pub(super) fn check_claims(&mut self, now: Instant) {
+        if self.claims.next_check.is_none_or(|at| at > now) {
+            return;
+        }
+        self.claims.next_check = None;
+        self.doubt_claims(now);
+        let claims = self.claims.claims.iter();
+        let pending = claims.filter(|(_, claim)| {
+            matches!(claim.phase, ClaimPhase::Pending | ClaimPhase::Unconfirmed)
+        });
+        let pending: Vec<JobId> = pending.map(|(job, _)| job.clone()).collect();
+        for job in pending {
+            match self.next_claim_step(now, &job) {
+                ClaimStep::Ask(agent) => self.ask_for_claim(now, &job, agent),
+                ClaimStep::WaitUntil(at) => self.claims.require_check(at),
+                ClaimStep::Wait => {}
+            }
+        }
+    }
+
+    /// Marks the claims as unconfirmed that agents keep which did not connect again.
+    fn doubt_claims(&mut self, now: Instant) {
+        let agents = &self.agents;
+        let claims = self.claims.claims.values_mut();
+        for claim in claims.filter(|claim| claim.phase == ClaimPhase::Granted) {
+            let keeper = claim.asked.last().and_then(|agent| agents.get(agent));
+            let is_lost = keeper.is_none_or(|state| {
+                state.link_lost_at.is_some_and(|at| at + RECONNECT_WAIT <= now)
+            });
+            if is_lost {
+                claim.phase = ClaimPhase::Unconfirmed;
+            }
+        }
+    }
+
+    /// Requires a check of the claims that an agent keeps, once it has had time to connect
+    /// again.
+    pub(super) fn on_claim_keeper_lost(&mut self, now: Instant) {
+        if self.kind == SchedulerKind::Entry {
+            self.claims.require_check(now + RECONNECT_WAIT);
+        }
+    }
+
+    fn next_claim_step(&self, now: Instant, job: &JobId) -> ClaimStep {
+        let Some(claim) = self.claims.claims.get(job) else { return ClaimStep::Wait };
+        let Some(connected_at) = self.claims.connected_at else { return ClaimStep::Wait };
+        if now < connected_at + CONNECT_TIME {
+            return ClaimStep::WaitUntil(connected_at + CONNECT_TIME);
+        }
+        if let Some(agent) = claim.asked.last()
+            && let Some(until) = self.claim_wait(agent, claim.asked_at)
+            && now < until
+        {
+            return ClaimStep::WaitUntil(until);
+        }
+        self.choose_claim_keeper(now, job, &claim.asked)
+    }
+
+    /// Time until which an agent that was asked may take to answer; `None` if it is gone.
+    fn claim_wait(&self, agent: &NodeId, asked_at: Instant) -> Option<Instant> {
+        let state = self.agents.get(agent)?;
+        match state.link_lost_at {
+            None => Some(asked_at + CLAIM_TIMEOUT),
+            Some(lost_at) => Some(lost_at + RECONNECT_WAIT),
+        }
+    }
+
+    /// Chooses the first agent in the order of the job that was not asked yet. One that
+    /// has just lost its connection keeps its place.
+    fn choose_claim_keeper(&self, now: Instant, job: &JobId, asked: &[NodeId]) -> ClaimStep {
+        let reachable = self.agents.iter().filter(|(agent, state)| {
+            let is_back_soon = state.link_lost_at.is_none_or(|at| now < at + RECONNECT_WAIT);
+            is_back_soon && !asked.contains(*agent)
+        });
+        let Some((agent, state)) = reachable.max_by_key(|(agent, _)| claim_rank(job, agent)) else {
+            return ClaimStep::Wait;
+        };
+        match state.link_lost_at {
+            None => ClaimStep::Ask(agent.clone()),
+            Some(lost_at) => ClaimStep::WaitUntil(lost_at + RECONNECT_WAIT),
+        }
+    }
+
+    fn ask_for_claim(&mut self, now: Instant, job: &JobId, agent: NodeId) {
+        let Some(claim) = self.claims.claims.get_mut(job) else { return };
+        claim.asked.push(agent.clone());
+        claim.asked_at = now;
+        let is_running = claim.phase == ClaimPhase::Unconfirmed;
+        self.claims.require_check(now + CLAIM_TIMEOUT);
+        if let Some(state) = self.agents.get_mut(&agent) {
+            let orders = &mut state.claim_outbox;
+            let list = if is_running { &mut orders.held } else { &mut orders.claimed };
+            list.push(job.clone());
+            self.due_agents.insert(agent);
+        }
+    }
+
+    /// Lists the claims that an agent keeps, in the first message of its session. It
+    /// grants them again.
+    pub(super) fn list_claims(&mut self, now: Instant, agent: &NodeId) {
+        if self.kind != SchedulerKind::Entry {
+            return;
+        }
+        let mut others = self.agents.iter().filter(|(other, _)| *other != agent);
+        if others.all(|(_, state)| state.link.is_none()) {
+            self.claims.connected_at = Some(now);
+        }
+        self.claims.require_check(now);
+        let (mut claimed, mut held) = (Vec::new(), Vec::new());
+        let claims = self.claims.claims.iter_mut();
+        for (job, claim) in claims.filter(|(_, claim)| claim.asked.contains(agent)) {
+            if claim.phase == ClaimPhase::Granted && claim.asked.last() == Some(agent) {
+                claim.phase = ClaimPhase::Unconfirmed;
+                claim.asked_at = now;
+            }
+            let list = if claim.phase.is_ungranted() { &mut claimed } else { &mut held };
+            list.push(job.clone());
+        }
+        if !claimed.is_empty() || !held.is_empty() {
+            self.due_agents.insert(agent.clone());
+        }
+        if let Some(state) = self.agents.get_mut(agent) {
+            let orders = &mut state.claim_outbox;
+            *orders = ClaimOrders { is_first: true, claimed, held, ..ClaimOrders::default() };
+        }
+    }
+
+    /// Handles a claim update of an agent.
+    pub(super) fn on_claim_update(&mut self, now: Instant, agent: &NodeId, update: &ClaimUpdate) {
+        match update {
+            ClaimUpdate::Granted { job } => self.on_claim_granted(now, agent, job),
+            ClaimUpdate::Held { job } => self.on_claim_held(agent, job),
+            ClaimUpdate::Recalled { job } => self.on_claim_recalled(now, agent, job),
+        }
+    }
+
+    fn on_claim_granted(&mut self, now: Instant, agent: &NodeId, job: &JobId) {
+        let Some(claim) = self.claims.claims.get_mut(job) else {
+            return self.release_claim_at(agent, job, false);
+        };
+        match claim.phase {
+            ClaimPhase::Granted | ClaimPhase::Closing => return,
+            ClaimPhase::Unconfirmed => {
+                claim.phase = ClaimPhase::Granted;
+                self.placement_due = true;
+                return;
+            }
+            ClaimPhase::Pending | ClaimPhase::Contended => claim.phase = ClaimPhase::Granted,
+        }
+        let waited = now.saturating_duration_since(claim.since);
+        if waited >= CLAIM_TIMEOUT {
+            let line = EventLine::new("claim_granted").with("job", job).with("agent", agent);
+            let line = line.with("waited_ms", waited.as_millis());
+            self.steps.push(ScheduleStep::Log(line));
+        }
+        self.release_steps(job);
+        self.note_expiry(job);
+    }
+
+    /// Waits for the grant of the agent at which another entry holds the claim.
+    fn on_claim_held(&mut self, agent: &NodeId, job: &JobId) {
+        let Some(claim) = self.claims.claims.get_mut(job) else {
+            return self.release_claim_at(agent, job, false);
+        };
+        if claim.phase == ClaimPhase::Pending {
+            claim.phase = ClaimPhase::Contended;
+        }
+    }
+
+    /// Ends a job that its caller has sent to another entry. The claim is released once
+    /// no run of the job is active.
+    fn on_claim_recalled(&mut self, now: Instant, agent: &NodeId, job: &JobId) {
+        let Some(claim) = self.claims.claims.get_mut(job) else {
+            return self.release_claim_at(agent, job, true);
+        };
+        claim.is_recalled = true;
+        let line = EventLine::new("claim_recalled").with("job", job).with("agent", agent);
+        self.steps.push(ScheduleStep::Log(line));
+        self.answer_waiter(job, JobReply::Unclear);
+        let change = self.volatile_store.close(job, JobPhase::Cancelled, 0);
+        self.on_change(now, change);
+    }
+
+    /// Notes that a job has ended here; `stopping` are the tasks whose runs may still be
+    /// active.
+    pub(super) fn close_claim(&mut self, job: &JobId, stopping: Vec<TaskName>) {
+        let Some(claim) = self.claims.claims.get_mut(job) else { return };
+        if claim.phase != ClaimPhase::Closing {
+            self.claims.closing += 1;
+        }
+        claim.phase = ClaimPhase::Closing;
+        claim.stopping = stopping;
+    }
+
+    /// Releases the claims to ended jobs of which no run is active any more.
+    pub(super) fn release_claims(&mut self) {
+        if self.claims.closing == 0 {
+            return;
+        }
+        let placements = &self.placements;
+        let is_active = |task: &TaskName| placements.get(task).is_some_and(|placed| !placed.ended);
+        let released = self.claims.claims.extract_if(.., |_, claim| {
+            claim.phase == ClaimPhase::Closing && !claim.stopping.iter().any(is_active)
+        });
+        let released: Vec<(JobId, JobClaim)> = released.collect();
+        self.claims.closing -= released.len();
+        for (job, claim) in released {
+            for agent in &claim.asked {
+                self.release_claim_at(agent, &job, claim.is_recalled);
+            }
+        }
+    }
+
+    /// Releases a claim at one agent, at once if another entry waits for it, else with
+    /// the next message. Without a connection the next session's list tells it.
+    fn release_claim_at(&mut self, agent: &NodeId, job: &JobId, at_once: bool) {
+        let Some(state) = self.agents.get_mut(agent) else { return };
+        if state.link_lost_at.is_some() {
+            return;
+        }
+        state.claim_outbox.released.push(job.clone());
+        if at_once {
+            self.due_agents.insert(agent.clone());
+        }
+    }
+}
+
+/// Rank of an agent in the order of a job. Similar names differ most in the low bits of
+/// their hash, so these are spread over all bits.
+fn claim_rank(job: &JobId, agent: &NodeId) -> u64 {
+    let hash = fingerprint([job.as_bytes(), agent.as_bytes()]);
+    (hash ^ (hash >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
--- a/crates/decisions/src/schedule/mod.rs
+++ b/crates/decisions/src/schedule/mod.rs
@@ -22,6 +22,7 @@
 mod agent_state;
 mod host_lists;
 mod job_admission;
+mod job_claims;
 mod live_job;
 mod load_counts;
 mod placement_order;
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -6,20 +6,22 @@
 
 use indexmap::{IndexMap, IndexSet};
 use model::{
-    AgentOrders, CallId, Command, EntryHost, EventLine, JobCall, JobId, JobPhase, JobRecord,
-    JobReply, JobStep, LeaderHint, LinkId, LogRecord, NodeId, QueueCatalog, ScheduleState,
-    TaskName, Term, later, scaled,
+    AgentOrders, CallId, Command, EntryHost, EventLine, Incarnation, JobCall, JobId, JobPhase,
+    JobRecord, JobReply, JobStep, LeaderHint, LinkId, LogRecord, NodeId, QueueCatalog,
+    ScheduleState, TaskName, Term, later, scaled,
 };
 
 use super::agent_checks::AgentChecks;
 use super::agent_state::AgentState;
 use super::host_lists::HostLists;
+use super::job_claims::JobClaims;
 use super::live_job::{JobWaiter, LiveJob, Placement};
 use super::load_counts::LoadCounts;
 use super::proposed_ends::ProposedEnds;
 use super::ready_queue::ReadyQueue;
 use super::report_delay::ReportDelay;
 use crate::control::{JobChange, JobStore};
+use crate::run_bounds::contact_timeout;
 
 /// Which jobs a scheduler places.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,9 +32,11 @@
     Entry,
 }
 
-/// Timing and cost parameters of a scheduler.
+/// Identity of a scheduler's process, and its timing and cost parameters.
 #[derive(Debug, Clone, Copy)]
 pub struct ScheduleLimits {
+    /// Incarnation of an entry, which increases with each start of its process.
+    pub incarnation: Incarnation,
     /// How long an agent may keep runs active after it sent an acknowledged message.
     pub grant: Duration,
     /// How long a backend server keeps runs active without a lease renewal.
@@ -46,12 +50,6 @@
     pub remote_factor: f64,
 }
 
-/// Upper bound on the relative clock drift between two hosts.
-const MAX_CLOCK_DRIFT_RATIO: f64 = 0.05;
-/// Time after the end of grant and lease that is allowed for stopping runs and
-/// for messages in flight; both together take less.
-const STOP_MARGIN: Duration = Duration::from_millis(300);
-
 /// Interval of the check for overdue runs while any task is placed.
 const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -59,7 +57,7 @@
     /// Time since an agent's last contact after which none of its runs is
     /// active: grant and lease, with the margins for clock drift and stops.
     pub(super) fn contact_timeout(&self) -> Duration {
-        (self.grant + self.lease).mul_f64(1.0 + MAX_CLOCK_DRIFT_RATIO) + STOP_MARGIN
+        contact_timeout(self.grant, self.lease)
     }
 }
 
@@ -138,6 +136,7 @@
     /// takeover: none of their tasks starts until every registered agent has
     /// reported or timed out.
     pub(super) held_jobs: IndexSet<JobId>,
+    pub(super) claims: JobClaims,
     pub(super) hosts: HostLists,
     pub(super) agent_checks: AgentChecks,
     /// Agents to which a message is due.
@@ -173,6 +172,7 @@
             proposed_ends: ProposedEnds::default(),
             unreported_agents: IndexSet::new(),
             held_jobs: IndexSet::new(),
+            claims: JobClaims::default(),
             hosts: HostLists::default(),
             agent_checks: AgentChecks::new(now),
             due_agents: IndexSet::new(),
@@ -413,7 +413,8 @@
         let has_tasks = !self.placements.is_empty() || !self.ready.is_empty();
         let overdue = has_tasks.then(|| self.overdue_checked_at + OVERDUE_CHECK_INTERVAL);
         let checks = self.agent_checks.next();
-        [checks, overdue, self.next_expiry, takeover].into_iter().flatten().min()
+        let claims = self.claims.next_check();
+        [checks, overdue, self.next_expiry, takeover, claims].into_iter().flatten().min()
     }
 
     /// Does what is due, places ready tasks, sends orders and returns all steps. It
@@ -424,6 +425,8 @@
             self.expire_takeover(now);
             self.expire_jobs(now);
             self.check_agents(now);
+            self.release_claims();
+            self.check_claims(now);
             self.place_ready(now);
             self.send_orders();
         }
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -71,7 +71,7 @@
     /// done or placed already. Held jobs are skipped: which of their tasks run
     /// is not known until the takeover is complete.
     pub(super) fn release_steps(&mut self, id: &JobId) {
-        if self.held_jobs.contains(id) {
+        if self.is_held(id) {
             return;
         }
         let Some(live) = self.live.get_mut(id) else { return };
@@ -137,18 +137,26 @@
             .with("tasks", live.job.task_count())
             .with("placed", live.last_runs.len());
         self.steps.push(ScheduleStep::Log(line));
-        if phase == JobPhase::Completed {
-            return;
-        }
-        for task in (0..live.job.steps.len()).flat_map(|step| live.job.tasks_of(step as StepIndex))
-        {
+        let stopping = match phase {
+            JobPhase::Completed => Vec::new(),
+            _ => self.stop_runs(&live.job),
+        };
+        self.close_claim(id, stopping);
+    }
+
+    /// Orders to stop all runs of a job, and returns their tasks.
+    fn stop_runs(&mut self, job: &QueuedJob) -> Vec<TaskName> {
+        let mut stopping = Vec::new();
+        for task in (0..job.steps.len()).flat_map(|step| job.tasks_of(step as StepIndex)) {
             let Some(placed) = self.placements.get(&task).filter(|placed| !placed.ended) else {
                 continue;
             };
-            let run = TaskRun { task, run: placed.run };
+            let run = TaskRun { task: task.clone(), run: placed.run };
             let agent = placed.agent.clone();
             self.push_order(&agent, AgentOrder::Stop { run });
+            stopping.push(task);
         }
+        stopping
     }
 
     /// Places ready tasks in the queue's order while there is free capacity; does
@@ -187,6 +195,9 @@
             let step = group.step;
             let Some(live) = self.live.get(&group.job) else { continue };
             let job = live.job.clone();
+            if !self.claims.allows_placement(&job.id) {
+                continue;
+            }
             let before = self.search_effort(round);
             self.place_group(now, *key, &job, step, round);
             let is_left = self.ready.group(*key).is_some();
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -254,6 +254,52 @@
     pub address: std::net::SocketAddr,
 }
 
+/// A change of a claim that concerns its holder or a claimant.
+///
+/// An entry claims a best-effort job at one agent before it starts its tasks, so that
+/// no two entries run the same job at a time.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClaimUpdate {
+    /// The scheduler holds the claim: no run of another one is active.
+    Granted {
+        /// The claimed job.
+        job: JobId,
+    },
+    /// Another scheduler holds the claim; the grant follows once that one has no active
+    /// run.
+    Held {
+        /// The claimed job.
+        job: JobId,
+    },
+    /// Another scheduler claims the job; the holder has to stop its runs and release
+    /// the claim.
+    Recalled {
+        /// The claimed job.
+        job: JobId,
+    },
+}
+
+/// An entry's claims at one agent.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct ClaimOrders {
+    /// Incarnation of the entry, which increases with each start of its process.
+    pub incarnation: Incarnation,
+    /// Whether this is its first message of the session: it has released the claims
+    /// that it does not list.
+    #[serde(default)]
+    pub is_first: bool,
+    /// Jobs that it runs under a claim.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub held: Vec<JobId>,
+    /// Jobs that it claims.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub claimed: Vec<JobId>,
+    /// Jobs that it no longer claims, and of which it has no active run.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub released: Vec<JobId>,
+}
+
 /// What a report says of the agent's backend server.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -297,6 +343,9 @@
     /// Changes in the state of runs since the last report.
     #[serde(default, rename = "news", skip_serializing_if = "Vec::is_empty")]
     pub updates: Vec<RunUpdate>,
+    /// Changes of claims since the last report.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub claims: Vec<ClaimUpdate>,
     /// Capacity used by the runs of other schedulers.
     #[serde(rename = "others")]
     pub other_usage: ResourceAmount,
@@ -404,6 +453,9 @@
     /// The orders, to be executed in this order.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub orders: Vec<AgentOrder>,
+    /// Claims of an entry, if any changed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub claims: Option<Box<ClaimOrders>>,
     /// Entries that schedule best-effort jobs; present when control sends a new
     /// list.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/services/src/job_scheduling.rs
+++ b/crates/services/src/job_scheduling.rs
@@ -11,7 +11,7 @@
 use indexmap::IndexMap;
 use kernel::{
     BatchHandler, KernelError, PushError, Registry, Reservation, RingReceiver, RingSender,
-    run_batched_duty,
+    SharedClock, run_batched_duty,
 };
 use model::{
     CallId, CatalogQuery, Command, ConfigVersion, ControlReply, ControlReplyBody, EventLine,
@@ -45,6 +45,7 @@
 
 struct JobScheduling {
     log: EventLog,
+    clock: SharedClock,
     scheduler: Scheduler,
     /// The leader and the group of control hosts, as far as this host knows them.
     hint: LeaderHint,
@@ -77,6 +78,7 @@
     };
     let state = JobScheduling {
         log: context.event_log(registry)?,
+        clock: clock.clone(),
         scheduler: Scheduler::new(clock.now(), kind, limits),
         hint: LeaderHint::default(),
         edge: registry.find(ServiceName::ScheduleEdge)?,
@@ -128,7 +130,7 @@
             SchedulingMessage::Agent { link, message } => {
                 self.scheduler.on_agent_message(now, link, &message);
             }
-            SchedulingMessage::LinkLost { link } => self.scheduler.on_link_lost(link),
+            SchedulingMessage::LinkLost { link } => self.scheduler.on_link_lost(now, link),
             SchedulingMessage::Catalog { catalog } => self.scheduler.on_catalog(&catalog),
             SchedulingMessage::CatalogWatch { call, query, reply } => {
                 self.scheduler.on_entry(now, &query.entry);
@@ -214,7 +216,7 @@
     fn send_to_agent(&mut self, link: LinkId, message: SchedulerMessage) {
         if self.edge.push(ScheduleEdgeMessage::Send { link, message }).is_err() {
             self.log.warn(EventLine::new("ring_full").with("ring", ServiceName::ScheduleEdge));
-            self.scheduler.on_link_lost(link);
+            self.scheduler.on_link_lost(self.clock.now(), link);
         }
     }
 
--- a/tests/agent_fixture.rs
+++ b/tests/agent_fixture.rs
@@ -114,6 +114,7 @@
             usage_interval_ms: 50,
             ack: None,
             orders,
+            claims: None,
             entries: None,
             controls: None,
         };
--- a/tests/end_acks.rs
+++ b/tests/end_acks.rs
@@ -21,6 +21,7 @@
         usage_interval_ms: 50,
         ack: upto.map(|upto| EndAck { life: "i-1/7".into(), upto }),
         orders,
+        claims: None,
         entries: None,
         controls: None,
     }
--- /dev/null
+++ b/tests/job_claims.rs
@@ -0,0 +1,197 @@
+//! Jobs that come to several entries: before an entry starts a job's tasks, it claims the
+//! job at an agent. The model checks at each start that the task runs once at a time.
+
+use std::time::Duration;
+
+use model::JobReply;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::schedule_model::{CallStatus, ScheduleModel, job};
+
+const AGENTS: usize = 4;
+const STEP: Duration = Duration::from_millis(15);
+/// Longer than any bound on the runs of an entry without contact.
+const LONG_RUN: Duration = Duration::from_millis(6_000);
+/// Time after which callers send a job again whose entry was killed.
+const RESEND_DELAY: Duration = Duration::from_millis(1_300);
+
+fn model(entries: usize) -> ScheduleModel {
+    let mut model = ScheduleModel::new(entries, AGENTS);
+    model.run_time = Duration::from_millis(300);
+    model.caller_wait = Duration::from_millis(10_000);
+    model
+}
+
+/// Plays for a time in which all that is connected stays so and each call arrives.
+fn play(model: &mut ScheduleModel, time: Duration) {
+    let end = model.now + time;
+    while model.now < end {
+        deliver(model);
+        model.advance(STEP);
+    }
+}
+
+fn deliver(model: &mut ScheduleModel) {
+    for agent in (0..AGENTS).filter(|agent| !model.is_frozen(*agent)).collect::<Vec<_>>() {
+        for _ in 0..model.calls_in_transit(agent) {
+            model.deliver(agent, 0, false);
+        }
+    }
+}
+
+fn starts(model: &ScheduleModel) -> usize {
+    model.starts.values().sum()
+}
+
+fn is_done(model: &ScheduleModel, call: u64) -> bool {
+    use model::JobPhase::Completed;
+    model.replies[&call] == CallStatus::Reply(JobReply::Phase(Completed))
+}
+
+/// Checks that a job that was sent again is done or was refused, and that its caller's
+/// next attempt is done.
+fn check_ended(model: &mut ScheduleModel, call: u64) {
+    model.run_time = Duration::from_millis(100);
+    model.run_fault_free(200);
+    let reply = model.replies[&call].clone();
+    let refused = matches!(reply, CallStatus::Reply(JobReply::Refused { .. }));
+    assert!(refused || is_done(model, call), "{reply:?}");
+    let next = model.submit(2, job(1, 8, true));
+    model.run_fault_free(50);
+    assert!(is_done(model, next), "{:?}", model.replies[&next]);
+}
+
+// Guards against two entries that run one job while the first one doesn't know that its
+// caller is gone.
+#[test]
+fn latest_entry_runs() {
+    let mut model = model(2);
+    let first = model.submit(1, job(1, 3, true));
+    play(&mut model, Duration::from_millis(60));
+    assert_eq!(starts(&model), 3);
+    let second = model.submit(2, job(1, 3, true));
+    play(&mut model, Duration::from_millis(1_000));
+    assert_eq!(model.replies[&first], CallStatus::Reply(JobReply::Unclear));
+    assert!(is_done(&model, second));
+}
+
+// Guards against a job that is started again while an entry that was killed may still have
+// active runs of it.
+#[test]
+fn lost_holder_outwaited() {
+    let mut model = model(2);
+    model.run_time = LONG_RUN;
+    model.submit(1, job(1, 8, true));
+    play(&mut model, Duration::from_millis(60));
+    (0..AGENTS).for_each(|agent| model.lose_link(1, agent));
+    let second = model.submit(2, job(1, 8, true));
+    play(&mut model, Duration::from_millis(1_000));
+    assert_eq!(starts(&model), 8);
+    check_ended(&mut model, second);
+}
+
+// Guards against the same with an agent that stands still, be it the one that keeps the
+// claim.
+#[test]
+fn silent_agent_outwaited() {
+    for lost_agent in 0..AGENTS {
+        let mut model = model(2);
+        model.run_time = LONG_RUN;
+        model.submit(1, job(1, 8, true));
+        play(&mut model, Duration::from_millis(60));
+        (0..AGENTS).for_each(|agent| model.lose_link(1, agent));
+        model.freeze_agent(lost_agent);
+        play(&mut model, RESEND_DELAY);
+        let second = model.submit(2, job(1, 8, true));
+        play(&mut model, Duration::from_millis(1_000));
+        model.thaw_agent(lost_agent);
+        check_ended(&mut model, second);
+    }
+}
+
+// Guards against an entry that, restarted, runs a job again beside the runs that its
+// earlier process has ordered.
+#[test]
+fn restarted_holder_outwaited() {
+    for entry in [1, 2] {
+        let mut model = model(2);
+        model.run_time = LONG_RUN;
+        model.submit(1, job(1, 8, true));
+        play(&mut model, Duration::from_millis(60));
+        model.restart_entry(1);
+        let second = model.submit(entry, job(1, 8, true));
+        play(&mut model, Duration::from_millis(300));
+        check_ended(&mut model, second);
+    }
+}
+
+// Guards against a claim that is lost with the process of the agent that keeps it.
+#[test]
+fn restarted_keeper_asks() {
+    for keeper in 0..AGENTS {
+        let mut model = model(2);
+        model.run_time = Duration::from_millis(900);
+        model.submit(1, job(1, 2, true));
+        play(&mut model, Duration::from_millis(60));
+        model.restart_agent(keeper);
+        let second = model.submit(2, job(1, 2, true));
+        model.run_fault_free(100);
+        assert!(is_done(&model, second), "{:?}", model.replies[&second]);
+    }
+}
+
+// Guards against jobs that wait for an agent that answers nothing.
+#[test]
+fn silent_keeper_passed() {
+    for keeper in 0..AGENTS {
+        let mut model = model(1);
+        model.freeze_agent(keeper);
+        let calls: Vec<u64> = (1..=4).map(|id| model.submit(1, job(id, 1, true))).collect();
+        play(&mut model, Duration::from_millis(150));
+        assert!(starts(&model) >= 1);
+        model.thaw_agent(keeper);
+        model.run_fault_free(50);
+        assert!(calls.iter().all(|call| is_done(&model, *call)));
+    }
+}
+
+/// Callers send jobs again at once, to any entry, while connections are lost and agents
+/// and entries are restarted.
+fn play_resends(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut model = model(3);
+    model.run_time = Duration::from_millis(700);
+    for number in 1..=60 {
+        let entry = rng.random_range(1..=3);
+        let tasks = rng.random_range(1..4);
+        let call = model.submit(entry, job(number, tasks, true));
+        play(&mut model, STEP * rng.random_range(0..6));
+        let agent = rng.random_range(0..AGENTS);
+        match rng.random_range(0..6) {
+            0 => (0..AGENTS).for_each(|agent| model.lose_link(entry, agent)),
+            1 => model.lose_link(entry, agent),
+            2 => {
+                (1..=3).for_each(|entry| model.lose_link(entry, agent));
+                model.restart_agent(agent);
+            }
+            _ => {}
+        }
+        if rng.random() {
+            model.submit(rng.random_range(1..=3), job(number, tasks, true));
+        }
+        play(&mut model, STEP * rng.random_range(0..4));
+        model.abandon(entry, call);
+        play(&mut model, STEP * rng.random_range(0..6));
+        model.run_fault_free(rng.random_range(0..12));
+    }
+}
+
+// Guards against resent jobs whose claim is lost with connections or processes.
+#[test]
+fn resends_run_once() {
+    for seed in 1..=u64::from(crate::support::case_count(20)) {
+        println!("seed {seed}");
+        play_resends(seed);
+    }
+}
--- a/tests/late_orders.rs
+++ b/tests/late_orders.rs
@@ -16,6 +16,7 @@
         usage_interval_ms: 50,
         ack: None,
         orders,
+        claims: None,
         entries: None,
         controls: None,
     };
--- a/tests/long_runs.rs
+++ b/tests/long_runs.rs
@@ -207,3 +207,13 @@
         play_day(seed);
     }
 }
+
+// Other days, so that a day of the first ones that is known to fail hides none.
+#[test]
+fn other_days_single() {
+    let first = 1_000;
+    for seed in first..first + u64::from(crate::support::case_count(20)) {
+        println!("seed {seed}");
+        play_day(seed);
+    }
+}
--- a/tests/odd_messages.rs
+++ b/tests/odd_messages.rs
@@ -5,9 +5,9 @@
 
 use decisions::schedule::{JobDecision, ScheduleStep, Scheduler, SchedulerKind};
 use model::{
-    AgentHeartbeat, AgentMessage, AgentOrder, AgentOrders, AgentReport, EndAck, EndKind, JobCall,
-    JobReply, LinkId, NumberedMessage, ResourceAmount, RunUpdate, ServerReport, ServerView,
-    StartRefusal, TaskName, TaskRun,
+    AgentHeartbeat, AgentMessage, AgentOrder, AgentOrders, AgentReport, ClaimUpdate, EndAck,
+    EndKind, JobCall, JobReply, LinkId, NumberedMessage, ResourceAmount, RunUpdate, ServerReport,
+    ServerView, StartRefusal, TaskName, TaskRun,
 };
 use proptest::prelude::*;
 
@@ -73,6 +73,7 @@
         runs: Some(Vec::new()),
         unowned: Vec::new(),
         updates: Vec::new(),
+        claims: Vec::new(),
         other_usage: ResourceAmount::default(),
     }
 }
@@ -110,6 +111,28 @@
     orders.flatten().filter(|order| matches!(order, AgentOrder::Start { .. })).count()
 }
 
+/// Link of the agent at which a job is claimed.
+fn claim_link(steps: &[ScheduleStep]) -> Option<LinkId> {
+    steps.iter().find_map(|step| match step {
+        ScheduleStep::Orders { link, orders } => {
+            let claims = orders.claims.as_ref()?;
+            (!claims.claimed.is_empty()).then_some(*link)
+        }
+        _ => None,
+    })
+}
+
+/// Grants the claim to a job, as the agent with this link.
+fn grant_claim(scheduler: &mut Scheduler, now: Instant, link: LinkId, number: usize) {
+    let agents = ["agent-1", "agent-2", "agent-3"];
+    let claims = vec![ClaimUpdate::Granted { job: job(number, 3, true).id.clone() }];
+    let agent = agents[link as usize - 1_000];
+    let usual = report(agent, ResourceAmount::default());
+    let granted = AgentReport { server: ServerReport::Unchanged, runs: None, claims, ..usual };
+    let message = AgentMessage::Report(Box::new(granted));
+    scheduler.on_agent_message(now, link, &NumberedMessage { number: 2, message });
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: case_count(256),
@@ -157,6 +180,12 @@
         prop_assert_eq!(refused.count(), 0, "all agents are followed again");
         let decision = submit(&mut scheduler, now, 100, 1_000);
         prop_assert_eq!(decision, JobDecision::Wait);
+        // Time for all agents to connect.
+        now += Duration::from_millis(300);
+        let steps = scheduler.settle(now);
+        let claimed = claim_link(&steps);
+        prop_assert!(claimed.is_some(), "the job is claimed");
+        grant_claim(&mut scheduler, now, claimed.unwrap_or_default(), 100);
         let steps = scheduler.settle(now);
         prop_assert!(starts(&steps) > 0, "tasks are started");
     }
@@ -185,6 +214,7 @@
                 usage_interval_ms,
                 ack,
                 orders,
+                claims: None,
                 entries: None,
                 controls: None,
             };
--- a/tests/overload_model.rs
+++ b/tests/overload_model.rs
@@ -11,9 +11,9 @@
 use decisions::agent::heartbeat_interval;
 use decisions::schedule::{JobDecision, LoadCounts, ScheduleStep, Scheduler, SchedulerKind};
 use model::{
-    AgentHeartbeat, AgentMessage, AgentOrder, AgentReport, EndKind, JobCall, JobReply,
-    MAX_UNACKED_REPORTS, NumberedMessage, QueuedJob, ResourceAmount, RunUpdate, ServerReport,
-    ServerView, TaskRun,
+    AgentHeartbeat, AgentMessage, AgentOrder, AgentOrders, AgentReport, ClaimUpdate, EndKind,
+    JobCall, JobReply, MAX_UNACKED_REPORTS, NumberedMessage, QueuedJob, ResourceAmount, RunUpdate,
+    ServerReport, ServerView, TaskRun,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -74,6 +74,7 @@
     /// Active runs with their starts.
     runs: BTreeMap<String, (TaskRun, Instant)>,
     updates: Vec<RunUpdate>,
+    claim_updates: Vec<ClaimUpdate>,
     /// Number of the latest message of the session, and of the latest acknowledged one.
     sent: u64,
     acked: u64,
@@ -95,8 +96,8 @@
     events: BinaryHeap<Reverse<(Instant, u64, Event)>>,
     event_count: u64,
     in_transit: BTreeMap<u64, Message>,
-    /// Session, acknowledged message and orders, by message.
-    orders_in_transit: BTreeMap<u64, (u64, u64, Vec<AgentOrder>)>,
+    /// Session and orders, by message.
+    orders_in_transit: BTreeMap<u64, (u64, AgentOrders)>,
     inbox: VecDeque<Message>,
     busy_until: Instant,
     next_id: u64,
@@ -313,7 +314,8 @@
 
     fn report(&mut self, agent: usize, runs: Option<Vec<TaskRun>>) {
         let state = &mut self.agents[agent];
-        let nothing_new = state.updates.is_empty() && runs.is_none();
+        let nothing_new =
+            state.updates.is_empty() && state.claim_updates.is_empty() && runs.is_none();
         let unacked = (state.sent - state.acked) as usize;
         if !state.connected || unacked >= MAX_UNACKED_REPORTS || nothing_new {
             return;
@@ -330,19 +332,22 @@
             runs,
             unowned: Vec::new(),
             updates: std::mem::take(&mut state.updates),
+            claims: std::mem::take(&mut state.claim_updates),
             other_usage: ResourceAmount::default(),
         };
         self.send_message(agent, AgentMessage::Report(Box::new(report)));
     }
 
     fn take_orders(&mut self, agent: usize, id: u64) {
-        let Some((session, acked, orders)) = self.orders_in_transit.remove(&id) else { return };
+        let Some((session, orders)) = self.orders_in_transit.remove(&id) else { return };
         let state = &mut self.agents[agent];
         if !state.connected || state.session != session {
             return;
         }
-        state.acked = state.acked.max(acked);
-        for order in orders {
+        state.acked = state.acked.max(orders.received);
+        let claimed = orders.claims.into_iter().flat_map(|claims| claims.claimed);
+        state.claim_updates.extend(claimed.map(|job| ClaimUpdate::Granted { job }));
+        for order in orders.orders {
             match order {
                 AgentOrder::Start { runs, size, .. } => {
                     for run in runs {
@@ -453,8 +458,7 @@
                 ScheduleStep::Orders { link, orders } => {
                     let Some(agent) = self.links.get(&link).copied() else { continue };
                     let id = self.new_id();
-                    let message = (link, orders.received, orders.orders);
-                    self.orders_in_transit.insert(id, message);
+                    self.orders_in_transit.insert(id, (link, orders));
                     self.at(self.busy_until + LINK_DELAY, Event::Orders(agent, id));
                 }
                 ScheduleStep::JobEnd { call, reply } => self.finish_call(call, &reply),
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -52,6 +52,7 @@
 
 pub(crate) fn schedule_limits(kind: SchedulerKind) -> ScheduleLimits {
     ScheduleLimits {
+        incarnation: 1,
         grant: if kind == SchedulerKind::Entry { ENTRY_GRANT } else { CONTROL_GRANT },
         lease: LEASE,
         reply_wait: Duration::from_millis(200),
@@ -280,7 +281,9 @@
 
     /// Restarts an entry without its state; its callers' calls are lost.
     pub(crate) fn restart_entry(&mut self, number: usize) {
-        let limits = schedule_limits(SchedulerKind::Entry);
+        self.last_generation += 1;
+        let incarnation = self.last_generation;
+        let limits = ScheduleLimits { incarnation, ..schedule_limits(SchedulerKind::Entry) };
         let mut scheduler = Scheduler::new(self.now, SchedulerKind::Entry, limits);
         scheduler.on_catalog(&catalog(1));
         self.schedulers[number].scheduler = scheduler;
@@ -308,6 +311,13 @@
     pub(crate) fn crash_server(&mut self, server: usize) {
         self.last_generation += 1;
         self.servers[server] = ServerModel::new(self.now, self.last_generation, SERVER_SLOTS);
+        self.record_life(server);
+    }
+
+    fn record_life(&mut self, server: usize) {
+        let generation = self.servers[server].generation;
+        self.events
+            .push(format!("{:?} server{server} starts as generation {generation}", self.now));
     }
 
     /// Ends a backend server for good, with its runs; nothing reaches it any more, and its
@@ -321,6 +331,7 @@
     pub(crate) fn restart_server(&mut self, server: usize) {
         self.last_generation += 1;
         self.servers[server] = self.servers[server].reborn(self.now, self.last_generation);
+        self.record_life(server);
     }
 
     /// Sends the heartbeat of a backend server to its agent.
@@ -422,7 +433,7 @@
         let session = self.agents[agent].sessions.get(&scheduler).copied();
         self.disconnect(scheduler, agent);
         if let Some(link) = session {
-            self.schedulers[scheduler].scheduler.on_link_lost(link);
+            self.schedulers[scheduler].scheduler.on_link_lost(self.now, link);
         }
     }
 
@@ -656,6 +667,7 @@
                 || event.contains("takeover")
                 || event.contains("session")
                 || event.contains("agent_lost")
+                || event.contains("generation")
         });
         related.cloned().collect::<Vec<_>>().join("\n")
     }
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -28,6 +28,7 @@
 mod group_size;
 mod hidden_steps;
 mod idle_heartbeats;
+mod job_claims;
 mod job_guarantees;
 mod job_path;
 mod job_sizes;
