Claims of jobs hold over absent, restarted and contending keepers

A review of the claims, and models of what it described: an agent that came back was not told of claims made while it was away; one that had restarted replaced a claimant silently and could grant over another agent's refusal; a caller that left and came back in one batch made an entry start without a grant; one check for lost agents hid the next one; a closed session that was not the open one freed claims.

Change: a returning agent that other entries ask first is told of the claims; a second claimant always waits for the first; only the agent that said it is held grants a contended claim; closing is no phase of its own; checks are required for each lost agent.

--- a/crates/decisions/src/agent/job_claims.rs
+++ b/crates/decisions/src/agent/claim_table.rs
@@ -3,8 +3,8 @@
 //!
 //! Invariants:
 //! - a claim has one holder, which alone runs the job;
-//! - it passes to another entry only once the holder has released it, or once none of
-//!   the holder's runs can be active any more since its contact was lost;
+//! - it passes to another entry only once the holder has released it, or once the runs
+//!   of a holder that has ended can't be active any more;
 //! - the latest claimant is next: its caller sent the job again, so the holder's caller
 //!   no longer waits;
 //! - an agent that has just started grants nothing until holders have had time to list
@@ -24,7 +24,7 @@
 
 /// The claim to one job.
 #[derive(Debug, Clone)]
-struct JobClaim {
+struct KeptClaim {
     holder: Claimant,
     /// Whether the holder may run the job.
     granted: bool,
@@ -37,17 +37,17 @@
 /// A claim update and the scheduler it is for.
 pub(super) type ClaimNotice = (SchedulerKey, ClaimUpdate);
 
-/// The claims that an agent keeps.
+/// The claims that an agent keeps, by job.
 #[derive(Debug, Clone)]
-pub(super) struct JobClaims {
-    claims: IndexMap<JobId, JobClaim>,
+pub(super) struct ClaimTable {
+    claims: IndexMap<JobId, KeptClaim>,
     /// Time before which nothing is granted.
     grants_from: Instant,
 }
 
-impl JobClaim {
-    fn granted_to(holder: Claimant) -> JobClaim {
-        JobClaim { holder, granted: true, free_at: None, next: None }
+impl KeptClaim {
+    fn new(holder: Claimant, granted: bool) -> KeptClaim {
+        KeptClaim { holder, granted, free_at: None, next: None }
     }
 
     /// The updates that are due to the holder, and to the next claimant.
@@ -66,10 +66,10 @@
     }
 }
 
-impl JobClaims {
+impl ClaimTable {
     /// Creates claims of which none is granted before a time.
-    pub(super) fn new(grants_from: Instant) -> JobClaims {
-        JobClaims { claims: IndexMap::new(), grants_from }
+    pub(super) fn new(grants_from: Instant) -> ClaimTable {
+        ClaimTable { claims: IndexMap::new(), grants_from }
     }
 
     /// Handles an entry's message; returns the updates that follow.
@@ -82,13 +82,13 @@
         let claimant = Claimant { scheduler: scheduler.clone(), incarnation: orders.incarnation };
         let mut notices = Vec::new();
         if orders.is_first {
-            notices.extend(self.release_unlisted(&claimant, &orders.held));
+            notices.extend(self.release_unlisted(now, &claimant, &orders.held));
         }
         for job in orders.held {
             notices.extend(self.restore(job, &claimant));
         }
         for job in orders.released {
-            notices.extend(self.release(&job, &claimant));
+            notices.extend(self.release(now, &job, &claimant));
         }
         for job in orders.claimed {
             notices.extend(self.claim(now, job, &claimant));
@@ -98,20 +98,25 @@
 
     /// Releases the claims that an entry no longer holds after a lost connection. The runs
     /// of an earlier process of it may still be active.
-    fn release_unlisted(&mut self, holder: &Claimant, held: &[JobId]) -> Vec<ClaimNotice> {
+    fn release_unlisted(
+        &mut self,
+        now: Instant,
+        holder: &Claimant,
+        held: &[JobId],
+    ) -> Vec<ClaimNotice> {
         let known = self.claims.iter().filter(|(_, claim)| claim.holder == *holder);
         let released: Vec<JobId> =
             known.map(|(job, _)| job).filter(|job| !held.contains(job)).cloned().collect();
-        released.iter().flat_map(|job| self.release(job, holder)).collect()
+        released.iter().flat_map(|job| self.release(now, job, holder)).collect()
     }
 
     /// Restores a claim. Another entry that was granted the claim meanwhile goes first.
     fn restore(&mut self, job: JobId, holder: &Claimant) -> Vec<ClaimNotice> {
         let claim = self.claims.entry(job.clone());
-        let claim = claim.or_insert_with(|| JobClaim::granted_to(holder.clone()));
+        let claim = claim.or_insert_with(|| KeptClaim::new(holder.clone(), true));
         if claim.holder != *holder && !claim.granted {
-            let next = std::mem::replace(claim, JobClaim::granted_to(holder.clone())).holder;
-            claim.next = Some(next);
+            let claimant = std::mem::replace(claim, KeptClaim::new(holder.clone(), true));
+            claim.next = claimant.next.or(Some(claimant.holder));
         }
         if claim.holder != *holder {
             return vec![(holder.scheduler.clone(), ClaimUpdate::Recalled { job })];
@@ -124,35 +129,32 @@
     fn claim(&mut self, now: Instant, job: JobId, claimant: &Claimant) -> Vec<ClaimNotice> {
         let granted = now >= self.grants_from;
         let claim = self.claims.entry(job.clone());
-        let claim =
-            claim.or_insert_with(|| JobClaim { granted, ..JobClaim::granted_to(claimant.clone()) });
+        let claim = claim.or_insert_with(|| KeptClaim::new(claimant.clone(), granted));
         if claim.holder == *claimant {
             claim.free_at = None;
-        } else if claim.granted {
-            claim.next = Some(claimant.clone());
         } else {
-            claim.holder = claimant.clone();
+            claim.next = Some(claimant.clone());
         }
         claim.notices(&job)
     }
 
-    fn release(&mut self, job: &JobId, claimant: &Claimant) -> Vec<ClaimNotice> {
+    fn release(&mut self, now: Instant, job: &JobId, claimant: &Claimant) -> Vec<ClaimNotice> {
         let Some(claim) = self.claims.get_mut(job) else { return Vec::new() };
         claim.next.take_if(|next| next == claimant);
         if claim.holder != *claimant {
             return Vec::new();
         }
-        self.pass_on(job)
+        self.pass_on(now, job)
     }
 
     /// Passes a claim to the next claimant, or forgets it.
-    fn pass_on(&mut self, job: &JobId) -> Vec<ClaimNotice> {
+    fn pass_on(&mut self, now: Instant, job: &JobId) -> Vec<ClaimNotice> {
         let Some(claim) = self.claims.get_mut(job) else { return Vec::new() };
         let Some(next) = claim.next.take() else {
             self.claims.swap_remove(job);
             return Vec::new();
         };
-        *claim = JobClaim::granted_to(next);
+        *claim = KeptClaim::new(next, now >= self.grants_from);
         claim.notices(job)
     }
 
@@ -177,16 +179,16 @@
                 notices.extend(claim.notices(job));
             }
         }
-        let free = |claim: &JobClaim| claim.free_at.is_some_and(|at| at <= now);
+        let free = |claim: &KeptClaim| claim.free_at.is_some_and(|at| at <= now);
         let freed = self.claims.iter().filter(|(_, claim)| free(claim));
         let freed: Vec<JobId> = freed.map(|(job, _)| job.clone()).collect();
         for job in freed {
-            notices.extend(self.pass_on(&job));
+            notices.extend(self.pass_on(now, &job));
         }
         notices
     }
 
-    /// Time at which [`JobClaims::on_tick`] is next due.
+    /// Time at which [`ClaimTable::on_tick`] is next due.
     pub(super) fn next_deadline(&self) -> Option<Instant> {
         let claims = self.claims.values();
         claims
--- a/crates/decisions/src/agent/mod.rs
+++ b/crates/decisions/src/agent/mod.rs
@@ -9,9 +9,9 @@
 //! - the lease of the agent to its backend server: how long the server keeps runs
 //!   active without a renewal (`server_life`).
 
+mod claim_table;
 mod heartbeat_interval;
 mod instance_pool;
-mod job_claims;
 mod run_calls;
 mod run_table;
 mod scheduler_session;
--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -26,7 +26,7 @@
     SessionId, StartRefusal, TaskRun,
 };
 
-use super::job_claims::{ClaimNotice, JobClaims};
+use super::claim_table::{ClaimNotice, ClaimTable};
 use super::scheduler_session::{SchedulerSession, UpdateUrgency};
 use super::server_heartbeats::Candidate;
 use super::server_life::{OwnedUpdate, RunPhase, ServerLife};
@@ -81,7 +81,7 @@
     /// Heartbeat of another instance, which is followed once the current life is over.
     pub(super) candidate: Option<Candidate>,
     pub(super) schedulers: IndexMap<SchedulerKey, SchedulerSession>,
-    claims: JobClaims,
+    claims: ClaimTable,
     /// Fencing token of calls to the backend server. Only this agent calls it, so
     /// a token that rises with each start of the agent fences earlier processes.
     pub(super) fence: FenceNumber,
@@ -105,7 +105,7 @@
             life: None,
             candidate: None,
             schedulers: IndexMap::new(),
-            claims: JobClaims::new(now + CLAIM_RESTORE_TIME),
+            claims: ClaimTable::new(now + CLAIM_RESTORE_TIME),
             fence: incarnation,
             steps: Vec::new(),
         }
@@ -188,8 +188,9 @@
         scheduler: &SchedulerKey,
         session: SessionId,
     ) -> Vec<RunStep> {
-        if let Some(known) = self.schedulers.get_mut(scheduler) {
-            known.close(session);
+        if let Some(known) = self.schedulers.get_mut(scheduler)
+            && known.close(session)
+        {
             let timeout = contact_timeout(known.grant, self.limits.lease);
             self.claims.on_closed(scheduler, now + timeout);
         }
--- a/crates/decisions/src/agent/scheduler_session.rs
+++ b/crates/decisions/src/agent/scheduler_session.rs
@@ -74,13 +74,15 @@
         self.reported_server = ServerReport::Unchanged;
     }
 
-    /// Ends a session; the grant stays valid until it expires.
-    pub(super) fn close(&mut self, session: SessionId) {
-        if self.session == Some(session) {
-            self.session = None;
+    /// Ends a session; the grant stays valid until it expires. Returns `false` if it is
+    /// not the open one.
+    pub(super) fn close(&mut self, session: SessionId) -> bool {
+        let is_open = self.session.take_if(|open| *open == session).is_some();
+        if is_open {
             self.updates.clear();
             self.claim_updates.clear();
         }
+        is_open
     }
 
     /// Adds a claim update, which is reported at once. Without a session it is dropped:
--- a/crates/decisions/src/schedule/job_claims.rs
+++ b/crates/decisions/src/schedule/job_claims.rs
@@ -6,8 +6,9 @@
 //! in an order by the job's id keeps. All entries compute the same order.
 //!
 //! Invariants:
-//! - no task of a job is placed before its claim is granted, nor after the connection to
-//!   the agent that keeps it was lost, until that agent or another one grants it again;
+//! - no task of a job is placed before its claim is granted, nor once the connection to
+//!   the agent that keeps it has been lost for [`RECONNECT_WAIT`], until an agent grants
+//!   it again;
 //! - a claim is released only when no run of the job can be active;
 //! - a job whose claim is recalled is ended: its caller has sent it again.
 
@@ -39,8 +40,6 @@
     Granted,
     /// The job runs, but the agent that has granted the claim may have lost it.
     Unconfirmed,
-    /// The job has ended here; the claim is released once its last run is over.
-    Closing,
 }
 
 impl ClaimPhase {
@@ -54,16 +53,32 @@
 #[derive(Debug, Clone)]
 struct JobClaim {
     phase: ClaimPhase,
+    /// Whether the job has ended here; the claim is released once its last run is over.
+    is_closing: bool,
     /// Whether another entry waits for the release.
     is_recalled: bool,
     since: Instant,
-    /// Agents that were asked, the latest last.
+    /// Agents that were asked; the last one keeps the claim, or was asked last.
     asked: Vec<NodeId>,
     asked_at: Instant,
     /// Tasks whose runs may still be active although the job has ended.
     stopping: Vec<TaskName>,
 }
 
+impl JobClaim {
+    /// Makes an agent that was asked the one that keeps the claim.
+    fn set_keeper(&mut self, agent: &NodeId) {
+        self.asked.retain(|asked| asked != agent);
+        self.asked.push(agent.clone());
+    }
+
+    /// Whether an agent that was asked comes before this one in the order of the job.
+    fn is_preceded(&self, job: &JobId, agent: &NodeId) -> bool {
+        let rank = claim_rank(job, agent);
+        self.asked.iter().any(|asked| claim_rank(job, asked) > rank)
+    }
+}
+
 /// How a job that is submitted may proceed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ClaimStart {
@@ -71,8 +86,6 @@
     Granted,
     /// It waits for the grant.
     Wait,
-    /// Another entry is about to run it.
-    Recalled,
 }
 
 /// What to do about a claim without a grant.
@@ -136,17 +149,14 @@
             return ClaimStart::Granted;
         }
         match self.claims.claims.get_mut(job) {
-            Some(claim) if claim.is_recalled => ClaimStart::Recalled,
             Some(claim) => {
-                if claim.phase == ClaimPhase::Closing {
-                    claim.phase = ClaimPhase::Granted;
-                    self.claims.closing -= 1;
-                }
-                ClaimStart::Granted
+                self.claims.closing -= usize::from(std::mem::take(&mut claim.is_closing));
+                if claim.phase.is_ungranted() { ClaimStart::Wait } else { ClaimStart::Granted }
             }
             None => {
                 let claim = JobClaim {
                     phase: ClaimPhase::Pending,
+                    is_closing: false,
                     is_recalled: false,
                     since: now,
                     asked: Vec::new(),
@@ -181,19 +191,27 @@
         }
     }
 
-    /// Marks the claims as unconfirmed that agents keep which did not connect again.
+    /// Doubts the claims that agents keep which did not connect again in time.
     fn doubt_claims(&mut self, now: Instant) {
         let agents = &self.agents;
-        let claims = self.claims.claims.values_mut();
-        for claim in claims.filter(|claim| claim.phase == ClaimPhase::Granted) {
+        let mut next_check = None;
+        for claim in self.claims.claims.values_mut() {
+            let doubted = match claim.phase {
+                ClaimPhase::Granted => ClaimPhase::Unconfirmed,
+                ClaimPhase::Contended => ClaimPhase::Pending,
+                ClaimPhase::Pending | ClaimPhase::Unconfirmed => continue,
+            };
             let keeper = claim.asked.last().and_then(|agent| agents.get(agent));
-            let is_lost = keeper.is_none_or(|state| {
-                state.link_lost_at.is_some_and(|at| at + RECONNECT_WAIT <= now)
-            });
-            if is_lost {
-                claim.phase = ClaimPhase::Unconfirmed;
+            let lost_at = keeper.map_or(Some(now - RECONNECT_WAIT), |state| state.link_lost_at);
+            match lost_at.map(|at| at + RECONNECT_WAIT) {
+                Some(at) if at <= now => claim.phase = doubted,
+                Some(at) => next_check = next_check.into_iter().chain([at]).min(),
+                None => {}
             }
         }
+        if let Some(at) = next_check {
+            self.claims.require_check(at);
+        }
     }
 
     /// Requires a check of the claims that an agent keeps, once it has had time to connect
@@ -271,7 +289,14 @@
         self.claims.require_check(now);
         let (mut claimed, mut held) = (Vec::new(), Vec::new());
         let claims = self.claims.claims.iter_mut();
-        for (job, claim) in claims.filter(|(_, claim)| claim.asked.contains(agent)) {
+        for (job, claim) in claims {
+            if !claim.asked.contains(agent) {
+                if claim.phase.is_ungranted() || claim.is_preceded(job, agent) {
+                    continue;
+                }
+                // Other entries ask this agent first.
+                claim.asked.insert(0, agent.clone());
+            }
             if claim.phase == ClaimPhase::Granted && claim.asked.last() == Some(agent) {
                 claim.phase = ClaimPhase::Unconfirmed;
                 claim.asked_at = now;
@@ -302,13 +327,18 @@
             return self.release_claim_at(agent, job, false);
         };
         match claim.phase {
-            ClaimPhase::Granted | ClaimPhase::Closing => return,
+            ClaimPhase::Granted => return,
+            ClaimPhase::Contended if claim.asked.last() != Some(agent) => return,
             ClaimPhase::Unconfirmed => {
                 claim.phase = ClaimPhase::Granted;
+                claim.set_keeper(agent);
                 self.placement_due = true;
                 return;
             }
-            ClaimPhase::Pending | ClaimPhase::Contended => claim.phase = ClaimPhase::Granted,
+            ClaimPhase::Pending | ClaimPhase::Contended => {
+                claim.phase = ClaimPhase::Granted;
+                claim.set_keeper(agent);
+            }
         }
         let waited = now.saturating_duration_since(claim.since);
         if waited >= CLAIM_TIMEOUT {
@@ -327,6 +357,7 @@
         };
         if claim.phase == ClaimPhase::Pending {
             claim.phase = ClaimPhase::Contended;
+            claim.set_keeper(agent);
         }
     }
 
@@ -348,10 +379,7 @@
     /// active.
     pub(super) fn close_claim(&mut self, job: &JobId, stopping: Vec<TaskName>) {
         let Some(claim) = self.claims.claims.get_mut(job) else { return };
-        if claim.phase != ClaimPhase::Closing {
-            self.claims.closing += 1;
-        }
-        claim.phase = ClaimPhase::Closing;
+        self.claims.closing += usize::from(!std::mem::replace(&mut claim.is_closing, true));
         claim.stopping = stopping;
     }
 
@@ -362,9 +390,10 @@
         }
         let placements = &self.placements;
         let is_active = |task: &TaskName| placements.get(task).is_some_and(|placed| !placed.ended);
-        let released = self.claims.claims.extract_if(.., |_, claim| {
-            claim.phase == ClaimPhase::Closing && !claim.stopping.iter().any(is_active)
-        });
+        let released = self
+            .claims
+            .claims
+            .extract_if(.., |_, claim| claim.is_closing && !claim.stopping.iter().any(is_active));
         let released: Vec<(JobId, JobClaim)> = released.collect();
         self.claims.closing -= released.len();
         for (job, claim) in released {
--- a/tests/job_claims.rs
+++ b/tests/job_claims.rs
@@ -51,13 +51,13 @@
 
 /// Checks that a job that was sent again is done or was refused, and that its caller's
 /// next attempt is done.
-fn check_ended(model: &mut ScheduleModel, call: u64) {
+fn check_ended(model: &mut ScheduleModel, call: u64, id: usize) {
     model.run_time = Duration::from_millis(100);
     model.run_fault_free(200);
     let reply = model.replies[&call].clone();
     let refused = matches!(reply, CallStatus::Reply(JobReply::Refused { .. }));
     assert!(refused || is_done(model, call), "{reply:?}");
-    let next = model.submit(2, job(1, 8, true));
+    let next = model.submit(2, job(id, 8, true));
     model.run_fault_free(50);
     assert!(is_done(model, next), "{:?}", model.replies[&next]);
 }
@@ -88,7 +88,7 @@
     let second = model.submit(2, job(1, 8, true));
     play(&mut model, Duration::from_millis(1_000));
     assert_eq!(starts(&model), 8);
-    check_ended(&mut model, second);
+    check_ended(&mut model, second, 1);
 }
 
 // Guards against the same with an agent that stands still, be it the one that keeps the
@@ -106,7 +106,7 @@
         let second = model.submit(2, job(1, 8, true));
         play(&mut model, Duration::from_millis(1_000));
         model.thaw_agent(lost_agent);
-        check_ended(&mut model, second);
+        check_ended(&mut model, second, 1);
     }
 }
 
@@ -122,7 +122,7 @@
         model.restart_entry(1);
         let second = model.submit(entry, job(1, 8, true));
         play(&mut model, Duration::from_millis(300));
-        check_ended(&mut model, second);
+        check_ended(&mut model, second, 1);
     }
 }
 
@@ -156,6 +156,74 @@
     }
 }
 
+// Guards against a claim that is unknown at the agent that other entries ask, since that
+// agent was away when the job was claimed.
+#[test]
+fn rejoined_keeper_asks() {
+    for (id, keeper) in (1..=8).flat_map(|id| (0..AGENTS).map(move |agent| (id, agent))) {
+        let mut model = model(2);
+        model.run_time = Duration::from_millis(900);
+        (1..=2).for_each(|entry| model.lose_link(entry, keeper));
+        play(&mut model, Duration::from_millis(400));
+        model.submit(1, job(id, 2, true));
+        play(&mut model, Duration::from_millis(60));
+        (1..=2).for_each(|entry| model.connect(entry, keeper));
+        let second = model.submit(2, job(id, 2, true));
+        model.run_fault_free(100);
+        assert!(is_done(&model, second), "{:?}", model.replies[&second]);
+    }
+}
+
+// Guards against an agent that grants a claim to two entries after its restart.
+#[test]
+fn restarted_keeper_grants() {
+    for (id, keeper) in (1..=8).flat_map(|id| (0..AGENTS).map(move |agent| (id, agent))) {
+        let mut model = model(2);
+        model.run_time = Duration::from_millis(900);
+        (1..=2).for_each(|entry| model.lose_link(entry, keeper));
+        model.restart_agent(keeper);
+        (1..=2).for_each(|entry| model.connect(entry, keeper));
+        model.submit(1, job(id, 2, true));
+        play(&mut model, Duration::from_millis(120));
+        let second = model.submit(2, job(id, 2, true));
+        model.run_fault_free(100);
+        assert!(is_done(&model, second), "{:?}", model.replies[&second]);
+    }
+}
+
+// Guards against an entry that starts a job without a grant, since its caller left and came
+// back while another entry still had active runs.
+#[test]
+fn returning_caller_waits() {
+    let mut model = model(2);
+    model.run_time = Duration::from_millis(900);
+    model.submit(1, job(1, 3, true));
+    play(&mut model, Duration::from_millis(60));
+    let second = model.submit(2, job(1, 3, true));
+    let third = model.abandon_and_submit(2, second, job(1, 3, true));
+    model.run_fault_free(100);
+    assert!(is_done(&model, third), "{:?}", model.replies[&third]);
+}
+
+// Guards against a second start while the agent that keeps the claim stands still, with runs
+// of the job that nobody can stop.
+#[test]
+fn silent_keeper_outwaited() {
+    for (id, lost_agent) in (1..=8).flat_map(|id| (0..AGENTS).map(move |agent| (id, agent))) {
+        let mut model = model(2);
+        model.run_time = LONG_RUN;
+        let first = model.submit(1, job(id, 8, true));
+        play(&mut model, Duration::from_millis(60));
+        model.freeze_agent(lost_agent);
+        let second = model.submit(2, job(id, 8, true));
+        play(&mut model, Duration::from_millis(45));
+        model.abandon(1, first);
+        play(&mut model, Duration::from_millis(1_000));
+        model.thaw_agent(lost_agent);
+        check_ended(&mut model, second, id);
+    }
+}
+
 /// Callers send jobs again at once, to any entry, while connections are lost and agents
 /// and entries are restarted.
 fn play_resends(seed: u64) {
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -465,6 +465,18 @@
         call
     }
 
+    /// Disconnects the caller of a best-effort job, which submits it again at once: the
+    /// scheduler learns of both together. Returns the id of the call.
+    pub(crate) fn abandon_and_submit(
+        &mut self,
+        scheduler: usize,
+        call: u64,
+        job: Arc<QueuedJob>,
+    ) -> u64 {
+        self.schedulers[scheduler].scheduler.on_abandoned(self.now, call);
+        self.submit(scheduler, job)
+    }
+
     /// Disconnects the caller of a best-effort job.
     pub(crate) fn abandon(&mut self, scheduler: usize, call: u64) {
         self.schedulers[scheduler].scheduler.on_abandoned(self.now, call);
