--- a/crates/decisions/src/control/mod.rs
+++ b/crates/decisions/src/control/mod.rs
@@ -21,4 +21,6 @@
 pub use ledger::Ledger;
 pub use member_store::MemberStore;
 pub use membership::{MembershipStep, MembershipTracker};
-pub use replica::{GroupChange, LogStore, Replica, ReplicaLimits, ReplicaStep, StoredReplica};
+pub use replica::{
+    GroupChange, LogStore, ReceivedSnapshot, Replica, ReplicaLimits, ReplicaStep, StoredReplica,
+};
--- a/crates/decisions/src/control/replica/follower.rs
+++ b/crates/decisions/src/control/replica/follower.rs
@@ -18,6 +18,20 @@
     pub(super) may_join_quorum: bool,
 }
 
+/// A snapshot as received from a leader, not decoded yet.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ReceivedSnapshot {
+    /// Sender of the snapshot, and its term.
+    pub(super) leader: NodeId,
+    pub(super) term: Term,
+    /// Replication round, which the reply repeats.
+    pub(super) round: u64,
+    /// Last index and term that the snapshot covers, and the group there.
+    pub mark: SnapshotMark,
+    /// Replicated state as JSON.
+    pub state: String,
+}
+
 impl Replica {
     /// Recognizes `from` as the leader of `term`. Returns `None` if the term is
     /// stale.
@@ -152,27 +166,48 @@
         )
     }
 
+    /// Handles a snapshot. The log stays as it is until the caller has decoded the state
+    /// and reports that with [`Replica::install_snapshot`].
     pub(super) fn on_snapshot(
         &mut self,
         now: Instant,
         from: NodeId,
         term: Term,
-        mark: SnapshotMark,
-        state: String,
+        content: (SnapshotMark, String),
         round: u64,
     ) -> Vec<ReplicaStep> {
         let Some(mut steps) = self.accept_leader(now, &from, term) else {
             return vec![self.append_reply(from, false, 0, round)];
         };
-        let match_index = mark.index;
-        if match_index > self.commit_index {
-            self.log.install(mark.clone());
-            self.commit_index = match_index;
-            self.synced_index = self.synced_index.min(match_index.saturating_sub(1));
-            steps.push(ReplicaStep::InstallSnapshot { mark, state });
+        let (mark, state) = content;
+        if mark.index > self.commit_index {
+            let snapshot = ReceivedSnapshot { leader: from, term, round, mark, state };
+            steps.push(ReplicaStep::InstallSnapshot { snapshot });
+            return steps;
         }
-        self.defer_ack(from, match_index.min(self.commit_index), round);
+        self.defer_ack(from, mark.index, round);
         steps.extend(self.send_synced_ack());
         steps
     }
+
+    /// Replaces the log by a snapshot whose state the caller has decoded and puts in force
+    /// now. Returns `false`, and changes nothing, if the snapshot is no longer needed.
+    pub fn install_snapshot(&mut self, snapshot: &ReceivedSnapshot) -> bool {
+        let ReceivedSnapshot { leader, term, round, mark, .. } = snapshot;
+        if *term != self.hard_state.term || mark.index <= self.commit_index {
+            return false;
+        }
+        self.log.install(mark.clone());
+        self.commit_index = mark.index;
+        self.synced_index = self.synced_index.min(mark.index.saturating_sub(1));
+        self.defer_ack(leader.clone(), mark.index, *round);
+        true
+    }
+
+    /// Refuses a snapshot whose state can't be used: this replica keeps what it has, and
+    /// tells the leader how far that reaches.
+    pub fn refuse_snapshot(&self, snapshot: &ReceivedSnapshot) -> ReplicaStep {
+        let ReceivedSnapshot { leader, round, .. } = snapshot;
+        self.append_reply(leader.clone(), false, self.log.last_index(), *round)
+    }
 }
--- a/crates/decisions/src/control/replica/mod.rs
+++ b/crates/decisions/src/control/replica/mod.rs
@@ -37,6 +37,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
+pub use follower::ReceivedSnapshot;
 pub use group::GroupChange;
 pub use log_store::LogStore;
 
@@ -87,12 +88,12 @@
         /// Replication round, which the receiver's reply repeats.
         round: u64,
     },
-    /// Replaces the replicated state with a snapshot from the leader.
+    /// Decodes a snapshot from the leader. If that succeeds, the caller replaces the log
+    /// with [`Replica::install_snapshot`] and then the replicated state; otherwise it calls
+    /// [`Replica::refuse_snapshot`].
     InstallSnapshot {
-        /// Last index and term that the snapshot covers, and the group there.
-        mark: SnapshotMark,
-        /// Replicated state as JSON.
-        state: String,
+        /// The snapshot, of which nothing is in force yet.
+        snapshot: ReceivedSnapshot,
     },
     /// Writes a log event.
     Log(EventLine),
@@ -245,7 +246,7 @@
                 self.on_append_reply(now, &from, term, &ack)
             }
             ReplicaMessage::Snapshot { mark, state, round } => {
-                self.on_snapshot(now, from, term, mark, state, round)
+                self.on_snapshot(now, from, term, (mark, state), round)
             }
             ReplicaMessage::LeaderQuery { denied_to, group_index } => {
                 self.on_leader_query(now, &from, boot, denied_to, group_index)
--- a/crates/services/src/replicated_log.rs
+++ b/crates/services/src/replicated_log.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use decisions::control::{
-    ControlState, GroupChange, Replica, ReplicaLimits, ReplicaStep, StoredReplica,
+    ControlState, GroupChange, ReceivedSnapshot, Replica, ReplicaLimits, ReplicaStep, StoredReplica,
 };
 use indexmap::IndexMap;
 use kernel::{
@@ -25,6 +25,7 @@
     MembershipMessage, NodeId, ReplicaEnvelope, ReplicaLinkMessage, ReplicaMessage,
     SchedulingMessage, ServiceName, SnapshotMark, SyncMark, Term,
 };
+use snafu::{ResultExt, Snafu, ensure};
 
 use crate::context::ServiceContext;
 
@@ -379,7 +380,7 @@
                     self.write_journal(JournalEntry::Records { from, records });
                 }
                 ReplicaStep::SendSnapshot { to, round } => self.send_snapshot(to, round),
-                ReplicaStep::InstallSnapshot { mark, state } => self.install_snapshot(mark, state),
+                ReplicaStep::InstallSnapshot { snapshot } => self.install_snapshot(snapshot),
                 ReplicaStep::Log(line) => self.log.info(line),
             }
         }
@@ -442,20 +443,30 @@
         self.send(to, envelope);
     }
 
-    fn install_snapshot(&mut self, mark: SnapshotMark, state: String) {
-        match serde_json::from_str(&state) {
-            Ok(decoded) => self.state = decoded,
+    /// Puts a snapshot in force, or refuses one that can't be used: this host then keeps
+    /// what it has and can take a later one.
+    fn install_snapshot(&mut self, snapshot: ReceivedSnapshot) {
+        let state = match decode_snapshot(&snapshot) {
+            Ok(state) => state,
             Err(error) => {
-                let line = EventLine::new("snapshot_unreadable").with("reason", error);
+                let line = EventLine::new("snapshot_refused")
+                    .with("index", snapshot.mark.index)
+                    .with("bytes", snapshot.state.len())
+                    .with("kept_index", self.state.versions().applied)
+                    .with("reason", error);
                 self.log.write(LineLevel::Error, line);
-                self.replica.on_journal_failed();
-                return;
+                let refusal = self.replica.refuse_snapshot(&snapshot);
+                return self.execute_steps(vec![refusal]);
             }
+        };
+        if !self.replica.install_snapshot(&snapshot) {
+            return;
         }
-        self.log.info(EventLine::new("snapshot_installed").with("index", mark.index));
+        self.state = state;
+        self.log.info(EventLine::new("snapshot_installed").with("index", snapshot.mark.index));
         self.notify_applied();
         self.notify_restored();
-        self.write_snapshot(mark, state);
+        self.write_snapshot(snapshot.mark, snapshot.state);
     }
 
     fn write_snapshot(&mut self, mark: SnapshotMark, state: String) {
@@ -648,6 +659,27 @@
     }
 }
 
+/// Why a snapshot from a leader can't be used.
+#[derive(Debug, Snafu)]
+enum SnapshotError {
+    #[snafu(display("the state can't be decoded: {source}"))]
+    Decode { source: serde_json::Error },
+    #[snafu(display("the state is that of index {applied}"))]
+    OtherIndex { applied: LogIndex },
+    #[snafu(display("the group is empty"))]
+    NoGroup,
+}
+
+/// Decodes the state of a snapshot and checks that it belongs to the snapshot's mark.
+fn decode_snapshot(snapshot: &ReceivedSnapshot) -> Result<ControlState, SnapshotError> {
+    let ReceivedSnapshot { mark, state, .. } = snapshot;
+    let state: ControlState = serde_json::from_str(state).context(DecodeSnafu)?;
+    let applied = state.versions().applied;
+    ensure!(applied == mark.index, OtherIndexSnafu { applied });
+    ensure!(!mark.group.is_empty(), NoGroupSnafu);
+    Ok(state)
+}
+
 fn send_reply(reply: Reservation<ControlReply>, call: CallId, body: ControlReplyBody) {
     reply.push(ControlReply { call, body });
 }
--- a/tests/log_model.rs
+++ b/tests/log_model.rs
@@ -8,7 +8,9 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use decisions::control::{GroupChange, Replica, ReplicaLimits, ReplicaStep, StoredReplica};
+use decisions::control::{
+    GroupChange, ReceivedSnapshot, Replica, ReplicaLimits, ReplicaStep, StoredReplica,
+};
 use model::{
     Command, ControlPeer, JournalEntry, LogIndex, LogRecord, NodeId, ReplicaEnvelope,
     ReplicaMessage, SyncMark, Term,
@@ -137,7 +139,11 @@
                     self.network.push((to, envelope));
                 }
                 ReplicaStep::Log(_) => {}
-                ReplicaStep::InstallSnapshot { mark, state } => {
+                ReplicaStep::InstallSnapshot { snapshot } => {
+                    if !host.replica.install_snapshot(&snapshot) {
+                        continue;
+                    }
+                    let ReceivedSnapshot { mark, state, .. } = snapshot;
                     let rest = host.replica.log().slice(mark.index + 1, usize::MAX);
                     let hard_state = host.replica.hard_state().clone();
                     host.unsynced.push(JournalEntry::Snapshot { mark, state, rest, hard_state });
