--- a/crates/decisions/src/control/mod.rs
+++ b/crates/decisions/src/control/mod.rs
@@ -22,5 +22,6 @@
 pub use member_store::MemberStore;
 pub use membership::{MembershipStep, MembershipTracker};
 pub use replica::{
-    GroupChange, LogStore, ReceivedSnapshot, Replica, ReplicaLimits, ReplicaStep, StoredReplica,
+    EncodedSnapshot, GroupChange, LogStore, ReceivedSnapshot, Replica, ReplicaLimits, ReplicaStep,
+    StoredReplica,
 };
--- a/crates/decisions/src/control/replica/follower.rs
+++ b/crates/decisions/src/control/replica/follower.rs
@@ -3,8 +3,11 @@
 
 use std::time::Instant;
 
-use model::{LogIndex, LogRecord, NodeId, ReplicaMessage, SnapshotMark, Term};
+use model::{
+    EventLine, LogIndex, LogRecord, NodeId, ReplicaMessage, SnapshotMark, SnapshotPart, Term,
+};
 
+use super::snapshot_transfer::{IncomingTransfer, PartResult};
 use super::{PendingAck, Replica, ReplicaStep, Role};
 
 /// Content of an append message. A heartbeat has no records.
@@ -160,10 +163,15 @@
         round: u64,
     ) -> ReplicaStep {
         let counts_toward_quorum = self.counts_toward_quorum();
-        self.send(
-            to,
-            ReplicaMessage::AppendReply { accepted, match_index, round, counts_toward_quorum },
-        )
+        let snapshot = self.incoming.as_ref().map(IncomingTransfer::progress);
+        let message = ReplicaMessage::AppendReply {
+            accepted,
+            match_index,
+            round,
+            counts_toward_quorum,
+            snapshot,
+        };
+        self.send(to, message)
     }
 
     /// Handles a snapshot. The log stays as it is until the caller has decoded the state
@@ -190,6 +198,49 @@
         steps
     }
 
+    /// Handles a part of a snapshot. The last one completes it.
+    pub(super) fn on_snapshot_part(
+        &mut self,
+        now: Instant,
+        from: NodeId,
+        term: Term,
+        content: (SnapshotMark, SnapshotPart),
+        round: u64,
+    ) -> Vec<ReplicaStep> {
+        let Some(mut steps) = self.accept_leader(now, &from, term) else {
+            return vec![self.append_reply(from, false, 0, round)];
+        };
+        let (mark, part) = content;
+        if mark.index <= self.commit_index {
+            self.incoming = None;
+            self.defer_ack(from, mark.index, round);
+            steps.extend(self.send_synced_ack());
+            return steps;
+        }
+        let known = self.incoming.take().filter(|incoming| incoming.includes(term, &mark, &part));
+        let mut incoming =
+            known.unwrap_or_else(|| IncomingTransfer::new(term, mark.clone(), &part));
+        match incoming.add(&part) {
+            PartResult::Incomplete => {
+                self.incoming = Some(incoming);
+                steps.push(self.append_reply(from, false, self.log.last_index(), round));
+            }
+            PartResult::Complete(state) => {
+                let snapshot = ReceivedSnapshot { leader: from, term, round, mark, state };
+                steps.push(ReplicaStep::InstallSnapshot { snapshot });
+            }
+            PartResult::Corrupt => {
+                let line = EventLine::new("snapshot_corrupt")
+                    .with("from", &from)
+                    .with("index", mark.index)
+                    .with("total_bytes", part.total_bytes);
+                steps.push(ReplicaStep::Log(line));
+                steps.push(self.append_reply(from, false, self.log.last_index(), round));
+            }
+        }
+        steps
+    }
+
     /// Replaces the log by a snapshot whose state the caller has decoded and puts in force
     /// now. Returns `false`, and changes nothing, if the snapshot is no longer needed.
     pub fn install_snapshot(&mut self, snapshot: &ReceivedSnapshot) -> bool {
@@ -197,6 +248,7 @@
         if *term != self.hard_state.term || mark.index <= self.commit_index {
             return false;
         }
+        self.incoming = None;
         self.log.install(mark.clone());
         self.commit_index = mark.index;
         self.synced_index = self.synced_index.min(mark.index.saturating_sub(1));
--- a/crates/decisions/src/control/replica/leader.rs
+++ b/crates/decisions/src/control/replica/leader.rs
@@ -9,14 +9,16 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use model::{Command, ControlPeer, Incarnation, LogIndex, LogRecord, NodeId, ReplicaMessage, Term};
+use model::{
+    Command, ControlPeer, Incarnation, LogIndex, LogRecord, NodeId, ReplicaMessage,
+    SnapshotProgress, Term,
+};
 
+use super::snapshot_transfer::OutgoingTransfer;
 use super::{Replica, ReplicaStep, Role};
 
 /// Upper bound of the clock drift between two hosts, relative to elapsed time.
 const MAX_CLOCK_DRIFT_RATIO: f64 = 0.05;
-/// Time allowed for a snapshot transfer before the snapshot is sent again.
-const SNAPSHOT_RETRY_INTERVAL: Duration = Duration::from_secs(5);
 /// Number of recent rounds whose send time is kept.
 const MAX_TRACKED_ROUNDS: usize = 4_096;
 
@@ -39,7 +41,8 @@
     /// Send time of the records in flight. Later records wait for the reply and
     /// are then sent as one batch.
     in_flight_since: Option<Instant>,
-    snapshot_retry_at: Option<Instant>,
+    /// Transfer of a snapshot; at its start while the follower needs none.
+    transfer: OutgoingTransfer,
 }
 
 impl PeerProgress {
@@ -53,7 +56,7 @@
             acked_round_sent_at: None,
             last_sent_at: None,
             in_flight_since: None,
-            snapshot_retry_at: None,
+            transfer: OutgoingTransfer::default(),
         }
     }
 }
@@ -66,6 +69,7 @@
     pub(super) match_index: LogIndex,
     pub(super) round: u64,
     pub(super) counts_toward_quorum: bool,
+    pub(super) snapshot: Option<SnapshotProgress>,
 }
 
 /// A pending addition to the group. The new host is a non-voting member until it
@@ -203,9 +207,10 @@
         names.iter().filter_map(|name| self.replicate(now, name, round)).collect()
     }
 
-    /// Sends a follower its next batch of records, a snapshot if the log no longer
-    /// holds them, or a heartbeat if it has all records. Sends nothing while
-    /// records or a snapshot are in flight and not yet due for a resend.
+    /// Sends a follower its next batch of records, or a snapshot or its next part if the
+    /// log no longer holds them. Sends a heartbeat if it has all records, or while a
+    /// snapshot is in flight; nothing while records are in flight and not yet due for a
+    /// resend.
     fn replicate(&mut self, now: Instant, name: &NodeId, round: u64) -> Option<ReplicaStep> {
         let batch = self.limits.max_batch_records;
         let heartbeat = self.limits.heartbeat_interval;
@@ -221,17 +226,23 @@
         if peer.in_flight_since.is_some_and(|since| now < since + heartbeat) {
             return None;
         }
-        peer.last_sent_at = Some(now);
-        if peer.next_index < first_kept {
-            if peer.snapshot_retry_at.is_some_and(|until| now < until) {
-                return None;
-            }
-            peer.snapshot_retry_at = Some(now + SNAPSHOT_RETRY_INTERVAL);
-            return Some(ReplicaStep::SendSnapshot { to: name.clone(), round });
+        let needs_snapshot = peer.next_index < first_kept;
+        if needs_snapshot && peer.transfer.is_due(now) {
+            peer.last_sent_at = Some(now);
+            let received = peer.transfer.start_message(now);
+            return Some(ReplicaStep::SendSnapshot { to: name.clone(), round, received });
+        }
+        if needs_snapshot && peer.last_sent_at.is_some_and(|at| now < at + heartbeat) {
+            return None;
         }
-        let prev_index = peer.next_index - 1;
+        peer.last_sent_at = Some(now);
+        // The records before those of the log are in the snapshot.
+        let prev_index = peer.next_index.max(first_kept) - 1;
         let prev_term = self.log.term_at(prev_index)?;
-        let mut records = self.log.slice(peer.next_index, batch);
+        let mut records = match needs_snapshot {
+            true => Vec::new(),
+            false => self.log.slice(peer.next_index, batch),
+        };
         truncate_to_bytes(&mut records, self.limits.max_batch_bytes);
         peer.next_index += records.len() as LogIndex;
         peer.in_flight_since = (!records.is_empty()).then_some(now);
@@ -262,7 +273,7 @@
         let mut steps = self.start_requalification(now, from);
         steps.extend(self.advance_commit(now));
         steps.extend(self.propose_joining(now));
-        if self.needs_append(from, ack) {
+        if self.needs_append(now, from, ack) {
             steps.extend(self.replicate_one(now, from));
         }
         steps
@@ -283,6 +294,10 @@
             peer.match_index = 0;
             peer.requalify_index = None;
         }
+        if ack.boot > peer.boot {
+            peer.transfer = OutgoingTransfer::default();
+        }
+        peer.transfer.on_reply(ack.snapshot);
         peer.in_flight_since = None;
         peer.boot = ack.boot;
         peer.counts_toward_quorum = ack.counts_toward_quorum;
@@ -290,7 +305,7 @@
         if ack.accepted {
             peer.match_index = peer.match_index.max(ack.match_index.min(last_index));
             peer.next_index = peer.next_index.max(peer.match_index + 1);
-            peer.snapshot_retry_at = None;
+            peer.transfer = OutgoingTransfer::default();
         } else {
             peer.next_index = (ack.match_index + 1).min(last_index + 1).max(peer.match_index + 1);
         }
@@ -298,11 +313,15 @@
     }
 
     /// Whether records are to be sent at once: the last append was rejected, or
-    /// there are records that were not sent yet.
-    fn needs_append(&self, name: &NodeId, ack: &Ack) -> bool {
+    /// there are records that were not sent yet. To a follower that needs a snapshot, its
+    /// next part is.
+    fn needs_append(&self, now: Instant, name: &NodeId, ack: &Ack) -> bool {
         let Role::Leader(leader) = &self.role else { return false };
-        let has_unsent = |peer: &PeerProgress| peer.next_index <= self.log.last_index();
-        !ack.accepted || leader.peers.get(name).is_some_and(has_unsent)
+        let Some(peer) = leader.peers.get(name) else { return false };
+        if peer.next_index <= self.log.mark().index {
+            return peer.transfer.is_due(now);
+        }
+        !ack.accepted || peer.next_index <= self.log.last_index()
     }
 
     /// Appends a no-op after which a copy outside the commit quorum may count
--- a/crates/decisions/src/control/replica/mod.rs
+++ b/crates/decisions/src/control/replica/mod.rs
@@ -26,13 +26,14 @@
 mod leader;
 mod log_store;
 mod restart;
+mod snapshot_transfer;
 
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
 use model::{
     ControlPeer, EventLine, HardState, Incarnation, LogIndex, LogRecord, NodeId, ReplicaEnvelope,
-    ReplicaMessage, SnapshotMark, Term, fingerprint,
+    ReplicaMessage, SnapshotMark, SnapshotProgress, Term, fingerprint,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -40,10 +41,12 @@
 pub use follower::ReceivedSnapshot;
 pub use group::GroupChange;
 pub use log_store::LogStore;
+pub use snapshot_transfer::EncodedSnapshot;
 
 use follower::Append;
 use leader::{Ack, LeaderState};
 use restart::LeaderInquiry;
+use snapshot_transfer::IncomingTransfer;
 
 /// Timing and limits of a replica.
 #[derive(Debug, Clone, Copy)]
@@ -81,12 +84,14 @@
         /// Consecutive records from `from` on.
         records: Vec<LogRecord>,
     },
-    /// Sends a snapshot of the replicated state.
+    /// Sends a message with a snapshot of the replicated state, or with its next part.
     SendSnapshot {
         /// Receiving host.
         to: NodeId,
         /// Replication round, which the receiver's reply repeats.
         round: u64,
+        /// What the receiver has of a snapshot.
+        received: Option<SnapshotProgress>,
     },
     /// Decodes a snapshot from the leader. If that succeeds, the caller replaces the log
     /// with [`Replica::install_snapshot`] and then the replicated state; otherwise it calls
@@ -155,6 +160,8 @@
     /// Granted votes to send once the hard state is synced.
     pending_vote_replies: Vec<(NodeId, ReplicaMessage)>,
     pending_ack: Option<PendingAck>,
+    /// The snapshot that a leader sends in parts.
+    incoming: Option<IncomingTransfer>,
     /// Other hosts that reported no history; used to bootstrap a new group.
     fresh_peers: IndexSet<NodeId>,
     next_hello_at: Instant,
@@ -199,6 +206,7 @@
             election_deadline: now,
             pending_vote_replies: Vec::new(),
             pending_ack: None,
+            incoming: None,
             fresh_peers: IndexSet::new(),
             next_hello_at: now,
             may_bootstrap: true,
@@ -241,13 +249,23 @@
                     Append { prev_index, prev_term, records, commit, round, may_join_quorum };
                 self.on_append(now, from, term, append)
             }
-            ReplicaMessage::AppendReply { accepted, match_index, round, counts_toward_quorum } => {
-                let ack = Ack { boot, accepted, match_index, round, counts_toward_quorum };
+            ReplicaMessage::AppendReply {
+                accepted,
+                match_index,
+                round,
+                counts_toward_quorum,
+                snapshot,
+            } => {
+                let ack =
+                    Ack { boot, accepted, match_index, round, counts_toward_quorum, snapshot };
                 self.on_append_reply(now, &from, term, &ack)
             }
             ReplicaMessage::Snapshot { mark, state, round } => {
                 self.on_snapshot(now, from, term, (mark, state), round)
             }
+            ReplicaMessage::SnapshotPart { mark, part, round } => {
+                self.on_snapshot_part(now, from, term, (mark, part), round)
+            }
             ReplicaMessage::LeaderQuery { denied_to, group_index } => {
                 self.on_leader_query(now, &from, boot, denied_to, group_index)
             }
@@ -366,6 +384,7 @@
         self.leader = None;
         self.pending_vote_replies.clear();
         self.pending_ack = None;
+        self.incoming = None;
     }
 
     fn majority(&self) -> usize {
--- a/crates/model/src/replica.rs
+++ b/crates/model/src/replica.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::command::Command;
-use crate::ids::{Incarnation, LogIndex, NodeId, Term};
+use crate::ids::{Fingerprint, Incarnation, LogIndex, NodeId, Term};
 use crate::settings::ControlPeer;
 
 /// One record of the replicated log.
@@ -77,6 +77,30 @@
     pub group: Vec<ControlPeer>,
 }
 
+/// A part of the encoded state of a snapshot.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SnapshotPart {
+    /// Size of the whole state, in bytes.
+    pub total_bytes: u64,
+    /// Fingerprint of the whole state.
+    pub fingerprint: Fingerprint,
+    /// Position of this part in the state, in bytes.
+    pub offset: u64,
+    /// The part.
+    pub text: String,
+}
+
+/// How much of a snapshot a follower has received.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SnapshotProgress {
+    /// Last log position that the snapshot covers.
+    pub index: LogIndex,
+    /// Fingerprint of the whole state.
+    pub fingerprint: Fingerprint,
+    /// Size of the parts that were received, in bytes.
+    pub bytes: u64,
+}
+
 /// A message from one replica to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ReplicaEnvelope {
@@ -156,8 +180,12 @@
         /// Whether the follower's copy counts towards commit quorums yet.
         #[serde(rename = "counts")]
         counts_toward_quorum: bool,
+        /// What the follower has of a snapshot that is sent in parts.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        snapshot: Option<SnapshotProgress>,
     },
-    /// Installs a snapshot at a follower that is too far behind for an append.
+    /// Installs a snapshot at a follower that is too far behind for an append. One
+    /// that is too large for a message is sent as `SnapshotPart`s.
     Snapshot {
         /// Log position of the snapshot.
         mark: SnapshotMark,
@@ -166,6 +194,16 @@
         /// Heartbeat round in which it was sent.
         round: u64,
     },
+    /// Sends a part of a snapshot. The reply to one that is not the last has `accepted`
+    /// false and states how much the follower has.
+    SnapshotPart {
+        /// Log position of the snapshot.
+        mark: SnapshotMark,
+        /// The part.
+        part: SnapshotPart,
+        /// Heartbeat round in which it was sent.
+        round: u64,
+    },
     /// Sent by a restarted replica, to determine whether some leader may still
     /// hold a lease that its previous process acknowledged.
     #[serde(rename = "lead_question")]
--- a/crates/services/src/replicated_log.rs
+++ b/crates/services/src/replicated_log.rs
@@ -12,7 +12,8 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use decisions::control::{
-    ControlState, GroupChange, ReceivedSnapshot, Replica, ReplicaLimits, ReplicaStep, StoredReplica,
+    ControlState, EncodedSnapshot, GroupChange, ReceivedSnapshot, Replica, ReplicaLimits,
+    ReplicaStep, StoredReplica,
 };
 use indexmap::IndexMap;
 use kernel::{
@@ -23,7 +24,7 @@
     ControlReplyBody, ControlStatus, EventLine, EventLog, GroupJoinMessage, Incarnation,
     JournalEntry, JournalMessage, LeaderHint, LineLevel, LogIndex, LogMessage, MemberStatus,
     MembershipMessage, NodeId, ReplicaEnvelope, ReplicaLinkMessage, ReplicaMessage,
-    SchedulingMessage, ServiceName, SnapshotMark, SyncMark, Term,
+    SchedulingMessage, ServiceName, SnapshotMark, SnapshotProgress, SyncMark, Term,
 };
 use snafu::{ResultExt, Snafu, ensure};
 
@@ -34,6 +35,11 @@
 /// Maximum size of the records in one message, in bytes; an eighth of the largest message
 /// between processes.
 const MAX_BATCH_BYTES: usize = 4 * 1024 * 1024;
+/// Maximum size of the part of a snapshot in one message, in bytes. Encoded in the message
+/// it takes up to twice as much.
+const MAX_SNAPSHOT_PART_BYTES: usize = 4 * 1024 * 1024;
+/// How long a snapshot is kept after a part of it was last sent.
+const SNAPSHOT_RETENTION: Duration = Duration::from_secs(15);
 /// Heartbeat interval of a leader as a fraction of the minimum election timeout.
 const HEARTBEAT_FRACTION: f64 = 0.35;
 /// Time without contact after which a host is removed from a group that has
@@ -77,6 +83,13 @@
     results: Vec<CommandResult>,
 }
 
+/// The snapshot that hosts are being sent.
+struct OutgoingSnapshot {
+    snapshot: EncodedSnapshot,
+    /// Time at which a part of it was last sent.
+    last_used: Instant,
+}
+
 struct ReplicatedLog {
     context: ServiceContext,
     log: EventLog,
@@ -85,6 +98,8 @@
     retention: Duration,
     snapshot_records: u64,
     pending_batches: VecDeque<PendingBatch>,
+    /// Kept between its parts, since encoding takes long.
+    outgoing: Option<OutgoingSnapshot>,
     /// Calls that wait until a group change is applied.
     group_change_calls: Vec<(CallId, Reservation<ControlReply>)>,
     /// Open calls of each replica, oldest first.
@@ -136,6 +151,7 @@
         retention: setup.retention,
         snapshot_records: setup.snapshot_records,
         pending_batches: VecDeque::new(),
+        outgoing: None,
         group_change_calls: Vec::new(),
         replica_calls: IndexMap::new(),
         notified_leadership: (None, LeaderHint::default()),
@@ -175,6 +191,7 @@
     state.apply_committed();
     state.propose_expiry(now);
     state.remove_unreachable_host(now);
+    state.drop_unused_snapshot(now);
     state.notify_changes(now);
 }
 
@@ -379,7 +396,9 @@
                 ReplicaStep::PersistRecords { from, records } => {
                     self.write_journal(JournalEntry::Records { from, records });
                 }
-                ReplicaStep::SendSnapshot { to, round } => self.send_snapshot(to, round),
+                ReplicaStep::SendSnapshot { to, round, received } => {
+                    self.send_snapshot(to, round, received);
+                }
                 ReplicaStep::InstallSnapshot { snapshot } => self.install_snapshot(snapshot),
                 ReplicaStep::Log(line) => self.log.info(line),
             }
@@ -434,15 +453,46 @@
         }
     }
 
-    fn send_snapshot(&mut self, to: NodeId, round: u64) {
-        let Ok(state) = serde_json::to_string(&self.state) else { return };
-        let index = self.state.versions().applied;
-        let Some(mark) = self.replica.snapshot_mark_at(index) else { return };
-        let message = ReplicaMessage::Snapshot { mark, state, round };
+    /// Sends a host that has received this much of a snapshot the message that follows.
+    fn send_snapshot(&mut self, to: NodeId, round: u64, received: Option<SnapshotProgress>) {
+        let now = self.context.clock.now();
+        let outgoing = self.outgoing.take().filter(|outgoing| self.serves(outgoing, received));
+        let Some(mut outgoing) = outgoing.or_else(|| self.encode_snapshot(now, &to)) else {
+            return;
+        };
+        outgoing.last_used = now;
+        let message = outgoing.snapshot.message(received, MAX_SNAPSHOT_PART_BYTES, round);
+        self.outgoing = Some(outgoing);
         let envelope = Box::new(self.replica.envelope(self.replica.term(), message));
         self.send(to, envelope);
     }
 
+    /// Whether a snapshot continues what a host has received, or the log continues it.
+    fn serves(&self, outgoing: &OutgoingSnapshot, received: Option<SnapshotProgress>) -> bool {
+        let OutgoingSnapshot { snapshot, .. } = outgoing;
+        received.is_some_and(|received| snapshot.matches(&received))
+            || snapshot.mark().index >= self.replica.log().mark().index
+    }
+
+    fn encode_snapshot(&self, now: Instant, to: &NodeId) -> Option<OutgoingSnapshot> {
+        let state = serde_json::to_string(&self.state).ok()?;
+        let mark = self.replica.snapshot_mark_at(self.state.versions().applied)?;
+        let snapshot = EncodedSnapshot::new(mark, state);
+        let line = EventLine::new("snapshot_encoded")
+            .with("for", to)
+            .with("index", snapshot.mark().index)
+            .with("bytes", snapshot.bytes());
+        self.log.info(line);
+        Some(OutgoingSnapshot { snapshot, last_used: now })
+    }
+
+    /// Drops the encoded snapshot once no host needs it, or this host doesn't lead.
+    fn drop_unused_snapshot(&mut self, now: Instant) {
+        let is_leader = self.replica.is_leader();
+        self.outgoing
+            .take_if(|outgoing| !is_leader || now >= outgoing.last_used + SNAPSHOT_RETENTION);
+    }
+
     /// Puts a snapshot in force, or refuses one that can't be used: this host then keeps
     /// what it has and can take a later one.
     fn install_snapshot(&mut self, snapshot: ReceivedSnapshot) {
--- a/tests/log_agreement.rs
+++ b/tests/log_agreement.rs
@@ -8,6 +8,9 @@
 
 use crate::log_model::{LogModel, MIN_ELECTION_TIMEOUT, peer};
 
+/// Rounds of [`LogModel::run_fault_free`] in which a lost snapshot is sent again.
+const CATCH_UP_ROUNDS: usize = 600;
+
 /// One step of a generated schedule. Hosts are given by their index, messages by
 /// their position in the network.
 #[derive(Debug, Clone)]
@@ -116,6 +119,23 @@
         prop_assert!(model.leader().is_some(), "a group without faults has a leader");
     }
 
+    // Guards against a host that stays behind, since a snapshot, or a part of one, was lost,
+    // late or doubled.
+    #[test]
+    fn three_hosts_catch_up(actions in prop::collection::vec(action(3), 1..200)) {
+        let mut model = LogModel::formed(3);
+        model.run_fault_free(30);
+        for action in &actions {
+            apply_action(&mut model, action);
+        }
+        end_faults(&mut model);
+        model.run_fault_free(CATCH_UP_ROUNDS);
+        let highest = model.highest_committed();
+        for host in &model.hosts {
+            prop_assert_eq!(host.replica.progress()[host.replica.name()], highest);
+        }
+    }
+
     #[test]
     fn new_groups_form(actions in prop::collection::vec(action(3), 1..150)) {
         let mut model = LogModel::new(3);
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -34,6 +34,7 @@
 mod job_sizes;
 mod journal_recovery;
 mod large_records;
+mod large_snapshots;
 mod late_orders;
 mod leader_search;
 mod lease_calls;
