Work that no backend server can hold delays no other

What callers saw: nothing yet; listed by reading. While jobs wait that are larger than every backend server, entries refuse small jobs with 503, on an idle site. One waiting best-effort job of 100 cores is enough.

Cause: expected_wait counts all work that a placement round left waiting as ahead of a new job, also work that waits for no capacity, since no server can ever hold it. Work of jobs that were cancelled after the round counted too, as long as as much other work, of whatever kind, was queued.

Evidence: tests/oversized_jobs.rs on the code before: oversized_delay_none: left: 1 right: 60 (the second oversized job is refused already) stored_oversized_wait: left: Some(QueueFull) right: None runnable_work_counts: Refused { cause: QueueFull, retry_after_ms: 2500 } test result: FAILED. 0 passed; 3 failed

Change: at the end of a placement round each waiting step is compared with the sizes of the known servers of its service and label, draining ones left out; only the steps that one of them can hold, when idle, count as left. What counts is kept for each step and goes with its tasks. The sizes are gathered once a round for each service and label.

Result: oversized_jobs 3 passed; with burst_admission, schedule_faults, job_sizes, hidden_steps, wide_jobs and the overload models 28 passed.

--- a/crates/decisions/src/schedule/agent_search.rs
+++ b/crates/decisions/src/schedule/agent_search.rs
@@ -7,6 +7,7 @@
 use super::agent_state::AgentState;
 use super::placement_round::{AgentClass, AgentDemand, Candidate, PlacementRound};
 use super::scheduler::Scheduler;
+use super::server_sizes::has_label;
 use super::step_spread::StepSpread;
 use super::task_urgency::{RunTimeRange, TaskUrgency};
 
@@ -151,7 +152,7 @@
             && !search.urgency.is_reserved(candidate.run_time, candidate.utilization())
     }
 
-    fn service_of(&self, job: &QueuedJob) -> Option<ServiceId> {
+    pub(super) fn service_of(&self, job: &QueuedJob) -> Option<ServiceId> {
         let catalog = self.store.catalog()?;
         catalog.queues.get(&job.queue).map(|queue| queue.service.clone())
     }
@@ -211,6 +212,5 @@
 /// Whether a backend server serves the service and has the required label.
 fn is_eligible(state: &AgentState, class: &AgentClass) -> bool {
     let Some(server) = &state.server else { return false };
-    let has_label = class.required_label.as_ref().is_none_or(|label| server.labels.contains(label));
-    server.service == class.service && has_label
+    server.service == class.service && has_label(&server.labels, class.required_label.as_ref())
 }
--- a/crates/decisions/src/schedule/mod.rs
+++ b/crates/decisions/src/schedule/mod.rs
@@ -30,6 +30,7 @@
 mod ready_queue;
 mod report_delay;
 mod scheduler;
+mod server_sizes;
 mod speed_estimate;
 mod step_spread;
 mod takeover;
--- a/crates/decisions/src/schedule/ready_queue.rs
+++ b/crates/decisions/src/schedule/ready_queue.rs
@@ -20,6 +20,8 @@
     highest: TaskIndex,
     /// Processor time that one task needs, in core-milliseconds.
     pub(super) work: u64,
+    /// Number of tasks that the latest placement round left waiting for capacity.
+    left: usize,
     /// Whether work on the job is wasted unless these tasks end while its caller
     /// waits.
     pub(super) at_stake: bool,
@@ -34,10 +36,8 @@
     groups: BTreeMap<GroupKey, ReadyGroup>,
     keys: IndexMap<(JobId, StepIndex), GroupKey>,
     counter: u64,
-    /// Processor time of all queued tasks, in core-milliseconds; wide enough for any
-    /// number of tasks.
-    work: u128,
-    /// The same of the tasks that the latest placement round left waiting.
+    /// Processor time of the tasks that the latest placement round left waiting for
+    /// capacity, in core-milliseconds; wide enough for any number of tasks.
     left_work: u128,
 }
 
@@ -63,6 +63,7 @@
             tasks: VecDeque::new(),
             highest: task,
             work,
+            left: 0,
             at_stake: false,
         });
         if task <= group.highest && group.tasks.contains(&task) {
@@ -70,7 +71,6 @@
         }
         group.highest = group.highest.max(task);
         group.tasks.push_back(task);
-        self.work += u128::from(group.work);
     }
 
     /// Keys of the groups in placement order.
@@ -88,9 +88,9 @@
     pub(super) fn take(&mut self, key: GroupKey) -> Option<TaskIndex> {
         let group = self.groups.get_mut(&key)?;
         let task = group.tasks.pop_front();
-        if task.is_some() {
-            self.work -= u128::from(group.work);
-        }
+        let left = group.left.min(group.tasks.len());
+        self.left_work -= work_of(group, group.left - left);
+        group.left = left;
         if group.tasks.is_empty() {
             let step_key = (group.job.clone(), group.step);
             self.keys.swap_remove(&step_key);
@@ -131,20 +131,26 @@
         for step in 0..steps {
             let Some(key) = self.keys.swap_remove(&(job.clone(), step)) else { continue };
             if let Some(group) = self.groups.remove(&key) {
-                self.work -= u128::from(group.work) * group.tasks.len() as u128;
+                self.left_work -= work_of(&group, group.left);
             }
         }
     }
 
-    /// Records that a placement round has left the queued tasks waiting.
-    pub(super) fn end_round(&mut self) {
-        self.left_work = self.work;
+    /// Records that a placement round has left the queued tasks waiting, for capacity
+    /// unless no backend server can hold them.
+    pub(super) fn end_round(&mut self, mut can_run: impl FnMut(&ReadyGroup) -> bool) {
+        self.left_work = 0;
+        for group in self.groups.values_mut() {
+            group.left = if can_run(group) { group.tasks.len() } else { 0 };
+            self.left_work += work_of(group, group.left);
+        }
     }
 
     /// Processor time of the tasks that wait for free capacity, in core-milliseconds,
-    /// without those that no round has tried to place yet.
+    /// without those that no round has tried to place yet and those that no backend
+    /// server can hold.
     pub(super) fn left_work(&self) -> u128 {
-        self.left_work.min(self.work)
+        self.left_work
     }
 
     /// Number of groups, one for each step with waiting tasks.
@@ -156,3 +162,8 @@
         self.groups.is_empty()
     }
 }
+
+/// Processor time of some tasks of a group, in core-milliseconds.
+fn work_of(group: &ReadyGroup, tasks: usize) -> u128 {
+    u128::from(group.work) * tasks as u128
+}
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -14,6 +14,7 @@
 use super::placement_round::PlacementRound;
 use super::ready_queue::GroupKey;
 use super::scheduler::{ScheduleStep, Scheduler};
+use super::server_sizes::ServerSizes;
 use super::step_spread::StepSpread;
 use crate::control::JobStore;
 
@@ -158,7 +159,21 @@
             return;
         }
         self.run_placement_round(now);
-        self.ready.end_round();
+        self.end_round();
+    }
+
+    /// Records the work that the round has left waiting for capacity. A step that no known
+    /// backend server can hold, even when it is idle, waits for none and delays no other.
+    fn end_round(&mut self) {
+        let mut ready = std::mem::take(&mut self.ready);
+        let servers = self.agents.values().filter_map(|state| state.server.as_ref());
+        let mut sizes = ServerSizes::new(servers.filter(|server| !server.draining));
+        ready.end_round(|group| {
+            let Some(live) = self.live.get(&group.job) else { return false };
+            let Some(step) = live.job.steps.get(group.step as usize) else { return false };
+            self.service_of(&live.job).is_some_and(|service| sizes.can_run(&service, step))
+        });
+        self.ready = ready;
     }
 
     fn run_placement_round(&mut self, now: Instant) {
--- /dev/null
+++ b/tests/oversized_jobs.rs
@@ -0,0 +1,79 @@
+//! Jobs that no backend server can hold: each is too small. They must not delay those
+//! that can run, nor keep their own callers waiting in vain.
+
+use std::sync::Arc;
+
+use model::{JobReply, JobStep, QueuedJob, RefusalCause, ResourceAmount};
+
+use crate::schedule_model::{CallStatus, ScheduleModel, job};
+
+/// Processor demand of a task that no server can hold.
+const OVERSIZED_CPU_MILLI: u64 = 100_000;
+
+/// A job with one task, which no server can hold.
+fn oversized_job(id: usize, best_effort: bool) -> Arc<QueuedJob> {
+    let small = job(id, 1, best_effort);
+    let size = ResourceAmount { cpu_milli: OVERSIZED_CPU_MILLI, memory_mb: 10, accelerators: 0 };
+    let step = JobStep { size, ..small.steps[0].clone() };
+    Arc::new(QueuedJob { steps: vec![step], ..(*small).clone() })
+}
+
+/// The cause of a refusal.
+fn refusal(reply: &CallStatus) -> Option<RefusalCause> {
+    match reply {
+        CallStatus::Reply(JobReply::Refused { cause, .. }) => Some(*cause),
+        _ => None,
+    }
+}
+
+// Guards against an idle site that refuses small jobs, since it counts the work of waiting
+// jobs that can't run as ahead of them.
+#[test]
+fn oversized_delay_none() {
+    let mut model = ScheduleModel::new(1, 2);
+    for number in 1..=60 {
+        model.submit(1, oversized_job(number, true));
+    }
+    assert_eq!(model.waiting_steps(1), 60, "the oversized jobs wait");
+    let call = model.submit(1, job(100, 1, true));
+    assert_eq!(model.replies[&call], CallStatus::Pending, "the servers are idle");
+    model.run_fault_free(10);
+    assert_eq!(
+        model.replies[&call],
+        CallStatus::Reply(JobReply::Phase(model::JobPhase::Completed))
+    );
+}
+
+// The same with stored jobs, which wait for as long as it takes.
+#[test]
+fn stored_oversized_wait() {
+    let mut model = ScheduleModel::new(1, 2);
+    for number in 1..=60 {
+        model.submit(0, oversized_job(number, false));
+    }
+    model.run_fault_free(10);
+    let small = job(100, 1, false);
+    let call = model.submit(0, small.clone());
+    assert_eq!(refusal(&model.replies[&call]), None);
+    model.run_fault_free(20);
+    assert_eq!(model.stored_phase(&small), Some(model::JobPhase::Completed));
+    assert!(model.is_stored(&oversized_job(1, false)), "a larger server may come");
+}
+
+// Work that can run still counts, also beside oversized work, and no longer once it is gone.
+#[test]
+fn runnable_work_counts() {
+    let mut model = ScheduleModel::new(1, 1);
+    for number in 1..=20 {
+        model.submit(1, oversized_job(number, true));
+    }
+    let calls: Vec<u64> = (101..=200).map(|number| model.submit(1, job(number, 1, true))).collect();
+    let refused = |call: &&u64| refusal(&model.replies[*call]) == Some(RefusalCause::QueueFull);
+    assert!(calls.iter().any(|call| refused(&call)), "100 jobs exceed the capacity");
+    let admitted: Vec<u64> = calls.iter().filter(|call| !refused(call)).copied().collect();
+    for call in admitted {
+        model.abandon(1, call);
+    }
+    let call = model.submit(1, job(300, 1, true));
+    assert_eq!(model.replies[&call], CallStatus::Pending, "the callers of all others have left");
+}
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -53,6 +53,7 @@
 mod odd_lists;
 mod odd_messages;
 mod overload_recovery;
+mod oversized_jobs;
 mod placement_rounds;
 mod platform_wire;
 mod process_failures;
