A best-effort job that no backend server can ever hold is refused at once

What callers saw: nothing yet. A caller whose job is larger than every backend server waits until three times the job's objective is over, and is refused then (503, time_over). It was known at once.

Cause: such a job was admitted like any other, since no work was ahead of it.

Evidence: oversized_jobs::oversized_refused_early on the code before: assertion `left != right` failed: no server can hold it, left: Pending

Change: a scheduler remembers what the backend servers that it has seen offer (service, labels, capacity; also those that are away now). 30 s after its start, a best-effort job of which a step fits on none of them, though there are some of its service, is refused with cause no_server, 503 and Retry-After 5 s: a larger server may start. A server that is away is waited for as before (absent_servers_awaited), and stored jobs wait as before.

--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -17,11 +17,15 @@
 use super::agent_state::AgentState;
 use super::live_job::Placement;
 use super::scheduler::{ScheduleStep, Scheduler, SchedulerKind};
+use super::server_sizes::ServerShape;
 
 /// How long a backend server gets no work after it refused a start for lack of
 /// capacity or as unhealthy.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(20);
 
+/// Maximum number of different backend servers that a scheduler remembers.
+const MAX_SEEN_SERVERS: usize = 8_192;
+
 impl Scheduler {
     /// Handles a message of an agent. Its connection is closed if this host does not
     /// lead, or if the message is of an earlier session or starts one without the list
@@ -131,6 +135,10 @@
         self.placement_due = true;
         let new_life = server.map(|server| &server.life) != state.life();
         state.server = server.cloned();
+        self.seen_servers.extend(server.map(ServerShape::of));
+        if self.seen_servers.len() > MAX_SEEN_SERVERS {
+            self.seen_servers.shift_remove_index(0);
+        }
         if new_life {
             state.begin_life(now);
             self.move_placements(&report.agent);
--- a/crates/decisions/src/schedule/job_admission.rs
+++ b/crates/decisions/src/schedule/job_admission.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant};
 
 use model::{
-    CallId, Command, EventLine, JobId, JobPhase, JobReply, QueuedJob, RefusalCause, scaled,
-    span_of_secs, span_sum,
+    CallId, Command, EventLine, JobId, JobPhase, JobReply, QueuedJob, RefusalCause, ServiceId,
+    scaled, span_of_secs, span_sum,
 };
 
 use super::agent_state::AgentState;
@@ -17,14 +17,20 @@
 use super::scheduler::{JobDecision, ScheduleStep, Scheduler};
 use crate::control::JobChange;
 
+/// Time after its start by which a scheduler has seen all kinds of backend servers.
+const DISCOVERY_TIME: Duration = Duration::from_secs(30);
+/// Delay after which a job that fits on no backend server may be tried again: a larger one
+/// may have started.
+const LARGER_SERVER_WAIT: Duration = Duration::from_secs(5);
+
 impl Scheduler {
     /// Decides on the admission of a stored job. A job that is stored already is
     /// accepted again regardless of load, so that submission is idempotent.
-    pub(super) fn admit(&mut self, job: &Arc<QueuedJob>) -> JobDecision {
+    pub(super) fn admit(&mut self, now: Instant, job: &Arc<QueuedJob>) -> JobDecision {
         if self.store.job(&job.id).is_some() {
             return JobDecision::Reply(JobReply::Accepted);
         }
-        match self.refusal(job, None) {
+        match self.refusal(now, job, None) {
             Some(reply) => JobDecision::Reply(reply),
             None => JobDecision::Commit(Command::AcceptJob { job: Arc::clone(job) }),
         }
@@ -46,7 +52,7 @@
             return JobDecision::Wait;
         }
         let wait = waiter.until.saturating_duration_since(now);
-        if let Some(reply) = self.refusal(job, Some(wait)) {
+        if let Some(reply) = self.refusal(now, job, Some(wait)) {
             return JobDecision::Reply(reply);
         }
         let change = self.volatile_store.accept(job, 0, self.term.unwrap_or_default());
@@ -69,9 +75,14 @@
     }
 
     /// Returns the refusal of a job that is beyond the bounds of jobs, whose queue is
-    /// unknown, or that is not expected to end within both `limit` and its maximum
+    /// unknown, that is known to fit on no backend server while its caller waits, or that is not expected to end within both `limit` and its maximum
     /// useful duration.
-    fn refusal(&mut self, job: &QueuedJob, limit: Option<Duration>) -> Option<JobReply> {
+    fn refusal(
+        &mut self,
+        now: Instant,
+        job: &QueuedJob,
+        limit: Option<Duration>,
+    ) -> Option<JobReply> {
         if let Err(error) = job.check_bounds() {
             let line = EventLine::new("job_refused").with("job", &job.id).with("reason", error);
             self.steps.push(ScheduleStep::Log(line));
@@ -84,6 +95,9 @@
             let cause = RefusalCause::UnknownQueue;
             return Some(JobReply::Refused { cause, retry_after_ms: 0 });
         };
+        if limit.is_some() && self.is_oversized(now, job, &queue.service) {
+            return Some(self.refuse_oversized(job));
+        }
         let critical_path = job.critical_path();
         let objective = queue.objective(critical_path);
         let wait = self.expected_wait();
@@ -108,6 +122,29 @@
         Some(JobReply::Refused { cause, retry_after_ms })
     }
 
+    /// Whether a step of the job exceeds every backend server of its service that this
+    /// scheduler has seen. Nothing is known of the first servers shortly after a start.
+    fn is_oversized(&self, now: Instant, job: &QueuedJob, service: &ServiceId) -> bool {
+        if now < self.leader_since + DISCOVERY_TIME {
+            return false;
+        }
+        let is_held = |step| self.seen_servers.iter().any(|shape| shape.can_run(service, step));
+        let is_served = self.seen_servers.iter().any(|shape| shape.serves(service));
+        is_served && !job.steps.iter().all(is_held)
+    }
+
+    fn refuse_oversized(&mut self, job: &QueuedJob) -> JobReply {
+        let cause = RefusalCause::NoServer;
+        let line = EventLine::new("job_refused")
+            .with("job", &job.id)
+            .with("queue", &job.queue)
+            .with("cause", cause)
+            .with("seen_servers", self.seen_servers.len());
+        self.steps.push(ScheduleStep::Log(line));
+        let retry_after_ms = LARGER_SERVER_WAIT.as_millis() as u64;
+        JobReply::Refused { cause, retry_after_ms }
+    }
+
     /// Moves the next check for expired jobs forward to the expiry of this one.
     pub(super) fn note_expiry(&mut self, id: &JobId) {
         let slowness = self.min_slowness();
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -19,6 +19,7 @@
 use super::proposed_ends::ProposedEnds;
 use super::ready_queue::ReadyQueue;
 use super::report_delay::ReportDelay;
+use super::server_sizes::ServerShape;
 use crate::control::{JobChange, JobStore};
 
 /// Which jobs a scheduler places.
@@ -121,6 +122,8 @@
     /// Start of the term, or of an entry's scheduler.
     pub(super) leader_since: Instant,
     pub(super) agents: IndexMap<NodeId, AgentState>,
+    /// What the backend servers that this scheduler has seen offer.
+    pub(super) seen_servers: IndexSet<ServerShape>,
     /// Jobs that have not ended.
     pub(super) live: IndexMap<JobId, LiveJob>,
     pub(super) placements: IndexMap<TaskName, Placement>,
@@ -165,6 +168,7 @@
             term: (kind == SchedulerKind::Entry).then_some(0),
             leader_since: now,
             agents: IndexMap::new(),
+            seen_servers: IndexSet::new(),
             live: IndexMap::new(),
             placements: IndexMap::new(),
             ready: ReadyQueue::default(),
@@ -326,7 +330,7 @@
                 let until = later(now, Duration::from_millis(*wait_ms));
                 self.admit_best_effort(now, job, JobWaiter { call: id, until })
             }
-            JobCall::Submit { job, .. } => self.admit(job),
+            JobCall::Submit { job, .. } => self.admit(now, job),
             JobCall::Cancel { queue, job } => match self.store.job(job) {
                 None => JobDecision::Reply(JobReply::UnknownJob),
                 Some(record) if record.queue != *queue => JobDecision::Reply(JobReply::UnknownJob),
--- a/crates/decisions/src/schedule/server_sizes.rs
+++ b/crates/decisions/src/schedule/server_sizes.rs
@@ -5,6 +5,33 @@
 
 use model::{JobStep, LabelId, ResourceAmount, ServerView, ServiceId};
 
+/// What a backend server offers, regardless of what it runs.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(super) struct ServerShape {
+    service: ServiceId,
+    labels: Vec<LabelId>,
+    capacity: ResourceAmount,
+}
+
+impl ServerShape {
+    pub(super) fn of(server: &ServerView) -> ServerShape {
+        let ServerView { service, labels, capacity, .. } = server.clone();
+        ServerShape { service, labels, capacity }
+    }
+
+    /// Whether the server runs tasks of a service.
+    pub(super) fn serves(&self, service: &ServiceId) -> bool {
+        self.service == *service
+    }
+
+    /// Whether the server, when it is idle, can run a task of the step.
+    pub(super) fn can_run(&self, service: &ServiceId, step: &JobStep) -> bool {
+        self.serves(service)
+            && has_label(&self.labels, step.required_label.as_ref())
+            && self.capacity.fits(&step.size)
+    }
+}
+
 /// The different sizes of the servers of one service that have one label.
 #[derive(Debug)]
 struct SizeClass {
--- a/crates/model/src/queue_jobs.rs
+++ b/crates/model/src/queue_jobs.rs
@@ -17,7 +17,7 @@
 use crate::time_bounds::span_sum;
 
 /// An amount of resources: the capacity of a worker, or the need of a task.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
 pub struct ResourceAmount {
     /// Processor time in thousandths of a core.
     pub cpu_milli: u64,
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -111,6 +111,8 @@
     /// The job waited until too little time was left to run it; none of its
     /// tasks started.
     TimeOver,
+    /// No backend server can hold a task of the job, even when it is idle.
+    NoServer,
     /// The catalog in force has no such queue.
     UnknownQueue,
     /// The message rings of the scheduling host are full.
--- a/tests/oversized_jobs.rs
+++ b/tests/oversized_jobs.rs
@@ -9,6 +9,8 @@
 
 /// Processor demand of a task that no server can hold.
 const OVERSIZED_CPU_MILLI: u64 = 100_000;
+/// Rounds of [`ScheduleModel::run_fault_free`] after which an entry knows its servers.
+const DISCOVERY_ROUNDS: usize = 1_100;
 
 /// A job with one task, which no server can hold.
 fn oversized_job(id: usize, best_effort: bool) -> Arc<QueuedJob> {
@@ -77,3 +79,32 @@
     let call = model.submit(1, job(300, 1, true));
     assert_eq!(model.replies[&call], CallStatus::Pending, "the callers of all others have left");
 }
+
+// Guards against callers that wait in vain for a job of which it is known that it can't run.
+#[test]
+fn oversized_refused_early() {
+    let mut model = ScheduleModel::new(1, 2);
+    let call = model.submit(1, oversized_job(1, true));
+    assert_eq!(model.replies[&call], CallStatus::Pending, "larger servers may not be known yet");
+    model.run_fault_free(DISCOVERY_ROUNDS);
+    let call = model.submit(1, oversized_job(2, true));
+    assert_ne!(model.replies[&call], CallStatus::Pending, "no server can hold it");
+    assert!(refusal(&model.replies[&call]).is_some());
+    let call = model.submit(1, job(3, 1, true));
+    assert_eq!(model.replies[&call], CallStatus::Pending, "small jobs are admitted");
+}
+
+// A server that is away for a moment comes back: its jobs wait for it as before.
+#[test]
+fn absent_servers_awaited() {
+    let mut model = ScheduleModel::new(1, 2);
+    model.run_fault_free(DISCOVERY_ROUNDS);
+    for server in 0..2 {
+        model.lose_server(server);
+    }
+    for _ in 0..200 {
+        model.run_fault_free(1);
+    }
+    let call = model.submit(1, job(1, 1, true));
+    assert_eq!(model.replies[&call], CallStatus::Pending);
+}
