Departed backend servers stay unused after a restart of their agent: shown by tests

It can't happen here: a late heartbeat is followed, but the server is offered and given work only once it has answered a call of this process of the agent with its lists. One that has ended answers none, and the next server at its address refuses calls that name it.

--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -18,6 +18,7 @@
 mod burst_admission;
 mod catalog_versions;
 mod config_versions;
+mod departed_servers;
 mod early_end;
 mod end_acks;
 mod entry_share;
