Appends that no correct leader sends are refused

One such message ends the duty of the replicated log, and the process goes on without it: the control host is mute until it is restarted.

Cause: records of an append were stored without a look at their indexes and terms; what is wrong with them met an assertion, or was accepted.

Evidence: tests/odd_appends.rs on the code before: committed_conflict_refused: a committed record must not be overwritten gap_refused, misplaced_records_refused: assertion `left == right` failed: indexes are consecutive late_term_refused, falling_term_refused, missing_group_refused: the append is accepted test result: FAILED. 1 passed; 6 failed (highest_index_refused passed)

Change: an append with a gap, a wrong order of terms, a record other than a committed one or a group without hosts is refused with the line append_refused and its reason. It gets no reply, since a leader answers a rejection with the same records at once.

--- a/crates/decisions/src/control/replica/follower.rs
+++ b/crates/decisions/src/control/replica/follower.rs
@@ -4,7 +4,8 @@
 use std::time::Instant;
 
 use model::{
-    EventLine, LogIndex, LogRecord, NodeId, ReplicaMessage, SnapshotMark, SnapshotPart, Term,
+    Command, EventLine, LogIndex, LogRecord, NodeId, ReplicaMessage, SnapshotMark, SnapshotPart,
+    Term,
 };
 
 use super::snapshot_transfer::{IncomingTransfer, PartResult};
@@ -21,6 +22,20 @@
     pub(super) may_join_quorum: bool,
 }
 
+/// Why an append can't be that of a correct leader.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+enum AppendDefect {
+    /// The indexes of the records are not consecutive.
+    Gap,
+    /// The term of a record is lower than the one before, or higher than the leader's.
+    WrongTerm,
+    /// A record differs from a committed one.
+    CommittedConflict,
+    /// A record sets a group without hosts.
+    EmptyGroup,
+}
+
 /// A snapshot as received from a leader, not decoded yet.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ReceivedSnapshot {
@@ -64,10 +79,21 @@
         term: Term,
         append: Append,
     ) -> Vec<ReplicaStep> {
-        let Append { prev_index, prev_term, records, commit, round, may_join_quorum } = append;
         let Some(mut steps) = self.accept_leader(now, &from, term) else {
-            return vec![self.append_reply(from, false, 0, round)];
+            return vec![self.append_reply(from, false, 0, append.round)];
         };
+        // It gets no reply: a leader answers a rejection with the same records at once.
+        if let Some(defect) = self.append_defect(term, &append) {
+            let line = EventLine::new("append_refused")
+                .with("from", &from)
+                .with("term", term)
+                .with("prev_index", append.prev_index)
+                .with("records", append.records.len())
+                .with("reason", defect);
+            steps.push(ReplicaStep::Log(line));
+            return steps;
+        }
+        let Append { prev_index, prev_term, records, commit, round, may_join_quorum } = append;
         if !self.matches_prev(prev_index, prev_term) {
             let hint = self.conflict_hint(prev_index);
             steps.push(self.append_reply(from, false, hint, round));
@@ -84,6 +110,32 @@
         steps
     }
 
+    fn append_defect(&self, term: Term, append: &Append) -> Option<AppendDefect> {
+        let mut before = (append.prev_index, append.prev_term);
+        for record in &append.records {
+            let (prev_index, prev_term) = before;
+            if prev_index.checked_add(1) != Some(record.index) {
+                return Some(AppendDefect::Gap);
+            }
+            if record.term < prev_term || record.term > term {
+                return Some(AppendDefect::WrongTerm);
+            }
+            if self.differs_from_committed(record) {
+                return Some(AppendDefect::CommittedConflict);
+            }
+            if matches!(&record.command, Command::ChangeGroup { group } if group.is_empty()) {
+                return Some(AppendDefect::EmptyGroup);
+            }
+            before = (record.index, record.term);
+        }
+        None
+    }
+
+    fn differs_from_committed(&self, record: &LogRecord) -> bool {
+        let is_committed = record.index <= self.commit_index;
+        is_committed && self.log.record(record.index).is_some_and(|known| known.term != record.term)
+    }
+
     /// Raft's log matching check. It always passes for an index that the snapshot
     /// covers.
     fn matches_prev(&self, prev_index: LogIndex, prev_term: Term) -> bool {
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -48,6 +48,7 @@
 mod long_runs;
 mod monthly_figures;
 mod odd_announcements;
+mod odd_appends;
 mod odd_catalogs;
 mod odd_heartbeats;
 mod odd_jobs;
