--- a/tests/broken_snapshots.rs
+++ b/tests/broken_snapshots.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use assert_matches::assert_matches;
-use decisions::control::{ControlState, StoredReplica};
+use decisions::control::{ControlState, EncodedSnapshot, StoredReplica};
 use kernel::{DrainGate, Kernel, PopResult, Registry, RingReceiver, SharedClock, SystemClock};
 use kernel::{RingSender, bounded};
 use model::{
@@ -212,3 +212,29 @@
     let mark = SnapshotMark { index: 9, term: 1, group: Vec::new() };
     refused_then_replaced(ReplicaMessage::Snapshot { mark, state: state_text(9), round: 2 });
 }
+
+// The service takes a snapshot in parts, and refuses the whole if it can't be decoded.
+#[test]
+fn parts_checked_whole() {
+    let mut follower = FollowerLog::start();
+    follower.deliver(append(1, 3));
+    let broken = format!("{}}}", state_text(9));
+    for (state, is_accepted) in [(broken, false), (state_text(9), true)] {
+        let mark = SnapshotMark { index: 9, term: 1, group: group() };
+        let snapshot = EncodedSnapshot::new(mark, state);
+        let mut received = None;
+        let accepted = loop {
+            let reply = follower.deliver(snapshot.message(received, 50, 2));
+            let ReplicaMessage::AppendReply { accepted, snapshot: progress, .. } = reply else {
+                panic!("{reply:?} instead of a reply to an append");
+            };
+            received = progress;
+            if received.is_none() {
+                break accepted;
+            }
+            assert!(!accepted, "an incomplete snapshot is acknowledged");
+        };
+        assert_eq!(accepted, is_accepted);
+    }
+    follower.kernel.stop();
+}
