Runs outlast their own scheduler's grant by 0.25 s at most

What callers saw: callers whose entry was killed sent their jobs again 1.3 s later, and tasks ran beside the runs of the dead entry, where the agent was killed or stood still up to a second after the entry.

Cause: a call could let a run outlast the grant of its own scheduler by a whole lease. So the runs of a dead entry could last until 1.95 s after its last contact, if nobody stopped them.

Evidence, on the code before (`grant_margin`): killed_agents_keep_none: Killed after 520ms for 500ms, 8 runs, not 0 frozen_agents_keep_none: Frozen after 520ms for 1s, 8 runs, not 0 runs_end_with_grant: the run is active when its caller sends the job again claimed_lease_renewed: the lease is not renewed at once Its three tests for healthy runs held before and hold now.

Change (`agent/run_lease`): a run outlasts its scheduler's grant by the time to stop it, 0.25 s. The lease is one for all runs of a backend server, so a renewal waits for as large a share of the lease that it gives as of a full one, and a lease that runs short is renewed at once when it may be longer. Without these two, `late_acks_spare_runs` fails at acknowledgements 0.58 s late. The contact timeout of schedulers stays grant plus lease: a run that starts late in its grant takes over the lease that the runs of others have.

--- a/crates/decisions/src/agent/mod.rs
+++ b/crates/decisions/src/agent/mod.rs
@@ -12,6 +12,7 @@
 mod heartbeat_interval;
 mod instance_pool;
 mod run_calls;
+mod run_lease;
 mod run_table;
 mod scheduler_session;
 mod server_heartbeats;
--- a/crates/decisions/src/agent/run_calls.rs
+++ b/crates/decisions/src/agent/run_calls.rs
@@ -1,6 +1,6 @@
 //! An agent's calls to its backend server: handling of their answers, lease
 //! renewal by long polls that return the lists of runs and ends, and the expiry
-//! of lease and grants.
+//! of lease and grants. How long a lease is: `run_lease`.
 
 use std::time::{Duration, Instant};
 
@@ -48,30 +48,6 @@
         self.steps.push(RunStep::Call(call));
     }
 
-    /// How long the runs on the backend server may stay active from now on: no longer
-    /// than the longest remaining grant. A call renews the lease of all runs there, so it
-    /// is zero while the backend server is silent, while it is not known what it runs, and
-    /// while there are runs that nobody has claimed, whose scheduler may long have lost
-    /// contact with this agent. Nor may any run outlast its own scheduler's grant by more
-    /// than a lease: after that time it counts as over there, stopped or not.
-    pub(super) fn allowed_lease(&self, now: Instant) -> Duration {
-        let Some(life) = &self.life else { return Duration::ZERO };
-        if life.is_silent(now) || !life.listed || life.has_unclaimed_runs() {
-            return Duration::ZERO;
-        }
-        let grants = self.schedulers.values().map(|session| session.remaining_grant(now));
-        let longest = grants.max().unwrap_or_default().min(self.limits.lease);
-        let active = life.runs.values().filter(|run| run.phase.may_be_active());
-        let shortest = active.map(|run| self.lease_left(now, run)).min();
-        shortest.map_or(longest, |shortest| longest.min(shortest))
-    }
-
-    /// Longest lease that a run may have, by the grant of its own scheduler.
-    fn lease_left(&self, now: Instant, run: &RunState) -> Duration {
-        let ends_at = self.granted_until(run).map(|until| until + self.limits.lease);
-        ends_at.map_or(Duration::ZERO, |at| at.saturating_duration_since(now))
-    }
-
     /// Handles the answer to a call, or its failure. `clock` is a reading of the
     /// backend server's clock and the local time it belongs to.
     pub fn on_answer(
@@ -267,10 +243,11 @@
     /// Sends a lease renewal if one is due and fewer than the maximum are
     /// outstanding.
     pub(super) fn renew_if_due(&mut self, now: Instant) {
+        let full_wait = self.renewal_wait(now);
         let Some(life) = &mut self.life else { return };
         let (max_outstanding, wait) = match life.is_hedging(now) {
-            true => (HEDGED_RENEWALS, self.limits.renewal_wait.mul_f64(HEDGED_WAIT_SHARE)),
-            false => (1, self.limits.renewal_wait),
+            true => (HEDGED_RENEWALS, full_wait.mul_f64(HEDGED_WAIT_SHARE)),
+            false => (1, full_wait),
         };
         if life.outstanding_renewals.len() < max_outstanding && life.renew_at <= now {
             let number = life.next_renewal();
@@ -278,14 +255,18 @@
             life.outstanding_renewals.push(number);
             self.renew_lease(now, number, wait);
         }
+        self.plan_renewal(now);
         self.query_lists_if_due(now);
     }
 
     /// Queries the lists with a renewal that returns at once: one that waits for an
-    /// end would show late that a run is barred.
+    /// end would show late that a run is barred, and one that waits already has given the
+    /// lease that was allowed when it was sent.
     fn query_lists_if_due(&mut self, now: Instant) {
         let Some(life) = &mut self.life else { return };
-        if life.query_lists_at.take_if(|at| *at <= now).is_some() {
+        let query = life.query_lists_at.take_if(|at| *at <= now);
+        let renewal = life.renew_early_at.take_if(|at| *at <= now);
+        if query.or(renewal).is_some() {
             let number = life.next_renewal();
             self.renew_lease(now, number, Duration::ZERO);
         }
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -119,6 +119,8 @@
     /// Time at which the lease has expired, with the margins for clock drift and
     /// stops, so that no run is active any more unless it is renewed.
     pub(super) lease_expires_at: Option<Instant>,
+    /// End of the longest lease that a call has given, without these margins.
+    pub(super) lease_until: Option<Instant>,
     /// Whether it has listed its runs since contact began or the lease expired.
     pub(super) listed: bool,
     pub(super) runs: IndexMap<TaskRun, RunState>,
@@ -135,6 +137,8 @@
     /// Time at which to query the lists in addition, with a renewal that does not
     /// wait for an end.
     pub(super) query_lists_at: Option<Instant>,
+    /// Time at which to renew the lease ahead of the next renewal.
+    pub(super) renew_early_at: Option<Instant>,
     /// Consecutive renewals that failed to return lists.
     pub(super) failed_renewals: u32,
     pub(super) renewals_sent: u64,
@@ -156,6 +160,7 @@
             clock: heartbeat.clock.map(|clock| (clock, now)),
             silent_from: None,
             lease_expires_at: None,
+            lease_until: None,
             listed: false,
             runs: IndexMap::new(),
             start_queue: StartQueue::default(),
@@ -165,6 +170,7 @@
             hedge_until: None,
             renew_at: now,
             query_lists_at: None,
+            renew_early_at: None,
             failed_renewals: 0,
             renewals_sent: 0,
             latest_listed_renewal: 0,
@@ -250,9 +256,15 @@
         let (clock, at) = self.clock?;
         let expires_at = now + lease.mul_f64(1.0 + MAX_CLOCK_DRIFT_RATIO) + LEASE_MARGIN;
         self.lease_expires_at = self.lease_expires_at.max(Some(expires_at));
+        self.lease_until = self.lease_until.max(Some(now + lease));
         Some(clock + now.saturating_duration_since(at) + lease)
     }
 
+    /// Whether there are active runs, and calls can extend their lease.
+    pub(super) fn can_renew_runs(&self) -> bool {
+        self.clock.is_some() && self.runs.values().any(|run| run.phase.is_active())
+    }
+
     /// Time at which no run is active any more, and the lists are out of date: the end of
     /// the lease, or without one the beginning of a silence.
     pub(super) fn lapses_at(&self) -> Option<Instant> {
@@ -418,11 +430,9 @@
             RunPhase::Stopping { retry_at } => retry_at,
             _ => None,
         });
-        [renewal, self.query_lists_at, self.lapses_at(), self.start_queue.next_deadline()]
-            .into_iter()
-            .flatten()
-            .chain(retries)
-            .min()
+        let queries = [self.query_lists_at, self.renew_early_at];
+        let ends = [self.lapses_at(), self.start_queue.next_deadline()];
+        [renewal].into_iter().chain(queries).chain(ends).flatten().chain(retries).min()
     }
 }
 
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -24,6 +24,7 @@
 mod fair_sharing;
 mod full_disk;
 mod graceful_drain;
+mod grant_margin;
 mod group_restart;
 mod group_size;
 mod hidden_steps;
