--- a/crates/decisions/src/agent/mod.rs
+++ b/crates/decisions/src/agent/mod.rs
@@ -13,6 +13,7 @@
 mod heartbeat_interval;
 mod instance_pool;
 mod run_calls;
+mod run_lease;
 mod run_table;
 mod scheduler_session;
 mod server_heartbeats;
