A host that names itself keeps the search for the leader from no other host

Cause: a host that named itself counted as elected, was taken out of the hosts asked in the round, and was therefore the first one to ask again, every 60 ms, before any other.

Change: a host that names itself is asked every other time, and while the answers of the others are open, so that an elected one is still found at once; never twice in a row while another may be asked. It loses that place with a later term, silence or a denial. The pause after a round does not grow while there is one.

--- a/crates/decisions/src/discovery/leader_search.rs
+++ b/crates/decisions/src/discovery/leader_search.rs
@@ -8,7 +8,9 @@
 //! Invariants:
 //! - a member list is replaced by a newer one only;
 //! - a host that did not answer, or denied that it leads, is asked out of turn again only
-//!   if another names it as the leader of a later term.
+//!   if another names it as the leader of a later term;
+//! - a host that names itself without leading yet is asked often, but never twice in a row
+//!   while another one may be asked.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -47,6 +49,11 @@
     /// The host to ask next, out of turn: a leader that was named, or the one that was
     /// followed before.
     named_leader: Option<SocketAddr>,
+    /// A host that named itself: it may have been elected and lead soon, or have lost the
+    /// lead without hearing of its successor.
+    self_named: Option<SocketAddr>,
+    /// The host that was asked last.
+    last_asked: Option<SocketAddr>,
     /// The latest term of which a leader is known.
     term: Term,
     /// Hosts that do not lead, with the term in which that is known.
@@ -70,6 +77,8 @@
             members: Vec::new(),
             members_version: (0, 0),
             named_leader: None,
+            self_named: None,
+            last_asked: None,
             term: 0,
             denied: IndexMap::new(),
             asked: IndexSet::new(),
@@ -102,32 +111,56 @@
         match self.next_host() {
             Some(host) => self.ask(now, host),
             None if self.open.is_empty() => self.end_round(now),
-            None => SearchStep::AwaitAnswer,
+            None => match self.self_named.filter(|host| !self.open.contains(host)) {
+                Some(host) => self.ask(now, host),
+                None => SearchStep::AwaitAnswer,
+            },
         }
     }
 
     fn ask(&mut self, now: Instant, host: SocketAddr) -> SearchStep {
         self.asked.insert(host);
         self.open.insert(host);
+        self.last_asked = Some(host);
         self.next_ask_at = now + ASK_INTERVAL;
         SearchStep::Ask(host)
     }
 
-    /// The next host of the round.
+    /// The next host of the round; every other time the one that named itself.
     fn next_host(&self) -> Option<SocketAddr> {
+        self.next_self_named().or_else(|| self.next_unasked())
+    }
+
+    fn next_self_named(&self) -> Option<SocketAddr> {
+        let is_due =
+            |host: &SocketAddr| self.last_asked != Some(*host) && !self.open.contains(host);
+        self.self_named.filter(is_due)
+    }
+
+    fn next_unasked(&self) -> Option<SocketAddr> {
         let mut hosts = self.hosts();
         let first = self.offset % hosts.len().max(1);
         hosts.rotate_left(first);
-        hosts.into_iter().find(|host| !self.asked.contains(host))
+        hosts.retain(|host| !self.asked.contains(host));
+        let other = hosts.iter().find(|host| Some(**host) != self.self_named);
+        other.or(hosts.first()).copied()
     }
 
     fn end_round(&mut self, now: Instant) -> SearchStep {
         self.asked.clear();
+        self.next_ask_at = now + self.round_pause();
+        SearchStep::WaitUntil(self.next_ask_at)
+    }
+
+    /// Pause after a round; it does not grow while a host names itself, as that one may
+    /// lead at any moment.
+    fn round_pause(&mut self) -> Duration {
+        if self.self_named.is_some() {
+            return FIRST_ROUND_PAUSE;
+        }
         let doublings = self.vain_rounds.min(MAX_PAUSE_DOUBLINGS);
-        let pause = (FIRST_ROUND_PAUSE * 2_u32.pow(doublings)).min(MAX_ROUND_PAUSE);
         self.vain_rounds += 1;
-        self.next_ask_at = now + pause;
-        SearchStep::WaitUntil(self.next_ask_at)
+        (FIRST_ROUND_PAUSE * 2_u32.pow(doublings)).min(MAX_ROUND_PAUSE)
     }
 
     /// Remembers what a control host told, whether it leads or not.
@@ -144,10 +177,7 @@
         self.open.swap_remove(&host);
         self.learn(hint);
         match hint.leader {
-            // It was elected, and leads as soon as it has committed a record.
-            Some(leader) if leader == host => {
-                self.asked.swap_remove(&host);
-            }
+            Some(leader) if leader == host => self.on_self_named(host, hint.term),
             Some(leader) => {
                 self.deny(host);
                 self.name_leader(leader, hint.term);
@@ -156,9 +186,22 @@
         }
     }
 
+    /// Handles a host that names itself but does not lead. It leads as soon as it has
+    /// committed a record, unless a later term is known.
+    fn on_self_named(&mut self, host: SocketAddr, term: Term) {
+        if term < self.term {
+            return self.deny(host);
+        }
+        self.term = term;
+        self.self_named = Some(host);
+    }
+
     fn name_leader(&mut self, leader: SocketAddr, term: Term) {
         let is_denied = self.denied.get(&leader).is_some_and(|denied| *denied >= term);
-        if term >= self.term && !is_denied {
+        if term > self.term {
+            self.self_named = None;
+        }
+        if term >= self.term && !is_denied && self.self_named != Some(leader) {
             self.term = term;
             self.named_leader = Some(leader);
         }
@@ -173,6 +216,7 @@
     fn deny(&mut self, host: SocketAddr) {
         self.denied.insert(host, self.term);
         self.named_leader.take_if(|leader| *leader == host);
+        self.self_named.take_if(|named| *named == host);
     }
 
     /// Abandons the open questions, since a host has answered that may lead.
@@ -188,6 +232,7 @@
         self.open.clear();
         self.asked.clear();
         self.named_leader = None;
+        self.self_named = None;
         self.vain_rounds = 0;
     }
 
--- a/tests/leader_search.rs
+++ b/tests/leader_search.rs
@@ -176,6 +176,36 @@
     assert!(world.now - now <= SILENCE_TIMEOUT);
 }
 
+// Guards against entries that ask a former leader, which is cut off and still names itself,
+// again and again and no other host: they had an old catalog for as long as the cut took.
+#[test]
+fn self_named_host_passed() {
+    let members = [1, 2, 3, 4, 5];
+    let former = HostState::Follows(hint(Some(1), 2, &members, 1));
+    let leads = HostState::Leads(hint(Some(5), 3, &members, 1));
+    let follows = HostState::Follows(hint(Some(5), 3, &members, 1));
+    let unaware = HostState::Follows(hint(None, 2, &members, 1));
+    for others in [follows, unaware, HostState::Silent] {
+        let mut world = SearchWorld::new(&members, &[(1, former.clone()), (5, leads.clone())]);
+        for number in 2..5 {
+            world.set(number, others.clone());
+        }
+        let now = world.now;
+        assert_eq!(world.find(MAX_SEARCH_TIME), Some(host(5)), "{others:?}");
+        assert!(world.now - now < 2 * SILENCE_TIMEOUT, "{others:?}");
+    }
+}
+
+// Guards against a host that is asked far more often than others while it names itself.
+#[test]
+fn self_named_host_spared() {
+    let former = HostState::Follows(hint(Some(1), 2, &[1, 2, 3], 1));
+    let mut world = SearchWorld::new(&[1, 2, 3], &[(1, former.clone()), (2, former.clone())]);
+    world.set(3, former);
+    assert_eq!(world.find(Duration::from_secs(10)), None);
+    assert!(world.asks < 200, "{} questions in 10 s", world.asks);
+}
+
 // Guards against a roll in which entries and agents don't understand a host of another version.
 #[test]
 fn earlier_versions_understood() {
