A control host does not keep what it told itself of the group

What callers saw: a former leader that is cut off names itself, so that entries, agents and operators stay with it or are redirected to it.

Cause: after a restart a control host asks the leader for the group, and is asked to answer itself if it was elected meanwhile. It kept that answer, and passed it on once it had lost the lead, for as long as it heard of no later term. The answer came after the replica's leader was noted, so nothing removed it.

Change: what a leader tells comes with the leader's name, and the host's own is not kept (decisions/discovery/learned_group, moved out of the replicated log so that a test reaches it).

--- a/crates/edges/src/group_join.rs
+++ b/crates/edges/src/group_join.rs
@@ -133,7 +133,8 @@
         let (host, (client, status)) = self.finder.find(ask).await;
         let hint = leader_hint(host, &status);
         self.finder.confirm(host, &hint);
-        if self.replicated_log.push(LogMessage::GroupLearned { hint }).is_err() {
+        let leader = status.host.clone();
+        if self.replicated_log.push(LogMessage::GroupLearned { leader, hint }).is_err() {
             self.log.warn(EventLine::new("ring_full").with("ring", ServiceName::ReplicatedLog));
         }
         if status.group.contains(&self.join.own_peer) {
--- a/crates/model/src/control_messages.rs
+++ b/crates/model/src/control_messages.rs
@@ -201,6 +201,8 @@
     },
     /// The leader has told this host, which may not be a member, of the group.
     GroupLearned {
+        /// The leader's name.
+        leader: NodeId,
         /// What the leader told.
         hint: LeaderHint,
     },
--- a/crates/services/src/replicated_log.rs
+++ b/crates/services/src/replicated_log.rs
@@ -14,6 +14,7 @@
 use decisions::control::{
     ControlState, GroupChange, Replica, ReplicaLimits, ReplicaStep, StoredReplica,
 };
+use decisions::discovery::LearnedGroup;
 use indexmap::IndexMap;
 use kernel::{
     DutyHandler, KernelError, PushError, Registry, Reservation, RingReceiver, RingSender, run_duty,
@@ -92,7 +93,7 @@
     /// which this host leads, and what it knows of the leader and the group.
     notified_leadership: (Option<Term>, LeaderHint),
     /// What the leader told this host when it asked to join.
-    learned_group: LeaderHint,
+    learned_group: LearnedGroup,
     notified_group: Vec<ControlPeer>,
     next_expiry: Instant,
     target_hosts: Option<usize>,
@@ -126,6 +127,7 @@
         max_batch_bytes: MAX_BATCH_BYTES,
     };
     let target_hosts = setup.target_hosts;
+    let learned_group = LearnedGroup::new(setup.name.clone());
     let mut replica = Replica::new(now, setup.name, setup.boot, limits, setup.group, setup.stored);
     replica.set_may_bootstrap(setup.bootstrap);
     let state = ReplicatedLog {
@@ -138,7 +140,7 @@
         group_change_calls: Vec::new(),
         replica_calls: IndexMap::new(),
         notified_leadership: (None, LeaderHint::default()),
-        learned_group: LeaderHint::default(),
+        learned_group,
         notified_group: Vec::new(),
         next_expiry: now + EXPIRY_INTERVAL,
         target_hosts,
@@ -189,7 +191,7 @@
                     self.execute_steps(steps);
                 }
             }
-            LogMessage::GroupLearned { hint } => self.learned_group = hint,
+            LogMessage::GroupLearned { leader, hint } => self.learned_group.learn(&leader, hint),
             LogMessage::Query { call, query, reply } => self.on_query(now, call, &query, reply),
             LogMessage::Replica { call, envelope, reply } => {
                 self.on_replica_message(now, call, *envelope, reply);
@@ -294,16 +296,16 @@
         send_reply(reply, call, ControlReplyBody::NotLeader(self.leader_hint()));
     }
 
-    /// The leader and the group. Without a leader of its own, a host that was told of a
-    /// later term passes that on: it may not be a member.
+    /// The leader and the group. Without a leader of its own, a host that was told of one
+    /// passes that on: it may not be a member.
     fn leader_hint(&self) -> LeaderHint {
-        let leader = self.replica.leader().map(|peer| peer.address);
-        let term = self.replica.term();
-        if leader.is_none() && self.learned_group.term >= term {
-            return self.learned_group.clone();
-        }
-        let members = self.replica.log().group().iter().map(|peer| peer.address).collect();
-        LeaderHint { leader, term, members, group_index: self.replica.log().group_index() }
+        let log = self.replica.log();
+        self.learned_group.latest(LeaderHint {
+            leader: self.replica.leader().map(|peer| peer.address),
+            term: self.replica.term(),
+            members: log.group().iter().map(|peer| peer.address).collect(),
+            group_index: log.group_index(),
+        })
     }
 
     fn change_group(
@@ -600,7 +602,7 @@
     fn notify_group_join(&mut self) {
         let known = self.replica.leader().is_some();
         if known {
-            self.learned_group = LeaderHint::default();
+            self.learned_group.forget();
         }
         if let Some(join) = &self.group_join
             && join.push(GroupJoinMessage::Leader { known }).is_err()
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -35,6 +35,7 @@
 mod large_records;
 mod late_orders;
 mod leader_search;
+mod learned_group;
 mod lease_calls;
 mod lease_renewal;
 mod ledger_claims;
