Routes whose hosts differ in letter case only are the same place

What an operator saw, by reading: a configuration with two routes to a.example/x/ and A.example/x/ was acknowledged, though two routes must not share a host and prefix, and one of the two was never served: routing ignores the letter case of host names.

Cause: the check compared the hosts as text.

--- a/tests/odd_catalogs.rs
+++ b/tests/odd_catalogs.rs
@@ -73,6 +73,27 @@
     assert_matches!(read_catalog(&odd), Err(CatalogError::NotText { .. }));
 }
 
+/// A configuration of two routes to one path, at these hosts.
+fn routes_at(hosts: [&str; 2]) -> String {
+    let route = |name, host| {
+        json!({ "name": name, "host": host, "path_prefix": "/x/", "timeout_ms": 1_500,
+            "service": "s" })
+    };
+    let routes = [route("r-1", hosts[0]), route("r-2", hosts[1])];
+    json!({ "version": 7, "routes": routes, "services": [{ "name": "s" }] }).to_string()
+}
+
+// Guards against an acknowledged route that is never served: routing ignores the letter case
+// of host names, so that the other route of the pair takes its requests.
+#[test]
+fn shared_place_refused() {
+    for hosts in [["a.example", "A.example"], ["a.EXAMPLE", "a.example"]] {
+        let refused = read_catalog(routes_at(hosts));
+        assert_matches!(refused, Err(CatalogError::DuplicateRoute { .. }), "{hosts:?}");
+    }
+    assert!(read_catalog(routes_at(["a.example", "b.example"])).is_ok());
+}
+
 #[test]
 fn nested_catalogs_refused() {
     let deep = format!("{}{}", "{\"a\":".repeat(50_000), "1".to_owned() + &"}".repeat(50_000));
