A configuration with a documented field of a wrong type is refused

What an operator saw, by reading: a configuration that can't be read in full, for example with "max_conns": "x" or "kind": 7, was acknowledged and served back. Fields that no decision uses were not decoded.

A comment that stood above the wrong test is back in its place.

--- a/tests/odd_catalogs.rs
+++ b/tests/odd_catalogs.rs
@@ -62,7 +62,6 @@
     }
 }
 
-// Deep nesting must exhaust no stack, neither where a field is used nor where it isn't.
 // Guards against a configuration that is acknowledged, and served in another form than it
 // was sent.
 #[test]
@@ -94,6 +93,89 @@
     assert!(read_catalog(routes_at(["a.example", "b.example"])).is_ok());
 }
 
+/// A configuration with all fields that operators send, one of them of this value.
+fn full_document(list: &str, field: &str, value: &Value) -> String {
+    let mut config = json!({ "version": 7,
+        "routes": [{ "name": "r-1", "host": "a.example", "path_prefix": "/x/", "kind": "unsafe",
+            "timeout_ms": 1_500, "goal_ms": 60, "priority": 0, "service": "s",
+            "max_attempts": 4, "stretch": 1.6 }],
+        "services": [{ "name": "s", "health_path": "/health", "max_conns": 64, "protocol": "h1",
+            "tls": false, "enforce_capacity": true, "spare": false }],
+        "limits": { "max_header_bytes": 16_384, "max_body_bytes": 262_144,
+            "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 } });
+    let fields = match list {
+        "limits" => &mut config["limits"],
+        list => &mut config[list][0],
+    };
+    fields[field] = value.clone();
+    config.to_string()
+}
+
+// Guards against a configuration that can't be read in full and is acknowledged: fields that
+// no decision uses were not read at all.
+#[test]
+fn wrong_types_refused() {
+    let (text, number, flag) = (json!("x"), json!(7), json!(true));
+    for (list, field, valid, invalid) in [
+        ("routes", "name", &text, &number),
+        ("routes", "host", &text, &number),
+        ("routes", "path_prefix", &text, &flag),
+        ("routes", "kind", &text, &number),
+        ("routes", "timeout_ms", &number, &text),
+        ("routes", "goal_ms", &number, &text),
+        ("routes", "priority", &number, &text),
+        ("routes", "max_attempts", &number, &text),
+        ("routes", "stretch", &number, &text),
+        ("services", "health_path", &text, &number),
+        ("services", "max_conns", &number, &text),
+        ("services", "protocol", &text, &flag),
+        ("services", "tls", &flag, &text),
+        ("services", "enforce_capacity", &flag, &number),
+        ("services", "spare", &flag, &number),
+        ("limits", "max_header_bytes", &number, &text),
+        ("limits", "max_body_bytes", &number, &text),
+        ("limits", "header_timeout_ms", &number, &flag),
+        ("limits", "idle_timeout_ms", &number, &text),
+    ] {
+        let document = full_document(list, field, valid);
+        assert!(read_catalog(document).is_ok(), "{list} {field} {valid}");
+        let refused = read_catalog(full_document(list, field, invalid));
+        assert_matches!(refused, Err(CatalogError::Unreadable { .. }), "{list} {field}");
+    }
+    assert!(read_catalog(full_document("services", "max_conns", &Value::Null)).is_ok());
+    assert!(read_catalog(full_document("services", "novel", &text)).is_ok());
+}
+
+// Guards against a configuration of which a part is read twice, or only in part.
+#[test]
+fn odd_documents_refused() {
+    let document = full_document("routes", "novel", &Value::Null);
+    for (from, to) in [
+        ("\"version\":7", "\"version\":7,\"version\":8"),
+        ("\"timeout_ms\":1500", "\"timeout_ms\":1500,\"timeout_ms\":1"),
+        ("\"version\":7", "\"version\":18446744073709551616"),
+        ("\"version\":7", "\"version\":-7"),
+        ("\"version\":7", "\"version\":7.5"),
+        ("\"version\":7", "\"version\":\"7\""),
+        ("\"version\":7", "\"version\":null"),
+        ("\"services\":", "\"servants\":"),
+        ("\"routes\":", "\"roots\":"),
+    ] {
+        let odd = document.replace(from, to);
+        assert_ne!(odd, document, "{from}");
+        assert_matches!(read_catalog(odd), Err(CatalogError::Unreadable { .. }), "{to}");
+    }
+    for odd in
+        [format!("{document}}}"), format!("{document}{document}"), format!("\u{feff}{document}")]
+    {
+        assert!(read_catalog(odd).is_err());
+    }
+    for end in 0..document.len() {
+        assert!(read_catalog(&document[..end]).is_err(), "cut short at {end}");
+    }
+}
+
+// Deep nesting must exhaust no stack, neither where a field is used nor where it isn't.
 #[test]
 fn nested_catalogs_refused() {
     let deep = format!("{}{}", "{\"a\":".repeat(50_000), "1".to_owned() + &"}".repeat(50_000));
