--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -40,6 +40,7 @@
 mod large_snapshots;
 mod late_orders;
 mod leader_search;
+mod learned_group;
 mod lease_calls;
 mod lease_renewal;
 mod ledger_claims;
