--- a/crates/decisions/src/schedule/job_admission.rs
+++ b/crates/decisions/src/schedule/job_admission.rs
@@ -81,8 +81,8 @@
     }
 
     /// Returns the refusal of a job that is beyond the bounds of jobs, whose queue is
-    /// unknown, that is known to fit on no backend server while its caller waits, or that is not expected to end within both `limit` and its maximum
-    /// useful duration.
+    /// unknown, that is known to fit on no backend server while its caller waits, or that
+    /// is not expected to end within both `limit` and its maximum useful duration.
     fn refusal(
         &mut self,
         now: Instant,
--- a/tests/grant_margin.rs
+++ b/tests/grant_margin.rs
@@ -70,6 +70,7 @@
             usage_interval_ms: 50,
             ack: None,
             orders,
+            claims: None,
             entries: None,
             controls: None,
         };
