Ends of completed runs outlive a lost connection to their entry

What was seen: work that had run was run again. No rule is broken, as callers of such jobs still wait.

Cause: an agent dropped the updates for an entry with the connection, those in its unacknowledged reports too. The next session listed the active runs; the entry took a run that was missing there for one that never arrived, and started the task again.

Change: an agent keeps the ends of completed runs until the entry has acknowledged the report, 500 at most, and the first report of the next session has them. Those for control were kept already, as unacknowledged ends.

Evidence: kept_ends, both tests, fail without the kept ends (2 starts of each task) and pass with them.

--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -176,8 +176,13 @@
         session: SessionId,
     ) -> Vec<RunStep> {
         let life = self.life.as_ref();
-        let updates = life.map(|life| life.unacked_of(&scheduler)).unwrap_or_default();
-        self.schedulers.entry(scheduler).or_default().open(session, updates);
+        let mut updates = life.map(|life| life.unacked_of(&scheduler)).unwrap_or_default();
+        let is_entry = scheduler != SchedulerKey::Control;
+        let known = self.schedulers.entry(scheduler).or_default();
+        let kept_ends = known.take_kept_ends();
+        // Those for control are unacknowledged ends of the life.
+        updates.extend(kept_ends.into_iter().filter(|_| is_entry));
+        known.open(session, updates);
         self.finish(now)
     }
 
--- a/crates/decisions/src/agent/scheduler_session.rs
+++ b/crates/decisions/src/agent/scheduler_session.rs
@@ -4,10 +4,12 @@
 //! An update that the scheduler has to act on is reported at once. One that only
 //! releases capacity waits for a short time, so that it goes with others.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use model::{
-    ClaimUpdate, MAX_UNACKED_REPORTS, ResourceAmount, RunUpdate, ServerReport, SessionId, Term,
+    ClaimUpdate, EndKind, MAX_UNACKED_REPORTS, ResourceAmount, RunUpdate, ServerReport, SessionId,
+    Term,
 };
 
 /// How long an update that only releases capacity may wait for others.
@@ -16,6 +18,9 @@
 /// Interval of reports of changed usage until the scheduler has named its own.
 const INITIAL_USAGE_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Maximum number of ends that wait for an entry to connect again.
+const MAX_KEPT_ENDS: usize = 500;
+
 /// When an update has to be reported.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum UpdateUrgency {
@@ -43,6 +48,11 @@
     pub(super) grant: Duration,
     /// Updates to send with the next report.
     updates: Vec<RunUpdate>,
+    /// Ends of completed runs in each report that is sent and not acknowledged yet, oldest
+    /// report first.
+    sent_ends: VecDeque<Vec<RunUpdate>>,
+    /// Ends of completed runs that the lost connection may not have delivered.
+    kept_ends: Vec<RunUpdate>,
     /// Claim updates to send with the next report.
     claim_updates: Vec<ClaimUpdate>,
     /// Time by which the updates have to be reported.
@@ -60,6 +70,18 @@
 }
 
 impl SchedulerSession {
+    /// Takes the ends of completed runs that no earlier session has delivered for sure. An
+    /// entry that gets one twice has no such run any more.
+    pub(super) fn take_kept_ends(&mut self) -> Vec<RunUpdate> {
+        std::mem::take(&mut self.kept_ends)
+    }
+
+    fn keep_ends(&mut self, updates: impl Iterator<Item = RunUpdate>) {
+        self.kept_ends.extend(updates.filter(is_completed));
+        let excess = self.kept_ends.len().saturating_sub(MAX_KEPT_ENDS);
+        self.kept_ends.drain(..excess);
+    }
+
     /// Starts a session; its first report lists all runs.
     pub(super) fn open(&mut self, session: SessionId, updates: Vec<RunUpdate>) {
         self.session = Some(session);
@@ -79,7 +101,9 @@
     pub(super) fn close(&mut self, session: SessionId) -> bool {
         let is_open = self.session.take_if(|open| *open == session).is_some();
         if is_open {
-            self.updates.clear();
+            let sent = std::mem::take(&mut self.sent_ends).into_iter().flatten();
+            let waiting = std::mem::take(&mut self.updates);
+            self.keep_ends(sent.chain(waiting));
             self.claim_updates.clear();
         }
         is_open
@@ -99,11 +123,11 @@
         std::mem::take(&mut self.claim_updates)
     }
 
-    /// Adds an update to the next report. Without a session it is dropped: the next
-    /// session begins with the list of runs and the unacknowledged ends.
+    /// Adds an update to the next report. Without a session only the end of a completed run
+    /// is kept: the next session begins with the list of runs and the unacknowledged ends.
     pub(super) fn add_update(&mut self, now: Instant, update: RunUpdate, urgency: UpdateUrgency) {
         if self.session.is_none() {
-            return;
+            return self.keep_ends(std::iter::once(update));
         }
         let due = match urgency {
             UpdateUrgency::AtOnce => now,
@@ -116,6 +140,7 @@
     /// Handles the acknowledgement of this number of reports.
     pub(super) fn on_reports_acked(&mut self, count: usize) {
         self.unacked_reports = self.unacked_reports.saturating_sub(count);
+        self.sent_ends.drain(..count.min(self.sent_ends.len()));
     }
 
     /// Whether a report may be sent.
@@ -146,7 +171,9 @@
         self.reported_usage = other_usage;
         self.reported_at = Some(now);
         self.updates_due = None;
-        std::mem::take(&mut self.updates)
+        let updates = std::mem::take(&mut self.updates);
+        self.sent_ends.push_back(updates.iter().filter(|end| is_completed(end)).cloned().collect());
+        updates
     }
 
     /// What the next report says of the backend server: `server`, unless the latest
@@ -172,3 +199,8 @@
         self.updates_due.into_iter().chain(usage_due).min()
     }
 }
+
+/// Whether an update is the end of a run that has done its task.
+fn is_completed(update: &RunUpdate) -> bool {
+    matches!(update, RunUpdate::Ended { kind: EndKind::Done, .. })
+}
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -110,6 +110,8 @@
     links: BTreeMap<u64, (usize, LinkModel)>,
     /// Agents whose next orders are lost together with the connection.
     lose_orders: BTreeSet<usize>,
+    /// Whether messages of agents are lost on their way.
+    loses_reports: bool,
 }
 
 /// The reply to a job call, if there is one yet.
@@ -222,7 +224,9 @@
             scheduler.on_catalog(&catalog(1));
         }
         let (links, lose_orders) = (BTreeMap::new(), BTreeSet::new());
-        self.schedulers.push(SchedulerModel { key, scheduler, links, lose_orders });
+        let loses_reports = false;
+        let node = SchedulerModel { key, scheduler, links, lose_orders, loses_reports };
+        self.schedulers.push(node);
     }
 
     fn propose(&mut self, commands: Vec<Command>) {
@@ -442,6 +446,16 @@
         self.schedulers[scheduler].lose_orders.insert(agent);
     }
 
+    /// Loses the messages of agents to a scheduler on their way.
+    pub(crate) fn lose_reports(&mut self, scheduler: usize) {
+        self.schedulers[scheduler].loses_reports = true;
+    }
+
+    /// Delivers the messages of agents to a scheduler again.
+    pub(crate) fn receive_reports(&mut self, scheduler: usize) {
+        self.schedulers[scheduler].loses_reports = false;
+    }
+
     /// Submits a job to a scheduler, with a caller that waits 1.5 s; returns the id of
     /// the call.
     pub(crate) fn submit(&mut self, scheduler: usize, job: Arc<QueuedJob>) -> u64 {
@@ -528,6 +542,9 @@
         let now = self.now;
         let Some((_, open)) = self.schedulers[number].links.get_mut(&link) else { return };
         let message = open.send(now, message);
+        if self.schedulers[number].loses_reports {
+            return;
+        }
         self.schedulers[number].scheduler.on_agent_message(now, link, &message);
         self.settle_scheduler(number);
     }
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -36,6 +36,7 @@
 mod job_path;
 mod job_sizes;
 mod journal_recovery;
+mod kept_ends;
 mod large_records;
 mod large_snapshots;
 mod late_orders;
