Leases and grants expire while their host is suspended

Cause: all permissions were counted on the steady clock, which stands still while a host is suspended. After a suspend of some seconds a leader of control would have answered reads with an older configuration, and an agent would have started runs on a grant that its scheduler counts as over. The class: a permission that has run out is used, because the holder's clock doesn't count a pause.

Change: the system's clock returns times since boot, as instants. Rings, the drain gate and the sleeps of the edges count with the same clock, as their deadlines come from it.

Result: suspended_hosts holds (the mapping came with the change; a suspend can't be produced without privileges, so no test was seen to fail on the old clock).

--- a/crates/edges/src/group_join.rs
+++ b/crates/edges/src/group_join.rs
@@ -83,9 +83,9 @@
             let wait_until = match self.tracker.next_step(self.join.clock.now()) {
                 JoinStep::Ask => {
                     let Some(delay) = self.ask_until_closed(ring).await else { return };
-                    Some(tokio::time::Instant::now() + delay)
+                    Some(self.join.clock.now() + delay)
                 }
-                JoinStep::WaitUntil(at) => Some(tokio::time::Instant::from_std(at)),
+                JoinStep::WaitUntil(at) => Some(at),
                 JoinStep::Wait => None,
             };
             tokio::select! {
@@ -95,7 +95,7 @@
                     }
                     None => return,
                 },
-                () = sleep_until(wait_until) => {}
+                () = sleep_until(&self.join.clock, wait_until) => {}
             }
         }
     }
--- a/crates/edges/src/leader_finder.rs
+++ b/crates/edges/src/leader_finder.rs
@@ -3,6 +3,7 @@
 
 use std::fmt::Write;
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use compact_str::{CompactString, format_compact};
 use decisions::discovery::{LeaderSearch, SearchStep};
@@ -64,7 +65,7 @@
                     open.push(async move { (host, ask(host).await) });
                     continue;
                 }
-                SearchStep::WaitUntil(at) => Some(tokio::time::Instant::from_std(at)),
+                SearchStep::WaitUntil(at) => Some(at),
                 SearchStep::AwaitAnswer => None,
             };
             tokio::select! {
@@ -79,7 +80,7 @@
                         self.search.on_silent(host);
                     }
                 },
-                () = sleep_until(wait_until) => {}
+                () = sleep_until(&self.clock, wait_until) => {}
             }
         }
     }
@@ -125,10 +126,10 @@
     }
 }
 
-/// Waits until a time, or forever without one.
-pub(crate) async fn sleep_until(deadline: Option<tokio::time::Instant>) {
+/// Waits until a time of the clock, or forever without one.
+pub(crate) async fn sleep_until(clock: &SharedClock, deadline: Option<Instant>) {
     match deadline {
-        Some(deadline) => tokio::time::sleep_until(deadline).await,
+        Some(at) => tokio::time::sleep(at.saturating_duration_since(clock.now())).await,
         None => std::future::pending().await,
     }
 }
--- a/crates/edges/src/schedule_link.rs
+++ b/crates/edges/src/schedule_link.rs
@@ -255,7 +255,7 @@
         let mut session = SchedulerSession { context, scheduler, session: *session, writer, sent };
         loop {
             let is_active = *activity.borrow_and_update();
-            let deadline = session.next_deadline(is_active).map(tokio::time::Instant::from_std);
+            let deadline = session.next_deadline(is_active);
             let result = tokio::select! {
                 // What was received goes before a deadline that has passed meanwhile.
                 biased;
@@ -268,7 +268,7 @@
                 },
                 Some(report) = reports.recv() => session.send_reports(report, reports).await,
                 Ok(()) = activity.changed() => Ok(()),
-                () = sleep_until(deadline) => session.on_deadline().await,
+                () = sleep_until(&context.link.clock, deadline) => session.on_deadline().await,
             };
             if let Err(end) = result {
                 return end;
--- a/crates/kernel/src/clock.rs
+++ b/crates/kernel/src/clock.rs
@@ -1,12 +1,15 @@
 //! Owns access to time. Each duty receives a clock, so that decision code never
 //! reads one itself and a test can advance time manually.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, LazyLock, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 
+use rustix::time::{ClockId, clock_gettime};
+
 /// Source of monotonic and wall clock time.
 pub trait Clock: Send + Sync {
-    /// Monotonic time; the only time passed to decision code.
+    /// Monotonic time; the only time passed to decision code. It includes the time in
+    /// which the host was suspended, so that leases and grants expire meanwhile.
     fn now(&self) -> Instant;
 
     /// Wall clock time, for timestamps only: log lines, log records,
@@ -17,13 +20,45 @@
 /// A clock shared by the duties of one process.
 pub type SharedClock = Arc<dyn Clock>;
 
+/// Maps times since the host booted to instants. [`Instant::now`] can't be used for
+/// leases: it stands still while the host is suspended.
+#[derive(Debug, Clone, Copy)]
+pub struct BootTimeline {
+    start: Instant,
+    start_since_boot: Duration,
+}
+
+impl BootTimeline {
+    /// Creates a timeline on which `start_since_boot` after the boot is `start`.
+    pub fn new(start: Instant, start_since_boot: Duration) -> BootTimeline {
+        BootTimeline { start, start_since_boot }
+    }
+
+    /// The instant of a time since the boot; `start` if that is earlier.
+    pub fn instant_at(&self, since_boot: Duration) -> Instant {
+        self.start + since_boot.saturating_sub(self.start_since_boot)
+    }
+}
+
+/// Time since the host booted, including suspended time.
+fn since_boot() -> Duration {
+    let reading = clock_gettime(ClockId::Boottime);
+    // The kernel's readings are never negative, so the conversion does not fail.
+    reading.try_into().unwrap_or_default()
+}
+
+/// The timeline of this process.
+static TIMELINE: LazyLock<BootTimeline> =
+    LazyLock::new(|| BootTimeline::new(Instant::now(), since_boot()));
+
 /// The operating system's clock.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct SystemClock;
 
 impl Clock for SystemClock {
     fn now(&self) -> Instant {
-        Instant::now()
+        let timeline = &*TIMELINE;
+        timeline.instant_at(since_boot())
     }
 
     fn wall_clock(&self) -> SystemTime {
--- a/crates/kernel/src/gate.rs
+++ b/crates/kernel/src/gate.rs
@@ -4,6 +4,8 @@
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Instant;
 
+use crate::clock::{Clock, SystemClock};
+
 #[derive(Debug, Default)]
 struct GateCore {
     busy: Mutex<usize>,
@@ -31,7 +33,7 @@
     pub fn wait_idle(&self, deadline: Instant) -> bool {
         let mut busy = self.core.busy.lock().unwrap_or_else(PoisonError::into_inner);
         while *busy > 0 {
-            let remaining = deadline.saturating_duration_since(Instant::now());
+            let remaining = deadline.saturating_duration_since(SystemClock.now());
             if remaining.is_zero() {
                 return false;
             }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -16,7 +16,7 @@
 mod ring;
 mod stop;
 
-pub use clock::{Clock, ManualClock, SharedClock, SystemClock};
+pub use clock::{BootTimeline, Clock, ManualClock, SharedClock, SystemClock};
 pub use duty::{BatchHandler, DutyHandler, run_batched_duty, run_duty};
 pub use gate::DrainGate;
 pub use registry::{Kernel, KernelError, Registry};
--- a/crates/kernel/src/ring.rs
+++ b/crates/kernel/src/ring.rs
@@ -18,6 +18,8 @@
 
 use snafu::Snafu;
 
+use crate::clock::{Clock, SystemClock};
+
 /// Why a message was not accepted; returns the message.
 #[derive(Debug, Snafu, PartialEq, Eq)]
 pub enum PushError<T> {
@@ -221,7 +223,7 @@
             if state.closed {
                 return PopResult::Closed;
             }
-            let remaining = deadline.map(|at| at.saturating_duration_since(Instant::now()));
+            let remaining = deadline.map(|at| at.saturating_duration_since(SystemClock.now()));
             if remaining.is_some_and(|remaining| remaining.is_zero()) {
                 return PopResult::DeadlinePassed;
             }
--- a/tests/late_orders.rs
+++ b/tests/late_orders.rs
@@ -8,7 +8,7 @@
 use crate::agent_fixture::{AgentFixture, GRANT, entry, run};
 
 /// Sends the agent an order that acknowledges a message sent at this time.
-fn order(agent: &mut AgentFixture, acked_at: Instant, orders: Vec<AgentOrder>) {
+pub(crate) fn order(agent: &mut AgentFixture, acked_at: Instant, orders: Vec<AgentOrder>) {
     let orders = AgentOrders {
         term: 0,
         received: 1,
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -79,6 +79,7 @@
 mod stale_answers;
 mod start_queue;
 mod start_table;
+mod suspended_hosts;
 mod task_urgency;
 mod unclaimed_runs;
 mod unconfirmed_catalog;
