A duty that fails ends its process

Callers saw a process that answers nothing which needs one of its duties: nobody noticed that the duty had panicked, and the supervisor saw a living process.

Cause: a duty's thread was joined at the stop only, and edges went on without tasks that had panicked, such as an accept loop.

Change: the kernel reports the first duty that panics, or returns before the stop. The main thread writes duty_failed, past the logging duty, and the process exits with code 4, also during a drain. Tasks that an edge can't do without end their duty (spawn_lasting); those of one accepted connection or call end alone, so that one odd message costs its connection.

No test ends a real process: no input is known that makes a duty panic.

Why it works: the first failure has a slot of its own, the main thread waits for it in the same select as for signals, and neither depends on another duty.

--- a/crates/cactuswing/src/cli.rs
+++ b/crates/cactuswing/src/cli.rs
@@ -18,6 +18,8 @@
     BadInput,
     /// Exit code 3: outcome unknown; the command may have taken effect.
     Unknown,
+    /// Exit code 4: a duty of the process ended without being asked to.
+    DutyFailed,
 }
 
 impl From<ExitKind> for ExitCode {
@@ -27,6 +29,7 @@
             ExitKind::Refused => 1,
             ExitKind::BadInput => 2,
             ExitKind::Unknown => 3,
+            ExitKind::DutyFailed => 4,
         })
     }
 }
--- a/crates/cactuswing/src/commands/serve.rs
+++ b/crates/cactuswing/src/commands/serve.rs
@@ -1,13 +1,16 @@
 //! `entry`, `agent`, `control`: run one role until SIGTERM or SIGINT. The first
-//! signal starts the drain, a second one ends it early.
+//! signal starts the drain, a second one ends it early. A duty that ends without being
+//! asked to ends the process at once, so that whoever supervises it starts it again.
 
+use std::future::Future;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use clap::ArgMatches;
-use kernel::{SharedClock, SystemClock};
+use kernel::{DutyFailure, RingReceiver, SharedClock, SystemClock, panic_message};
 use model::{
-    LogSettings, ValidationError, read_agent_settings, read_control_settings, read_entry_settings,
+    EventLine, LineLevel, LogSettings, ValidationError, read_agent_settings, read_control_settings,
+    read_entry_settings,
 };
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -65,6 +68,7 @@
     }
     match started {
         Ok(running) => {
+            log_panics();
             let reload = || log_reload(path, &text, |text| read(text).map(drop));
             run_until_signal(role, running, &reload)
         }
@@ -75,8 +79,25 @@
     }
 }
 
-/// Prints where the role listens, waits for a signal to stop, then drains.
-fn run_until_signal(role: &str, running: RunningRole, reload: &dyn Fn()) -> ExitKind {
+/// Writes a line for each panic, also of a task that ends alone, to standard error: the
+/// panicking thread may hold the log.
+fn log_panics() {
+    std::panic::set_hook(Box::new(|panic| {
+        let thread = std::thread::current();
+        let place = panic.location().map(ToString::to_string);
+        let line = EventLine::new("panic")
+            .with("duty", thread.name().unwrap_or("unnamed"))
+            .with("reason", panic_message(panic.payload()))
+            .with("at", place.unwrap_or_default());
+        eprintln!("{}", line.finish(SystemTime::now(), LineLevel::Error).text);
+    }));
+}
+
+/// Prints where the role listens, waits for a signal to stop, then drains. Returns as soon
+/// as a duty has ended without being asked to: its state, and what others wait for, is lost,
+/// and a drain would wait for it.
+fn run_until_signal(role: &str, mut running: RunningRole, reload: &dyn Fn()) -> ExitKind {
+    let Some(failures) = running.take_failures() else { return ExitKind::Refused };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let signals = runtime.and_then(|runtime| {
         let signals = {
@@ -94,26 +115,56 @@
         }
     };
     print_addresses(role, &running);
-    runtime.block_on(async {
+    let stop = async {
         while signals.next_request().await == ProcessRequest::Reload {
             reload();
         }
-    });
+    };
+    let failure = runtime.block_on(await_end(&failures, stop));
+    if let Some(failure) = failure {
+        return report_failure(role, &failure);
+    }
     running.begin_drain();
     let gate = running.gate();
     let drain = std::thread::spawn(move || running.drain());
-    runtime.block_on(async {
+    let stop = async {
         tokio::select! {
             () = signals.next_stop() => gate.set(0),
             () = wait_finished(&drain) => {}
         }
-    });
+    };
+    let failure = runtime.block_on(await_end(&failures, stop));
+    if let Some(failure) = failure {
+        return report_failure(role, &failure);
+    }
     match drain.join() {
         Ok(DrainEnd::Idle) => ExitKind::Done,
         Ok(DrainEnd::LimitReached) | Err(_) => ExitKind::Refused,
     }
 }
 
+/// Waits for `stop`, or for the first duty that ends without being asked to, which is
+/// returned.
+pub async fn await_end(
+    failures: &RingReceiver<DutyFailure>,
+    stop: impl Future<Output = ()>,
+) -> Option<DutyFailure> {
+    tokio::select! {
+        () = stop => failures.try_next(),
+        failure = failures.next() => failure,
+    }
+}
+
+/// Logs the duty that ended, and returns the exit code.
+pub fn report_failure(role: &str, failure: &DutyFailure) -> ExitKind {
+    let line = EventLine::new("duty_failed")
+        .with("role", role)
+        .with("duty", &failure.duty)
+        .with("reason", &failure.end);
+    edges::log_writer::write_last(&line.finish(SystemTime::now(), LineLevel::Error));
+    ExitKind::DutyFailed
+}
+
 /// Prints the addresses on which the role listens. Programs read this line to
 /// learn the port where the settings leave its choice to the system (port 0).
 fn print_addresses(role: &str, running: &RunningRole) {
--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -11,7 +11,7 @@
 use edges::disk::HostFolder;
 use edges::group_join::GroupJoin;
 use edges::journal::{Journal, RecoveredJournal};
-use kernel::{Kernel, SharedClock, StopSignal};
+use kernel::{Kernel, SharedClock};
 use model::{ControlPeer, ControlReply, ControlSettings, ServiceName, host_name};
 use services::replicated_log::LogSetup;
 
@@ -118,19 +118,8 @@
     }
 
     kernel.start()?;
-    Ok(RunningRole {
-        kernel,
-        address,
-        announce_address: None,
-        counters: context.counters,
-        clock: clock.clone(),
-        stop: StopSignal::default(),
-        gate: context.gate,
-        drain_limit: Duration::ZERO,
-        min_drain_time: Duration::ZERO,
-        // Nothing to drain: committed state is in the journals of a quorum.
-        begin_drain: Box::new(|| {}),
-    })
+    // Nothing to drain: committed state is in the journals of a quorum.
+    Ok(RunningRole::without_drain(kernel, address, context))
 }
 
 /// The join of a host whose group forms from seeds, or `None` without another seed. A host
--- a/crates/cactuswing/src/roles/mod.rs
+++ b/crates/cactuswing/src/roles/mod.rs
@@ -19,7 +19,7 @@
 
 use edges::EdgeError;
 use edges::control_link::ControlLink;
-use kernel::{DrainGate, Kernel, KernelError, SharedClock, StopSignal};
+use kernel::{DrainGate, DutyFailure, Kernel, KernelError, RingReceiver, SharedClock, StopSignal};
 use model::{LogLine, ProcessCounters, ServiceName};
 use services::ServiceContext;
 use snafu::Snafu;
@@ -85,6 +85,32 @@
 }
 
 impl RunningRole {
+    /// A role with nothing to drain: its state is in journals, or others take it over.
+    pub fn without_drain(
+        kernel: Kernel<ServiceName>,
+        address: SocketAddr,
+        context: ServiceContext,
+    ) -> RunningRole {
+        RunningRole {
+            kernel,
+            address,
+            announce_address: None,
+            counters: context.counters,
+            clock: context.clock,
+            stop: StopSignal::default(),
+            gate: context.gate,
+            drain_limit: Duration::ZERO,
+            min_drain_time: Duration::ZERO,
+            begin_drain: Box::new(|| {}),
+        }
+    }
+
+    /// The ring of the first duty that ends without being asked to; `None` once it was
+    /// taken.
+    pub fn take_failures(&mut self) -> Option<RingReceiver<DutyFailure>> {
+        self.kernel.take_failures()
+    }
+
     /// Starts the drain: readiness checks fail and new work is refused.
     pub fn begin_drain(&self) {
         self.stop.raise();
--- a/crates/cactuswing/src/roles/server_agent.rs
+++ b/crates/cactuswing/src/roles/server_agent.rs
@@ -5,7 +5,7 @@
 use decisions::agent::RunLimits;
 use edges::control_link::incarnation_at;
 use edges::schedule_link::ScheduleLink;
-use kernel::{Kernel, SharedClock, StopSignal};
+use kernel::{Kernel, SharedClock};
 use model::{AgentSettings, ServerSettings, ServiceName};
 use platform::ServerFront;
 use services::server_runs::RunSettings;
@@ -80,18 +80,7 @@
     })?;
 
     kernel.start()?;
-    Ok(RunningRole {
-        kernel,
-        address,
-        announce_address: None,
-        counters: context.counters,
-        clock: clock.clone(),
-        stop: StopSignal::default(),
-        gate: context.gate,
-        drain_limit: Duration::ZERO,
-        min_drain_time: Duration::ZERO,
-        // Nothing to drain: runs continue under their leases, and the next
-        // agent process takes them over.
-        begin_drain: Box::new(|| {}),
-    })
+    // Nothing to drain: runs continue under their leases, and the next agent process takes
+    // them over.
+    Ok(RunningRole::without_drain(kernel, address, context))
 }
--- a/crates/edges/src/agent_links.rs
+++ b/crates/edges/src/agent_links.rs
@@ -15,7 +15,7 @@
 use tokio::task::JoinHandle;
 
 use crate::agent_link::{LinkRequest, LinkSettings, LinkTask};
-use crate::edge_runtime::block_on;
+use crate::edge_runtime::{block_on, spawn_lasting};
 
 /// Requests that may wait in one link's queue.
 const LINK_QUEUE_CAPACITY: usize = 4_096;
@@ -113,7 +113,7 @@
             requests: waiting,
             settings: updates,
         };
-        let task = tokio::task::spawn_local(task.run());
+        let task = spawn_lasting(task.run());
         OpenLink { member: agent.clone(), requests, settings, task }
     }
 
--- a/crates/edges/src/backend_edge.rs
+++ b/crates/edges/src/backend_edge.rs
@@ -25,7 +25,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::announce_routes::announce_routes;
-use crate::edge_runtime::block_on;
+use crate::edge_runtime::{block_on, spawn_lasting};
 
 /// How long opening a connection to a backend server may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -93,7 +93,7 @@
         let server = warp::serve(routes).incoming(listener).graceful(async move {
             let _closed = stopped.await;
         });
-        tokio::task::spawn_local(server.run());
+        spawn_lasting(server.run());
         serve_runs(ring, &edge).await;
         drop(stop);
     });
--- a/crates/edges/src/caller_edge.rs
+++ b/crates/edges/src/caller_edge.rs
@@ -12,7 +12,7 @@
 use tokio::sync::oneshot;
 
 use crate::caller_routes::routes;
-use crate::edge_runtime::block_on;
+use crate::edge_runtime::{block_on, spawn_lasting};
 use crate::pending_calls::PendingCalls;
 
 /// Configuration of the callers' edge.
@@ -96,7 +96,7 @@
         let server = warp::serve(routes(context.clone())).incoming(listener).graceful(async move {
             let _closed = stopped.await;
         });
-        let server = tokio::task::spawn_local(server.run());
+        let server = spawn_lasting(server.run());
         while let Some(reply) = ring.next().await {
             context.calls.complete(reply.call, reply.answer);
         }
--- a/crates/edges/src/control_edge.rs
+++ b/crates/edges/src/control_edge.rs
@@ -9,7 +9,7 @@
     ServiceName,
 };
 
-use crate::edge_runtime::block_on;
+use crate::edge_runtime::{block_on, spawn_lasting};
 use crate::peer_api::{ControlApiServer, not_accepted};
 use crate::peer_listener::accept_peers;
 use crate::pending_calls::PendingCalls;
@@ -115,7 +115,7 @@
     };
     block_on(async move {
         let methods = handler.into_rpc().into();
-        tokio::task::spawn_local(accept_peers(listener, methods, MAX_CONNECTIONS, streams));
+        spawn_lasting(accept_peers(listener, methods, MAX_CONNECTIONS, streams));
         while let Some(reply) = ring.next().await {
             calls.complete(reply.call, reply.body);
         }
--- a/crates/edges/src/control_link.rs
+++ b/crates/edges/src/control_link.rs
@@ -21,7 +21,7 @@
     ProcessCounters, ServiceName, StartMessage,
 };
 
-use crate::edge_runtime::block_on;
+use crate::edge_runtime::{block_on, spawn_lasting};
 use crate::ledger_batches::LedgerBatches;
 use crate::peer_api::ControlApiClient;
 use crate::peer_connection::connect;
@@ -106,7 +106,7 @@
         leaving,
     };
     block_on(async move {
-        let watching = tokio::task::spawn_local(watcher.run());
+        let watching = spawn_lasting(watcher.run());
         batches.run(ring).await;
         // The watcher releases the lease before the duty ends.
         leave.send_replace(true);
--- a/crates/edges/src/job_calls.rs
+++ b/crates/edges/src/job_calls.rs
@@ -19,7 +19,7 @@
 };
 use tokio::sync::watch;
 
-use crate::edge_runtime::block_on;
+use crate::edge_runtime::{block_on, spawn_lasting};
 use crate::leader_finder::{HostAnswer, LeaderFinder};
 use crate::peer_api::ControlApiClient;
 use crate::peer_connection::connect;
@@ -72,7 +72,7 @@
             log: log.clone(),
             query,
         };
-        tokio::task::spawn_local(watcher.run());
+        spawn_lasting(watcher.run());
         let context = Rc::new(CallContext { clock: calls.clock, connection, log });
         while let Some(JobCallMessage::Call { call, job, deadline, reply }) = ring.next().await {
             let context = Rc::clone(&context);
--- a/crates/edges/src/lib.rs
+++ b/crates/edges/src/lib.rs
@@ -42,6 +42,6 @@
 mod view_merge;
 
 pub use edge_error::EdgeError;
-pub use edge_runtime::block_on;
+pub use edge_runtime::{block_on, spawn_lasting};
 pub use peer_api::{AgentApiClient, AgentApiServer, ControlApiClient, ControlApiServer};
 pub use pending_calls::PendingCalls;
--- a/crates/edges/src/log_writer.rs
+++ b/crates/edges/src/log_writer.rs
@@ -221,6 +221,13 @@
     log::logger().flush();
 }
 
+/// Writes a line at once and flushes, from any thread: for the last line of a process, whose
+/// logging duty may be the one that failed.
+pub fn write_last(line: &LogLine) {
+    write(line);
+    log::logger().flush();
+}
+
 fn write(line: &LogLine) {
     let level = match line.level {
         LineLevel::Error => Level::Error,
--- a/crates/edges/src/replica_links.rs
+++ b/crates/edges/src/replica_links.rs
@@ -20,7 +20,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-use crate::edge_runtime::block_on;
+use crate::edge_runtime::{block_on, spawn_lasting};
 use crate::peer_api::ControlApiClient;
 use crate::peer_connection::connect;
 
@@ -90,7 +90,7 @@
         if !open.contains_key(&peer.name) {
             let (queue, waiting) = mpsc::channel(LINK_QUEUE_CAPACITY);
             let link = run_link(peer.address, waiting, replicated_log.clone(), counters.clone());
-            let task = tokio::task::spawn_local(link);
+            let task = spawn_lasting(link);
             open.insert(peer.name.clone(), OpenLink { address: peer.address, queue, task });
         }
     }
--- a/crates/edges/src/schedule_edge.rs
+++ b/crates/edges/src/schedule_edge.rs
@@ -22,7 +22,7 @@
 use crate::agent_stream::{
     AGENT_PREAMBLE, StreamError, StreamReader, StreamWriter, read_preamble, split,
 };
-use crate::edge_runtime::block_on;
+use crate::edge_runtime::{block_on, spawn_lasting};
 use crate::peer_connection::accept;
 
 /// Maximum number of connected agents.
@@ -57,7 +57,7 @@
     block_on(async move {
         if let Some(listener) = listener {
             let listener = TcpListener::from_std(listener).expect("the listener is non-blocking");
-            tokio::task::spawn_local(Rc::clone(&server).accept(listener));
+            spawn_lasting(Rc::clone(&server).accept(listener));
         }
         while let Some(message) = ring.next().await {
             match message {
--- a/crates/edges/src/schedule_link.rs
+++ b/crates/edges/src/schedule_link.rs
@@ -25,7 +25,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::agent_stream::{StreamError, StreamReader, StreamWriter, connect};
-use crate::edge_runtime::block_on;
+use crate::edge_runtime::{block_on, spawn_lasting};
 use crate::leader_finder::{HostAnswer, LeaderFinder, sleep_until};
 use crate::sent_messages::SentMessages;
 
@@ -117,7 +117,7 @@
         activity,
         listed_address: address_updates,
     };
-    tokio::task::spawn_local(connection.run(host));
+    spawn_lasting(connection.run(host));
     OpenLink { reports, is_active, listed_address }
 }
 
--- a/crates/kernel/src/registry.rs
+++ b/crates/kernel/src/registry.rs
@@ -5,18 +5,22 @@
 //! - all rings exist before the first duty starts, so duties may look each
 //!   other up in any order;
 //! - stopping closes the rings in the reverse order of the start and joins each
-//!   thread before it closes the next ring.
+//!   thread before it closes the next ring;
+//! - the first duty that panics, or returns before the stop, is reported.
 
 use std::any::Any;
 use std::collections::HashMap;
 use std::fmt::Display;
 use std::hash::Hash;
+use std::panic::{AssertUnwindSafe, catch_unwind, resume_unwind};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 
 use snafu::{OptionExt, ResultExt, Snafu};
 
+use crate::duty_end::{DutyEnd, DutyFailure, panic_message};
 use crate::ring::{RingReceiver, RingSender, bounded};
+use crate::stop::StopSignal;
 
 /// Errors in the assembly or start of a process.
 #[derive(Debug, Snafu)]
@@ -83,16 +87,32 @@
     thread: JoinHandle<()>,
 }
 
+/// Failures that are kept. The first one ends the process; those that follow from it
+/// are dropped.
+const FAILURE_SLOTS: usize = 1;
+
 /// Registers the services of one process, then starts and stops them.
 pub struct Kernel<N> {
     rings: HashMap<N, Box<dyn Any + Send + Sync>>,
     prepared: Vec<PreparedDuty<N>>,
     running: Vec<RunningDuty>,
+    /// Raised once the duties are asked to end.
+    stopping: StopSignal,
+    failure_sender: RingSender<DutyFailure>,
+    failures: Option<RingReceiver<DutyFailure>>,
 }
 
 impl<N> Default for Kernel<N> {
     fn default() -> Kernel<N> {
-        Kernel { rings: HashMap::new(), prepared: Vec::new(), running: Vec::new() }
+        let (failure_sender, failures) = bounded(FAILURE_SLOTS);
+        Kernel {
+            rings: HashMap::new(),
+            prepared: Vec::new(),
+            running: Vec::new(),
+            stopping: StopSignal::default(),
+            failure_sender,
+            failures: Some(failures),
+        }
     }
 }
 
@@ -146,22 +166,49 @@
         registry: Registry<N>,
     ) -> Result<(), KernelError> {
         let PreparedDuty { name, close, body } = duty;
+        let (stopping, failures) = (self.stopping.clone(), self.failure_sender.clone());
+        let supervised = move || {
+            let result = catch_unwind(AssertUnwindSafe(|| body(registry)));
+            if let Some(end) = unasked_end(&result, &stopping) {
+                let _one_is_known = failures.push(DutyFailure { duty: name.to_string(), end });
+            }
+            if let Err(panic) = result {
+                resume_unwind(panic);
+            }
+        };
         let thread = std::thread::Builder::new()
             .name(name.to_string())
-            .spawn(move || body(registry))
+            .spawn(supervised)
             .context(ThreadSnafu { name: name.to_string() })?;
         self.running.push(RunningDuty { close, thread });
         Ok(())
     }
 
+    /// The ring of the first duty that ends without being asked to; `None` once it was
+    /// taken.
+    pub fn take_failures(&mut self) -> Option<RingReceiver<DutyFailure>> {
+        self.failures.take()
+    }
+
     /// Stops the duties in the reverse order of their start: closes each ring
     /// and joins its thread. Resumes the panic of a duty that panicked.
     pub fn stop(&mut self) {
+        self.stopping.raise();
         while let Some(duty) = self.running.pop() {
             (duty.close)();
             if let Err(panic) = duty.thread.join() {
-                std::panic::resume_unwind(panic);
+                resume_unwind(panic);
             }
         }
     }
 }
+
+/// How a duty ended, unless it returned because it was asked to. A panic counts at any
+/// time.
+fn unasked_end(result: &std::thread::Result<()>, stopping: &StopSignal) -> Option<DutyEnd> {
+    match result {
+        Err(panic) => Some(DutyEnd::Panicked { message: panic_message(panic.as_ref()) }),
+        Ok(()) if stopping.is_raised() => None,
+        Ok(()) => Some(DutyEnd::Returned),
+    }
+}
--- a/crates/model/src/event_log.rs
+++ b/crates/model/src/event_log.rs
@@ -80,6 +80,11 @@
         }
         self
     }
+
+    /// Finishes a line that is written without the logging duty.
+    pub fn finish(self, at: SystemTime, level: LineLevel) -> LogLine {
+        LogLine { at, level, text: self.text }
+    }
 }
 
 fn needs_quotes(value: &str) -> bool {
@@ -107,7 +112,7 @@
 
     /// Writes a line, or counts it as dropped when the ring refuses it.
     pub fn write(&self, level: LineLevel, line: EventLine) {
-        let line = LogLine { at: self.clock.wall_clock(), level, text: line.text };
+        let line = line.finish(self.clock.wall_clock(), level);
         if self.ring.push(line).is_err() {
             self.counters.count_dropped_line();
         }
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -19,6 +19,7 @@
 mod catalog_versions;
 mod config_versions;
 mod departed_servers;
+mod duty_failures;
 mod early_end;
 mod end_acks;
 mod entry_share;
