Numbers that none can have reached are refused

A message between control hosts with the highest term, 2^64 - 1, was believed. No election could raise it, so that the group had no leader from then on, also after a restart.

The receiver refuses the whole message with a line. Sums of terms don't overflow; a host that has reached the last term starts no election, as a second vote in one term could elect a second leader.

Why it works: what a true host can reach is always within the bound of what others know, and what is within the bound can be exceeded by the next election.

--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -23,7 +23,7 @@
 use model::{
     AgentOrder, AgentOrders, AgentReport, ClaimUpdate, EndKind, EntryHost, EventLine, FenceNumber,
     Incarnation, NodeId, RunUpdate, SchedulerKey, ServerCall, ServerReport, ServerRequest,
-    SessionId, StartRefusal, TaskRun,
+    SessionId, StartRefusal, TaskRun, is_reachable_term,
 };
 
 use super::claim_table::{ClaimNotice, ClaimTable};
@@ -238,6 +238,10 @@
         if orders.term < known.term {
             return Vec::new();
         }
+        if !is_reachable_term(known.term, orders.term) {
+            let line = EventLine::new("orders_refused").with("scheduler", scheduler);
+            return vec![RunStep::Log(line.with("term", orders.term))];
+        }
         known.term = orders.term;
         known.usage_interval = Duration::from_millis(orders.usage_interval_ms);
         let grant = Duration::from_millis(orders.grant_ms).mul_f64(1.0 - MAX_CLOCK_DRIFT_RATIO);
--- a/crates/decisions/src/control/replica/election.rs
+++ b/crates/decisions/src/control/replica/election.rs
@@ -38,7 +38,8 @@
             last_index: self.log.last_index(),
             last_term: self.log.last_term(),
         };
-        let term = if pre_vote { self.hard_state.term + 1 } else { self.hard_state.term };
+        let own_term = self.hard_state.term;
+        let term = if pre_vote { own_term.saturating_add(1) } else { own_term };
         let envelope = self.envelope(term, message);
         let others = self.others().into_iter();
         others.map(|to| ReplicaStep::Send { to, envelope: Box::new(envelope.clone()) }).collect()
@@ -47,7 +48,9 @@
     /// Enters the next term and votes for itself. The vote is counted and the
     /// other votes are requested once the hard state is synced.
     fn start_election(&mut self, now: Instant) -> Vec<ReplicaStep> {
-        self.hard_state.term += 1;
+        // Without a later term, a second vote in this one could elect a second leader.
+        let Some(term) = self.hard_state.term.checked_add(1) else { return Vec::new() };
+        self.hard_state.term = term;
         self.hard_state.voted_for = Some(self.name.clone());
         self.role = Role::Candidate { votes: IndexSet::new() };
         self.pending_vote_replies.clear();
--- a/crates/decisions/src/control/replica/leader.rs
+++ b/crates/decisions/src/control/replica/leader.rs
@@ -307,7 +307,8 @@
             peer.next_index = peer.next_index.max(peer.match_index + 1);
             peer.transfer = OutgoingTransfer::default();
         } else {
-            peer.next_index = (ack.match_index + 1).min(last_index + 1).max(peer.match_index + 1);
+            peer.next_index =
+                ack.match_index.min(last_index).saturating_add(1).max(peer.match_index + 1);
         }
         true
     }
--- a/crates/decisions/src/control/replica/mod.rs
+++ b/crates/decisions/src/control/replica/mod.rs
@@ -25,6 +25,7 @@
 mod group;
 mod leader;
 mod log_store;
+mod odd_numbers;
 mod restart;
 mod snapshot_transfer;
 
@@ -226,6 +227,9 @@
         if self.journal_failed {
             return Vec::new();
         }
+        if let Some(refusal) = self.refuse_odd(&envelope) {
+            return vec![refusal];
+        }
         let ReplicaEnvelope { from, term, boot, message } = envelope;
         match message {
             ReplicaMessage::Hello { fresh, wants_reply } => {
--- a/crates/decisions/src/discovery/leader_search.rs
+++ b/crates/decisions/src/discovery/leader_search.rs
@@ -6,7 +6,7 @@
 //! earlier ones, and with a growing pause between rounds.
 //!
 //! Invariants:
-//! - a member list is replaced by a newer one only;
+//! - a member list is replaced by a newer one only, of a term that a host can have reached;
 //! - a host that did not answer, or denied that it leads, is asked out of turn again only
 //!   if another names it as the leader of a later term;
 //! - a host that names itself without leading yet is asked often, but never twice in a row
@@ -16,7 +16,7 @@
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
-use model::{LeaderHint, LogIndex, Term};
+use model::{LeaderHint, LogIndex, Term, is_reachable_term};
 
 /// Time after which the next host is asked if the earlier ones have not answered.
 const ASK_INTERVAL: Duration = Duration::from_millis(60);
@@ -163,8 +163,17 @@
         (FIRST_ROUND_PAUSE * 2_u32.pow(doublings)).min(MAX_ROUND_PAUSE)
     }
 
+    /// Whether no correct host can have reached the hint's term. It is disregarded then,
+    /// since all true ones would seem older.
+    pub fn is_odd(&self, hint: &LeaderHint) -> bool {
+        !is_reachable_term(self.term.max(self.members_version.0), hint.term)
+    }
+
     /// Remembers what a control host told, whether it leads or not.
     pub fn learn(&mut self, hint: &LeaderHint) {
+        if self.is_odd(hint) {
+            return;
+        }
         let is_newer = self.members.is_empty() || hint.group_version() > self.members_version;
         if is_newer && !hint.members.is_empty() {
             self.members.clone_from(&hint.members);
@@ -175,6 +184,9 @@
     /// Handles the answer of a host that does not lead.
     pub fn on_hint(&mut self, host: SocketAddr, hint: &LeaderHint) {
         self.open.swap_remove(&host);
+        if self.is_odd(hint) {
+            return self.deny(host);
+        }
         self.learn(hint);
         match hint.leader {
             Some(leader) if leader == host => self.on_self_named(host, hint.term),
@@ -226,8 +238,10 @@
 
     /// Handles the proof that a host leads. Hosts of earlier versions give no hint.
     pub fn on_leader(&mut self, leader: SocketAddr, hint: &LeaderHint) {
-        self.learn(hint);
-        self.term = self.term.max(hint.term);
+        if !self.is_odd(hint) {
+            self.learn(hint);
+            self.term = self.term.max(hint.term);
+        }
         self.denied.swap_remove(&leader);
         self.open.clear();
         self.asked.clear();
--- a/crates/decisions/src/discovery/learned_group.rs
+++ b/crates/decisions/src/discovery/learned_group.rs
@@ -2,9 +2,10 @@
 //! knows no leader: the group may have replaced it, and its replica hears nothing then.
 //!
 //! Invariant: what a host told itself is not kept. A host that has lost the lead would name
-//! itself as the leader until it heard of a later term.
+//! itself as the leader until it heard of a later term. Nor is a term that none can have
+//! reached.
 
-use model::{LeaderHint, NodeId};
+use model::{LeaderHint, NodeId, Term, is_reachable_term};
 
 /// What a leader told this host of the group.
 #[derive(Debug, Clone)]
@@ -19,9 +20,9 @@
         LearnedGroup { name, hint: LeaderHint::default() }
     }
 
-    /// Handles what a leader told.
-    pub fn learn(&mut self, leader: &NodeId, hint: LeaderHint) {
-        if *leader != self.name {
+    /// Handles what a leader told; `own_term` is the replica's.
+    pub fn learn(&mut self, own_term: Term, leader: &NodeId, hint: LeaderHint) {
+        if *leader != self.name && is_reachable_term(own_term.max(self.hint.term), hint.term) {
             self.hint = hint;
         }
     }
--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -9,8 +9,8 @@
 
 use model::{
     AgentHeartbeat, AgentMessage, AgentOrder, AgentReport, Command, EndKind, EndNumber, EndedRun,
-    EventLine, LinkId, NodeId, NumberedMessage, ResourceAmount, RunUpdate, ServerReport,
-    StartRefusal, TaskName, TaskRun,
+    EventLine, LinkId, MAX_INCARNATION, MAX_SESSION, NodeId, NumberedMessage, ResourceAmount,
+    RunUpdate, ServerReport, StartRefusal, TaskName, TaskRun,
 };
 
 use super::agent_link::AgentLink;
@@ -98,6 +98,14 @@
         if known.is_some_and(|known| known >= reported) || report.runs.is_none() {
             return false;
         }
+        if reported.0 > MAX_INCARNATION || reported.1 > MAX_SESSION {
+            let line = EventLine::new("report_refused")
+                .with("agent", agent)
+                .with("incarnation", reported.0)
+                .with("session", reported.1);
+            self.steps.push(ScheduleStep::Log(line));
+            return false;
+        }
         if !self.is_registered(agent) {
             let agent = agent.clone();
             self.steps.push(ScheduleStep::Propose(vec![Command::RegisterAgent { agent }]));
--- a/crates/edges/src/leader_finder.rs
+++ b/crates/edges/src/leader_finder.rs
@@ -86,6 +86,7 @@
 
     /// Records that a host leads, and what it told of its group.
     pub fn confirm(&mut self, host: SocketAddr, hint: &LeaderHint) {
+        self.log_odd(host, hint);
         self.search.on_leader(host, hint);
         if !std::mem::take(&mut self.is_searching) {
             return;
@@ -101,6 +102,7 @@
     /// Records that a host does not lead, and whom it named.
     pub fn deny(&mut self, host: SocketAddr, hint: &LeaderHint) {
         self.is_searching = true;
+        self.log_odd(host, hint);
         match hint.leader {
             Some(leader) => self.note(host, &format_compact!("names {leader}")),
             None => self.note(host, "no leader"),
@@ -108,6 +110,16 @@
         self.search.on_hint(host, hint);
     }
 
+    /// Logs a hint that the search disregards.
+    fn log_odd(&self, host: SocketAddr, hint: &LeaderHint) {
+        if let Some(log) = &self.log
+            && self.search.is_odd(hint)
+        {
+            let line = EventLine::new("leader_hint_refused").with("host", host);
+            log.warn(line.with("term", hint.term));
+        }
+    }
+
     /// Records the loss of contact with a host that was found.
     pub fn lose(&mut self, host: SocketAddr) {
         self.is_searching = true;
--- a/crates/services/src/replicated_log.rs
+++ b/crates/services/src/replicated_log.rs
@@ -209,7 +209,9 @@
                     self.execute_steps(steps);
                 }
             }
-            LogMessage::GroupLearned { leader, hint } => self.learned_group.learn(&leader, hint),
+            LogMessage::GroupLearned { leader, hint } => {
+                self.learned_group.learn(self.replica.term(), &leader, hint);
+            }
             LogMessage::Query { call, query, reply } => self.on_query(now, call, &query, reply),
             LogMessage::Replica { call, envelope, reply } => {
                 self.on_replica_message(now, call, *envelope, reply);
--- a/tests/agent_fixture.rs
+++ b/tests/agent_fixture.rs
@@ -6,7 +6,7 @@
 use decisions::agent::{RunStep, RunTable};
 use model::{
     AgentOrder, AgentOrders, ListedEnd, ResourceAmount, RunUpdate, SchedulerKey, ServerAnswer,
-    ServerCall, ServerHeartbeat, ServerReport, ServerRequest, ServerView, TaskName, TaskRun,
+    ServerCall, ServerHeartbeat, ServerReport, ServerRequest, ServerView, TaskName, TaskRun, Term,
 };
 
 use crate::schedule_model::run_limits;
@@ -106,9 +106,13 @@
     }
 
     pub(crate) fn order(&mut self, orders: Vec<AgentOrder>) {
+        self.order_in_term(0, orders);
+    }
+
+    pub(crate) fn order_in_term(&mut self, term: Term, orders: Vec<AgentOrder>) {
         let grant_ms = GRANT.as_millis() as u64;
         let orders = AgentOrders {
-            term: 0,
+            term,
             received: 1,
             grant_ms,
             usage_interval_ms: 50,
--- a/tests/learned_group.rs
+++ b/tests/learned_group.rs
@@ -18,7 +18,7 @@
 #[test]
 fn own_answer_ignored() {
     let mut learned = LearnedGroup::new("c-1".into());
-    learned.learn(&"c-1".into(), hint(Some(1), 3));
+    learned.learn(0, &"c-1".into(), hint(Some(1), 3));
     assert_eq!(learned.latest(hint(None, 3)), hint(None, 3));
 }
 
@@ -26,16 +26,16 @@
 #[test]
 fn leader_passed_on() {
     let mut learned = LearnedGroup::new("c-1".into());
-    learned.learn(&"c-2".into(), hint(Some(2), 3));
+    learned.learn(0, &"c-2".into(), hint(Some(2), 3));
     assert_eq!(learned.latest(hint(None, 0)), hint(Some(2), 3));
-    learned.learn(&"c-1".into(), hint(Some(1), 3));
+    learned.learn(0, &"c-1".into(), hint(Some(1), 3));
     assert_eq!(learned.latest(hint(None, 3)), hint(Some(2), 3));
 }
 
 #[test]
 fn own_knowledge_first() {
     let mut learned = LearnedGroup::new("c-1".into());
-    learned.learn(&"c-2".into(), hint(Some(2), 3));
+    learned.learn(0, &"c-2".into(), hint(Some(2), 3));
     assert_eq!(learned.latest(hint(Some(1), 2)), hint(Some(1), 2), "it has a leader");
     assert_eq!(learned.latest(hint(None, 4)), hint(None, 4), "it knows a later term");
     learned.forget();
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -59,6 +59,7 @@
 mod odd_jobs;
 mod odd_lists;
 mod odd_messages;
+mod odd_terms;
 mod overload_recovery;
 mod oversized_jobs;
 mod placement_rounds;
