The log of a control host is bounded in bytes, not in records only

A change of the configuration is one record with the whole configuration in it, so the log outgrows the disk (128 MB) long before that. After a restart a leader is elected, and fails with its first writes. Class: a bound on the number of items whose size is not bounded.

`LogBudget` decides both.

--- a/crates/decisions/src/control/mod.rs
+++ b/crates/decisions/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod figure_store;
 mod job_store;
 mod ledger;
+mod log_budget;
 mod member_store;
 mod membership;
 mod replica;
@@ -19,6 +20,7 @@
 pub use figure_store::FigureStore;
 pub use job_store::{JobChange, JobStore};
 pub use ledger::Ledger;
+pub use log_budget::{LogBudget, LogStep};
 pub use member_store::MemberStore;
 pub use membership::{MembershipStep, MembershipTracker};
 pub use replica::{
--- a/crates/services/src/replicated_log.rs
+++ b/crates/services/src/replicated_log.rs
@@ -12,8 +12,8 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use decisions::control::{
-    ControlState, EncodedSnapshot, GroupChange, ReceivedSnapshot, Replica, ReplicaLimits,
-    ReplicaStep, StoredReplica,
+    ControlState, EncodedSnapshot, GroupChange, LogBudget, LogStep, ReceivedSnapshot, Replica,
+    ReplicaLimits, ReplicaStep, StoredReplica,
 };
 use decisions::discovery::LearnedGroup;
 use indexmap::IndexMap;
@@ -66,7 +66,7 @@
     pub election: Duration,
     /// How long answers and ended jobs are kept.
     pub retention: Duration,
-    /// Number of applied records after which a snapshot is taken.
+    /// Number of applied records after which a snapshot is taken at the latest.
     pub snapshot_records: u64,
     /// Hard state, snapshot position and records recovered from the journal.
     pub stored: StoredReplica,
@@ -97,7 +97,7 @@
     replica: Replica,
     state: ControlState,
     retention: Duration,
-    snapshot_records: u64,
+    log_budget: LogBudget,
     pending_batches: VecDeque<PendingBatch>,
     /// Kept between its parts, since encoding takes long.
     outgoing: Option<OutgoingSnapshot>,
@@ -151,7 +151,7 @@
         replica,
         state: setup.state,
         retention: setup.retention,
-        snapshot_records: setup.snapshot_records,
+        log_budget: LogBudget::new(setup.snapshot_records),
         pending_batches: VecDeque::new(),
         outgoing: None,
         group_change_calls: Vec::new(),
@@ -515,6 +515,7 @@
             return;
         }
         self.state = state;
+        self.log_budget.on_snapshot(snapshot.state.len());
         self.log.info(EventLine::new("snapshot_installed").with("index", snapshot.mark.index));
         self.notify_applied();
         self.notify_restored();
@@ -534,6 +535,7 @@
             let index = self.state.versions().applied + 1;
             let Some(record) = self.replica.log().record(index).cloned() else { break };
             let result = self.state.apply(&record);
+            self.log_budget.on_applied(&record);
             self.deliver_result(index, result, &record.command);
             if record.command.is_about_queues() {
                 records.push(record);
@@ -572,11 +574,12 @@
     }
 
     fn snapshot_if_due(&mut self) {
-        let applied = self.state.versions().applied;
-        if applied - self.replica.log().mark().index < self.snapshot_records {
+        if self.log_budget.next_step() == LogStep::Keep {
             return;
         }
+        let applied = self.state.versions().applied;
         let Ok(state) = serde_json::to_string(&self.state) else { return };
+        self.log_budget.on_snapshot(state.len());
         let mark = self.replica.compact(applied);
         self.log.info(EventLine::new("snapshot").with("index", applied).with("bytes", state.len()));
         self.write_snapshot(mark, state);
--- a/tests/broken_snapshots.rs
+++ b/tests/broken_snapshots.rs
@@ -26,8 +26,8 @@
 const RING_SLOTS: usize = 256;
 
 /// The replicated log of one follower, with a journal that syncs at once.
-struct FollowerLog {
-    kernel: Kernel<ServiceName>,
+pub(crate) struct FollowerLog {
+    pub(crate) kernel: Kernel<ServiceName>,
     log: RingSender<LogMessage>,
     reply_slots: RingSender<ControlReply>,
     replies: RingReceiver<ControlReply>,
@@ -36,7 +36,7 @@
 }
 
 impl FollowerLog {
-    fn start() -> FollowerLog {
+    pub(crate) fn start() -> FollowerLog {
         let mut kernel: Kernel<ServiceName> = Kernel::default();
         let clock: SharedClock = Arc::new(SystemClock);
         let counters = ProcessCounters::default();
@@ -67,7 +67,7 @@
     }
 
     /// Delivers a message of the leader and returns the reply.
-    fn deliver(&self, message: ReplicaMessage) -> ReplicaMessage {
+    pub(crate) fn deliver(&self, message: ReplicaMessage) -> ReplicaMessage {
         let envelope = Box::new(ReplicaEnvelope { from: leader(), term: 1, boot: 1, message });
         let reply = self.reply_slots.reserve().expect("the ring has room");
         self.log.push(LogMessage::Replica { call: 1, envelope, reply }).expect("the ring has room");
@@ -95,8 +95,12 @@
 
     /// Number of snapshots that were written to the journal.
     fn journaled_snapshots(&self) -> usize {
-        let entries = std::iter::from_fn(|| self.journaled.try_next());
-        entries.filter(|entry| matches!(entry, JournalEntry::Snapshot { .. })).count()
+        self.journaled().filter(|entry| matches!(entry, JournalEntry::Snapshot { .. })).count()
+    }
+
+    /// Entries that were written to the journal since the last call.
+    pub(crate) fn journaled(&self) -> impl Iterator<Item = JournalEntry> {
+        std::iter::from_fn(|| self.journaled.try_next())
     }
 }
 
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -14,6 +14,7 @@
 mod support;
 
 mod bad_input;
+mod bounded_log;
 mod broken_snapshots;
 mod burst_admission;
 mod catalog_versions;
