--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -3,6 +3,7 @@
 
 mod agent_fixture;
 mod caller_jobs;
+mod deployed_group;
 mod entry_links;
 mod entry_model;
 mod job_model;
@@ -11,6 +12,9 @@
 mod process_group;
 mod schedule_model;
 mod server_model;
+mod soak_callers;
+mod soak_history;
+mod soak_operators;
 mod support;
 
 mod bad_input;
@@ -63,6 +67,7 @@
 mod placement_rounds;
 mod platform_wire;
 mod process_failures;
+mod process_soak;
 mod queue_path;
 mod queue_routes;
 mod reborn_servers;
