Claims: a holder tells the next agent before others ask it

What callers saw: jobs that were sent again ran twice for up to some tenths of a second, with real processes, after the agent that kept the claim was killed.

Cause: the holder and the entries to which the job came again all waited 0.3 s for the lost agent, and asked the next one at the same moment. Where the other entry came first, it was granted the claim while the holder's runs were active.

Change: a holder waits 0.15 s, then lists its claim at the next agent, among those that are connected. Others still wait 0.3 s.

Evidence: departed_keeper_asks failed before (a task runs 2 times at once, id 4) and holds now. What remains: an entry that notices the loss over 0.15 s later than another.

--- a/crates/decisions/src/schedule/job_claims.rs
+++ b/crates/decisions/src/schedule/job_claims.rs
@@ -7,8 +7,9 @@
 //!
 //! Invariants:
 //! - no task of a job is placed before its claim is granted, nor once the connection to
-//!   the agent that keeps it has been lost for [`RECONNECT_WAIT`], until an agent grants
-//!   it again;
+//!   the agent that keeps it has been lost for [`HOLDER_WAIT`], until an agent grants it
+//!   again;
+//! - a holder lists its claim at the next agent before others ask there;
 //! - a claim is released only when no run of the job can be active;
 //! - a job whose claim is recalled is ended: its caller has sent it again.
 
@@ -25,6 +26,9 @@
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(100);
 /// How long a claim waits for an agent whose connection was lost to connect again.
 const RECONNECT_WAIT: Duration = Duration::from_millis(300);
+/// How long the holder of a claim waits for it, before it tells the next agent of the claim:
+/// well before other entries ask that one.
+const HOLDER_WAIT: Duration = Duration::from_millis(150);
 /// Time after the connection of an agent, while no other one was connected, in which the
 /// others connect.
 const CONNECT_TIME: Duration = Duration::from_millis(200);
@@ -47,6 +51,11 @@
     fn is_ungranted(self) -> bool {
         matches!(self, ClaimPhase::Pending | ClaimPhase::Contended)
     }
+
+    /// How long an agent whose connection was lost may take to connect again.
+    fn reconnect_wait(self) -> Duration {
+        if self.is_ungranted() { RECONNECT_WAIT } else { HOLDER_WAIT }
+    }
 }
 
 /// Claim of this entry to one job.
@@ -202,8 +211,9 @@
                 ClaimPhase::Pending | ClaimPhase::Unconfirmed => continue,
             };
             let keeper = claim.asked.last().and_then(|agent| agents.get(agent));
-            let lost_at = keeper.map_or(Some(now - RECONNECT_WAIT), |state| state.link_lost_at);
-            match lost_at.map(|at| at + RECONNECT_WAIT) {
+            let wait = claim.phase.reconnect_wait();
+            let lost_at = keeper.map_or(Some(now - wait), |state| state.link_lost_at);
+            match lost_at.map(|at| at + wait) {
                 Some(at) if at <= now => claim.phase = doubted,
                 Some(at) => next_check = next_check.into_iter().chain([at]).min(),
                 None => {}
@@ -218,7 +228,7 @@
     /// again.
     pub(super) fn on_claim_keeper_lost(&mut self, now: Instant) {
         if self.kind == SchedulerKind::Entry {
-            self.claims.require_check(now + RECONNECT_WAIT);
+            self.claims.require_check(now + HOLDER_WAIT);
         }
     }
 
@@ -228,29 +238,36 @@
         if now < connected_at + CONNECT_TIME {
             return ClaimStep::WaitUntil(connected_at + CONNECT_TIME);
         }
+        let wait = claim.phase.reconnect_wait();
         if let Some(agent) = claim.asked.last()
-            && let Some(until) = self.claim_wait(agent, claim.asked_at)
+            && let Some(until) = self.claim_wait(agent, claim.asked_at, wait)
             && now < until
         {
             return ClaimStep::WaitUntil(until);
         }
-        self.choose_claim_keeper(now, job, &claim.asked)
+        self.choose_claim_keeper(now, job, &claim.asked, wait)
     }
 
     /// Time until which an agent that was asked may take to answer; `None` if it is gone.
-    fn claim_wait(&self, agent: &NodeId, asked_at: Instant) -> Option<Instant> {
+    fn claim_wait(&self, agent: &NodeId, asked_at: Instant, wait: Duration) -> Option<Instant> {
         let state = self.agents.get(agent)?;
         match state.link_lost_at {
             None => Some(asked_at + CLAIM_TIMEOUT),
-            Some(lost_at) => Some(lost_at + RECONNECT_WAIT),
+            Some(lost_at) => Some(lost_at + wait),
         }
     }
 
     /// Chooses the first agent in the order of the job that was not asked yet. One that
-    /// has just lost its connection keeps its place.
-    fn choose_claim_keeper(&self, now: Instant, job: &JobId, asked: &[NodeId]) -> ClaimStep {
+    /// lost its connection no longer ago than `wait` keeps its place.
+    fn choose_claim_keeper(
+        &self,
+        now: Instant,
+        job: &JobId,
+        asked: &[NodeId],
+        wait: Duration,
+    ) -> ClaimStep {
         let reachable = self.agents.iter().filter(|(agent, state)| {
-            let is_back_soon = state.link_lost_at.is_none_or(|at| now < at + RECONNECT_WAIT);
+            let is_back_soon = state.link_lost_at.is_none_or(|at| now < at + wait);
             is_back_soon && !asked.contains(*agent)
         });
         let Some((agent, state)) = reachable.max_by_key(|(agent, _)| claim_rank(job, agent)) else {
@@ -258,7 +275,7 @@
         };
         match state.link_lost_at {
             None => ClaimStep::Ask(agent.clone()),
-            Some(lost_at) => ClaimStep::WaitUntil(lost_at + RECONNECT_WAIT),
+            Some(lost_at) => ClaimStep::WaitUntil(lost_at + wait),
         }
     }
 
--- a/tests/job_claims.rs
+++ b/tests/job_claims.rs
@@ -224,6 +224,32 @@
     }
 }
 
+// Guards against a claim that another entry is granted while its holder tells the next agent
+// of it, since the agent that kept it is gone.
+#[test]
+fn departed_keeper_asks() {
+    let cases = (1..=4).flat_map(|id| (0..AGENTS).map(move |agent| (id, agent)));
+    for (id, keeper) in cases {
+        for steps in (0..30).step_by(4) {
+            let mut model = model(2);
+            model.run_time = Duration::from_millis(900);
+            let first = model.submit(1, job(id, 2, true));
+            play(&mut model, Duration::from_millis(60));
+            model.lose_link(2, keeper);
+            play(&mut model, STEP * (steps % 3));
+            model.lose_link(1, keeper);
+            play(&mut model, STEP * steps);
+            model.submit(2, job(id, 2, true));
+            model.abandon(1, first);
+            play(&mut model, Duration::from_millis(1_000));
+            model.run_fault_free(100);
+            let next = model.submit(2, job(id, 2, true));
+            model.run_fault_free(50);
+            assert!(is_done(&model, next), "{:?}", model.replies[&next]);
+        }
+    }
+}
+
 /// Callers send jobs again at once, to any entry, while connections are lost and agents
 /// and entries are restarted.
 fn play_resends(seed: u64) {
