--- a/crates/model/src/position_bounds.rs
+++ b/crates/model/src/position_bounds.rs
@@ -17,9 +17,15 @@
 /// Highest number of a connection of one process.
 pub const MAX_SESSION: SessionId = 1 << 48;
 
-/// Whether a correct host can have reached this term, given the latest one known here.
+/// Highest term that a process without knowledge follows: it can't tell how far its group has
+/// come, which may have accepted odd terms before.
+const MAX_FIRST_TERM: Term = 1 << 62;
+
+/// Whether a correct host can have reached this term, given the latest one known here; 0 if
+/// none is.
 pub fn is_reachable_term(known: Term, term: Term) -> bool {
-    term <= known.saturating_add(MAX_TERM_LEAD)
+    let highest = if known == 0 { MAX_FIRST_TERM } else { known.saturating_add(MAX_TERM_LEAD) };
+    term <= highest
 }
 
 /// Whether a correct host's log can have reached this index, given the last one here.
