Claims: one that another agent may have kept waits for lost entries

What callers saw, with real processes: jobs that they sent again at once, after their entry was killed together with agents, ran twice for up to a second.

Cause: the agent that kept the claim was killed too, and the holder could not list it any more. The next agent granted it after 0.3 s; the dead holder's runs last until grant and lease are over.

Change: an entry says of a claim that it asks for in place of another agent that it is passed on. The agent that is asked grants it once the runs of all entries that it has lost are over, unless the same process of such an entry is back. Without a lost entry it grants at once, as before.

Evidence: killed_pair_outwaited failed before (a task runs 2 times at once) and holds now.

--- a/crates/decisions/src/agent/claim_table.rs
+++ b/crates/decisions/src/agent/claim_table.rs
@@ -8,7 +8,9 @@
 //! - the latest claimant is next: its caller sent the job again, so the holder's caller
 //!   no longer waits;
 //! - an agent that has just started grants nothing until holders have had time to list
-//!   their claims again.
+//!   their claims again;
+//! - a claim that another agent may have kept is granted only once the runs of entries that
+//!   are gone can't be active any more.
 
 use std::time::Instant;
 
@@ -28,6 +30,8 @@
     holder: Claimant,
     /// Whether the holder may run the job.
     granted: bool,
+    /// Time from which it may be granted.
+    grant_at: Instant,
     /// Time from which no run of the holder is active; set while it has no connection.
     free_at: Option<Instant>,
     /// Who gets the claim next.
@@ -43,11 +47,15 @@
     claims: IndexMap<JobId, KeptClaim>,
     /// Time before which nothing is granted.
     grants_from: Instant,
+    /// The process of each entry that has sent claims.
+    incarnations: IndexMap<SchedulerKey, Incarnation>,
+    /// Entries without a connection, and when their runs are over.
+    lost_entries: IndexMap<SchedulerKey, Instant>,
 }
 
 impl KeptClaim {
-    fn new(holder: Claimant, granted: bool) -> KeptClaim {
-        KeptClaim { holder, granted, free_at: None, next: None }
+    fn new(holder: Claimant, granted: bool, grant_at: Instant) -> KeptClaim {
+        KeptClaim { holder, granted, grant_at, free_at: None, next: None }
     }
 
     /// The updates that are due to the holder, and to the next claimant.
@@ -69,7 +77,12 @@
 impl ClaimTable {
     /// Creates claims of which none is granted before a time.
     pub(super) fn new(grants_from: Instant) -> ClaimTable {
-        ClaimTable { claims: IndexMap::new(), grants_from }
+        ClaimTable {
+            claims: IndexMap::new(),
+            grants_from,
+            incarnations: IndexMap::new(),
+            lost_entries: IndexMap::new(),
+        }
     }
 
     /// Handles an entry's message; returns the updates that follow.
@@ -81,17 +94,27 @@
     ) -> Vec<ClaimNotice> {
         let claimant = Claimant { scheduler: scheduler.clone(), incarnation: orders.incarnation };
         let mut notices = Vec::new();
+        let known = self.incarnations.insert(scheduler.clone(), orders.incarnation);
+        if known == Some(orders.incarnation) {
+            // The same process is back, and lists what it holds.
+            self.lost_entries.swap_remove(scheduler);
+        }
         if orders.is_first {
             notices.extend(self.release_unlisted(now, &claimant, &orders.held));
         }
         for job in orders.held {
-            notices.extend(self.restore(job, &claimant));
+            notices.extend(self.restore(now, job, &claimant));
         }
         for job in orders.released {
             notices.extend(self.release(now, &job, &claimant));
         }
         for job in orders.claimed {
-            notices.extend(self.claim(now, job, &claimant));
+            notices.extend(self.claim(now, job, &claimant, self.grants_from));
+        }
+        let lost_until = self.lost_entries.values().copied().max();
+        let grant_at = lost_until.map_or(self.grants_from, |until| until.max(self.grants_from));
+        for job in orders.passed_on {
+            notices.extend(self.claim(now, job, &claimant, grant_at));
         }
         notices
     }
@@ -111,11 +134,12 @@
     }
 
     /// Restores a claim. Another entry that was granted the claim meanwhile goes first.
-    fn restore(&mut self, job: JobId, holder: &Claimant) -> Vec<ClaimNotice> {
+    fn restore(&mut self, now: Instant, job: JobId, holder: &Claimant) -> Vec<ClaimNotice> {
         let claim = self.claims.entry(job.clone());
-        let claim = claim.or_insert_with(|| KeptClaim::new(holder.clone(), true));
+        let claim = claim.or_insert_with(|| KeptClaim::new(holder.clone(), true, now));
         if claim.holder != *holder && !claim.granted {
-            let claimant = std::mem::replace(claim, KeptClaim::new(holder.clone(), true));
+            let restored = KeptClaim::new(holder.clone(), true, now);
+            let claimant = std::mem::replace(claim, restored);
             claim.next = claimant.next.or(Some(claimant.holder));
         }
         if claim.holder != *holder {
@@ -126,10 +150,16 @@
         claim.notices(&job)
     }
 
-    fn claim(&mut self, now: Instant, job: JobId, claimant: &Claimant) -> Vec<ClaimNotice> {
-        let granted = now >= self.grants_from;
+    fn claim(
+        &mut self,
+        now: Instant,
+        job: JobId,
+        claimant: &Claimant,
+        grant_at: Instant,
+    ) -> Vec<ClaimNotice> {
+        let granted = now >= grant_at;
         let claim = self.claims.entry(job.clone());
-        let claim = claim.or_insert_with(|| KeptClaim::new(claimant.clone(), granted));
+        let claim = claim.or_insert_with(|| KeptClaim::new(claimant.clone(), granted, grant_at));
         if claim.holder == *claimant {
             claim.free_at = None;
         } else {
@@ -154,13 +184,16 @@
             self.claims.swap_remove(job);
             return Vec::new();
         };
-        *claim = KeptClaim::new(next, now >= self.grants_from);
+        *claim = KeptClaim::new(next, now >= claim.grant_at, claim.grant_at);
         claim.notices(job)
     }
 
     /// Handles the loss of an entry's connection: its runs are over at `free_at`, unless
     /// it comes back.
     pub(super) fn on_closed(&mut self, scheduler: &SchedulerKey, free_at: Instant) {
+        if self.incarnations.contains_key(scheduler) {
+            self.lost_entries.insert(scheduler.clone(), free_at);
+        }
         for claim in self.claims.values_mut() {
             claim.next.take_if(|next| next.scheduler == *scheduler);
             if claim.holder.scheduler == *scheduler {
@@ -173,11 +206,11 @@
     /// before the first grants.
     pub(super) fn on_tick(&mut self, now: Instant) -> Vec<ClaimNotice> {
         let mut notices = Vec::new();
-        if now >= self.grants_from {
-            for (job, claim) in self.claims.iter_mut().filter(|(_, claim)| !claim.granted) {
-                claim.granted = true;
-                notices.extend(claim.notices(job));
-            }
+        self.lost_entries.retain(|_, over_at| *over_at > now);
+        let due = |claim: &KeptClaim| !claim.granted && claim.grant_at <= now;
+        for (job, claim) in self.claims.iter_mut().filter(|(_, claim)| due(claim)) {
+            claim.granted = true;
+            notices.extend(claim.notices(job));
         }
         let free = |claim: &KeptClaim| claim.free_at.is_some_and(|at| at <= now);
         let freed = self.claims.iter().filter(|(_, claim)| free(claim));
@@ -192,7 +225,7 @@
     pub(super) fn next_deadline(&self) -> Option<Instant> {
         let claims = self.claims.values();
         claims
-            .filter_map(|claim| claim.free_at.or((!claim.granted).then_some(self.grants_from)))
+            .filter_map(|claim| claim.free_at.or((!claim.granted).then_some(claim.grant_at)))
             .min()
     }
 }
--- a/crates/decisions/src/schedule/job_claims.rs
+++ b/crates/decisions/src/schedule/job_claims.rs
@@ -285,9 +285,15 @@
         claim.asked_at = now;
         let is_running = claim.phase == ClaimPhase::Unconfirmed;
         self.claims.require_check(now + CLAIM_TIMEOUT);
+        let rank = claim_rank(job, &agent);
+        let is_passed_on = self.agents.keys().any(|other| claim_rank(job, other) > rank);
         if let Some(state) = self.agents.get_mut(&agent) {
             let orders = &mut state.claim_outbox;
-            let list = if is_running { &mut orders.held } else { &mut orders.claimed };
+            let list = match (is_running, is_passed_on) {
+                (true, _) => &mut orders.held,
+                (false, true) => &mut orders.passed_on,
+                (false, false) => &mut orders.claimed,
+            };
             list.push(job.clone());
             self.due_agents.insert(agent);
         }
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -297,6 +297,10 @@
     /// Jobs that it claims.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub claimed: Vec<JobId>,
+    /// Jobs that it claims here since an agent that comes before this one is gone or silent:
+    /// that one may have kept the claim of another entry.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub passed_on: Vec<JobId>,
     /// Jobs that it no longer claims, and of which it has no active run.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub released: Vec<JobId>,
