Claims: an entry that stood still asks again before it places tasks

Their job could run twice at one moment: at the entry to which they had sent it again, and at the first one, which had stood still for about 4 s and went on.

Cause: a granted claim had no time at its holder. Agents close the connections of an entry that leaves their messages unanswered (1.5 s) and pass its claims on once its runs are over (2.4 s more). An entry that goes on after that learns of the lost connections one by one. Until it has read that of the agent that keeps a claim, it gives up the runs of the agents that it has not heard of, or reads from one that has connected again that they are over, and places the tasks once more. Class: a permission that its holder doesn't time.

Change: an entry that has not acted on its inputs for as long as a lost connection counts (0.3 s) doubts its granted claims before anything else, asks the agents that keep them, and waits for the others to connect, as after a connection.

Evidence: job_claims::paused_holder_asks, with models of entries that stand still, failed before with "runs 2 times at once" (job 1: the second entry starts both tasks 4.5 s after the pause began, the first one places them again 60 ms later). With the change it holds for four jobs and each agent that connects first.

Why it works: what is placed needs a claim that an agent has confirmed after the pause; one that has passed the claim on recalls it. Left: a grant that was sent before the pause to a claim that was pending, and is read after it.

--- a/crates/decisions/src/schedule/job_claims.rs
+++ b/crates/decisions/src/schedule/job_claims.rs
@@ -7,8 +7,8 @@
 //!
 //! Invariants:
 //! - no task of a job is placed before its claim is granted, nor once the connection to
-//!   the agent that keeps it has been lost for [`RECONNECT_WAIT`], until an agent grants
-//!   it again;
+//!   the agent that keeps it has been lost for [`RECONNECT_WAIT`], nor after the entry stood
+//!   still for as long, until an agent grants it again;
 //! - a claim is released only when no run of the job can be active;
 //! - a job whose claim is recalled is ended: its caller has sent it again.
 
@@ -108,6 +108,8 @@
     next_check: Option<Instant>,
     /// Time since which an agent is connected.
     connected_at: Option<Instant>,
+    /// Time at which this entry last acted on its inputs.
+    checked_at: Option<Instant>,
 }
 
 impl JobClaims {
@@ -191,6 +193,29 @@
         }
     }
 
+    /// Doubts all claims after a time in which this entry stood still: it may not have
+    /// learned yet which connections were lost, and the claims may have passed to others.
+    /// The agents that keep them are asked first, as after a connection.
+    pub(super) fn doubt_after_pause(&mut self, now: Instant) {
+        let checked_at = self.claims.checked_at.replace(now).unwrap_or(now);
+        if now < checked_at + RECONNECT_WAIT {
+            return;
+        }
+        let claims = self.claims.claims.iter_mut();
+        for (job, claim) in claims.filter(|(_, claim)| claim.phase == ClaimPhase::Granted) {
+            // The other agents connect again too.
+            self.claims.connected_at = Some(now);
+            self.claims.next_check = Some(now);
+            claim.phase = ClaimPhase::Unconfirmed;
+            claim.asked_at = now;
+            let Some(keeper) = claim.asked.last() else { continue };
+            if let Some(state) = self.agents.get_mut(keeper) {
+                state.claim_outbox.held.push(job.clone());
+                self.due_agents.insert(keeper.clone());
+            }
+        }
+    }
+
     /// Doubts the claims that agents keep which did not connect again in time.
     fn doubt_claims(&mut self, now: Instant) {
         let agents = &self.agents;
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -426,6 +426,7 @@
     /// before any timeout.
     pub fn settle(&mut self, now: Instant) -> Vec<ScheduleStep> {
         if self.term.is_some() {
+            self.doubt_after_pause(now);
             self.expire_takeover(now);
             self.expire_jobs(now);
             self.check_agents(now);
--- a/tests/job_claims.rs
+++ b/tests/job_claims.rs
@@ -224,6 +224,27 @@
     }
 }
 
+// Guards against an entry that stood still for longer than the claims that it had were kept,
+// and then places tasks of a job that another entry runs.
+#[test]
+fn paused_holder_asks() {
+    for (id, first_agent) in (1..=4).flat_map(|id| (0..AGENTS).map(move |agent| (id, agent))) {
+        let mut model = model(2);
+        model.run_time = LONG_RUN;
+        model.submit(1, job(id, 2, true));
+        play(&mut model, Duration::from_millis(60));
+        model.freeze_entry(1);
+        play(&mut model, Duration::from_millis(4_500));
+        let second = model.submit(2, job(id, 2, true));
+        play(&mut model, Duration::from_millis(60));
+        assert_eq!(starts(&model), 4, "the claim has passed to the second entry");
+        model.connect(1, first_agent);
+        model.thaw_entry(1);
+        play(&mut model, Duration::from_millis(90));
+        check_ended(&mut model, second, id);
+    }
+}
+
 /// Callers send jobs again at once, to any entry, while connections are lost and agents
 /// and entries are restarted.
 fn play_resends(seed: u64) {
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -16,9 +16,9 @@
 };
 use model::{
     AgentHeartbeat, AgentMessage, AgentOrders, AgentReport, Command, JobCall, JobPhase, JobReply,
-    JobStep, LogRecord, QueueCatalog, QueueRule, QueuedJob, ResourceAmount, SchedulerKey,
-    ServerAnswer, ServerCall, ServerHeartbeat, ServerRequest, ServerView, ServiceRule, TaskName,
-    life_id,
+    JobStep, LogRecord, NumberedMessage, QueueCatalog, QueueRule, QueuedJob, ResourceAmount,
+    SchedulerKey, ServerAnswer, ServerCall, ServerHeartbeat, ServerRequest, ServerView,
+    ServiceRule, TaskName, life_id,
 };
 
 use crate::link_model::LinkModel;
@@ -35,6 +35,8 @@
 const SERVER_SLOTS: usize = 4;
 /// How long callers usually wait.
 const CALLER_WAIT: Duration = Duration::from_millis(1_500);
+/// How long an agent waits until an entry acknowledges a message.
+const ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Usual run time of a task.
 const RUN_TIME: Duration = Duration::from_millis(120);
 pub(crate) const SERVICE: &str = "stock";
@@ -128,6 +130,13 @@
     Heartbeat(ServerHeartbeat),
 }
 
+/// What waits for an entry that stands still.
+#[derive(Default)]
+struct EntryBacklog {
+    messages: Vec<(u64, NumberedMessage)>,
+    lost_links: Vec<u64>,
+}
+
 /// One control scheduler, entry schedulers, and agents with a backend server each.
 pub(crate) struct ScheduleModel {
     pub(crate) now: Instant,
@@ -142,6 +151,8 @@
     lost_servers: BTreeSet<usize>,
     /// Agents that stand still, and what waits for them.
     frozen_agents: BTreeMap<usize, Vec<HeldInput>>,
+    /// Entries that stand still, and what waits for them.
+    frozen_entries: BTreeMap<usize, EntryBacklog>,
     /// Calls that timed out at the agent and may still reach the backend server.
     delayed: Vec<(usize, ServerCall)>,
     job_store: JobStore,
@@ -177,6 +188,7 @@
             servers: Vec::new(),
             lost_servers: BTreeSet::new(),
             frozen_agents: BTreeMap::new(),
+            frozen_entries: BTreeMap::new(),
             delayed: Vec::new(),
             job_store: JobStore::default(),
             proposals: Vec::new(),
@@ -372,6 +384,42 @@
         }
     }
 
+    /// Makes an entry stand still. Agents whose messages it leaves unanswered close their
+    /// connections.
+    pub(crate) fn freeze_entry(&mut self, number: usize) {
+        self.frozen_entries.entry(number).or_default();
+    }
+
+    /// Lets an entry go on. It handles what has arrived over open connections before it
+    /// learns which others were closed: they are read in any order.
+    pub(crate) fn thaw_entry(&mut self, number: usize) {
+        let backlog = self.frozen_entries.remove(&number).unwrap_or_default();
+        let now = self.now;
+        for (link, message) in backlog.messages {
+            if self.schedulers[number].links.contains_key(&link) {
+                self.schedulers[number].scheduler.on_agent_message(now, link, &message);
+            }
+        }
+        self.settle_scheduler(number);
+        for link in backlog.lost_links {
+            self.schedulers[number].scheduler.on_link_lost(now, link);
+        }
+        self.settle_scheduler(number);
+    }
+
+    /// Closes the connections whose messages an entry that stands still leaves unanswered.
+    fn close_silent_links(&mut self, number: usize) {
+        let links = self.schedulers[number].links.values();
+        let is_silent = |open: &LinkModel| {
+            open.unacked_since().is_some_and(|since| since + ACK_TIMEOUT <= self.now)
+        };
+        let silent: Vec<usize> =
+            links.filter(|(_, open)| is_silent(open)).map(|(agent, _)| *agent).collect();
+        for agent in silent {
+            self.disconnect(number, agent);
+        }
+    }
+
     pub(crate) fn is_frozen(&self, agent: usize) -> bool {
         self.frozen_agents.contains_key(&agent)
     }
@@ -427,6 +475,9 @@
     pub(crate) fn disconnect(&mut self, scheduler: usize, agent: usize) {
         let Some(session) = self.agents[agent].sessions.remove(&scheduler) else { return };
         self.schedulers[scheduler].links.remove(&session);
+        if let Some(backlog) = self.frozen_entries.get_mut(&scheduler) {
+            backlog.lost_links.push(session);
+        }
         let key = self.schedulers[scheduler].key.clone();
         let steps = self.agents[agent].table.on_closed(self.now, &key, session);
         self.apply_run_steps(agent, steps);
@@ -545,6 +596,9 @@
         if self.schedulers[number].loses_reports {
             return;
         }
+        if let Some(backlog) = self.frozen_entries.get_mut(&number) {
+            return backlog.messages.push((link, message));
+        }
         self.schedulers[number].scheduler.on_agent_message(now, link, &message);
         self.settle_scheduler(number);
     }
@@ -714,6 +768,10 @@
         }
         for number in 0..self.schedulers.len() {
             self.send_heartbeats(number);
+            if self.frozen_entries.contains_key(&number) {
+                self.close_silent_links(number);
+                continue;
+            }
             self.schedulers[number].scheduler.on_idle(self.now);
             self.settle_scheduler(number);
         }
