Claims: only doubted ones wait after a pause of their entry

A pause of an entry held back every new claim for 0.2 s, also those of callers whose jobs nobody else had. Now only the claims that the entry doubts wait for the other agents, and a line claims_doubted tells how many and how long the pause was.

--- a/crates/decisions/src/schedule/job_claims.rs
+++ b/crates/decisions/src/schedule/job_claims.rs
@@ -119,6 +119,8 @@
     connected_at: Option<Instant>,
     /// Time at which this entry last acted on its inputs.
     checked_at: Option<Instant>,
+    /// Time at which it went on after it had stood still.
+    resumed_at: Option<Instant>,
 }
 
 impl JobClaims {
@@ -210,10 +212,11 @@
         if now < checked_at + RECONNECT_WAIT {
             return;
         }
+        let mut doubted = 0;
         let claims = self.claims.claims.iter_mut();
         for (job, claim) in claims.filter(|(_, claim)| claim.phase == ClaimPhase::Granted) {
-            // The other agents connect again too.
-            self.claims.connected_at = Some(now);
+            doubted += 1;
+            self.claims.resumed_at = Some(now);
             self.claims.next_check = Some(now);
             claim.phase = ClaimPhase::Unconfirmed;
             claim.asked_at = now;
@@ -223,6 +226,11 @@
                 self.due_agents.insert(keeper.clone());
             }
         }
+        if doubted > 0 {
+            let paused = now.saturating_duration_since(checked_at);
+            let line = EventLine::new("claims_doubted").with("claims", doubted);
+            self.steps.push(ScheduleStep::Log(line.with("paused_ms", paused.as_millis())));
+        }
     }
 
     /// Doubts the claims that agents keep which did not connect again in time.
@@ -259,7 +267,11 @@
 
     fn next_claim_step(&self, now: Instant, job: &JobId) -> ClaimStep {
         let Some(claim) = self.claims.claims.get(job) else { return ClaimStep::Wait };
-        let Some(connected_at) = self.claims.connected_at else { return ClaimStep::Wait };
+        let Some(mut connected_at) = self.claims.connected_at else { return ClaimStep::Wait };
+        if claim.phase == ClaimPhase::Unconfirmed {
+            // After a pause of this entry the other agents connect again too.
+            connected_at = self.claims.resumed_at.map_or(connected_at, |at| at.max(connected_at));
+        }
         if now < connected_at + CONNECT_TIME {
             return ClaimStep::WaitUntil(connected_at + CONNECT_TIME);
         }
