--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -65,6 +65,7 @@
 mod odd_lists;
 mod odd_messages;
 mod odd_terms;
+mod operator_redirects;
 mod overload_recovery;
 mod oversized_jobs;
 mod placement_rounds;
