A silent keeper's runs are outwaited by the entry that gets the job next

Callers saw: none of them anything; their job's tasks could run twice at once. The agent that keeps the claim to a job stands still with runs of the job, its caller sends the job to another entry, and that one starts it 0.1 s later, while the first runs go on until their lease ends.

Cause: the claimant passes over the silent keeper and asks the next agent, which knows of no claim. The holder knows that runs are left, and told nobody else.

Change: when a job has ended early at its holder and the keeper has said nothing for 30 ms since, the holder lists the claim at the next agent of the order too, then 30 ms later at the one after it, until no run is active. The claimant, which passes over agents in the same order every 0.1 s, finds the claim there and waits. No message more for any other job; new jobs pass over a silent agent after 0.1 s as before.

Evidence: job_claims::silent_keeper_outwaited, red since the claims landed, failed on ("runs 2 times at once") and passes. job_claims::silences_run_once is new: agents stand still at random while jobs come again.

--- a/crates/decisions/src/schedule/job_claims.rs
+++ b/crates/decisions/src/schedule/job_claims.rs
@@ -25,6 +25,11 @@
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(100);
 /// How long a claim waits for an agent whose connection was lost to connect again.
 const RECONNECT_WAIT: Duration = Duration::from_millis(300);
+/// How long the agent that keeps the claim to a job may be silent after the job was ended
+/// here while its runs are being stopped, before the next agent keeps the claim, and that
+/// one before the agent after it. Shorter than [`CLAIM_TIMEOUT`]: the entry to which the
+/// caller has sent the job passes over silent agents in the same order.
+const STOP_SILENCE: Duration = Duration::from_millis(30);
 /// Time after the connection of an agent, while no other one was connected, in which the
 /// others connect.
 const CONNECT_TIME: Duration = Duration::from_millis(200);
@@ -53,8 +58,8 @@
 #[derive(Debug, Clone)]
 struct JobClaim {
     phase: ClaimPhase,
-    /// Whether the job has ended here; the claim is released once its last run is over.
-    is_closing: bool,
+    /// When the job has ended here; the claim is released once its last run is over.
+    closed_at: Option<Instant>,
     /// Whether another entry waits for the release.
     is_recalled: bool,
     since: Instant,
@@ -66,6 +71,14 @@
 }
 
 impl JobClaim {
+    /// How long a connected agent may take to answer before another one is asked too.
+    fn answer_timeout(&self) -> Duration {
+        match self.closed_at {
+            None => CLAIM_TIMEOUT,
+            Some(_) => STOP_SILENCE,
+        }
+    }
+
     /// Makes an agent that was asked the one that keeps the claim.
     fn set_keeper(&mut self, agent: &NodeId) {
         self.asked.retain(|asked| asked != agent);
@@ -150,13 +163,13 @@
         }
         match self.claims.claims.get_mut(job) {
             Some(claim) => {
-                self.claims.closing -= usize::from(std::mem::take(&mut claim.is_closing));
+                self.claims.closing -= usize::from(claim.closed_at.take().is_some());
                 if claim.phase.is_ungranted() { ClaimStart::Wait } else { ClaimStart::Granted }
             }
             None => {
                 let claim = JobClaim {
                     phase: ClaimPhase::Pending,
-                    is_closing: false,
+                    closed_at: None,
                     is_recalled: false,
                     since: now,
                     asked: Vec::new(),
@@ -191,7 +204,8 @@
         }
     }
 
-    /// Doubts the claims that agents keep which did not connect again in time.
+    /// Doubts the claims that agents keep which did not connect again in time, or which are
+    /// silent while runs of an ended job are being stopped.
     fn doubt_claims(&mut self, now: Instant) {
         let agents = &self.agents;
         let mut next_check = None;
@@ -203,7 +217,10 @@
             };
             let keeper = claim.asked.last().and_then(|agent| agents.get(agent));
             let lost_at = keeper.map_or(Some(now - RECONNECT_WAIT), |state| state.link_lost_at);
-            match lost_at.map(|at| at + RECONNECT_WAIT) {
+            let is_silent =
+                |closed_at: &Instant| keeper.is_some_and(|state| state.last_contact <= *closed_at);
+            let silent_at = claim.closed_at.filter(is_silent).map(|at| at + STOP_SILENCE);
+            match lost_at.map(|at| at + RECONNECT_WAIT).into_iter().chain(silent_at).min() {
                 Some(at) if at <= now => claim.phase = doubted,
                 Some(at) => next_check = next_check.into_iter().chain([at]).min(),
                 None => {}
@@ -229,7 +246,7 @@
             return ClaimStep::WaitUntil(connected_at + CONNECT_TIME);
         }
         if let Some(agent) = claim.asked.last()
-            && let Some(until) = self.claim_wait(agent, claim.asked_at)
+            && let Some(until) = self.claim_wait(agent, claim)
             && now < until
         {
             return ClaimStep::WaitUntil(until);
@@ -238,10 +255,10 @@
     }
 
     /// Time until which an agent that was asked may take to answer; `None` if it is gone.
-    fn claim_wait(&self, agent: &NodeId, asked_at: Instant) -> Option<Instant> {
+    fn claim_wait(&self, agent: &NodeId, claim: &JobClaim) -> Option<Instant> {
         let state = self.agents.get(agent)?;
         match state.link_lost_at {
-            None => Some(asked_at + CLAIM_TIMEOUT),
+            None => Some(claim.asked_at + claim.answer_timeout()),
             Some(lost_at) => Some(lost_at + RECONNECT_WAIT),
         }
     }
@@ -267,7 +284,8 @@
         claim.asked.push(agent.clone());
         claim.asked_at = now;
         let is_running = claim.phase == ClaimPhase::Unconfirmed;
-        self.claims.require_check(now + CLAIM_TIMEOUT);
+        let timeout = claim.answer_timeout();
+        self.claims.require_check(now + timeout);
         if let Some(state) = self.agents.get_mut(&agent) {
             let orders = &mut state.claim_outbox;
             let list = if is_running { &mut orders.held } else { &mut orders.claimed };
@@ -377,10 +395,13 @@
 
     /// Notes that a job has ended here; `stopping` are the tasks whose runs may still be
     /// active.
-    pub(super) fn close_claim(&mut self, job: &JobId, stopping: Vec<TaskName>) {
+    pub(super) fn close_claim(&mut self, now: Instant, job: &JobId, stopping: Vec<TaskName>) {
         let Some(claim) = self.claims.claims.get_mut(job) else { return };
-        self.claims.closing += usize::from(!std::mem::replace(&mut claim.is_closing, true));
+        self.claims.closing += usize::from(claim.closed_at.replace(now).is_none());
         claim.stopping = stopping;
+        if !claim.stopping.is_empty() {
+            self.claims.require_check(now + STOP_SILENCE);
+        }
     }
 
     /// Releases the claims to ended jobs of which no run is active any more.
@@ -390,10 +411,9 @@
         }
         let placements = &self.placements;
         let is_active = |task: &TaskName| placements.get(task).is_some_and(|placed| !placed.ended);
-        let released = self
-            .claims
-            .claims
-            .extract_if(.., |_, claim| claim.is_closing && !claim.stopping.iter().any(is_active));
+        let released = self.claims.claims.extract_if(.., |_, claim| {
+            claim.closed_at.is_some() && !claim.stopping.iter().any(is_active)
+        });
         let released: Vec<(JobId, JobClaim)> = released.collect();
         self.claims.closing -= released.len();
         for (job, claim) in released {
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -142,7 +142,7 @@
             JobPhase::Completed => Vec::new(),
             _ => self.stop_runs(&live.job),
         };
-        self.close_claim(id, stopping);
+        self.close_claim(now, id, stopping);
     }
 
     /// Orders to stop all runs of a job, and returns their tasks.
--- a/tests/job_claims.rs
+++ b/tests/job_claims.rs
@@ -263,3 +263,35 @@
         play_resends(seed);
     }
 }
+
+/// Agents stand still for up to 2 s, each at a time when jobs run there, and jobs come again
+/// whose callers the first entry knows to be gone within 60 ms.
+fn play_silences(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut model = model(3);
+    model.run_time = Duration::from_millis(700);
+    for number in 1..=20 {
+        let entry = rng.random_range(1..=3);
+        let tasks = rng.random_range(1..9);
+        let call = model.submit(entry, job(number, tasks, true));
+        play(&mut model, STEP * rng.random_range(0..6));
+        let silent = rng.random_range(0..AGENTS);
+        model.freeze_agent(silent);
+        play(&mut model, STEP * rng.random_range(0..4));
+        model.submit(rng.random_range(1..=3), job(number, tasks, true));
+        play(&mut model, STEP * rng.random_range(0..=4));
+        model.abandon(entry, call);
+        play(&mut model, STEP * rng.random_range(0..130));
+        model.thaw_agent(silent);
+        model.run_fault_free(rng.random_range(0..60));
+    }
+}
+
+// Guards against resent jobs whose keeper stands still while the first runs are stopped.
+#[test]
+fn silences_run_once() {
+    for seed in 1..=u64::from(crate::support::case_count(20)) {
+        println!("seed {seed}");
+        play_silences(seed);
+    }
+}
