--- a/crates/decisions/src/schedule/job_claims.rs
+++ b/crates/decisions/src/schedule/job_claims.rs
@@ -20,6 +20,7 @@
     ClaimOrders, ClaimUpdate, EventLine, JobId, JobPhase, JobReply, NodeId, TaskName, fingerprint,
 };
 
+use super::agent_state::AgentState;
 use super::scheduler::{ScheduleStep, Scheduler, SchedulerKind};
 
 /// How long a connected agent may take to answer a claim before another one is asked too.
@@ -29,6 +30,11 @@
 /// How long the holder of a claim waits for it, before it tells the next agent of the claim:
 /// well before other entries ask that one.
 const HOLDER_WAIT: Duration = Duration::from_millis(150);
+/// How long the agent that keeps the claim to a job may be silent after the job was ended
+/// here while its runs are being stopped, before the next agent keeps the claim, and that
+/// one before the agent after it. Shorter than [`CLAIM_TIMEOUT`]: the entry to which the
+/// caller has sent the job passes over silent agents in the same order.
+const STOP_SILENCE: Duration = Duration::from_millis(30);
 /// Time after the connection of an agent, while no other one was connected, in which the
 /// others connect.
 const CONNECT_TIME: Duration = Duration::from_millis(200);
@@ -62,8 +68,10 @@
 #[derive(Debug, Clone)]
 struct JobClaim {
     phase: ClaimPhase,
-    /// Whether the job has ended here; the claim is released once its last run is over.
-    is_closing: bool,
+    /// When the job has ended here; the claim is released once its last run is over.
+    closed_at: Option<Instant>,
+    /// Whether another agent was asked to keep the claim since then.
+    is_passed_on: bool,
     /// Whether another entry waits for the release.
     is_recalled: bool,
     since: Instant,
@@ -75,6 +83,24 @@
 }
 
 impl JobClaim {
+    /// How long a connected agent may take to answer before another one is asked too.
+    fn answer_timeout(&self) -> Duration {
+        match self.closed_at {
+            None => CLAIM_TIMEOUT,
+            Some(_) => STOP_SILENCE,
+        }
+    }
+
+    /// When the next agent is to keep the claim to an ended job too, whose runs are still
+    /// being stopped: the agent that keeps it may stand still. A message of that one may have
+    /// been sent before the end, so that it only tells that an agent asked since then goes on.
+    fn silent_at(&self, keeper: Option<&AgentState>) -> Option<Instant> {
+        let closed_at = self.closed_at?;
+        let is_silent = |state: &AgentState| state.last_contact <= closed_at;
+        let is_due = !self.is_passed_on || keeper.is_some_and(is_silent);
+        is_due.then_some(closed_at + STOP_SILENCE)
+    }
+
     /// Makes an agent that was asked the one that keeps the claim.
     fn set_keeper(&mut self, agent: &NodeId) {
         self.asked.retain(|asked| asked != agent);
@@ -163,13 +189,14 @@
         }
         match self.claims.claims.get_mut(job) {
             Some(claim) => {
-                self.claims.closing -= usize::from(std::mem::take(&mut claim.is_closing));
+                self.claims.closing -= usize::from(claim.closed_at.take().is_some());
                 if claim.phase.is_ungranted() { ClaimStart::Wait } else { ClaimStart::Granted }
             }
             None => {
                 let claim = JobClaim {
                     phase: ClaimPhase::Pending,
-                    is_closing: false,
+                    closed_at: None,
+                    is_passed_on: false,
                     is_recalled: false,
                     since: now,
                     asked: Vec::new(),
@@ -233,7 +260,8 @@
         }
     }
 
-    /// Doubts the claims that agents keep which did not connect again in time.
+    /// Doubts the claims that agents keep which did not connect again in time, or which are
+    /// silent while runs of an ended job are being stopped.
     fn doubt_claims(&mut self, now: Instant) {
         let agents = &self.agents;
         let mut next_check = None;
@@ -246,8 +274,12 @@
             let keeper = claim.asked.last().and_then(|agent| agents.get(agent));
             let wait = claim.phase.reconnect_wait();
             let lost_at = keeper.map_or(Some(now - wait), |state| state.link_lost_at);
-            match lost_at.map(|at| at + wait) {
-                Some(at) if at <= now => claim.phase = doubted,
+            let lost_until = lost_at.map(|at| at + wait);
+            match lost_until.into_iter().chain(claim.silent_at(keeper)).min() {
+                Some(at) if at <= now => {
+                    claim.phase = doubted;
+                    claim.is_passed_on = claim.closed_at.is_some();
+                }
                 Some(at) => next_check = next_check.into_iter().chain([at]).min(),
                 None => {}
             }
@@ -277,7 +309,7 @@
         }
         let wait = claim.phase.reconnect_wait();
         if let Some(agent) = claim.asked.last()
-            && let Some(until) = self.claim_wait(agent, claim.asked_at, wait)
+            && let Some(until) = self.claim_wait(agent, claim)
             && now < until
         {
             return ClaimStep::WaitUntil(until);
@@ -286,11 +318,11 @@
     }
 
     /// Time until which an agent that was asked may take to answer; `None` if it is gone.
-    fn claim_wait(&self, agent: &NodeId, asked_at: Instant, wait: Duration) -> Option<Instant> {
+    fn claim_wait(&self, agent: &NodeId, claim: &JobClaim) -> Option<Instant> {
         let state = self.agents.get(agent)?;
         match state.link_lost_at {
-            None => Some(asked_at + CLAIM_TIMEOUT),
-            Some(lost_at) => Some(lost_at + wait),
+            None => Some(claim.asked_at + claim.answer_timeout()),
+            Some(lost_at) => Some(lost_at + claim.phase.reconnect_wait()),
         }
     }
 
@@ -321,7 +353,8 @@
         claim.asked.push(agent.clone());
         claim.asked_at = now;
         let is_running = claim.phase == ClaimPhase::Unconfirmed;
-        self.claims.require_check(now + CLAIM_TIMEOUT);
+        let timeout = claim.answer_timeout();
+        self.claims.require_check(now + timeout);
         let rank = claim_rank(job, &agent);
         let is_passed_on = self.agents.keys().any(|other| claim_rank(job, other) > rank);
         if let Some(state) = self.agents.get_mut(&agent) {
@@ -437,10 +470,14 @@
 
     /// Notes that a job has ended here; `stopping` are the tasks whose runs may still be
     /// active.
-    pub(super) fn close_claim(&mut self, job: &JobId, stopping: Vec<TaskName>) {
+    pub(super) fn close_claim(&mut self, now: Instant, job: &JobId, stopping: Vec<TaskName>) {
         let Some(claim) = self.claims.claims.get_mut(job) else { return };
-        self.claims.closing += usize::from(!std::mem::replace(&mut claim.is_closing, true));
+        self.claims.closing += usize::from(claim.closed_at.replace(now).is_none());
+        claim.is_passed_on = false;
         claim.stopping = stopping;
+        if !claim.stopping.is_empty() {
+            self.claims.require_check(now + STOP_SILENCE);
+        }
     }
 
     /// Releases the claims to ended jobs of which no run is active any more.
@@ -450,10 +487,9 @@
         }
         let placements = &self.placements;
         let is_active = |task: &TaskName| placements.get(task).is_some_and(|placed| !placed.ended);
-        let released = self
-            .claims
-            .claims
-            .extract_if(.., |_, claim| claim.is_closing && !claim.stopping.iter().any(is_active));
+        let released = self.claims.claims.extract_if(.., |_, claim| {
+            claim.closed_at.is_some() && !claim.stopping.iter().any(is_active)
+        });
         let released: Vec<(JobId, JobClaim)> = released.collect();
         self.claims.closing -= released.len();
         for (job, claim) in released {
