The wait for one lease more after a pause of an agent is taken back

It made two tests fail, lease_calls::expired_lease_ends_runs and odd_heartbeats::silent_server_replaced, which demand that runs count as lapsed as soon as the lease is over. They stay as they are.

--- a/crates/decisions/src/agent/run_calls.rs
+++ b/crates/decisions/src/agent/run_calls.rs
@@ -28,9 +28,6 @@
 /// How long hedged renewals wait for an end, as a share of the usual wait.
 const HEDGED_WAIT_SHARE: f64 = 0.4;
 
-/// Delay of a timer from which this process counts as paused.
-const MAX_TIMER_DELAY: Duration = Duration::from_millis(100);
-
 /// Maximum number of times that the delay after a failed renewal doubles.
 const MAX_BACKOFF_DOUBLINGS: u32 = 4;
 
@@ -186,16 +183,10 @@
 
     /// Handles the expiry of the lease: without a renewal for longer than the
     /// lease, the backend server has stopped all runs. One without a lease that answers
-    /// no calls is lost too. After a pause of this process another lease is waited for: the
-    /// backend server's clock may have stood still with the host.
+    /// no calls is lost too.
     pub(super) fn expire_lease(&mut self, now: Instant) {
-        let lease = self.limits.lease;
-        let Some(life) = &mut self.life else { return };
-        let Some(lapsed_at) = life.lapses_at().filter(|at| *at <= now) else { return };
-        if now > lapsed_at + MAX_TIMER_DELAY {
-            life.await_lapse(now, lease);
-            return;
-        }
+        let lapsed = |life: &&mut ServerLife| life.lapses_at().is_some_and(|at| at <= now);
+        let Some(life) = self.life.as_mut().filter(lapsed) else { return };
         life.listed = false;
         life.lease_expires_at = None;
         let line = EventLine::new("lease_lapsed")
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -254,15 +254,10 @@
             return None;
         }
         let (clock, at) = self.clock?;
-        self.await_lapse(now, lease);
-        self.lease_until = self.lease_until.max(Some(now + lease));
-        Some(clock + now.saturating_duration_since(at) + lease)
-    }
-
-    /// Counts the runs as active for `lease` from now, on the backend server's clock.
-    pub(super) fn await_lapse(&mut self, now: Instant, lease: Duration) {
         let expires_at = now + lease.mul_f64(1.0 + MAX_CLOCK_DRIFT_RATIO) + LEASE_MARGIN;
         self.lease_expires_at = self.lease_expires_at.max(Some(expires_at));
+        self.lease_until = self.lease_until.max(Some(now + lease));
+        Some(clock + now.saturating_duration_since(at) + lease)
     }
 
     /// Whether there are active runs, and calls can extend their lease.
