The backlog of a service counts for its own jobs only

Callers of a service whose servers are idle were refused (queue_full) while jobs of another service waited; and idle servers of other services counted as help, so that jobs were admitted which waited in vain.

Cause: admission divided all work that waits at the scheduler by the speed of all backend servers.

Change: the ready queue keeps the waiting work by service; the expected wait takes the work, the servers and the share of capacity in use of the job's own service. The same for the Retry-After of a job whose time is over.

Why it works: a task waits for capacity of its own service only, so that no other work is ahead of it.

--- a/crates/decisions/src/schedule/job_admission.rs
+++ b/crates/decisions/src/schedule/job_admission.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant};
 
 use model::{
-    CallId, Command, EventLine, JobId, JobPhase, JobReply, QueuedJob, RefusalCause, ServiceId,
-    scaled, span_of_secs, span_sum,
+    CallId, Command, EventLine, JobId, JobPhase, JobReply, QueuedJob, RefusalCause, ServerView,
+    ServiceId, scaled, span_of_secs, span_sum,
 };
 
 use super::agent_state::AgentState;
@@ -106,7 +106,7 @@
         }
         let critical_path = job.critical_path();
         let objective = queue.objective(critical_path);
-        let wait = self.expected_wait();
+        let wait = self.expected_wait(&queue.service);
         let max_duration = objective.saturating_mul(MAX_OBJECTIVE_FACTOR);
         let limit = limit.map_or(max_duration, |limit| limit.min(max_duration));
         // Estimates are rough: with free capacity, an attempt delays no other job.
@@ -191,7 +191,9 @@
             let reply = if started {
                 JobReply::Unclear
             } else {
-                let retry_after_ms = self.expected_wait().as_millis() as u64;
+                let service = self.live.get(&id).and_then(|live| self.service_of(&live.job));
+                let wait = service.map(|service| self.expected_wait(&service));
+                let retry_after_ms = wait.unwrap_or_default().as_millis() as u64;
                 JobReply::Refused { cause: RefusalCause::TimeOver, retry_after_ms }
             };
             self.answer_waiter(&id, reply);
@@ -233,17 +235,18 @@
         servers.map(AgentState::slowness).min_by(f64::total_cmp).unwrap_or(1.0)
     }
 
-    /// Expected queueing delay of a job admitted now: the queued work divided by
-    /// the part of the servers' total speed that this scheduler gets, which is
-    /// taken to be its share of the capacity in use; at most [`model::MAX_SPAN`].
-    pub(super) fn expected_wait(&self) -> Duration {
-        if self.ready.left_work() == 0 {
+    /// Expected queueing delay of a job of a service admitted now: the work that is queued
+    /// for the service divided by the part of its servers' total speed that this scheduler
+    /// gets, which is taken to be its share of their capacity in use; at most
+    /// [`model::MAX_SPAN`].
+    pub(super) fn expected_wait(&self, service: &ServiceId) -> Duration {
+        let left_work = self.ready.left_work(service);
+        if left_work == 0 {
             return Duration::ZERO;
         }
-        let servers = self
-            .agents
-            .values()
-            .filter(|state| state.server.as_ref().is_some_and(|server| !server.draining));
+        let serves = |server: &ServerView| !server.draining && server.service == *service;
+        let servers =
+            self.agents.values().filter(|state| state.server.as_ref().is_some_and(serves));
         let (mut speed, mut own, mut others) = (0.0, 0.0, 0.0);
         for state in servers {
             let capacity = state.server.as_ref().map_or(0, |server| server.capacity.cpu_milli);
@@ -255,7 +258,7 @@
         if speed <= 0.0 {
             return Duration::ZERO;
         }
-        span_of_secs(self.ready.left_work() as f64 / (speed * share) / 1_000.0)
+        span_of_secs(left_work as f64 / (speed * share) / 1_000.0)
     }
 
     pub(super) fn answer_waiter(&mut self, id: &JobId, reply: JobReply) {
--- a/crates/decisions/src/schedule/ready_queue.rs
+++ b/crates/decisions/src/schedule/ready_queue.rs
@@ -8,7 +8,7 @@
 use std::time::Instant;
 
 use indexmap::IndexMap;
-use model::{JobId, QueuedJob, StepIndex, TaskIndex};
+use model::{JobId, QueuedJob, ServiceId, StepIndex, TaskIndex};
 
 /// Ready tasks of one step.
 #[derive(Debug, Clone, PartialEq)]
@@ -20,7 +20,9 @@
     highest: TaskIndex,
     /// Processor time that one task needs, in core-milliseconds.
     pub(super) work: u64,
-    /// Number of tasks that the latest placement round left waiting for capacity.
+    /// Service whose capacity the latest placement round left tasks waiting for.
+    service: Option<ServiceId>,
+    /// Number of these tasks.
     left: usize,
     /// Whether work on the job is wasted unless these tasks end while its caller
     /// waits.
@@ -37,8 +39,9 @@
     keys: IndexMap<(JobId, StepIndex), GroupKey>,
     counter: u64,
     /// Processor time of the tasks that the latest placement round left waiting for
-    /// capacity, in core-milliseconds; wide enough for any number of tasks.
-    left_work: u128,
+    /// capacity of each service, in core-milliseconds; wide enough for any number of
+    /// tasks.
+    left_work: IndexMap<ServiceId, u128>,
 }
 
 impl ReadyQueue {
@@ -63,6 +66,7 @@
             tasks: VecDeque::new(),
             highest: task,
             work,
+            service: None,
             left: 0,
             at_stake: false,
         });
@@ -89,8 +93,8 @@
         let group = self.groups.get_mut(&key)?;
         let task = group.tasks.pop_front();
         let left = group.left.min(group.tasks.len());
-        self.left_work -= work_of(group, group.left - left);
-        group.left = left;
+        let taken = std::mem::replace(&mut group.left, left) - left;
+        take_work(&mut self.left_work, group, taken);
         if group.tasks.is_empty() {
             let step_key = (group.job.clone(), group.step);
             self.keys.swap_remove(&step_key);
@@ -131,26 +135,33 @@
         for step in 0..steps {
             let Some(key) = self.keys.swap_remove(&(job.clone(), step)) else { continue };
             if let Some(group) = self.groups.remove(&key) {
-                self.left_work -= work_of(&group, group.left);
+                take_work(&mut self.left_work, &group, group.left);
             }
         }
     }
 
-    /// Records that a placement round has left the queued tasks waiting, for capacity
-    /// unless no backend server can hold them.
-    pub(super) fn end_round(&mut self, mut can_run: impl FnMut(&ReadyGroup) -> bool) {
-        self.left_work = 0;
+    /// Records that a placement round has left the queued tasks waiting for capacity of
+    /// these services; `None` for tasks that no backend server can hold.
+    pub(super) fn end_round(
+        &mut self,
+        mut service_of: impl FnMut(&ReadyGroup) -> Option<ServiceId>,
+    ) {
+        self.left_work.clear();
         for group in self.groups.values_mut() {
-            group.left = if can_run(group) { group.tasks.len() } else { 0 };
-            self.left_work += work_of(group, group.left);
+            group.service = service_of(group);
+            group.left = group.tasks.len();
+            if let Some(service) = &group.service {
+                let work = self.left_work.entry(service.clone()).or_default();
+                *work += work_of(group, group.left);
+            }
         }
     }
 
-    /// Processor time of the tasks that wait for free capacity, in core-milliseconds,
-    /// without those that no round has tried to place yet and those that no backend
-    /// server can hold.
-    pub(super) fn left_work(&self) -> u128 {
-        self.left_work
+    /// Processor time of the tasks that wait for free capacity of a service, in
+    /// core-milliseconds, without those that no round has tried to place yet and those
+    /// that no backend server can hold.
+    pub(super) fn left_work(&self, service: &ServiceId) -> u128 {
+        self.left_work.get(service).copied().unwrap_or_default()
     }
 
     /// Number of groups, one for each step with waiting tasks.
@@ -163,6 +174,14 @@
     }
 }
 
+/// Takes some tasks of a group off the work that waits for its service.
+fn take_work(left_work: &mut IndexMap<ServiceId, u128>, group: &ReadyGroup, tasks: usize) {
+    let work = group.service.as_ref().and_then(|service| left_work.get_mut(service));
+    if let Some(work) = work {
+        *work -= work_of(group, tasks);
+    }
+}
+
 /// Processor time of some tasks of a group, in core-milliseconds.
 fn work_of(group: &ReadyGroup, tasks: usize) -> u128 {
     u128::from(group.work) * tasks as u128
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -177,9 +177,9 @@
         let servers = self.agents.values().filter_map(|state| state.server.as_ref());
         let mut sizes = ServerSizes::new(servers.filter(|server| !server.draining));
         ready.end_round(|group| {
-            let Some(live) = self.live.get(&group.job) else { return false };
-            let Some(step) = live.job.steps.get(group.step as usize) else { return false };
-            self.service_of(&live.job).is_some_and(|service| sizes.can_run(&service, step))
+            let live = self.live.get(&group.job)?;
+            let step = live.job.steps.get(group.step as usize)?;
+            self.service_of(&live.job).filter(|service| sizes.can_run(service, step))
         });
         self.ready = ready;
     }
--- a/tests/burst_admission.rs
+++ b/tests/burst_admission.rs
@@ -2,11 +2,12 @@
 //! beyond the capacity must be refused at once rather than after its caller has waited,
 //! and a job must not run once it was refused or its caller has left.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use model::{JobReply, RefusalCause};
+use model::{JobPhase, JobReply, QueuedJob, RefusalCause};
 
-use crate::schedule_model::{CallStatus, ScheduleModel, job};
+use crate::schedule_model::{CallStatus, OTHER_QUEUE, ScheduleModel, job};
 
 /// Jobs that one backend server of four cores runs concurrently.
 const CONCURRENT_JOBS: usize = 4;
@@ -42,6 +43,39 @@
     assert!(retry_after_ms > 0, "a refusal states when to retry");
 }
 
+/// A job of the other service.
+fn other_job(number: usize) -> Arc<QueuedJob> {
+    Arc::new(QueuedJob { queue: OTHER_QUEUE.into(), ..(*job(number, 1, true)).clone() })
+}
+
+// Guards against idle servers whose jobs are refused, since the backlog of another service
+// counts as ahead of them.
+#[test]
+fn other_service_admits() {
+    let mut model = ScheduleModel::new(1, 2);
+    model.serve_other(1);
+    let calls: Vec<u64> = (1..=100).map(|number| model.submit(1, job(number, 1, true))).collect();
+    assert!(calls.iter().any(|call| refusal(&model.replies[call]).is_some()), "a backlog");
+    let call = model.submit(1, other_job(101));
+    assert_eq!(model.replies[&call], CallStatus::Pending, "its servers are idle");
+    model.run_fault_free(10);
+    let reply = CallStatus::Reply(JobReply::Phase(JobPhase::Completed));
+    assert_eq!(model.replies[&call], reply);
+}
+
+// The servers of another service take none of the backlog, however many there are.
+#[test]
+fn other_servers_excluded() {
+    let admitted = |others: usize| {
+        let mut model = ScheduleModel::new(1, 1 + others);
+        (1..=others).for_each(|agent| model.serve_other(agent));
+        let calls = (1..=100).map(|number| model.submit(1, job(number, 1, true)));
+        let calls: Vec<u64> = calls.collect();
+        calls.iter().filter(|call| refusal(&model.replies[*call]).is_none()).count()
+    };
+    assert_eq!(admitted(4), admitted(0));
+}
+
 #[test]
 fn refused_never_starts() {
     let mut model = ScheduleModel::new(1, 1);
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -39,6 +39,9 @@
 const RUN_TIME: Duration = Duration::from_millis(120);
 pub(crate) const SERVICE: &str = "stock";
 pub(crate) const QUEUE: &str = "lookups";
+/// Another service, with its queue. No backend server serves it unless a test says so.
+pub(crate) const OTHER_SERVICE: &str = "maps";
+pub(crate) const OTHER_QUEUE: &str = "routes";
 
 pub(crate) fn run_limits() -> RunLimits {
     RunLimits {
@@ -72,10 +75,15 @@
         base_objective_ms: 60,
         timeout_ms: 60_000,
     };
+    let other =
+        QueueRule { path_prefix: "/maps/".into(), service: OTHER_SERVICE.into(), ..rule.clone() };
+    let services = [SERVICE, OTHER_SERVICE].into_iter();
     Arc::new(QueueCatalog {
         version,
-        queues: [(QUEUE.into(), rule)].into_iter().collect(),
-        services: [(SERVICE.into(), ServiceRule { enforces_capacity: true })].into_iter().collect(),
+        queues: [(QUEUE.into(), rule), (OTHER_QUEUE.into(), other)].into_iter().collect(),
+        services: services
+            .map(|service| (service.into(), ServiceRule { enforces_capacity: true }))
+            .collect(),
         body_limit_bytes: 1_000,
         document: format!("{{\"version\":{version}}}"),
     })
@@ -138,6 +146,8 @@
     schedulers: Vec<SchedulerModel>,
     agents: Vec<AgentModel>,
     servers: Vec<ServerModel>,
+    /// Backend servers of [`OTHER_SERVICE`].
+    other_servers: BTreeSet<usize>,
     /// Backend servers that are gone for good.
     lost_servers: BTreeSet<usize>,
     /// Agents that stand still, and what waits for them.
@@ -175,6 +185,7 @@
             schedulers: Vec::new(),
             agents: Vec::new(),
             servers: Vec::new(),
+            other_servers: BTreeSet::new(),
             lost_servers: BTreeSet::new(),
             frozen_agents: BTreeMap::new(),
             delayed: Vec::new(),
@@ -352,6 +363,13 @@
         self.apply_run_steps(agent, steps);
     }
 
+    /// Lets a backend server serve [`OTHER_SERVICE`] from now on.
+    pub(crate) fn serve_other(&mut self, agent: usize) {
+        self.other_servers.insert(agent);
+        self.heartbeat(agent);
+        self.run_fault_free(10);
+    }
+
     /// Makes an agent stand still. Its calls stay in transit.
     pub(crate) fn freeze_agent(&mut self, agent: usize) {
         self.frozen_agents.entry(agent).or_default();
@@ -388,10 +406,11 @@
 
     fn heartbeat_of(&self, agent: usize) -> ServerHeartbeat {
         let server = &self.servers[agent];
+        let service = if self.other_servers.contains(&agent) { OTHER_SERVICE } else { SERVICE };
         ServerHeartbeat {
             view: ServerView {
                 life: life_id(&server.instance().into(), server.generation),
-                service: SERVICE.into(),
+                service: service.into(),
                 domain: "north".into(),
                 capacity: ResourceAmount {
                     cpu_milli: SERVER_CPU_MILLI,
