Tests: the soak reads the configuration again at its end

The reads right after the last kill came within config_ms of the last acknowledgement, where an older answer is no break. They are repeated after finish_s.

--- a/tests/process_soak.rs
+++ b/tests/process_soak.rs
@@ -354,17 +354,13 @@
     first.make_change();
     run.apply(Fault::KillAllControls);
     run.run_repairs();
-    for control in 0..CONTROLS {
-        if !wait_until(RECOVER_LIMIT, || first.read_config(control)) {
-            let finding = format!("CONFIG doesn't come: control-{control}");
-            run.context.history.lock().find(finding);
-        }
-    }
+    read_at_all(&run, &mut first);
     run.context.stopped.store(true, Ordering::Release);
     for actor in actors {
         actor.join().expect("the actor ends");
     }
     std::thread::sleep(FINISH_TIME);
+    read_at_all(&run, &mut first);
     ask_for_jobs(&run);
     let runs = run.all_runs();
     let broken = run.context.history.lock().broken_rules(&runs);
@@ -376,6 +372,16 @@
     broken
 }
 
+/// Reads the configuration at every control host, each of which has to answer.
+fn read_at_all(run: &SoakRun, operator: &mut SoakOperator) {
+    for control in 0..CONTROLS {
+        if !wait_until(RECOVER_LIMIT, || operator.read_config(control)) {
+            let finding = format!("CONFIG doesn't come: control-{control}");
+            run.context.history.lock().find(finding);
+        }
+    }
+}
+
 impl SoakRun {
     fn run_repairs(&mut self) {
         while !self.repairs.is_empty() {
