Claims: agents that are gone don't hide one that came back

What callers saw, with real processes: a job that they sent again at once ran twice for 14 ms and more.

Cause: a holder lists a claim at an agent that connects only if other entries ask that agent first. It compared it with all agents that it had asked, also with those that are gone, which others pass over. So an agent that came back was asked by others and knew of no claim.

Two model tests of this order held before the change, so none shows it.

--- a/crates/decisions/src/schedule/job_claims.rs
+++ b/crates/decisions/src/schedule/job_claims.rs
@@ -81,10 +81,11 @@
         self.asked.push(agent.clone());
     }
 
-    /// Whether an agent that was asked comes before this one in the order of the job.
-    fn is_preceded(&self, job: &JobId, agent: &NodeId) -> bool {
+    /// Whether an agent that was asked, and that others would ask too, comes before this one
+    /// in the order of the job.
+    fn is_preceded(&self, job: &JobId, agent: &NodeId, is_gone: impl Fn(&NodeId) -> bool) -> bool {
         let rank = claim_rank(job, agent);
-        self.asked.iter().any(|asked| claim_rank(job, asked) > rank)
+        self.asked.iter().any(|asked| claim_rank(job, asked) > rank && !is_gone(asked))
     }
 }
 
@@ -311,10 +312,15 @@
         }
         self.claims.require_check(now);
         let (mut claimed, mut held) = (Vec::new(), Vec::new());
+        let agents = &self.agents;
+        let is_gone = |asked: &NodeId| {
+            let lost_at = agents.get(asked).map(|state| state.link_lost_at);
+            lost_at.is_none_or(|lost_at| lost_at.is_some_and(|at| at + HOLDER_WAIT <= now))
+        };
         let claims = self.claims.claims.iter_mut();
         for (job, claim) in claims {
             if !claim.asked.contains(agent) {
-                if claim.phase.is_ungranted() || claim.is_preceded(job, agent) {
+                if claim.phase.is_ungranted() || claim.is_preceded(job, agent, is_gone) {
                     continue;
                 }
                 // Other entries ask this agent first.
