--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -59,6 +59,7 @@
 mod odd_jobs;
 mod odd_lists;
 mod odd_messages;
+mod operator_redirects;
 mod overload_recovery;
 mod oversized_jobs;
 mod placement_rounds;
