Agent: a start that was not sent is no sign of its backend server

Stored jobs would wait for runs on a backend server that is gone.

Cause: a start to which no connection opened was passed on as refused by the server, as unhealthy, and so counted as answered. Each one ended the silence, so that while starts were tried the lease of a server that was gone was renewed in the agent's eyes, and its runs never lapsed. Class: a failure on our own side that counts as contact.

Change: an answer of its own, NotSent; its run is refused as before, and the call counts as one without an answer.

Evidence: silent_server::unsent_starts_prove_nothing fails if NotSent counts as answered (the agent with only that condition changed back): the run never lapses.

--- a/crates/decisions/src/agent/run_calls.rs
+++ b/crates/decisions/src/agent/run_calls.rs
@@ -5,8 +5,7 @@
 use std::time::{Duration, Instant};
 
 use model::{
-    EventLine, FenceNumber, RunUpdate, ServerAnswer, ServerCall, ServerRequest, StartRefusal,
-    TaskRun,
+    EventLine, FenceNumber, ServerAnswer, ServerCall, ServerRequest, StartRefusal, TaskRun,
 };
 
 use super::run_table::{RunStep, RunTable};
@@ -61,7 +60,7 @@
             return Vec::new();
         };
         life.update_clock(clock);
-        let answered = answer != ServerAnswer::NoAnswer;
+        let answered = !matches!(answer, ServerAnswer::NoAnswer | ServerAnswer::NotSent);
         life.record_contact(now, answered, self.limits.lease);
         if !answered {
             life.hedge_until = Some(now + HEDGE_DURATION);
@@ -94,9 +93,12 @@
         let Some(state) = life.runs.get_mut(run) else { return };
         match answer {
             ServerAnswer::Refused(refusal) => {
-                let owner = life.runs.swap_remove(run).and_then(|state| state.owner);
-                let update = RunUpdate::Refused { run: run.clone(), refusal: *refusal };
-                self.notify(now, vec![(owner, update)]);
+                let refused = life.refuse(run, *refusal);
+                self.notify(now, refused.into_iter().collect());
+            }
+            ServerAnswer::NotSent => {
+                let refused = life.refuse(run, StartRefusal::Unhealthy);
+                self.notify(now, refused.into_iter().collect());
             }
             // A stop was ordered before this answer arrived.
             _ if state.phase != RunPhase::Starting => {}
--- a/crates/decisions/src/agent/start_queue.rs
+++ b/crates/decisions/src/agent/start_queue.rs
@@ -140,7 +140,7 @@
     }
 
     /// Removes a run that has not started.
-    fn refuse(&mut self, run: &TaskRun, refusal: StartRefusal) -> Option<OwnedUpdate> {
+    pub(super) fn refuse(&mut self, run: &TaskRun, refusal: StartRefusal) -> Option<OwnedUpdate> {
         let state = self.runs.swap_remove(run)?;
         Some((state.owner, RunUpdate::Refused { run: run.clone(), refusal }))
     }
--- a/crates/model/src/server_messages.rs
+++ b/crates/model/src/server_messages.rs
@@ -118,6 +118,8 @@
     },
     /// The request was refused and had no effect.
     Refused(StartRefusal),
+    /// The start was not sent, so it has no effect. Says nothing of the server.
+    NotSent,
     /// Outcome unknown: the call may have taken effect, or may still do so.
     NoAnswer,
 }
--- a/tests/silent_server.rs
+++ b/tests/silent_server.rs
@@ -78,6 +78,22 @@
     assert_eq!(agent.updates, [RunUpdate::Refused { run: run_of(1), refusal }]);
 }
 
+// Guards against a lost backend server whose lease is renewed, since starts that could not be
+// sent to it counted as answered.
+#[test]
+fn unsent_starts_prove_nothing() {
+    let mut agent = agent_with_run();
+    for number in 1..30 {
+        agent.start_run(run_of(number), 500);
+        if let Some(start) = agent.take_call(is_start) {
+            agent.answer(&start, ServerAnswer::NotSent);
+        }
+        agent.stay_silent(LEASE / 10);
+    }
+    assert!(agent.updates.contains(&RunUpdate::lapsed(run())), "{:?}", agent.updates);
+    assert_eq!(agent.server, ServerReport::Absent);
+}
+
 // Guards against stored jobs that never complete since one of their tasks ran on a
 // backend server that was lost for good.
 #[test]
