--- a/crates/decisions/src/agent/run_calls.rs
+++ b/crates/decisions/src/agent/run_calls.rs
@@ -42,6 +42,7 @@
             instance: life.instance.clone(),
             fence: self.fence,
             lease_until,
+            valid_until: lease_until.map(|_| now + lease),
             request,
         };
         self.steps.push(RunStep::Call(call));
--- a/crates/model/src/server_messages.rs
+++ b/crates/model/src/server_messages.rs
@@ -51,6 +51,8 @@
     pub fence: FenceNumber,
     /// Time on the backend server's clock until which its runs may execute.
     pub lease_until: Option<Duration>,
+    /// The same time on the agent's clock. A start isn't sent later.
+    pub valid_until: Option<Instant>,
     /// The requested operation.
     pub request: ServerRequest,
 }
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -65,6 +65,7 @@
 mod process_failures;
 mod queue_path;
 mod queue_routes;
+mod queued_calls;
 mod reborn_servers;
 mod replaced_host;
 mod request_path;
