--- a/crates/model/src/server_messages.rs
+++ b/crates/model/src/server_messages.rs
@@ -51,6 +51,8 @@
     pub fence: FenceNumber,
     /// Time on the backend server's clock until which its runs may execute.
     pub lease_until: Option<Duration>,
+    /// The same time on the agent's clock. A start isn't sent later.
+    pub valid_until: Option<Instant>,
     /// The requested operation.
     pub request: ServerRequest,
 }
@@ -118,6 +120,8 @@
     },
     /// The request was refused and had no effect.
     Refused(StartRefusal),
+    /// The start was not sent, so it has no effect. Says nothing of the server.
+    NotSent,
     /// Outcome unknown: the call may have taken effect, or may still do so.
     NoAnswer,
 }
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -74,6 +74,7 @@
 mod process_soak;
 mod queue_path;
 mod queue_routes;
+mod queued_calls;
 mod reborn_servers;
 mod replaced_host;
 mod request_path;
