A claim is listed at further agents only where runs are left at a silent one

A job that ended early had its claim listed at the next agent whenever its keeper happened to say nothing for 30 ms, which is usual where few messages go, and at one agent more each 30 ms while its entry lagged: an entry that falls behind would have made itself slower by that.

Change: it is listed elsewhere only if an agent with a run of the job that is being stopped is silent too, and at two agents more at most.

Evidence: no test shows the load; job_claims::silent_keeper_outwaited and silences_run_once hold as before.

--- a/crates/decisions/src/schedule/job_claims.rs
+++ b/crates/decisions/src/schedule/job_claims.rs
@@ -19,6 +19,8 @@
     ClaimOrders, ClaimUpdate, EventLine, JobId, JobPhase, JobReply, NodeId, TaskName, fingerprint,
 };
 
+use super::agent_state::AgentState;
+use super::live_job::Placement;
 use super::scheduler::{ScheduleStep, Scheduler, SchedulerKind};
 
 /// How long a connected agent may take to answer a claim before another one is asked too.
@@ -30,6 +32,9 @@
 /// one before the agent after it. Shorter than [`CLAIM_TIMEOUT`]: the entry to which the
 /// caller has sent the job passes over silent agents in the same order.
 const STOP_SILENCE: Duration = Duration::from_millis(30);
+/// Maximum number of agents that are told of the claim to an ended job: an entry that lags
+/// sees agents as silent that are not.
+const MAX_STOP_KEEPERS: usize = 3;
 /// Time after the connection of an agent, while no other one was connected, in which the
 /// others connect.
 const CONNECT_TIME: Duration = Duration::from_millis(200);
@@ -205,9 +210,10 @@
     }
 
     /// Doubts the claims that agents keep which did not connect again in time, or which are
-    /// silent while runs of an ended job are being stopped.
+    /// silent while silent agents have runs of an ended job.
     fn doubt_claims(&mut self, now: Instant) {
         let agents = &self.agents;
+        let placements = &self.placements;
         let mut next_check = None;
         for claim in self.claims.claims.values_mut() {
             let doubted = match claim.phase {
@@ -217,8 +223,14 @@
             };
             let keeper = claim.asked.last().and_then(|agent| agents.get(agent));
             let lost_at = keeper.map_or(Some(now - RECONNECT_WAIT), |state| state.link_lost_at);
-            let is_silent =
-                |closed_at: &Instant| keeper.is_some_and(|state| state.last_contact <= *closed_at);
+            let is_silent = |closed_at: &Instant| {
+                let is_silent = |state: &AgentState| state.last_contact <= *closed_at;
+                let mut stopping = claim.stopping.iter().filter_map(|task| placements.get(task));
+                let is_left = |placed: &Placement| {
+                    !placed.ended && agents.get(&placed.agent).is_some_and(is_silent)
+                };
+                keeper.is_some_and(is_silent) && stopping.any(is_left)
+            };
             let silent_at = claim.closed_at.filter(is_silent).map(|at| at + STOP_SILENCE);
             match lost_at.map(|at| at + RECONNECT_WAIT).into_iter().chain(silent_at).min() {
                 Some(at) if at <= now => claim.phase = doubted,
@@ -251,6 +263,9 @@
         {
             return ClaimStep::WaitUntil(until);
         }
+        if claim.closed_at.is_some() && claim.asked.len() >= MAX_STOP_KEEPERS {
+            return ClaimStep::Wait;
+        }
         self.choose_claim_keeper(now, job, &claim.asked)
     }
 
