--- a/crates/decisions/src/schedule/job_claims.rs
+++ b/crates/decisions/src/schedule/job_claims.rs
@@ -21,6 +21,7 @@
 };
 
 use super::agent_state::AgentState;
+use super::live_job::Placement;
 use super::scheduler::{ScheduleStep, Scheduler, SchedulerKind};
 
 /// How long a connected agent may take to answer a claim before another one is asked too.
@@ -35,6 +36,9 @@
 /// one before the agent after it. Shorter than [`CLAIM_TIMEOUT`]: the entry to which the
 /// caller has sent the job passes over silent agents in the same order.
 const STOP_SILENCE: Duration = Duration::from_millis(30);
+/// Maximum number of agents that are told of the claim to an ended job: an entry that lags
+/// sees agents as silent that are not.
+const MAX_STOP_KEEPERS: usize = 3;
 /// Time after the connection of an agent, while no other one was connected, in which the
 /// others connect.
 const CONNECT_TIME: Duration = Duration::from_millis(200);
@@ -91,13 +95,24 @@
         }
     }
 
-    /// When the next agent is to keep the claim to an ended job too, whose runs are still
-    /// being stopped: the agent that keeps it may stand still. A message of that one may have
-    /// been sent before the end, so that it only tells that an agent asked since then goes on.
-    fn silent_at(&self, keeper: Option<&AgentState>) -> Option<Instant> {
+    /// When the next agent is to keep the claim to an ended job too: agents with runs that are
+    /// being stopped may stand still, and the one that keeps the claim. What that one said
+    /// after the end may have been sent before it, so that with runs of its own it is believed
+    /// only about an agent that was asked since then.
+    fn silent_at(
+        &self,
+        agents: &IndexMap<NodeId, AgentState>,
+        placements: &IndexMap<TaskName, Placement>,
+    ) -> Option<Instant> {
         let closed_at = self.closed_at?;
-        let is_silent = |state: &AgentState| state.last_contact <= closed_at;
-        let is_due = !self.is_passed_on || keeper.is_some_and(is_silent);
+        let keeper = self.asked.last()?;
+        let is_silent =
+            |agent: &NodeId| agents.get(agent).is_some_and(|state| state.last_contact <= closed_at);
+        let left = self.stopping.iter().filter_map(|task| placements.get(task));
+        let is_due = left.filter(|placed| !placed.ended).any(|placed| {
+            let is_keeper = placed.agent == *keeper && !self.is_passed_on;
+            is_keeper || (is_silent(keeper) && is_silent(&placed.agent))
+        });
         is_due.then_some(closed_at + STOP_SILENCE)
     }
 
@@ -262,9 +277,10 @@
     }
 
     /// Doubts the claims that agents keep which did not connect again in time, or which are
-    /// silent while runs of an ended job are being stopped.
+    /// silent while silent agents have runs of an ended job.
     fn doubt_claims(&mut self, now: Instant) {
         let agents = &self.agents;
+        let placements = &self.placements;
         let mut next_check = None;
         for claim in self.claims.claims.values_mut() {
             let doubted = match claim.phase {
@@ -276,7 +292,7 @@
             let wait = claim.phase.reconnect_wait();
             let lost_at = keeper.map_or(Some(now - wait), |state| state.link_lost_at);
             let lost_until = lost_at.map(|at| at + wait);
-            match lost_until.into_iter().chain(claim.silent_at(keeper)).min() {
+            match lost_until.into_iter().chain(claim.silent_at(agents, placements)).min() {
                 Some(at) if at <= now => {
                     claim.phase = doubted;
                     claim.is_passed_on = claim.closed_at.is_some();
@@ -315,6 +331,9 @@
         {
             return ClaimStep::WaitUntil(until);
         }
+        if claim.closed_at.is_some() && claim.asked.len() >= MAX_STOP_KEEPERS {
+            return ClaimStep::Wait;
+        }
         self.choose_claim_keeper(now, job, &claim.asked, wait)
     }
 
