Claims: while agents connect again, one that is not back hides those after it

For 0.2 s after a pause, or after the first connection, no agent counts as gone. paused_holder_asks failed before and holds, as do the other tests of claims.

--- a/crates/decisions/src/schedule/job_claims.rs
+++ b/crates/decisions/src/schedule/job_claims.rs
@@ -402,9 +402,13 @@
         self.claims.require_check(now);
         let (mut claimed, mut held) = (Vec::new(), Vec::new());
         let agents = &self.agents;
+        // While all agents connect again, one that is not back yet may still keep the claim.
+        let connected_at = self.claims.connected_at.max(self.claims.resumed_at);
+        let are_back = connected_at.is_none_or(|at| at + CONNECT_TIME <= now);
         let is_gone = |asked: &NodeId| {
             let lost_at = agents.get(asked).map(|state| state.link_lost_at);
-            lost_at.is_none_or(|lost_at| lost_at.is_some_and(|at| at + HOLDER_WAIT <= now))
+            are_back
+                && lost_at.is_none_or(|lost_at| lost_at.is_some_and(|at| at + HOLDER_WAIT <= now))
         };
         let claims = self.claims.claims.iter_mut();
         for (job, claim) in claims {
