Claims: an agent that connects while a claim is pending is told of it with the grant

Cause: an agent that connects is told of granted claims only. One that other entries ask first, and that connected while the claim was pending at a later agent, was never told; it granted the claim to the next entry at once.

Change: with the grant the claim is listed at connected agents that come before its keeper, if any agent has connected since the claim began.

Evidence: late_agent_told failed before ("runs 2 times at once", job 4) and holds; so do the other tests of claims, schedule_faults and long_runs.

--- a/crates/decisions/src/schedule/job_claims.rs
+++ b/crates/decisions/src/schedule/job_claims.rs
@@ -159,6 +159,8 @@
     next_check: Option<Instant>,
     /// Time since which an agent is connected.
     connected_at: Option<Instant>,
+    /// Time at which an agent last connected.
+    agent_connected_at: Option<Instant>,
     /// Time at which this entry last acted on its inputs.
     checked_at: Option<Instant>,
     /// Time at which it went on after it had stood still.
@@ -399,6 +401,7 @@
         if others.all(|(_, state)| state.link.is_none()) {
             self.claims.connected_at = Some(now);
         }
+        self.claims.agent_connected_at = Some(now);
         self.claims.require_check(now);
         let (mut claimed, mut held) = (Vec::new(), Vec::new());
         let agents = &self.agents;
@@ -462,7 +465,11 @@
                 claim.set_keeper(agent);
             }
         }
-        let waited = now.saturating_duration_since(claim.since);
+        let since = claim.since;
+        if self.claims.agent_connected_at.is_some_and(|at| at >= since) {
+            self.list_granted(agent, job);
+        }
+        let waited = now.saturating_duration_since(since);
         if waited >= CLAIM_TIMEOUT {
             let line = EventLine::new("claim_granted").with("job", job).with("agent", agent);
             let line = line.with("waited_ms", waited.as_millis());
@@ -472,6 +479,21 @@
         self.note_expiry(job);
     }
 
+    /// Lists a claim at the agents that other entries ask before its keeper: one that connected
+    /// while the claim was pending was not told of it.
+    fn list_granted(&mut self, keeper: &NodeId, job: &JobId) {
+        let rank = claim_rank(job, keeper);
+        let Some(claim) = self.claims.claims.get_mut(job) else { return };
+        for (agent, state) in &mut self.agents {
+            let comes_before = state.link.is_some() && claim_rank(job, agent) > rank;
+            if comes_before && !claim.asked.contains(agent) {
+                claim.asked.insert(0, agent.clone());
+                state.claim_outbox.held.push(job.clone());
+                self.due_agents.insert(agent.clone());
+            }
+        }
+    }
+
     /// Waits for the grant of the agent at which another entry holds the claim.
     fn on_claim_held(&mut self, agent: &NodeId, job: &JobId) {
         let Some(claim) = self.claims.claims.get_mut(job) else {
--- a/tests/job_claims.rs
+++ b/tests/job_claims.rs
@@ -289,6 +289,31 @@
     }
 }
 
+// Guards against a claim that another entry is granted by an agent which connected to the holder
+// while its claim was pending at a later agent.
+#[test]
+fn late_agent_told() {
+    let agents = (0..AGENTS).flat_map(|late| (0..AGENTS).map(move |keeper| (late, keeper)));
+    for (late, keeper) in agents.filter(|(late, keeper)| late != keeper) {
+        for id in 1..=8 {
+            let mut model = model(2);
+            model.run_time = LONG_RUN;
+            model.lose_link(1, late);
+            play(&mut model, Duration::from_millis(400));
+            model.freeze_agent(keeper);
+            model.submit(1, job(id, 2, true));
+            play(&mut model, Duration::from_millis(30));
+            model.connect(1, late);
+            play(&mut model, Duration::from_millis(30));
+            model.thaw_agent(keeper);
+            play(&mut model, Duration::from_millis(60));
+            let second = model.submit(2, job(id, 2, true));
+            play(&mut model, Duration::from_millis(600));
+            check_ended(&mut model, second, id);
+        }
+    }
+}
+
 /// Callers send jobs again at once, to any entry, while connections are lost and agents
 /// and entries are restarted.
 fn play_resends(seed: u64) {
