Agents log each grant of a claim, with its grounds

A pair of runs could not be traced to the agent that granted the second claim: agents logged no grants, entries only those that took over 0.1 s.

--- a/crates/decisions/src/agent/claim_table.rs
+++ b/crates/decisions/src/agent/claim_table.rs
@@ -16,6 +16,23 @@
 
 use indexmap::IndexMap;
 use model::{ClaimOrders, ClaimUpdate, Incarnation, JobId, SchedulerKey};
+use strum::Display;
+
+/// Why an entry has the claim to a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum GrantCause {
+    /// It asked this agent first, and no other entry had the claim.
+    Claimed,
+    /// It asked here in place of an agent that is gone or silent.
+    PassedOn,
+    /// It listed the claim as its own.
+    Listed,
+    /// The entry that had the claim has released it.
+    Released,
+    /// The entry that had the claim is gone, and its runs are over.
+    HolderLost,
+}
 
 /// A process that claims jobs.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -28,6 +45,7 @@
 #[derive(Debug, Clone)]
 struct KeptClaim {
     holder: Claimant,
+    cause: GrantCause,
     /// Whether the holder may run the job.
     granted: bool,
     /// Time from which it may be granted.
@@ -38,8 +56,14 @@
     next: Option<Claimant>,
 }
 
-/// A claim update and the scheduler it is for.
-pub(super) type ClaimNotice = (SchedulerKey, ClaimUpdate);
+/// A claim update for a scheduler.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct ClaimNotice {
+    pub(super) scheduler: SchedulerKey,
+    pub(super) update: ClaimUpdate,
+    /// Why its holder has the claim.
+    pub(super) cause: GrantCause,
+}
 
 /// The claims that an agent keeps, by job.
 #[derive(Debug, Clone)]
@@ -54,19 +78,24 @@
 }
 
 impl KeptClaim {
-    fn new(holder: Claimant, granted: bool, grant_at: Instant) -> KeptClaim {
-        KeptClaim { holder, granted, grant_at, free_at: None, next: None }
+    fn new(holder: Claimant, cause: GrantCause, granted: bool, grant_at: Instant) -> KeptClaim {
+        KeptClaim { holder, cause, granted, grant_at, free_at: None, next: None }
     }
 
     /// The updates that are due to the holder, and to the next claimant.
     fn notices(&self, job: &JobId) -> Vec<ClaimNotice> {
-        let holder = |update| (self.holder.scheduler.clone(), update);
+        let notice = |claimant: &Claimant, update| ClaimNotice {
+            scheduler: claimant.scheduler.clone(),
+            update,
+            cause: self.cause,
+        };
+        let holder = |update| notice(&self.holder, update);
         let job = job.clone();
         let Some(next) = &self.next else {
             let granted = self.granted.then(|| holder(ClaimUpdate::Granted { job }));
             return granted.into_iter().collect();
         };
-        let held = (next.scheduler.clone(), ClaimUpdate::Held { job: job.clone() });
+        let held = notice(next, ClaimUpdate::Held { job: job.clone() });
         match self.free_at {
             None => vec![holder(ClaimUpdate::Recalled { job }), held],
             Some(_) => vec![held],
@@ -109,12 +138,13 @@
             notices.extend(self.release(now, &job, &claimant));
         }
         for job in orders.claimed {
-            notices.extend(self.claim(now, job, &claimant, self.grants_from));
+            let (cause, grant_at) = (GrantCause::Claimed, self.grants_from);
+            notices.extend(self.claim(now, job, &claimant, cause, grant_at));
         }
         let lost_until = self.lost_entries.values().copied().max();
         let grant_at = lost_until.map_or(self.grants_from, |until| until.max(self.grants_from));
         for job in orders.passed_on {
-            notices.extend(self.claim(now, job, &claimant, grant_at));
+            notices.extend(self.claim(now, job, &claimant, GrantCause::PassedOn, grant_at));
         }
         notices
     }
@@ -136,14 +166,16 @@
     /// Restores a claim. Another entry that was granted the claim meanwhile goes first.
     fn restore(&mut self, now: Instant, job: JobId, holder: &Claimant) -> Vec<ClaimNotice> {
         let claim = self.claims.entry(job.clone());
-        let claim = claim.or_insert_with(|| KeptClaim::new(holder.clone(), true, now));
+        let claim =
+            claim.or_insert_with(|| KeptClaim::new(holder.clone(), GrantCause::Listed, true, now));
         if claim.holder != *holder && !claim.granted {
-            let restored = KeptClaim::new(holder.clone(), true, now);
+            let restored = KeptClaim::new(holder.clone(), GrantCause::Listed, true, now);
             let claimant = std::mem::replace(claim, restored);
             claim.next = claimant.next.or(Some(claimant.holder));
         }
         if claim.holder != *holder {
-            return vec![(holder.scheduler.clone(), ClaimUpdate::Recalled { job })];
+            let (scheduler, cause) = (holder.scheduler.clone(), claim.cause);
+            return vec![ClaimNotice { scheduler, update: ClaimUpdate::Recalled { job }, cause }];
         }
         claim.free_at = None;
         claim.granted = true;
@@ -155,11 +187,13 @@
         now: Instant,
         job: JobId,
         claimant: &Claimant,
+        cause: GrantCause,
         grant_at: Instant,
     ) -> Vec<ClaimNotice> {
         let granted = now >= grant_at;
         let claim = self.claims.entry(job.clone());
-        let claim = claim.or_insert_with(|| KeptClaim::new(claimant.clone(), granted, grant_at));
+        let claim =
+            claim.or_insert_with(|| KeptClaim::new(claimant.clone(), cause, granted, grant_at));
         if claim.holder == *claimant {
             claim.free_at = None;
         } else {
@@ -174,17 +208,17 @@
         if claim.holder != *claimant {
             return Vec::new();
         }
-        self.pass_on(now, job)
+        self.pass_on(now, job, GrantCause::Released)
     }
 
     /// Passes a claim to the next claimant, or forgets it.
-    fn pass_on(&mut self, now: Instant, job: &JobId) -> Vec<ClaimNotice> {
+    fn pass_on(&mut self, now: Instant, job: &JobId, cause: GrantCause) -> Vec<ClaimNotice> {
         let Some(claim) = self.claims.get_mut(job) else { return Vec::new() };
         let Some(next) = claim.next.take() else {
             self.claims.swap_remove(job);
             return Vec::new();
         };
-        *claim = KeptClaim::new(next, now >= claim.grant_at, claim.grant_at);
+        *claim = KeptClaim::new(next, cause, now >= claim.grant_at, claim.grant_at);
         claim.notices(job)
     }
 
@@ -216,7 +250,7 @@
         let freed = self.claims.iter().filter(|(_, claim)| free(claim));
         let freed: Vec<JobId> = freed.map(|(job, _)| job.clone()).collect();
         for job in freed {
-            notices.extend(self.pass_on(now, &job));
+            notices.extend(self.pass_on(now, &job, GrantCause::HolderLost));
         }
         notices
     }
--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -293,18 +293,21 @@
 
     /// Queues claim updates for their schedulers.
     fn notify_claims(&mut self, now: Instant, notices: Vec<ClaimNotice>) {
-        for (scheduler, update) in notices {
+        for ClaimNotice { scheduler, update, cause } in notices {
             let line = match &update {
-                ClaimUpdate::Granted { .. } => None,
+                ClaimUpdate::Granted { job } => {
+                    let line = EventLine::new("claim_granted").with("job", job);
+                    line.with("holder", &scheduler).with("cause", cause)
+                }
                 ClaimUpdate::Held { job } => {
-                    Some(EventLine::new("claim_contended").with("job", job).with("by", &scheduler))
+                    EventLine::new("claim_contended").with("job", job).with("by", &scheduler)
                 }
                 ClaimUpdate::Recalled { job } => {
                     let line = EventLine::new("claim_recalled").with("job", job);
-                    Some(line.with("holder", &scheduler))
+                    line.with("holder", &scheduler)
                 }
             };
-            self.steps.extend(line.map(RunStep::Log));
+            self.steps.push(RunStep::Log(line));
             if let Some(session) = self.schedulers.get_mut(&scheduler) {
                 session.add_claim_update(now, update);
             }
