Known red: claims that pass to a second entry while the holder's runs are active

Tests only, no change of logic. These orders of events break the rule in the model; which of them the report saw is not known.

An agent that has just started grants 0.3 s later, while the runs of a holder that it doesn't know stay active for grant and lease: the holder stands still (paused_holder_outwaited), has died (dead_holder_outwaited) or is cut off from the agent (cut_holder_outwaited). The next agent grants in place of the keeper while the holder runs the job: the holder stood still as its keeper was lost (late_holder_lists), the second entry is cut off from the keeper alone (cut_entry_waits), the keeper stands still and the first caller is still there (silent_keeper_waits).

Found on the way, without a second start: a call that stays pending (adopted_runs_end) and a holder that is ended by an agent that comes back (returned_keeper_forgets, "Reply(Unclear)").

Each test asks that callers are served afterwards.

--- a/tests/job_claims.rs
+++ b/tests/job_claims.rs
@@ -13,6 +13,8 @@
 const STEP: Duration = Duration::from_millis(15);
 /// Longer than any bound on the runs of an entry without contact.
 const LONG_RUN: Duration = Duration::from_millis(6_000);
+/// Run time after an entry that must not have started yet.
+const SHORT_RUN: Duration = Duration::from_millis(150);
 /// Time after which callers send a job again whose entry was killed.
 const RESEND_DELAY: Duration = Duration::from_millis(1_300);
 
@@ -314,6 +316,215 @@
     }
 }
 
+/// Ids of jobs, agents, and pauses in which faults follow each other.
+fn fault_cases(pauses: [u64; 4]) -> impl Iterator<Item = (usize, usize, Duration)> {
+    let agents = (1..=3).flat_map(|id| (0..AGENTS).map(move |agent| (id, agent)));
+    agents.flat_map(move |(id, agent)| {
+        pauses.into_iter().map(move |pause| (id, agent, Duration::from_millis(pause)))
+    })
+}
+
+/// Kills an agent, which starts again at once and connects to the entries.
+fn restart_and_connect(model: &mut ScheduleModel, agent: usize, entries: &[usize]) {
+    (1..=2).for_each(|entry| model.disconnect(entry, agent));
+    model.restart_agent(agent);
+    entries.iter().for_each(|entry| model.connect(*entry, agent));
+    model.heartbeat(agent);
+}
+
+// Guards against an agent that has just started and grants a claim while the runs of its holder,
+// which stands still, are active.
+#[test]
+fn paused_holder_outwaited() {
+    for (id, keeper, pause) in fault_cases([0, 150, 600, 1_200]) {
+        let mut model = model(2);
+        model.run_time = LONG_RUN;
+        model.submit(1, job(id, 8, true));
+        play(&mut model, Duration::from_millis(60));
+        model.freeze_entry(1);
+        play(&mut model, pause);
+        restart_and_connect(&mut model, keeper, &[1, 2]);
+        play(&mut model, Duration::from_millis(30));
+        model.run_time = SHORT_RUN;
+        let second = model.submit(2, job(id, 8, true));
+        play(&mut model, Duration::from_millis(1_000));
+        model.thaw_entry(1);
+        play(&mut model, Duration::from_millis(90));
+        check_ended(&mut model, second, id);
+    }
+}
+
+// Guards against a holder that never releases its claim: while it stood still, an agent with its
+// runs was killed and started again, and the entry that waits for the claim adopted them.
+#[test]
+fn adopted_runs_end() {
+    for (id, agent, pause) in fault_cases([0, 150, 600, 900]) {
+        let mut model = model(2);
+        model.run_time = LONG_RUN;
+        model.submit(1, job(id, 8, true));
+        play(&mut model, Duration::from_millis(60));
+        model.freeze_entry(1);
+        play(&mut model, pause);
+        restart_and_connect(&mut model, agent, &[1, 2]);
+        model.run_time = SHORT_RUN;
+        let second = model.submit(2, job(id, 8, true));
+        play(&mut model, Duration::from_millis(1_000));
+        model.thaw_entry(1);
+        play(&mut model, Duration::from_millis(90));
+        check_ended(&mut model, second, id);
+    }
+}
+
+// Guards against an agent that has just started and grants a claim while the runs of its holder,
+// which has died, are active.
+#[test]
+fn dead_holder_outwaited() {
+    for (id, keeper, pause) in fault_cases([0, 150, 600, 1_200]) {
+        let mut model = model(2);
+        model.run_time = LONG_RUN;
+        model.submit(1, job(id, 8, true));
+        play(&mut model, Duration::from_millis(60));
+        (0..AGENTS).for_each(|agent| model.lose_link(1, agent));
+        play(&mut model, pause);
+        restart_and_connect(&mut model, keeper, &[2]);
+        model.run_time = SHORT_RUN;
+        let second = model.submit(2, job(id, 8, true));
+        play(&mut model, Duration::from_millis(1_000));
+        check_ended(&mut model, second, id);
+    }
+}
+
+// Guards against an agent that has just started and grants a claim while the runs of its holder's
+// earlier process are active.
+#[test]
+fn killed_holder_outwaited() {
+    for (id, keeper, pause) in fault_cases([0, 150, 600, 1_200]) {
+        for entry in [1, 2] {
+            let mut model = model(2);
+            model.run_time = LONG_RUN;
+            model.submit(1, job(id, 8, true));
+            play(&mut model, Duration::from_millis(60));
+            model.restart_entry(1);
+            (0..AGENTS).for_each(|agent| model.connect(1, agent));
+            play(&mut model, pause);
+            restart_and_connect(&mut model, keeper, &[1, 2]);
+            model.run_time = SHORT_RUN;
+            let second = model.submit(entry, job(id, 8, true));
+            play(&mut model, Duration::from_millis(1_000));
+            check_ended(&mut model, second, id);
+        }
+    }
+}
+
+// Guards against an agent that has just started and grants a claim while its holder, which is cut
+// off from this agent, still runs the job.
+#[test]
+fn cut_holder_outwaited() {
+    for (id, keeper, pause) in fault_cases([0, 150, 600, 1_200]) {
+        let mut model = model(2);
+        model.run_time = LONG_RUN;
+        model.submit(1, job(id, 8, true));
+        play(&mut model, Duration::from_millis(60));
+        model.lose_link(1, keeper);
+        play(&mut model, pause);
+        model.lose_link(2, keeper);
+        restart_and_connect(&mut model, keeper, &[2]);
+        model.run_time = SHORT_RUN;
+        let second = model.submit(2, job(id, 8, true));
+        play(&mut model, Duration::from_millis(1_000));
+        check_ended(&mut model, second, id);
+    }
+}
+
+// Guards against a claim that the next agent grants to another entry, since the agent that kept it
+// is gone and the holder, which stood still meanwhile, lists it too late.
+#[test]
+fn late_holder_lists() {
+    for (id, keeper, pause) in fault_cases([150, 240, 510, 1_200]) {
+        let mut model = model(2);
+        model.run_time = LONG_RUN;
+        model.submit(1, job(id, 8, true));
+        play(&mut model, Duration::from_millis(60));
+        model.freeze_entry(1);
+        model.disconnect(1, keeper);
+        model.lose_link(2, keeper);
+        model.run_time = SHORT_RUN;
+        let second = model.submit(2, job(id, 8, true));
+        play(&mut model, pause);
+        model.thaw_entry(1);
+        play(&mut model, Duration::from_millis(1_000));
+        check_ended(&mut model, second, id);
+    }
+}
+
+// Guards against an entry that is cut off from the agent that keeps a claim, and is granted it by
+// another agent while the holder runs the job.
+#[test]
+fn cut_entry_waits() {
+    for (id, keeper, pause) in fault_cases([0, 150, 600, 3_000]) {
+        let mut model = model(2);
+        model.run_time = LONG_RUN;
+        model.submit(1, job(id, 8, true));
+        play(&mut model, Duration::from_millis(60));
+        model.lose_link(2, keeper);
+        play(&mut model, pause);
+        model.run_time = SHORT_RUN;
+        let second = model.submit(2, job(id, 8, true));
+        play(&mut model, Duration::from_millis(1_000));
+        check_ended(&mut model, second, id);
+    }
+}
+
+// Guards against an entry that serves no new jobs for as long as it is cut off from an agent.
+#[test]
+fn cut_entry_serves() {
+    for (id, lost_agent, pause) in fault_cases([0, 150, 600, 3_000]) {
+        let mut model = model(2);
+        model.lose_link(2, lost_agent);
+        play(&mut model, pause);
+        let call = model.submit(2, job(id, 2, true));
+        play(&mut model, Duration::from_millis(4_500));
+        assert!(is_done(&model, call), "{:?}", model.replies[&call]);
+    }
+}
+
+// Guards against a claim that the next agent grants to another entry while the one that keeps it
+// stands still and its holder runs the job.
+#[test]
+fn silent_keeper_waits() {
+    for (id, keeper, pause) in fault_cases([0, 150, 450, 900]) {
+        let mut model = model(2);
+        model.run_time = LONG_RUN;
+        model.submit(1, job(id, 8, true));
+        play(&mut model, Duration::from_millis(60));
+        model.freeze_agent(keeper);
+        play(&mut model, pause);
+        model.run_time = SHORT_RUN;
+        let second = model.submit(2, job(id, 8, true));
+        play(&mut model, Duration::from_millis(900));
+        model.thaw_agent(keeper);
+        check_ended(&mut model, second, id);
+    }
+}
+
+// Guards against an agent that is back and recalls a claim for an entry that has released it
+// meanwhile, at another agent: the holder is ended although its caller waits.
+#[test]
+fn returned_keeper_forgets() {
+    for (id, keeper, pause) in fault_cases([0, 150, 600, 900]) {
+        let mut model = model(2);
+        model.run_time = Duration::from_millis(900);
+        model.submit(1, job(id, 2, true));
+        play(&mut model, Duration::from_millis(60));
+        (1..=2).for_each(|entry| model.lose_link(entry, keeper));
+        play(&mut model, pause);
+        let second = model.submit(2, job(id, 2, true));
+        play(&mut model, Duration::from_millis(600));
+        (1..=2).for_each(|entry| model.connect(entry, keeper));
+        check_ended(&mut model, second, id);
+    }
+}
+
 /// Callers send jobs again at once, to any entry, while connections are lost and agents
 /// and entries are restarted.
 fn play_resends(seed: u64) {
