Soak: load and faults that meet claims, as options

CACTUSWING_SOAK_CALLERS sets the number of best-effort callers, whose jobs are then smaller and some longer, so that an agent has many at once. CACTUSWING_SOAK_FAULTS=dense stops entries for 0.3 to 3 s, kills some of them while they are stopped, kills agents meanwhile for 0.1 to 0.5 s, and has callers break their connections to stopped entries; with `all,dense` they send again at once. No check is changed; without the variables the same faults and jobs are drawn as before.

--- a/tests/process_soak.rs
+++ b/tests/process_soak.rs
@@ -2,7 +2,10 @@
 //! backend servers as the platform has them, and faults in series that overlap. Judged by the
 //! platform's rules. `CACTUSWING_SOAK_SECONDS` sets the length of each run,
 //! `CACTUSWING_SOAK_SEEDS` the seeds (`3` or `3..9`), `CACTUSWING_BINARY` the program;
-//! `CACTUSWING_SOAK_FAULTS=all` adds the disruptions that KNOWN-RED.txt lists.
+//! `CACTUSWING_SOAK_FAULTS=all` adds the disruptions that KNOWN-RED.txt lists, `dense` kills
+//! agents for a short time around entries that are stopped or killed, `all,dense` is both.
+//! `CACTUSWING_SOAK_CALLERS` sets the number of best-effort callers, whose jobs are then
+//! smaller and longer, so that an agent has many at once.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -47,6 +50,10 @@
     /// and callers send again at once, also when their entry has died with the agent that kept
     /// the claim. KNOWN-RED.txt lists these.
     known_red: bool,
+    /// Whether the faults are those that meet claims: stopped entries and agents that come back.
+    dense: bool,
+    /// Number of best-effort callers with small jobs, in place of the usual ones.
+    callers: Option<u64>,
 }
 
 /// What is to be done to a process later.
@@ -54,6 +61,7 @@
 enum Repair {
     Start,
     Continue,
+    Kill,
     /// The process was told to end: it starts again once it has, and is killed at the limit.
     AwaitEnd,
 }
@@ -63,10 +71,14 @@
     Kill(RoleHost),
     KillAllControls,
     KillEntryAndAgents,
+    /// Agents end while an entry is stopped, which goes on or ends later.
+    StopEntryKillAgents,
     Freeze(RoleHost),
     Terminate(RoleHost),
     Hangup(RoleHost),
-    CrashServer { keeps_id: bool },
+    CrashServer {
+        keeps_id: bool,
+    },
     DisturbServer(LeaseFault),
 }
 
@@ -93,6 +105,8 @@
             fronts: (0..ENTRIES).map(|entry| group.front(entry)).collect(),
             stopped: Arc::new(AtomicBool::new(false)),
             resends_at_once: plan.known_red,
+            has_small_jobs: plan.callers.is_some(),
+            breaks_at_stopped: plan.dense,
         };
         let start = |agent| {
             let shape = group.server_shape(agent, format!("i-{agent:04x}"), CPU_MILLI);
@@ -149,6 +163,22 @@
         }
     }
 
+    fn draw_dense_fault(&mut self) -> Fault {
+        match self.rng.random_range(0..16) {
+            0..7 => Fault::StopEntryKillAgents,
+            7..9 => Fault::KillEntryAndAgents,
+            9..13 => Fault::Kill(RoleHost::Agent(self.rng.random_range(0..AGENTS))),
+            13 => Fault::Kill(RoleHost::Entry(self.rng.random_range(0..ENTRIES))),
+            14 => Fault::Freeze(RoleHost::Entry(self.rng.random_range(0..ENTRIES))),
+            _ => Fault::Freeze(RoleHost::Agent(self.rng.random_range(0..AGENTS))),
+        }
+    }
+
+    /// How long a host that was killed is down.
+    fn draw_down(&mut self) -> Duration {
+        if self.plan.dense { self.draw_ms(100, 500) } else { self.draw_ms(50, 1_500) }
+    }
+
     fn kill(&mut self, host: RoleHost, down: Duration) {
         if self.repairs.iter().any(|(_, known, what)| *known == host && *what == Repair::Start) {
             return;
@@ -167,7 +197,7 @@
     }
 
     fn apply(&mut self, fault: Fault) {
-        let down = self.draw_ms(50, 1_500);
+        let down = self.draw_down();
         match fault {
             Fault::Kill(host) => self.kill(host, down),
             Fault::KillAllControls => {
@@ -179,9 +209,27 @@
                 let agents = (first..AGENTS).step_by(2).map(RoleHost::Agent);
                 self.kill_together([entry].into_iter().chain(agents), down);
             }
+            Fault::StopEntryKillAgents => {
+                let entry = RoleHost::Entry(self.rng.random_range(0..ENTRIES));
+                self.apply(Fault::Freeze(entry));
+                for (_, _, repair) in self.repairs.iter_mut().filter(|(_, host, _)| *host == entry)
+                {
+                    if *repair == Repair::Continue && self.rng.random_bool(0.4) {
+                        *repair = Repair::Kill;
+                    }
+                }
+                for _agent in 0..self.rng.random_range(1..4) {
+                    let agent = RoleHost::Agent(self.rng.random_range(0..AGENTS));
+                    let at = Instant::now() + self.draw_ms(0, 400);
+                    if !self.is_in_repair(agent) {
+                        self.repairs.push((at, agent, Repair::Kill));
+                    }
+                }
+            }
             Fault::Freeze(RoleHost::Agent(_)) if !self.plan.known_red => {}
             Fault::Freeze(host) if !self.is_in_repair(host) => {
-                let until = Instant::now() + self.draw_ms(300, 5_000);
+                let longest = if self.plan.dense { 3_000 } else { 5_000 };
+                let until = Instant::now() + self.draw_ms(300, longest);
                 self.disturb(host, "stop");
                 self.group.signal(host, Signal::STOP);
                 self.repairs.push((until, host, Repair::Continue));
@@ -236,11 +284,15 @@
                     self.group.signal(host, Signal::CONT);
                     self.disturb(host, "continue");
                 }
+                Repair::Kill if is_due => {
+                    let down = self.draw_down();
+                    self.kill(host, down);
+                }
                 Repair::AwaitEnd if self.group.has_ended(host) => {
                     self.kill(host, POLL_INTERVAL * 5)
                 }
                 Repair::AwaitEnd if is_due => self.kill(host, POLL_INTERVAL * 5),
-                Repair::Start | Repair::Continue | Repair::AwaitEnd => {
+                Repair::Start | Repair::Continue | Repair::Kill | Repair::AwaitEnd => {
                     self.repairs.push((due, host, repair));
                 }
             }
@@ -277,7 +329,8 @@
         while Instant::now() < end || !self.repairs.is_empty() || !self.crashed.is_empty() {
             let now = Instant::now();
             if next <= now && now < end {
-                let fault = self.draw_fault();
+                let fault =
+                    if self.plan.dense { self.draw_dense_fault() } else { self.draw_fault() };
                 self.apply(fault);
                 next = now + self.draw_ms(50, 900);
             }
@@ -332,9 +385,10 @@
     let mut actors = Vec::new();
     let mut seeds = (plan.seed * 1_000..).skip(1);
     let mut next_seed = || seeds.next().unwrap_or_default();
-    for number in 0..BEST_EFFORT_CALLERS + STORED_CALLERS {
+    let best_effort = plan.callers.unwrap_or(BEST_EFFORT_CALLERS);
+    for number in 0..best_effort + STORED_CALLERS {
         let caller = SoakCaller::new(run.context.clone(), next_seed());
-        actors.push(std::thread::spawn(move || match number < BEST_EFFORT_CALLERS {
+        actors.push(std::thread::spawn(move || match number < best_effort {
             true => caller.send_best_effort(),
             false => caller.send_stored(),
         }));
@@ -428,10 +482,14 @@
     let seconds = std::env::var("CACTUSWING_SOAK_SECONDS").ok();
     let seconds = seconds.and_then(|text| text.parse().ok());
     let length = seconds.map_or(SHORT_RUN, Duration::from_secs);
-    let known_red = std::env::var("CACTUSWING_SOAK_FAULTS").is_ok_and(|faults| faults == "all");
+    let faults = std::env::var("CACTUSWING_SOAK_FAULTS").unwrap_or_default();
+    let has = |name: &str| faults.split(',').any(|word| word == name);
+    let (known_red, dense) = (has("all"), has("dense"));
+    let callers = std::env::var("CACTUSWING_SOAK_CALLERS").ok();
+    let callers = callers.map(|text| text.parse().expect("CACTUSWING_SOAK_CALLERS is a number"));
     let mut broken_seeds = Vec::new();
     for seed in requested_seeds() {
-        let broken = run_soak(SoakPlan { seed, length, known_red });
+        let broken = run_soak(SoakPlan { seed, length, known_red, dense, callers });
         for rule in &broken {
             println!("seed={seed} {rule}");
         }
--- a/tests/soak_callers.rs
+++ b/tests/soak_callers.rs
@@ -13,6 +13,7 @@
 use serde_json::{Value, json};
 use standin::{RawConnection, RawResponse, request_bytes};
 
+use crate::deployed_group::RoleHost;
 use crate::soak_history::{Attempt, RouteCall, SharedHistory, ShownState, SoakJob};
 
 pub(crate) const HOST: &str = "nony24.example";
@@ -36,6 +37,10 @@
     pub(crate) stopped: Arc<AtomicBool>,
     /// Whether callers also send again at once, where the protocol says `resend_ms`.
     pub(crate) resends_at_once: bool,
+    /// Whether jobs are small and some of them long, so that many fit at one agent.
+    pub(crate) has_small_jobs: bool,
+    /// Whether callers break their connections to entries that are stopped.
+    pub(crate) breaks_at_stopped: bool,
 }
 
 impl ActorContext {
@@ -68,6 +73,11 @@
         }
     }
 
+    /// A plan that breaks the connection soon.
+    fn draw_break(rng: &mut StdRng) -> CallerPlan {
+        CallerPlan::ResetAfter(Duration::from_millis(rng.random_range(0..100)))
+    }
+
     fn name(self) -> &'static str {
         match self {
             CallerPlan::Wait => "waits",
@@ -100,9 +110,11 @@
     fn draw_job(&mut self, best_effort: bool) -> (String, Vec<u8>) {
         let id = format!("{:016x}", self.rng.random::<u64>());
         let tasks = self.rng.random_range(1..=4);
-        let cpu = self.rng.random_range(1..=8) * 500;
+        let (cpu_unit, longest) =
+            if self.context.has_small_jobs { (50, 4_000) } else { (500, 2_500) };
+        let cpu = self.rng.random_range(1..=8) * cpu_unit;
         let run_ms: u64 = match self.rng.random_range(0..4) {
-            0 => self.rng.random_range(1_000..2_500),
+            0 => self.rng.random_range(1_000..longest),
             _ => self.rng.random_range(40..800),
         };
         let spec = format!("ms={run_ms} cpu={cpu}");
@@ -160,7 +172,10 @@
         let path = format!("{MAIN_PREFIX}{id}");
         let mut entry = self.draw_entry();
         for number in 0..MAX_ATTEMPTS {
+            let is_stopped = self.context.breaks_at_stopped
+                && self.context.history.lock().is_stopped(RoleHost::Entry(entry));
             let plan = match number < BROKEN_ATTEMPTS {
+                true if is_stopped => CallerPlan::draw_break(&mut self.rng),
                 true => CallerPlan::draw(&mut self.rng),
                 false => CallerPlan::Wait,
             };
@@ -182,7 +197,8 @@
             drop(history);
             match status {
                 None | Some(502 | 504) => {
-                    let at_once = self.rng.random_bool(0.6) && self.context.resends_at_once;
+                    let at_once =
+                        (self.rng.random_bool(0.6) || is_stopped) && self.context.resends_at_once;
                     std::thread::sleep(if at_once { Duration::ZERO } else { RESEND_AFTER });
                     let next = self.rng.random_range(1..self.context.fronts.len());
                     entry = (entry + next) % self.context.fronts.len();
--- a/tests/soak_history.rs
+++ b/tests/soak_history.rs
@@ -124,6 +124,11 @@
         self.disturbances.push((Instant::now(), host, what));
     }
 
+    pub(crate) fn is_stopped(&self, host: RoleHost) -> bool {
+        let newest = self.disturbances.iter().rev().find(|(_, known, _)| *known == host);
+        newest.is_some_and(|(.., what)| *what == "stop")
+    }
+
     pub(crate) fn note(&mut self, text: String) {
         self.notes.push((Instant::now(), text));
     }
