Soak: the logs of a broken seed stay when the next seed starts

A run with several seeds took the network and the folder of the seed before, and removed the logs that it had kept. A group now takes a network that no folder was kept for.

--- a/tests/deployed_group.rs
+++ b/tests/deployed_group.rs
@@ -77,11 +77,19 @@
     pub(crate) keeps_folder: bool,
 }
 
-/// The middle bytes of a loopback network that no other group uses, and the claim to it.
+fn folder_of(network: [u8; 2]) -> PathBuf {
+    std::env::temp_dir().join(format!("cactuswing-deployed-{}-{}", network[0], network[1]))
+}
+
+/// The middle bytes of a loopback network that no other group uses and none has kept its
+/// folder for, and the claim to it.
 fn claim_network() -> ([u8; 2], TcpListener) {
     let id = std::process::id();
     let networks = (0..=255).map(|attempt| [(id % 200 + 20) as u8, (id / 200 + attempt) as u8]);
     let claim = |network: [u8; 2]| {
+        if folder_of(network).exists() {
+            return None;
+        }
         let address = ([127, network[0], network[1], 254], CLAIM_PORT);
         TcpListener::bind(SocketAddr::from(address)).ok().map(|claim| (network, claim))
     };
@@ -92,9 +100,7 @@
     /// Starts all processes for the first time.
     pub(crate) fn start(controls: usize, entries: usize, agents: usize) -> DeployedGroup {
         let (network, claim) = claim_network();
-        let name = format!("cactuswing-deployed-{}-{}", network[0], network[1]);
-        let folder = std::env::temp_dir().join(name);
-        let _old = std::fs::remove_dir_all(&folder);
+        let folder = folder_of(network);
         std::fs::create_dir_all(&folder).expect("temporary folder is created");
         let hosts = (0..controls)
             .map(RoleHost::Control)
