An entry that waits for a claim adopts no runs of another one

Callers: a job that was sent to a second entry while the first one stood still stayed without an answer. Cause: an agent that was killed and started again lists runs that nobody owns; the entry that waits for the claim adopted them, so that their end was reported to it alone, and the holder never released the claim.

--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -209,7 +209,9 @@
             }
         }
         for run in &report.unowned {
-            if self.adopt(now, report, run) {
+            // Without the claim, its runs are another entry's.
+            let is_claimed = !self.claims.is_pending(&run.task.job);
+            if is_claimed && self.adopt(now, report, run) {
                 self.push_order(&report.agent, AgentOrder::Keep { run: run.clone() });
             }
         }
