Claims are granted on what entries confirm, not on how long something was silent

Cause: an agent that had just started, or was asked in place of one that was gone or silent, took a short silence (0.1 to 0.3 s) for the lack of a holder, while the holder stood still, was cut off from it, or had died within the 2.4 s in which its runs stay active.

Now such an agent asks all entries that it knows, and grants the claim once each has confirmed that no run of the job is active, or its runs are over by grant and lease, those of earlier processes included. An agent that has just started declines meanwhile, so that the next one is asked. An entry remembers to whom it has confirmed, and asks there first; it also remembers agents that it has lost. This replaces the waits after an agent's start and for silent keepers (CLAIM_RESTORE_TIME, STOP_SILENCE, MAX_STOP_KEEPERS). An entry passes over an agent that does not answer only when no input waits, so that its own lag sends no more messages.

An agent that connects again also forgot too late what its entries had released (callers got an unclear answer): the first message of a session goes out at once, and a holder without a connection gives way to the one that lists the claim.

The model delivered messages of one session out of order when they were sent while another one was being delivered; it now keeps their order, as connections do, and begins once agents grant claims. The model of entries begins with processes that have run for 3 s.

--- a/crates/decisions/src/agent/claim_table.rs
+++ b/crates/decisions/src/agent/claim_table.rs
@@ -7,25 +7,30 @@
 //!   of a holder that has ended can't be active any more;
 //! - the latest claimant is next: its caller sent the job again, so the holder's caller
 //!   no longer waits;
-//! - an agent that has just started grants nothing until holders have had time to list
-//!   their claims again;
-//! - a claim that another agent may have kept is granted only once the runs of entries that
-//!   are gone can't be active any more.
+//! - where another entry may hold the claim without this agent's knowledge, each entry is
+//!   asked to release it, and it is granted once all have, or their runs are over. That is
+//!   so for a claim that another agent may have kept, and for all claims at an agent that
+//!   has not yet outlived the runs from before its start;
+//! - an entry that has released a claim on such a request has the agent that sent it decide
+//!   on its next claim to that job.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use model::{ClaimOrders, ClaimUpdate, Incarnation, JobId, SchedulerKey};
 use strum::Display;
 
+use super::claim_entries::{ClaimEntries, StartPhase};
+use super::scheduler_session::UpdateUrgency;
+
 /// Why an entry has the claim to a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[strum(serialize_all = "snake_case")]
 pub(super) enum GrantCause {
     /// It asked this agent first, and no other entry had the claim.
     Claimed,
-    /// It asked here in place of an agent that is gone or silent.
-    PassedOn,
+    /// All other entries have released the claim, or their runs are over.
+    Confirmed,
     /// It listed the claim as its own.
     Listed,
     /// The entry that had the claim has released it.
@@ -41,15 +46,23 @@
     pub(super) incarnation: Incarnation,
 }
 
+/// How far the holder of a claim has got.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum GrantState {
+    /// It may run the job.
+    Granted(GrantCause),
+    /// These entries have released the claim; the others may hold it.
+    Confirming(IndexSet<SchedulerKey>),
+}
+
 /// The claim to one job.
 #[derive(Debug, Clone)]
 struct KeptClaim {
     holder: Claimant,
-    cause: GrantCause,
-    /// Whether the holder may run the job.
-    granted: bool,
-    /// Time from which it may be granted.
-    grant_at: Instant,
+    state: GrantState,
+    /// Whether other entries may ask another agent first: an entry that has just started
+    /// is told of the claim.
+    is_substitute: bool,
     /// Time from which no run of the holder is active; set while it has no connection.
     free_at: Option<Instant>,
     /// Who gets the claim next.
@@ -61,90 +74,101 @@
 pub(super) struct ClaimNotice {
     pub(super) scheduler: SchedulerKey,
     pub(super) update: ClaimUpdate,
-    /// Why its holder has the claim.
-    pub(super) cause: GrantCause,
+    /// Why its holder has the claim; `None` while it has not been granted.
+    pub(super) cause: Option<GrantCause>,
+    pub(super) urgency: UpdateUrgency,
 }
 
 /// The claims that an agent keeps, by job.
 #[derive(Debug, Clone)]
 pub(super) struct ClaimTable {
     claims: IndexMap<JobId, KeptClaim>,
-    /// Time before which nothing is granted.
-    grants_from: Instant,
-    /// The process of each entry that has sent claims.
-    incarnations: IndexMap<SchedulerKey, Incarnation>,
-    /// Entries without a connection, and when their runs are over.
-    lost_entries: IndexMap<SchedulerKey, Instant>,
+    entries: ClaimEntries,
 }
 
 impl KeptClaim {
-    fn new(holder: Claimant, cause: GrantCause, granted: bool, grant_at: Instant) -> KeptClaim {
-        KeptClaim { holder, cause, granted, grant_at, free_at: None, next: None }
+    fn granted(holder: Claimant, cause: GrantCause) -> KeptClaim {
+        let state = GrantState::Granted(cause);
+        KeptClaim { holder, state, is_substitute: false, free_at: None, next: None }
     }
 
-    /// The updates that are due to the holder, and to the next claimant.
-    fn notices(&self, job: &JobId) -> Vec<ClaimNotice> {
-        let notice = |claimant: &Claimant, update| ClaimNotice {
-            scheduler: claimant.scheduler.clone(),
-            update,
-            cause: self.cause,
-        };
-        let holder = |update| notice(&self.holder, update);
+    fn is_granted(&self) -> bool {
+        matches!(self.state, GrantState::Granted(_))
+    }
+
+    fn cause(&self) -> Option<GrantCause> {
+        match self.state {
+            GrantState::Granted(cause) => Some(cause),
+            GrantState::Confirming(_) => None,
+        }
+    }
+
+    fn notice(&self, claimant: &Claimant, update: ClaimUpdate) -> ClaimNotice {
+        let (scheduler, urgency) = (claimant.scheduler.clone(), UpdateUrgency::AtOnce);
+        ClaimNotice { scheduler, update, cause: self.cause(), urgency }
+    }
+
+    /// The updates that are due to the holder, and to the next claimant. Who has to wait
+    /// here may ask another agent meanwhile if this one has just `started`.
+    fn notices(&self, job: &JobId, started: StartPhase) -> Vec<ClaimNotice> {
         let job = job.clone();
-        let Some(next) = &self.next else {
-            let granted = self.granted.then(|| holder(ClaimUpdate::Granted { job }));
-            return granted.into_iter().collect();
+        let wait = match started {
+            StartPhase::RunsUnknown if !self.is_granted() => {
+                ClaimUpdate::Declined { job: job.clone() }
+            }
+            _ => ClaimUpdate::Held { job: job.clone() },
         };
-        let held = notice(next, ClaimUpdate::Held { job: job.clone() });
-        match self.free_at {
-            None => vec![holder(ClaimUpdate::Recalled { job }), held],
-            Some(_) => vec![held],
+        match &self.next {
+            None if self.is_granted() => {
+                vec![self.notice(&self.holder, ClaimUpdate::Granted { job })]
+            }
+            None => vec![self.notice(&self.holder, wait)],
+            Some(next) if self.free_at.is_some() => vec![self.notice(next, wait)],
+            Some(next) => {
+                let recalled = self.notice(&self.holder, ClaimUpdate::Recalled { job });
+                vec![recalled, self.notice(next, wait)]
+            }
         }
     }
 }
 
 impl ClaimTable {
-    /// Creates claims of which none is granted before a time.
-    pub(super) fn new(grants_from: Instant) -> ClaimTable {
-        ClaimTable {
-            claims: IndexMap::new(),
-            grants_from,
-            incarnations: IndexMap::new(),
-            lost_entries: IndexMap::new(),
-        }
+    /// Creates claims at an agent that starts now, whose backend server has this lease.
+    pub(super) fn new(now: Instant, lease: Duration) -> ClaimTable {
+        ClaimTable { claims: IndexMap::new(), entries: ClaimEntries::new(now, lease) }
     }
 
-    /// Handles an entry's message; returns the updates that follow.
+    /// Handles an entry's message; `grant` is how long its runs stay active without another
+    /// one. Returns the updates that follow.
     pub(super) fn on_orders(
         &mut self,
         now: Instant,
         scheduler: &SchedulerKey,
+        grant: Duration,
         orders: ClaimOrders,
     ) -> Vec<ClaimNotice> {
         let claimant = Claimant { scheduler: scheduler.clone(), incarnation: orders.incarnation };
+        let up_time = Duration::from_millis(orders.up_ms.unwrap_or_default());
+        let is_restarted = self.entries.on_orders(now, &claimant, grant, up_time);
         let mut notices = Vec::new();
-        let known = self.incarnations.insert(scheduler.clone(), orders.incarnation);
-        if known == Some(orders.incarnation) {
-            // The same process is back, and lists what it holds.
-            self.lost_entries.swap_remove(scheduler);
-        }
         if orders.is_first {
             notices.extend(self.release_unlisted(now, &claimant, &orders.held));
         }
         for job in orders.held {
-            notices.extend(self.restore(now, job, &claimant));
+            notices.extend(self.restore(job, &claimant));
         }
         for job in orders.released {
             notices.extend(self.release(now, &job, &claimant));
         }
         for job in orders.claimed {
-            let (cause, grant_at) = (GrantCause::Claimed, self.grants_from);
-            notices.extend(self.claim(now, job, &claimant, cause, grant_at));
+            let is_first_choice = self.entries.phase() == StartPhase::RunsKnown;
+            notices.extend(self.claim(now, job, &claimant, is_first_choice));
         }
-        let lost_until = self.lost_entries.values().copied().max();
-        let grant_at = lost_until.map_or(self.grants_from, |until| until.max(self.grants_from));
         for job in orders.passed_on {
-            notices.extend(self.claim(now, job, &claimant, GrantCause::PassedOn, grant_at));
+            notices.extend(self.claim(now, job, &claimant, false));
+        }
+        if orders.is_first {
+            notices.extend(self.ask_to_confirm(&claimant, is_restarted));
         }
         notices
     }
@@ -163,52 +187,124 @@
         released.iter().flat_map(|job| self.release(now, job, holder)).collect()
     }
 
-    /// Restores a claim. Another entry that was granted the claim meanwhile goes first.
-    fn restore(&mut self, now: Instant, job: JobId, holder: &Claimant) -> Vec<ClaimNotice> {
-        let claim = self.claims.entry(job.clone());
-        let claim =
-            claim.or_insert_with(|| KeptClaim::new(holder.clone(), GrantCause::Listed, true, now));
-        if claim.holder != *holder && !claim.granted {
-            let restored = KeptClaim::new(holder.clone(), GrantCause::Listed, true, now);
-            let claimant = std::mem::replace(claim, restored);
+    /// Asks an entry that has connected to confirm what is being granted to others. A
+    /// process that has just started is also told of the claims which others hold here
+    /// although other agents come first.
+    fn ask_to_confirm(&mut self, entry: &Claimant, is_restarted: bool) -> Vec<ClaimNotice> {
+        let mut notices = Vec::new();
+        for (job, claim) in &mut self.claims {
+            let is_holder = claim.holder.scheduler == entry.scheduler;
+            if is_holder || claim.next.as_ref() == Some(entry) {
+                continue;
+            }
+            let is_due = match &mut claim.state {
+                GrantState::Confirming(confirmed) if is_restarted => {
+                    confirmed.swap_remove(&entry.scheduler);
+                    true
+                }
+                GrantState::Confirming(confirmed) => !confirmed.contains(&entry.scheduler),
+                GrantState::Granted(_) => is_restarted && claim.is_substitute,
+            };
+            if is_due && self.entries.phase() == StartPhase::RunsKnown {
+                notices.push(claim.notice(entry, ClaimUpdate::Confirm { job: job.clone() }));
+            }
+        }
+        notices
+    }
+
+    /// Restores a claim. Another entry that was granted the claim meanwhile goes first,
+    /// unless it has no connection: the one that lists the claim was granted it since.
+    fn restore(&mut self, job: JobId, holder: &Claimant) -> Vec<ClaimNotice> {
+        let restored = || KeptClaim::granted(holder.clone(), GrantCause::Listed);
+        let claim = self.claims.entry(job.clone()).or_insert_with(restored);
+        if claim.holder != *holder && !claim.is_granted() {
+            let claimant = std::mem::replace(claim, restored());
+            claim.is_substitute = claimant.is_substitute;
             claim.next = claimant.next.or(Some(claimant.holder));
         }
+        if claim.holder != *holder && claim.free_at.is_some() {
+            claim.holder = holder.clone();
+        }
         if claim.holder != *holder {
-            let (scheduler, cause) = (holder.scheduler.clone(), claim.cause);
-            return vec![ClaimNotice { scheduler, update: ClaimUpdate::Recalled { job }, cause }];
+            return vec![claim.notice(holder, ClaimUpdate::Recalled { job })];
         }
         claim.free_at = None;
-        claim.granted = true;
-        claim.notices(&job)
+        if !claim.is_granted() {
+            claim.state = GrantState::Granted(GrantCause::Listed);
+        }
+        claim.notices(&job, StartPhase::RunsKnown)
     }
 
+    /// Handles a claim; `is_first_choice` is whether this agent knows that no other entry
+    /// holds it unless it is kept here.
     fn claim(
         &mut self,
         now: Instant,
         job: JobId,
         claimant: &Claimant,
-        cause: GrantCause,
-        grant_at: Instant,
+        is_first_choice: bool,
     ) -> Vec<ClaimNotice> {
-        let granted = now >= grant_at;
-        let claim = self.claims.entry(job.clone());
-        let claim =
-            claim.or_insert_with(|| KeptClaim::new(claimant.clone(), cause, granted, grant_at));
+        let Some(claim) = self.claims.get_mut(&job) else {
+            return match is_first_choice {
+                true => self.grant_new(job, claimant),
+                false => self.confirm_new(now, job, claimant),
+            };
+        };
         if claim.holder == *claimant {
             claim.free_at = None;
         } else {
             claim.next = Some(claimant.clone());
         }
-        claim.notices(&job)
+        claim.notices(&job, self.entries.phase())
+    }
+
+    fn grant_new(&mut self, job: JobId, claimant: &Claimant) -> Vec<ClaimNotice> {
+        let claim = KeptClaim::granted(claimant.clone(), GrantCause::Claimed);
+        let notices = claim.notices(&job, StartPhase::RunsKnown);
+        self.claims.insert(job, claim);
+        notices
+    }
+
+    /// Begins to ask the other entries for the claim that one of them may hold.
+    fn confirm_new(&mut self, now: Instant, job: JobId, claimant: &Claimant) -> Vec<ClaimNotice> {
+        let claim = KeptClaim {
+            state: GrantState::Confirming(IndexSet::new()),
+            is_substitute: true,
+            ..KeptClaim::granted(claimant.clone(), GrantCause::Confirmed)
+        };
+        let phase = self.entries.phase();
+        let mut notices = match phase {
+            StartPhase::RunsUnknown => Vec::new(),
+            StartPhase::RunsKnown => ask_others_to_confirm(&self.entries, &job, &claim),
+        };
+        let waits = claim.notices(&job, phase);
+        self.claims.insert(job.clone(), claim);
+        let granted = self.grant_confirmed(now, &job);
+        notices.extend(if granted.is_empty() { waits } else { granted });
+        notices
+    }
+
+    /// Grants a claim if no other entry can have active runs of the job.
+    fn grant_confirmed(&mut self, now: Instant, job: &JobId) -> Vec<ClaimNotice> {
+        let Some(claim) = self.claims.get_mut(job) else { return Vec::new() };
+        let GrantState::Confirming(confirmed) = &claim.state else { return Vec::new() };
+        if !self.entries.are_released(now, &claim.holder.scheduler, confirmed) {
+            return Vec::new();
+        }
+        claim.state = GrantState::Granted(GrantCause::Confirmed);
+        claim.notices(job, StartPhase::RunsKnown)
     }
 
     fn release(&mut self, now: Instant, job: &JobId, claimant: &Claimant) -> Vec<ClaimNotice> {
         let Some(claim) = self.claims.get_mut(job) else { return Vec::new() };
         claim.next.take_if(|next| next == claimant);
-        if claim.holder != *claimant {
-            return Vec::new();
+        if claim.holder == *claimant {
+            return self.pass_on(now, job, GrantCause::Released);
+        }
+        if let GrantState::Confirming(confirmed) = &mut claim.state {
+            confirmed.insert(claimant.scheduler.clone());
         }
-        self.pass_on(now, job, GrantCause::Released)
+        self.grant_confirmed(now, job)
     }
 
     /// Passes a claim to the next claimant, or forgets it.
@@ -218,16 +314,24 @@
             self.claims.swap_remove(job);
             return Vec::new();
         };
-        *claim = KeptClaim::new(next, cause, now >= claim.grant_at, claim.grant_at);
-        claim.notices(job)
+        let former = std::mem::replace(&mut claim.holder, next);
+        claim.free_at = None;
+        match &mut claim.state {
+            GrantState::Granted(granted) => {
+                *granted = cause;
+                claim.notices(job, StartPhase::RunsKnown)
+            }
+            GrantState::Confirming(confirmed) => {
+                confirmed.insert(former.scheduler);
+                self.grant_confirmed(now, job)
+            }
+        }
     }
 
     /// Handles the loss of an entry's connection: its runs are over at `free_at`, unless
     /// it comes back.
     pub(super) fn on_closed(&mut self, scheduler: &SchedulerKey, free_at: Instant) {
-        if self.incarnations.contains_key(scheduler) {
-            self.lost_entries.insert(scheduler.clone(), free_at);
-        }
+        self.entries.on_closed(scheduler, free_at);
         for claim in self.claims.values_mut() {
             claim.next.take_if(|next| next.scheduler == *scheduler);
             if claim.holder.scheduler == *scheduler {
@@ -236,30 +340,53 @@
         }
     }
 
-    /// Passes on the claims whose holder's runs are over, and grants what was claimed
-    /// before the first grants.
+    /// Passes on the claims whose holder's runs are over, and grants those that no other
+    /// entry can hold any more.
     pub(super) fn on_tick(&mut self, now: Instant) -> Vec<ClaimNotice> {
         let mut notices = Vec::new();
-        self.lost_entries.retain(|_, over_at| *over_at > now);
-        let due = |claim: &KeptClaim| !claim.granted && claim.grant_at <= now;
-        for (job, claim) in self.claims.iter_mut().filter(|(_, claim)| due(claim)) {
-            claim.granted = true;
-            notices.extend(claim.notices(job));
+        if self.entries.on_tick(now) == Some(StartPhase::RunsKnown) {
+            let confirming = self.claims.iter().filter(|(_, claim)| !claim.is_granted());
+            let recalls = confirming
+                .flat_map(|(job, claim)| ask_others_to_confirm(&self.entries, job, claim));
+            notices.extend(recalls);
         }
-        let free = |claim: &KeptClaim| claim.free_at.is_some_and(|at| at <= now);
-        let freed = self.claims.iter().filter(|(_, claim)| free(claim));
-        let freed: Vec<JobId> = freed.map(|(job, _)| job.clone()).collect();
-        for job in freed {
-            notices.extend(self.pass_on(now, &job, GrantCause::HolderLost));
+        let claims = self.claims.iter();
+        let due = claims.filter(|(_, claim)| match claim.free_at {
+            Some(free_at) => free_at <= now,
+            None => !claim.is_granted(),
+        });
+        let due: Vec<JobId> = due.map(|(job, _)| job.clone()).collect();
+        for job in due {
+            let is_free = self.claims.get(&job).is_some_and(|claim| claim.free_at.is_some());
+            notices.extend(match is_free {
+                true => self.pass_on(now, &job, GrantCause::HolderLost),
+                false => self.grant_confirmed(now, &job),
+            });
         }
         notices
     }
 
     /// Time at which [`ClaimTable::on_tick`] is next due.
     pub(super) fn next_deadline(&self) -> Option<Instant> {
-        let claims = self.claims.values();
-        claims
-            .filter_map(|claim| claim.free_at.or((!claim.granted).then_some(claim.grant_at)))
-            .min()
+        let is_confirming = self.claims.values().any(|claim| !claim.is_granted());
+        let runs_over = is_confirming.then(|| self.entries.next_deadline()).flatten();
+        let free = self.claims.values().filter_map(|claim| claim.free_at);
+        free.chain(runs_over).min()
     }
 }
+
+/// Asks all connected entries but the holder to confirm that they don't run a job.
+fn ask_others_to_confirm(
+    entries: &ClaimEntries,
+    job: &JobId,
+    claim: &KeptClaim,
+) -> Vec<ClaimNotice> {
+    let others = entries.connected().filter(|other| **other != claim.holder.scheduler);
+    let recall = |other: &SchedulerKey| ClaimNotice {
+        scheduler: other.clone(),
+        update: ClaimUpdate::Confirm { job: job.clone() },
+        cause: None,
+        urgency: UpdateUrgency::WithOthers,
+    };
+    others.map(recall).collect()
+}
--- a/crates/decisions/src/agent/mod.rs
+++ b/crates/decisions/src/agent/mod.rs
@@ -9,6 +9,7 @@
 //! - the lease of the agent to its backend server: how long the server keeps runs
 //!   active without a renewal (`server_life`).
 
+mod claim_entries;
 mod claim_table;
 mod heartbeat_interval;
 mod instance_pool;
--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -26,7 +26,7 @@
     SessionId, StartRefusal, TaskRun, is_reachable_term,
 };
 
-use super::claim_table::{ClaimNotice, ClaimTable};
+use super::claim_table::{ClaimNotice, ClaimTable, GrantCause};
 use super::scheduler_session::{SchedulerSession, UpdateUrgency};
 use super::server_heartbeats::Candidate;
 use super::server_life::{OwnedUpdate, RunPhase, ServerLife};
@@ -48,10 +48,6 @@
     pub claim_wait: Duration,
 }
 
-/// Time after the start of an agent in which entries connect and list the claims that
-/// they hold.
-const CLAIM_RESTORE_TIME: Duration = Duration::from_millis(300);
-
 /// An effect for the agent's run service to carry out.
 #[derive(Debug, Clone, PartialEq)]
 pub enum RunStep {
@@ -105,7 +101,7 @@
             life: None,
             candidate: None,
             schedulers: IndexMap::new(),
-            claims: ClaimTable::new(now + CLAIM_RESTORE_TIME),
+            claims: ClaimTable::new(now, limits.lease),
             fence: incarnation,
             steps: Vec::new(),
         }
@@ -257,7 +253,8 @@
             self.steps.push(RunStep::Connect(entries));
         }
         if let Some(claims) = orders.claims {
-            let notices = self.claims.on_orders(now, scheduler, *claims);
+            let grant = Duration::from_millis(orders.grant_ms);
+            let notices = self.claims.on_orders(now, scheduler, grant, *claims);
             self.notify_claims(now, notices);
         }
         for order in orders.orders {
@@ -293,23 +290,10 @@
 
     /// Queues claim updates for their schedulers.
     fn notify_claims(&mut self, now: Instant, notices: Vec<ClaimNotice>) {
-        for ClaimNotice { scheduler, update, cause } in notices {
-            let line = match &update {
-                ClaimUpdate::Granted { job } => {
-                    let line = EventLine::new("claim_granted").with("job", job);
-                    line.with("holder", &scheduler).with("cause", cause)
-                }
-                ClaimUpdate::Held { job } => {
-                    EventLine::new("claim_contended").with("job", job).with("by", &scheduler)
-                }
-                ClaimUpdate::Recalled { job } => {
-                    let line = EventLine::new("claim_recalled").with("job", job);
-                    line.with("holder", &scheduler)
-                }
-            };
-            self.steps.push(RunStep::Log(line));
+        for ClaimNotice { scheduler, update, cause, urgency } in notices {
+            self.steps.push(RunStep::Log(claim_line(&scheduler, &update, cause)));
             if let Some(session) = self.schedulers.get_mut(&scheduler) {
-                session.add_claim_update(now, update);
+                session.add_claim_update(now, update, urgency);
             }
         }
     }
@@ -442,6 +426,31 @@
     }
 }
 
+fn claim_line(
+    scheduler: &SchedulerKey,
+    update: &ClaimUpdate,
+    cause: Option<GrantCause>,
+) -> EventLine {
+    match update {
+        ClaimUpdate::Granted { job } => {
+            let line = EventLine::new("claim_granted").with("job", job).with("holder", scheduler);
+            cause.map_or(line.clone(), |cause| line.with("cause", cause))
+        }
+        ClaimUpdate::Held { job } => {
+            EventLine::new("claim_contended").with("job", job).with("by", scheduler)
+        }
+        ClaimUpdate::Declined { job } => {
+            EventLine::new("claim_declined").with("job", job).with("by", scheduler)
+        }
+        ClaimUpdate::Recalled { job } => {
+            EventLine::new("claim_recalled").with("job", job).with("holder", scheduler)
+        }
+        ClaimUpdate::Confirm { job } => {
+            EventLine::new("claim_in_doubt").with("job", job).with("asked", scheduler)
+        }
+    }
+}
+
 fn update_line(update: &RunUpdate) -> EventLine {
     match update {
         RunUpdate::Ended { number, run, kind, ran_ms } => {
--- a/crates/decisions/src/agent/scheduler_session.rs
+++ b/crates/decisions/src/agent/scheduler_session.rs
@@ -2,7 +2,8 @@
 //! updates. The grant outlives the connection until it expires.
 //!
 //! An update that the scheduler has to act on is reported at once. One that only
-//! releases capacity waits for a short time, so that it goes with others.
+//! releases capacity, or asks for a claim that the scheduler most likely doesn't hold, waits
+//! for a short time, so that it goes with others.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -12,8 +13,8 @@
     Term,
 };
 
-/// How long an update that only releases capacity may wait for others.
-const CAPACITY_UPDATE_DELAY: Duration = Duration::from_millis(20);
+/// How long an update that is not urgent may wait for others.
+const JOINED_UPDATE_DELAY: Duration = Duration::from_millis(20);
 
 /// Interval of reports of changed usage until the scheduler has named its own.
 const INITIAL_USAGE_INTERVAL: Duration = Duration::from_millis(200);
@@ -26,7 +27,7 @@
 pub(super) enum UpdateUrgency {
     /// The scheduler has to act on it.
     AtOnce,
-    /// It only releases capacity.
+    /// It only releases capacity, or most likely asks for nothing but a confirmation.
     WithOthers,
 }
 
@@ -109,12 +110,17 @@
         is_open
     }
 
-    /// Adds a claim update, which is reported at once. Without a session it is dropped:
-    /// an entry lists its claims again in the next one.
-    pub(super) fn add_claim_update(&mut self, now: Instant, update: ClaimUpdate) {
+    /// Adds a claim update. Without a session it is dropped: an entry lists its claims again
+    /// in the next one.
+    pub(super) fn add_claim_update(
+        &mut self,
+        now: Instant,
+        update: ClaimUpdate,
+        urgency: UpdateUrgency,
+    ) {
         if self.session.is_some() {
             self.claim_updates.push(update);
-            self.updates_due = Some(now);
+            self.require_report(now, urgency);
         }
     }
 
@@ -129,12 +135,16 @@
         if self.session.is_none() {
             return self.keep_ends(std::iter::once(update));
         }
+        self.require_report(now, urgency);
+        self.updates.push(update);
+    }
+
+    fn require_report(&mut self, now: Instant, urgency: UpdateUrgency) {
         let due = match urgency {
             UpdateUrgency::AtOnce => now,
-            UpdateUrgency::WithOthers => now + CAPACITY_UPDATE_DELAY,
+            UpdateUrgency::WithOthers => now + JOINED_UPDATE_DELAY,
         };
         self.updates_due = self.updates_due.into_iter().chain([due]).min();
-        self.updates.push(update);
     }
 
     /// Handles the acknowledgement of this number of reports.
--- a/crates/decisions/src/schedule/job_claims.rs
+++ b/crates/decisions/src/schedule/job_claims.rs
@@ -11,7 +11,10 @@
 //!   still for [`RECONNECT_WAIT`], until an agent grants it again;
 //! - a holder lists its claim at the next agent before others ask there;
 //! - a claim is released only when no run of the job can be active;
-//! - a job whose claim is recalled is ended: its caller has sent it again.
+//! - a job whose claim is recalled is ended: its caller has sent it again;
+//! - an agent to which this entry has confirmed that it doesn't run a job may keep the claim
+//!   of another entry although others come first, so that it is asked first if the job comes
+//!   here again.
 
 use std::time::{Duration, Instant};
 
@@ -20,8 +23,6 @@
     ClaimOrders, ClaimUpdate, EventLine, JobId, JobPhase, JobReply, NodeId, TaskName, fingerprint,
 };
 
-use super::agent_state::AgentState;
-use super::live_job::Placement;
 use super::scheduler::{ScheduleStep, Scheduler, SchedulerKind};
 
 /// How long a connected agent may take to answer a claim before another one is asked too.
@@ -31,18 +32,19 @@
 /// How long the holder of a claim waits for it, before it tells the next agent of the claim:
 /// well before other entries ask that one.
 const HOLDER_WAIT: Duration = Duration::from_millis(150);
-/// How long the agent that keeps the claim to a job may be silent after the job was ended
-/// here while its runs are being stopped, before the next agent keeps the claim, and that
-/// one before the agent after it. Shorter than [`CLAIM_TIMEOUT`]: the entry to which the
-/// caller has sent the job passes over silent agents in the same order.
-const STOP_SILENCE: Duration = Duration::from_millis(30);
-/// Maximum number of agents that are told of the claim to an ended job: an entry that lags
-/// sees agents as silent that are not.
-const MAX_STOP_KEEPERS: usize = 3;
+/// Maximum number of agents that are asked in place of ones that have just started.
+const MAX_DECLINES: usize = 3;
 /// Time after the connection of an agent, while no other one was connected, in which the
 /// others connect.
 const CONNECT_TIME: Duration = Duration::from_millis(200);
 
+/// How long an entry remembers which agent it has confirmed a claim to: longer than callers
+/// of best-effort jobs wait for them.
+const CONFIRM_MEMORY: Duration = Duration::from_secs(10);
+
+/// How long an entry remembers an agent that it has lost: others may still reach it.
+const DEPARTED_MEMORY: Duration = Duration::from_secs(600);
+
 /// State of a claim.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ClaimPhase {
@@ -74,48 +76,23 @@
     phase: ClaimPhase,
     /// When the job has ended here; the claim is released once its last run is over.
     closed_at: Option<Instant>,
-    /// Whether another agent was asked to keep the claim since then.
-    is_passed_on: bool,
     /// Whether another entry waits for the release.
     is_recalled: bool,
+    /// Agent to which it was confirmed that no run of the job was active.
+    confirmed_to: Option<NodeId>,
     since: Instant,
     /// Agents that were asked; the last one keeps the claim, or was asked last.
     asked: Vec<NodeId>,
     asked_at: Instant,
+    /// Whether the agent that was asked last can't grant the claim yet.
+    is_declined: bool,
+    /// Number of agents that can't.
+    declines: usize,
     /// Tasks whose runs may still be active although the job has ended.
     stopping: Vec<TaskName>,
 }
 
 impl JobClaim {
-    /// How long a connected agent may take to answer before another one is asked too.
-    fn answer_timeout(&self) -> Duration {
-        match self.closed_at {
-            None => CLAIM_TIMEOUT,
-            Some(_) => STOP_SILENCE,
-        }
-    }
-
-    /// When the next agent is to keep the claim to an ended job too: agents with runs that are
-    /// being stopped may stand still, and the one that keeps the claim. What that one said
-    /// after the end may have been sent before it, so that with runs of its own it is believed
-    /// only about an agent that was asked since then.
-    fn silent_at(
-        &self,
-        agents: &IndexMap<NodeId, AgentState>,
-        placements: &IndexMap<TaskName, Placement>,
-    ) -> Option<Instant> {
-        let closed_at = self.closed_at?;
-        let keeper = self.asked.last()?;
-        let is_silent =
-            |agent: &NodeId| agents.get(agent).is_some_and(|state| state.last_contact <= closed_at);
-        let left = self.stopping.iter().filter_map(|task| placements.get(task));
-        let is_due = left.filter(|placed| !placed.ended).any(|placed| {
-            let is_keeper = placed.agent == *keeper && !self.is_passed_on;
-            is_keeper || (is_silent(keeper) && is_silent(&placed.agent))
-        });
-        is_due.then_some(closed_at + STOP_SILENCE)
-    }
-
     /// Makes an agent that was asked the one that keeps the claim.
     fn set_keeper(&mut self, agent: &NodeId) {
         self.asked.retain(|asked| asked != agent);
@@ -153,6 +130,10 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct JobClaims {
     claims: IndexMap<JobId, JobClaim>,
+    /// Jobs of which no run was confirmed to be active, to which agent and when; oldest first.
+    confirmed: IndexMap<JobId, (NodeId, Instant)>,
+    /// Agents without contact, and when they were given up; oldest first.
+    departed: IndexMap<NodeId, Instant>,
     /// Number of claims that are closing.
     closing: usize,
     /// Time of the next check for claims without a grant.
@@ -165,6 +146,8 @@
     checked_at: Option<Instant>,
     /// Time at which it went on after it had stood still.
     resumed_at: Option<Instant>,
+    /// Whether no input waits: agents that have not answered in time are silent.
+    pub(super) is_idle: bool,
 }
 
 impl JobClaims {
@@ -184,6 +167,25 @@
         self.next_check
     }
 
+    /// Remembers which agent grants the claim to a job to another entry.
+    fn note_confirm(&mut self, now: Instant, agent: &NodeId, job: &JobId) {
+        let is_old = |(_, at): &(NodeId, Instant)| *at + CONFIRM_MEMORY <= now;
+        while self.confirmed.first().is_some_and(|(_, recall)| is_old(recall)) {
+            self.confirmed.shift_remove_index(0);
+        }
+        self.confirmed.shift_remove(job);
+        self.confirmed.insert(job.clone(), (agent.clone(), now));
+    }
+
+    /// Remembers an agent that was given up for lack of contact.
+    fn note_departure(&mut self, now: Instant, agent: &NodeId) {
+        let is_old = |at: &Instant| *at + DEPARTED_MEMORY <= now;
+        while self.departed.first().is_some_and(|(_, at)| is_old(at)) {
+            self.departed.shift_remove_index(0);
+        }
+        self.departed.insert(agent.clone(), now);
+    }
+
     fn require_check(&mut self, at: Instant) {
         self.next_check = self.next_check.into_iter().chain([at]).min();
     }
@@ -214,11 +216,13 @@
                 let claim = JobClaim {
                     phase: ClaimPhase::Pending,
                     closed_at: None,
-                    is_passed_on: false,
                     is_recalled: false,
+                    confirmed_to: self.claims.confirmed.get(job).map(|(agent, _)| agent.clone()),
                     since: now,
                     asked: Vec::new(),
                     asked_at: now,
+                    is_declined: false,
+                    declines: 0,
                     stopping: Vec::new(),
                 };
                 self.claims.claims.insert(job.clone(), claim);
@@ -278,11 +282,9 @@
         }
     }
 
-    /// Doubts the claims that agents keep which did not connect again in time, or which are
-    /// silent while silent agents have runs of an ended job.
+    /// Doubts the claims that agents keep which did not connect again in time.
     fn doubt_claims(&mut self, now: Instant) {
         let agents = &self.agents;
-        let placements = &self.placements;
         let mut next_check = None;
         for claim in self.claims.claims.values_mut() {
             let doubted = match claim.phase {
@@ -294,11 +296,8 @@
             let wait = claim.phase.reconnect_wait();
             let lost_at = keeper.map_or(Some(now - wait), |state| state.link_lost_at);
             let lost_until = lost_at.map(|at| at + wait);
-            match lost_until.into_iter().chain(claim.silent_at(agents, placements)).min() {
-                Some(at) if at <= now => {
-                    claim.phase = doubted;
-                    claim.is_passed_on = claim.closed_at.is_some();
-                }
+            match lost_until {
+                Some(at) if at <= now => claim.phase = doubted,
                 Some(at) => next_check = next_check.into_iter().chain([at]).min(),
                 None => {}
             }
@@ -308,6 +307,13 @@
         }
     }
 
+    /// Notes that an agent was given up for lack of contact.
+    pub(super) fn on_agent_departed(&mut self, now: Instant, agent: &NodeId) {
+        if self.kind == SchedulerKind::Entry {
+            self.claims.note_departure(now, agent);
+        }
+    }
+
     /// Requires a check of the claims that an agent keeps, once it has had time to connect
     /// again.
     pub(super) fn on_claim_keeper_lost(&mut self, now: Instant) {
@@ -329,21 +335,29 @@
         let wait = claim.phase.reconnect_wait();
         if let Some(agent) = claim.asked.last()
             && let Some(until) = self.claim_wait(agent, claim)
-            && now < until
+            && (now < until || !self.claims.is_idle)
         {
             return ClaimStep::WaitUntil(until);
         }
-        if claim.closed_at.is_some() && claim.asked.len() >= MAX_STOP_KEEPERS {
+        if claim.declines >= MAX_DECLINES {
             return ClaimStep::Wait;
         }
+        if let Some(agent) = &claim.confirmed_to
+            && !claim.asked.contains(agent)
+            && self.agents.get(agent).is_some_and(|state| state.link_lost_at.is_none())
+        {
+            return ClaimStep::Ask(agent.clone());
+        }
         self.choose_claim_keeper(now, job, &claim.asked, wait)
     }
 
-    /// Time until which an agent that was asked may take to answer; `None` if it is gone.
+    /// Time until which an agent that was asked may take to answer; `None` if it is gone, or
+    /// can't grant the claim yet.
     fn claim_wait(&self, agent: &NodeId, claim: &JobClaim) -> Option<Instant> {
         let state = self.agents.get(agent)?;
         match state.link_lost_at {
-            None => Some(claim.asked_at + claim.answer_timeout()),
+            None if claim.is_declined => None,
+            None => Some(claim.asked_at + CLAIM_TIMEOUT),
             Some(lost_at) => Some(lost_at + claim.phase.reconnect_wait()),
         }
     }
@@ -374,11 +388,13 @@
         let Some(claim) = self.claims.claims.get_mut(job) else { return };
         claim.asked.push(agent.clone());
         claim.asked_at = now;
+        claim.is_declined = false;
         let is_running = claim.phase == ClaimPhase::Unconfirmed;
-        let timeout = claim.answer_timeout();
-        self.claims.require_check(now + timeout);
+        let is_confirmed = claim.confirmed_to.is_some();
+        self.claims.require_check(now + CLAIM_TIMEOUT);
         let rank = claim_rank(job, &agent);
-        let is_passed_on = self.agents.keys().any(|other| claim_rank(job, other) > rank);
+        let mut known = self.agents.keys().chain(self.claims.departed.keys());
+        let is_passed_on = is_confirmed || known.any(|other| claim_rank(job, other) > rank);
         if let Some(state) = self.agents.get_mut(&agent) {
             let orders = &mut state.claim_outbox;
             let list = match (is_running, is_passed_on) {
@@ -397,6 +413,7 @@
         if self.kind != SchedulerKind::Entry {
             return;
         }
+        self.claims.departed.shift_remove(agent);
         let mut others = self.agents.iter().filter(|(other, _)| *other != agent);
         if others.all(|(_, state)| state.link.is_none()) {
             self.claims.connected_at = Some(now);
@@ -429,12 +446,16 @@
             let list = if claim.phase.is_ungranted() { &mut claimed } else { &mut held };
             list.push(job.clone());
         }
-        if !claimed.is_empty() || !held.is_empty() {
-            self.due_agents.insert(agent.clone());
-        }
+        self.due_agents.insert(agent.clone());
         if let Some(state) = self.agents.get_mut(agent) {
-            let orders = &mut state.claim_outbox;
-            *orders = ClaimOrders { is_first: true, claimed, held, ..ClaimOrders::default() };
+            let up_time = now.saturating_duration_since(self.leader_since);
+            state.claim_outbox = ClaimOrders {
+                is_first: true,
+                up_ms: Some(up_time.as_millis() as u64),
+                claimed,
+                held,
+                ..ClaimOrders::default()
+            };
         }
     }
 
@@ -443,7 +464,9 @@
         match update {
             ClaimUpdate::Granted { job } => self.on_claim_granted(now, agent, job),
             ClaimUpdate::Held { job } => self.on_claim_held(agent, job),
+            ClaimUpdate::Declined { job } => self.on_claim_declined(now, agent, job),
             ClaimUpdate::Recalled { job } => self.on_claim_recalled(now, agent, job),
+            ClaimUpdate::Confirm { job } => self.on_confirm_request(now, agent, job),
         }
     }
 
@@ -505,6 +528,18 @@
         }
     }
 
+    /// Asks the next agent, since this one has just started.
+    fn on_claim_declined(&mut self, now: Instant, agent: &NodeId, job: &JobId) {
+        let Some(claim) = self.claims.claims.get_mut(job) else {
+            return self.release_claim_at(agent, job, false);
+        };
+        if claim.phase == ClaimPhase::Pending && claim.asked.last() == Some(agent) {
+            claim.is_declined = true;
+            claim.declines += 1;
+            self.claims.require_check(now);
+        }
+    }
+
     /// Ends a job that its caller has sent to another entry. The claim is released once
     /// no run of the job is active.
     fn on_claim_recalled(&mut self, now: Instant, agent: &NodeId, job: &JobId) {
@@ -519,16 +554,45 @@
         self.on_change(now, change);
     }
 
+    /// Confirms that no run of a job is active here, at once or when its runs have been
+    /// stopped. Under a claim that no agent has granted yet there are none.
+    fn on_confirm_request(&mut self, now: Instant, agent: &NodeId, job: &JobId) {
+        self.claims.note_confirm(now, agent, job);
+        let Some(claim) = self.claims.claims.get_mut(job) else {
+            return self.release_claim_at(agent, job, true);
+        };
+        let is_asked = claim.asked.contains(agent);
+        match claim.phase {
+            ClaimPhase::Pending | ClaimPhase::Contended if is_asked => {}
+            ClaimPhase::Pending if claim.closed_at.is_none() => self.divert_claim(now, agent, job),
+            _ => {
+                if !is_asked {
+                    claim.asked.insert(0, agent.clone());
+                }
+                self.on_claim_recalled(now, agent, job);
+            }
+        }
+    }
+
+    /// Leaves it to an agent that was not asked for a claim yet, and grants it to another
+    /// entry, which of both is next. No run was started under the claim.
+    fn divert_claim(&mut self, now: Instant, agent: &NodeId, job: &JobId) {
+        let Some(claim) = self.claims.claims.get_mut(job) else { return };
+        claim.phase = ClaimPhase::Contended;
+        claim.asked.push(agent.clone());
+        claim.asked_at = now;
+        if let Some(state) = self.agents.get_mut(agent) {
+            state.claim_outbox.passed_on.push(job.clone());
+            self.due_agents.insert(agent.clone());
+        }
+    }
+
     /// Notes that a job has ended here; `stopping` are the tasks whose runs may still be
     /// active.
     pub(super) fn close_claim(&mut self, now: Instant, job: &JobId, stopping: Vec<TaskName>) {
         let Some(claim) = self.claims.claims.get_mut(job) else { return };
         self.claims.closing += usize::from(claim.closed_at.replace(now).is_none());
-        claim.is_passed_on = false;
         claim.stopping = stopping;
-        if !claim.stopping.is_empty() {
-            self.claims.require_check(now + STOP_SILENCE);
-        }
     }
 
     /// Releases the claims to ended jobs of which no run is active any more.
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -375,6 +375,7 @@
     /// Handles a deadline that has passed without an input: what agents have not told by
     /// now is not merely waiting to be handled. [`Scheduler::settle`] has to follow.
     pub fn on_idle(&mut self, now: Instant) {
+        self.claims.is_idle = true;
         if self.term.is_some() {
             self.update_speed_estimates(now);
         }
@@ -435,6 +436,7 @@
             self.place_ready(now);
             self.send_orders();
         }
+        self.claims.is_idle = false;
         std::mem::take(&mut self.steps)
     }
 }
--- a/crates/decisions/src/schedule/takeover.rs
+++ b/crates/decisions/src/schedule/takeover.rs
@@ -105,6 +105,7 @@
         {
             self.steps.push(ScheduleStep::CloseLink { link: link.id });
         }
+        self.on_agent_departed(now, &agent);
         let placed = self.placements.iter();
         let on_agent = placed.filter(|(_, placed)| placed.agent == agent && !placed.ended);
         let lost: Vec<TaskName> = on_agent.map(|(task, _)| task.clone()).collect();
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -274,12 +274,24 @@
         /// The claimed job.
         job: JobId,
     },
+    /// The agent has just started: other schedulers may have active runs under claims that
+    /// it doesn't know. It grants the claim once these are over; another agent may sooner.
+    Declined {
+        /// The claimed job.
+        job: JobId,
+    },
     /// Another scheduler claims the job; the holder has to stop its runs and release
     /// the claim.
     Recalled {
         /// The claimed job.
         job: JobId,
     },
+    /// Another scheduler claims the job at an agent that doesn't know all claims: this one
+    /// has to stop its runs of the job, and to confirm by a release that none is active.
+    Confirm {
+        /// The claimed job.
+        job: JobId,
+    },
 }
 
 /// An entry's claims at one agent.
@@ -291,14 +303,17 @@
     /// that it does not list.
     #[serde(default)]
     pub is_first: bool,
+    /// In the first message, how long the entry's process has run, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub up_ms: Option<u64>,
     /// Jobs that it runs under a claim.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub held: Vec<JobId>,
     /// Jobs that it claims.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub claimed: Vec<JobId>,
-    /// Jobs that it claims here since an agent that comes before this one is gone or silent:
-    /// that one may have kept the claim of another entry.
+    /// Jobs that it claims here although another entry may hold the claim at another agent:
+    /// an agent that comes before this one is gone or silent, or the claim was recalled.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub passed_on: Vec<JobId>,
     /// Jobs that it no longer claims, and of which it has no active run.
--- a/tests/entry_model.rs
+++ b/tests/entry_model.rs
@@ -27,6 +27,8 @@
 /// Interval at which agents look for heartbeats that are due and for messages without an
 /// acknowledgement.
 const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// How long the processes have run when the model begins: no run of earlier ones is active.
+const UP_TIME: Duration = Duration::from_secs(3);
 /// Time over which the first sessions open, so that agents don't act in step.
 const CONNECT_SPREAD_MS: u64 = 60;
 /// Delay after which the next deadline of an agent or an idle entry is looked up.
@@ -592,7 +594,7 @@
 impl EntryNode {
     fn new(now: Instant, entry: usize) -> EntryNode {
         let kind = SchedulerKind::Entry;
-        let mut scheduler = Scheduler::new(now, kind, schedule_limits(kind));
+        let mut scheduler = Scheduler::new(now - UP_TIME, kind, schedule_limits(kind));
         scheduler.on_catalog(&catalog(1));
         EntryNode {
             key: SchedulerKey::Entry(format!("entry-{entry}").into()),
@@ -610,7 +612,7 @@
 impl AgentNode {
     fn new(now: Instant, agent: usize, shape: EntryShape) -> AgentNode {
         AgentNode {
-            table: RunTable::new(now, agent_name(agent), 1, run_limits()),
+            table: RunTable::new(now - UP_TIME, agent_name(agent), 1, run_limits()),
             server: ServerModel::new(now, agent as u64 + 1, shape.slots()),
             renewals: Vec::new(),
             tick_at: None,
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -5,7 +5,7 @@
 //! of a stored job doesn't start again once its end is recorded, unless a lease
 //! expired with its end unacknowledged.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -37,6 +37,8 @@
 const CALLER_WAIT: Duration = Duration::from_millis(1_500);
 /// How long an agent waits until an entry acknowledges a message.
 const ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Rounds after which agents grant claims: the runs from before their start are over.
+const START_ROUNDS: usize = 90;
 /// Usual run time of a task.
 const RUN_TIME: Duration = Duration::from_millis(120);
 pub(crate) const SERVICE: &str = "stock";
@@ -131,6 +133,14 @@
     Reply(JobReply),
 }
 
+/// A message on its way over an open connection.
+enum SentMessage {
+    /// Orders of a scheduler, over a link.
+    Orders(usize, u64, AgentOrders),
+    /// Report of an agent to a scheduler.
+    Report(usize, SchedulerKey, AgentReport),
+}
+
 /// What waits for an agent that stands still.
 enum HeldInput {
     /// Orders of a scheduler, over a link.
@@ -163,6 +173,10 @@
     frozen_agents: BTreeMap<usize, Vec<HeldInput>>,
     /// Entries that stand still, and what waits for them.
     frozen_entries: BTreeMap<usize, EntryBacklog>,
+    /// Messages between schedulers and agents, oldest first.
+    in_transit: VecDeque<SentMessage>,
+    /// Whether these are being delivered.
+    is_delivering: bool,
     /// Calls that timed out at the agent and may still reach the backend server.
     delayed: Vec<(usize, ServerCall)>,
     job_store: JobStore,
@@ -186,7 +200,7 @@
 
 impl ScheduleModel {
     /// Creates control as scheduler 0 and entries from 1 on, and a backend server
-    /// for each agent; runs until all are connected.
+    /// for each agent; runs until all are connected and agents grant claims.
     pub(crate) fn new(entries: usize, agents: usize) -> ScheduleModel {
         let now = Instant::now();
         let mut model = ScheduleModel {
@@ -200,6 +214,8 @@
             lost_servers: BTreeSet::new(),
             frozen_agents: BTreeMap::new(),
             frozen_entries: BTreeMap::new(),
+            in_transit: VecDeque::new(),
+            is_delivering: false,
             delayed: Vec::new(),
             job_store: JobStore::default(),
             proposals: Vec::new(),
@@ -233,7 +249,7 @@
         for agent in 0..agents {
             model.heartbeat(agent);
         }
-        model.run_fault_free(40);
+        model.run_fault_free(START_ROUNDS);
         model
     }
 
@@ -571,7 +587,9 @@
         for step in steps {
             match step {
                 ScheduleStep::Propose(commands) => self.propose(commands),
-                ScheduleStep::Orders { link, orders } => self.deliver_orders(number, link, orders),
+                ScheduleStep::Orders { link, orders } => {
+                    self.in_transit.push_back(SentMessage::Orders(number, link, orders));
+                }
                 ScheduleStep::CloseLink { link } => {
                     let open = self.schedulers[number].links.get(&link);
                     if let Some(agent) = open.map(|(agent, _)| *agent) {
@@ -586,6 +604,25 @@
                 }
             }
         }
+        self.deliver_sent();
+    }
+
+    /// Delivers the messages in transit, in the order in which they were sent.
+    fn deliver_sent(&mut self) {
+        if std::mem::replace(&mut self.is_delivering, true) {
+            return;
+        }
+        while let Some(message) = self.in_transit.pop_front() {
+            match message {
+                SentMessage::Orders(number, link, orders) => {
+                    self.deliver_orders(number, link, orders);
+                }
+                SentMessage::Report(agent, key, report) => {
+                    self.deliver_report(agent, &key, report);
+                }
+            }
+        }
+        self.is_delivering = false;
     }
 
     /// Delivers orders over a connection; they are lost if it is closed.
@@ -650,11 +687,14 @@
         for step in steps {
             match step {
                 RunStep::Call(call) => self.agents[agent].calls.push(call),
-                RunStep::Report(key, report) => self.deliver_report(agent, &key, report),
+                RunStep::Report(key, report) => {
+                    self.in_transit.push_back(SentMessage::Report(agent, key, report));
+                }
                 RunStep::Log(line) => self.events.push(format!("{:?} a{agent} {line:?}", self.now)),
                 RunStep::SetActive(..) | RunStep::Connect(_) => {}
             }
         }
+        self.deliver_sent();
     }
 
     fn deliver_report(&mut self, agent: usize, key: &SchedulerKey, report: AgentReport) {
