Admission: an entry without a run expects the share of one task

Cause: the expected wait is the work that waits, divided by this entry's share of the capacity in use. Where its last run has just ended and other entries hold all capacity that share counted as a thousandth of a core, so the entry refused all its callers until its next placement, with a Retry-After of minutes to hours. Seen where one backend server of eleven is left.

Change: the share is at least that of one task of the job that asks.

Evidence: burst_admission::entry_without_runs_admits and retry_delay_within_backlog, both red before (Retry-After 100,000 ms with one run of 100 ms ahead).

--- a/crates/decisions/src/schedule/job_admission.rs
+++ b/crates/decisions/src/schedule/job_admission.rs
@@ -106,7 +106,7 @@
         }
         let critical_path = job.critical_path();
         let objective = queue.objective(critical_path);
-        let wait = self.expected_wait(&queue.service);
+        let wait = self.expected_wait(&queue.service, job);
         let max_duration = objective.saturating_mul(MAX_OBJECTIVE_FACTOR);
         let limit = limit.map_or(max_duration, |limit| limit.min(max_duration));
         // Estimates are rough: with free capacity, an attempt delays no other job.
@@ -191,8 +191,11 @@
             let reply = if started {
                 JobReply::Unclear
             } else {
-                let service = self.live.get(&id).and_then(|live| self.service_of(&live.job));
-                let wait = service.map(|service| self.expected_wait(&service));
+                let live = self.live.get(&id);
+                let wait = live.and_then(|live| {
+                    let service = self.service_of(&live.job)?;
+                    Some(self.expected_wait(&service, &live.job))
+                });
                 let retry_after_ms = wait.unwrap_or_default().as_millis() as u64;
                 JobReply::Refused { cause: RefusalCause::TimeOver, retry_after_ms }
             };
@@ -237,9 +240,10 @@
 
     /// Expected queueing delay of a job of a service admitted now: the work that is queued
     /// for the service divided by the part of its servers' total speed that this scheduler
-    /// gets, which is taken to be its share of their capacity in use; at most
-    /// [`model::MAX_SPAN`].
-    pub(super) fn expected_wait(&self, service: &ServiceId) -> Duration {
+    /// gets; at most [`model::MAX_SPAN`]. That part is taken to be its share of their
+    /// capacity in use, and at least the capacity of one task of the job: a scheduler that
+    /// has no run just now is placing its next one.
+    fn expected_wait(&self, service: &ServiceId, job: &QueuedJob) -> Duration {
         let left_work = self.ready.left_work(service);
         if left_work == 0 {
             return Duration::ZERO;
@@ -254,7 +258,9 @@
             own += state.usage.cpu_milli as f64;
             others += state.other_usage.cpu_milli as f64;
         }
-        let share = f64::max(own, 1.0) / f64::max(own + others, 1.0);
+        let task = job.steps.iter().map(|step| step.size.cpu_milli).max().unwrap_or(0);
+        let least = f64::max(task as f64, 1.0);
+        let share = f64::max(own, least) / f64::max(own + others, least);
         if speed <= 0.0 {
             return Duration::ZERO;
         }
--- a/tests/burst_admission.rs
+++ b/tests/burst_admission.rs
@@ -76,6 +76,37 @@
     assert_eq!(admitted(4), admitted(0));
 }
 
+// Guards against an entry that refuses all its callers while the runs of other entries take all
+// capacity: between two runs of its own it must not expect to get none ever again.
+#[test]
+fn entry_without_runs_admits() {
+    let mut model = ScheduleModel::new(2, 1);
+    (1..=CONCURRENT_JOBS).for_each(|number| _ = model.submit(2, job(number, 1, true)));
+    model.run_fault_free(1);
+    assert_eq!(model.running(), CONCURRENT_JOBS, "the other entry takes all capacity");
+    let first = model.submit(1, job(11, 1, true));
+    let second = model.submit(1, job(12, 1, true));
+    assert_eq!(model.replies[&second], CallStatus::Pending, "a run of 100 ms is ahead of it");
+    model.run_fault_free(20);
+    let completed = CallStatus::Reply(JobReply::Phase(JobPhase::Completed));
+    assert_eq!([&model.replies[&first], &model.replies[&second]], [&completed; 2]);
+}
+
+// Guards against callers that are told to come again hours later.
+#[test]
+fn retry_delay_within_backlog() {
+    let mut model = ScheduleModel::new(2, 1);
+    (1..=CONCURRENT_JOBS).for_each(|number| _ = model.submit(2, job(number, 1, true)));
+    model.run_fault_free(1);
+    let calls: Vec<u64> = (11..=60).map(|number| model.submit(1, job(number, 1, true))).collect();
+    let delays = calls.iter().filter_map(|call| refusal(&model.replies[call]));
+    let delays: Vec<u64> = delays.map(|(_, retry_after_ms)| retry_after_ms).collect();
+    assert!(!delays.is_empty(), "50 jobs exceed the capacity");
+    let run_ms = job(1, 1, true).critical_path().as_millis() as u64;
+    let one_by_one = (calls.len() - delays.len()) as u64 * run_ms;
+    assert!(delays.iter().all(|delay| *delay <= one_by_one), "{one_by_one} ms ahead: {delays:?}");
+}
+
 #[test]
 fn refused_never_starts() {
     let mut model = ScheduleModel::new(1, 1);
