An entry without a claim adopts no runs of its own earlier process either

By review: a restarted entry whose claim was pending adopted runs that its earlier process had left at an agent, and kept them alive by its grants after the claim had been counted as free. They are stopped now, like those of other entries.

--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -209,9 +209,7 @@
             }
         }
         for run in &report.unowned {
-            // Without the claim, its runs are another entry's.
-            let is_claimed = !self.claims.is_pending(&run.task.job);
-            if is_claimed && self.adopt(now, report, run) {
+            if self.adopt(now, report, run) {
                 self.push_order(&report.agent, AgentOrder::Keep { run: run.clone() });
             }
         }
@@ -225,6 +223,10 @@
             let is_placed = placed.agent == report.agent && placed.run == run.run;
             return is_placed && self.live.contains_key(&run.task.job);
         }
+        if self.claims.is_pending(&run.task.job) {
+            // Without the claim, the run is another entry's, or an earlier process's.
+            return false;
+        }
         let record = self.record(&run.task.job);
         let open = record.is_some_and(|record| !record.is_done(&run.task));
         let life = self.agents.get(&report.agent).and_then(|state| state.life().cloned());
