Claims: what is remembered of confirmations, and shorter waits after a start

Now an entry remembers recalls like confirmations, a claim that is listed at another agent is told to all, and a confirmation is a message of its own, so that no earlier release counts as one.

An agent's start phase begins with its first entry; a claimant that is replaced is told; Declined counts for a contended claim too, and declines are forgotten with a grant; only connected agents are waited for while inputs wait.

The bound after the start of an agent or an entry is that of ended processes (grant and the time to stop, 1.35 s), not that of lost connections (2.4 s).

--- a/crates/decisions/src/agent/claim_entries.rs
+++ b/crates/decisions/src/agent/claim_entries.rs
@@ -1,9 +1,9 @@
 //! Owns what an agent knows of the entries that claim jobs: which of them may still have
 //! active runs of a job.
 //!
-//! Invariant: the runs of a process that the agent has no connection to count as active until
-//! grant and lease are over, also those of a process that it never knew, from before its own
-//! start or that of the entry's present process.
+//! Invariant: the runs of a process that the agent has lost contact with count as active until
+//! grant and lease are over, and those of a process that has ended until they can't be active
+//! any more, also if the agent never knew it.
 
 use std::time::{Duration, Instant};
 
@@ -11,7 +11,10 @@
 use model::{Incarnation, SchedulerKey};
 
 use super::claim_table::Claimant;
-use crate::run_bounds::contact_timeout;
+use crate::run_bounds::run_timeout;
+
+/// Time after the start of an agent in which entries connect and list their claims.
+const CONNECT_TIME: Duration = Duration::from_millis(300);
 
 /// What an agent knows of the runs from before its start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,17 +47,25 @@
 pub(super) struct ClaimEntries {
     entries: IndexMap<SchedulerKey, ClaimEntry>,
     started_at: Instant,
-    lease: Duration,
-    /// Time from which no run is active under a claim from before the agent's start;
-    /// `None` once it has passed.
-    earlier_until: Option<Instant>,
+    earlier_runs: EarlierRuns,
+}
+
+/// The runs under claims from before an agent's start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EarlierRuns {
+    /// No entry has connected yet.
+    Unbounded,
+    /// None is active from this time on.
+    Until(Instant),
+    /// None is active.
+    Over,
 }
 
 impl ClaimEntries {
     /// Knows no entry yet; the agent has started now.
-    pub(super) fn new(now: Instant, lease: Duration) -> ClaimEntries {
-        let earlier_until = Some(now + contact_timeout(Duration::ZERO, lease));
-        ClaimEntries { entries: IndexMap::new(), started_at: now, lease, earlier_until }
+    pub(super) fn new(now: Instant) -> ClaimEntries {
+        let earlier_runs = EarlierRuns::Unbounded;
+        ClaimEntries { entries: IndexMap::new(), started_at: now, earlier_runs }
     }
 
     /// Handles a message of an entry whose process has run for `up_time`; returns whether
@@ -66,22 +77,22 @@
         grant: Duration,
         up_time: Duration,
     ) -> bool {
-        let timeout = contact_timeout(grant, self.lease);
-        if let Some(until) = &mut self.earlier_until {
-            *until = (*until).max(self.started_at + timeout);
+        let timeout = run_timeout(grant);
+        if self.earlier_runs == EarlierRuns::Unbounded {
+            let until = (self.started_at + timeout).max(now) + CONNECT_TIME;
+            self.earlier_runs = EarlierRuns::Until(until);
         }
         let known = self.entries.get_mut(&claimant.scheduler);
         if let Some(entry) = known.filter(|entry| entry.incarnation == claimant.incarnation) {
             entry.lost_until = None;
             return false;
         }
-        let known = self.entries.get(&claimant.scheduler);
-        let known_until = known.and_then(|entry| entry.lost_until.max(entry.earlier_until));
-        let unknown_until = now + timeout.saturating_sub(up_time);
+        // The process before this one ended before this one began.
+        let earlier_left = timeout.saturating_sub(up_time);
         let entry = ClaimEntry {
             incarnation: claimant.incarnation,
             lost_until: None,
-            earlier_until: known_until.max(Some(unknown_until)).filter(|until| *until > now),
+            earlier_until: (!earlier_left.is_zero()).then(|| now + earlier_left),
         };
         self.entries.insert(claimant.scheduler.clone(), entry);
         true
@@ -98,7 +109,11 @@
     pub(super) fn on_tick(&mut self, now: Instant) -> Option<StartPhase> {
         let is_left = |until: &Instant| *until > now;
         let phase = self.phase();
-        self.earlier_until = self.earlier_until.filter(is_left);
+        if let EarlierRuns::Until(until) = self.earlier_runs
+            && until <= now
+        {
+            self.earlier_runs = EarlierRuns::Over;
+        }
         for entry in self.entries.values_mut() {
             entry.earlier_until = entry.earlier_until.filter(is_left);
         }
@@ -111,9 +126,9 @@
 
     /// What is known of the runs from before the agent's start.
     pub(super) fn phase(&self) -> StartPhase {
-        match self.earlier_until {
-            Some(_) => StartPhase::RunsUnknown,
-            None => StartPhase::RunsKnown,
+        match self.earlier_runs {
+            EarlierRuns::Unbounded | EarlierRuns::Until(_) => StartPhase::RunsUnknown,
+            EarlierRuns::Over => StartPhase::RunsKnown,
         }
     }
 
@@ -144,6 +159,10 @@
     pub(super) fn next_deadline(&self) -> Option<Instant> {
         let entries = self.entries.values();
         let over = entries.flat_map(|entry| [entry.lost_until, entry.earlier_until]);
-        over.flatten().chain(self.earlier_until).min()
+        let earlier = match self.earlier_runs {
+            EarlierRuns::Until(until) => Some(until),
+            EarlierRuns::Unbounded | EarlierRuns::Over => None,
+        };
+        over.flatten().chain(earlier).min()
     }
 }
--- a/crates/decisions/src/agent/claim_table.rs
+++ b/crates/decisions/src/agent/claim_table.rs
@@ -133,9 +133,9 @@
 }
 
 impl ClaimTable {
-    /// Creates claims at an agent that starts now, whose backend server has this lease.
-    pub(super) fn new(now: Instant, lease: Duration) -> ClaimTable {
-        ClaimTable { claims: IndexMap::new(), entries: ClaimEntries::new(now, lease) }
+    /// Creates claims at an agent that starts now.
+    pub(super) fn new(now: Instant) -> ClaimTable {
+        ClaimTable { claims: IndexMap::new(), entries: ClaimEntries::new(now) }
     }
 
     /// Handles an entry's message; `grant` is how long its runs stay active without another
@@ -155,7 +155,15 @@
             notices.extend(self.release_unlisted(now, &claimant, &orders.held));
         }
         for job in orders.held {
-            notices.extend(self.restore(job, &claimant));
+            let is_new = !orders.is_first && !self.claims.contains_key(&job);
+            notices.extend(self.restore(job.clone(), &claimant));
+            if let Some(claim) = self.claims.get_mut(&job).filter(|_| is_new) {
+                claim.is_substitute = true;
+                notices.extend(ask_others_to_confirm(&self.entries, &job, claim));
+            }
+        }
+        for job in orders.confirmed {
+            notices.extend(self.confirm(now, &job, &claimant));
         }
         for job in orders.released {
             notices.extend(self.release(now, &job, &claimant));
@@ -212,8 +220,8 @@
         notices
     }
 
-    /// Restores a claim. Another entry that was granted the claim meanwhile goes first,
-    /// unless it has no connection: the one that lists the claim was granted it since.
+    /// Restores a claim. Another entry that was granted the claim meanwhile goes first. One
+    /// that is new here was granted by another agent: the other entries are to ask here.
     fn restore(&mut self, job: JobId, holder: &Claimant) -> Vec<ClaimNotice> {
         let restored = || KeptClaim::granted(holder.clone(), GrantCause::Listed);
         let claim = self.claims.entry(job.clone()).or_insert_with(restored);
@@ -222,9 +230,6 @@
             claim.is_substitute = claimant.is_substitute;
             claim.next = claimant.next.or(Some(claimant.holder));
         }
-        if claim.holder != *holder && claim.free_at.is_some() {
-            claim.holder = holder.clone();
-        }
         if claim.holder != *holder {
             return vec![claim.notice(holder, ClaimUpdate::Recalled { job })];
         }
@@ -250,12 +255,15 @@
                 false => self.confirm_new(now, job, claimant),
             };
         };
+        let mut replaced = None;
         if claim.holder == *claimant {
             claim.free_at = None;
         } else {
-            claim.next = Some(claimant.clone());
+            replaced = claim.next.replace(claimant.clone()).filter(|next| next != claimant);
         }
-        claim.notices(&job, self.entries.phase())
+        let recalled = ClaimUpdate::Recalled { job: job.clone() };
+        let recalled = replaced.map(|replaced| claim.notice(&replaced, recalled));
+        recalled.into_iter().chain(claim.notices(&job, self.entries.phase())).collect()
     }
 
     fn grant_new(&mut self, job: JobId, claimant: &Claimant) -> Vec<ClaimNotice> {
@@ -298,11 +306,17 @@
     fn release(&mut self, now: Instant, job: &JobId, claimant: &Claimant) -> Vec<ClaimNotice> {
         let Some(claim) = self.claims.get_mut(job) else { return Vec::new() };
         claim.next.take_if(|next| next == claimant);
-        if claim.holder == *claimant {
-            return self.pass_on(now, job, GrantCause::Released);
+        match claim.holder == *claimant {
+            true => self.pass_on(now, job, GrantCause::Released),
+            false => Vec::new(),
         }
+    }
+
+    /// Handles an entry's answer that it has no active run of a job.
+    fn confirm(&mut self, now: Instant, job: &JobId, entry: &Claimant) -> Vec<ClaimNotice> {
+        let Some(claim) = self.claims.get_mut(job) else { return Vec::new() };
         if let GrantState::Confirming(confirmed) = &mut claim.state {
-            confirmed.insert(claimant.scheduler.clone());
+            confirmed.insert(entry.scheduler.clone());
         }
         self.grant_confirmed(now, job)
     }
--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -101,7 +101,7 @@
             life: None,
             candidate: None,
             schedulers: IndexMap::new(),
-            claims: ClaimTable::new(now, limits.lease),
+            claims: ClaimTable::new(now),
             fence: incarnation,
             steps: Vec::new(),
         }
--- a/crates/decisions/src/run_bounds.rs
+++ b/crates/decisions/src/run_bounds.rs
@@ -16,3 +16,9 @@
 pub(crate) fn contact_timeout(grant: Duration, lease: Duration) -> Duration {
     (grant + lease).mul_f64(1.0 + MAX_CLOCK_DRIFT_RATIO) + STOP_MARGIN
 }
+
+/// Time since the end of a scheduler's process after which none of its runs is active. Agents
+/// keep runs for a grant, and let no lease outlast it by more than the time to stop them.
+pub(crate) fn run_timeout(grant: Duration) -> Duration {
+    grant.mul_f64(1.0 + MAX_CLOCK_DRIFT_RATIO) + STOP_MARGIN
+}
--- a/crates/decisions/src/schedule/job_claims.rs
+++ b/crates/decisions/src/schedule/job_claims.rs
@@ -27,6 +27,8 @@
 
 /// How long a connected agent may take to answer a claim before another one is asked too.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long an entry with inputs that wait looks no further for agents that are silent.
+const LAG_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// How long a claim waits for an agent whose connection was lost to connect again.
 const RECONNECT_WAIT: Duration = Duration::from_millis(300);
 /// How long the holder of a claim waits for it, before it tells the next agent of the claim:
@@ -95,6 +97,8 @@
 impl JobClaim {
     /// Makes an agent that was asked the one that keeps the claim.
     fn set_keeper(&mut self, agent: &NodeId) {
+        self.is_declined = false;
+        self.declines = 0;
         self.asked.retain(|asked| asked != agent);
         self.asked.push(agent.clone());
     }
@@ -334,8 +338,8 @@
         }
         let wait = claim.phase.reconnect_wait();
         if let Some(agent) = claim.asked.last()
-            && let Some(until) = self.claim_wait(agent, claim)
-            && (now < until || !self.claims.is_idle)
+            && let Some(until) = self.claim_wait(now, agent, claim)
+            && now < until
         {
             return ClaimStep::WaitUntil(until);
         }
@@ -353,10 +357,14 @@
 
     /// Time until which an agent that was asked may take to answer; `None` if it is gone, or
     /// can't grant the claim yet.
-    fn claim_wait(&self, agent: &NodeId, claim: &JobClaim) -> Option<Instant> {
+    fn claim_wait(&self, now: Instant, agent: &NodeId, claim: &JobClaim) -> Option<Instant> {
         let state = self.agents.get(agent)?;
         match state.link_lost_at {
             None if claim.is_declined => None,
+            // Its answer may be among the inputs that wait.
+            None if !self.claims.is_idle => {
+                Some((claim.asked_at + CLAIM_TIMEOUT).max(now + LAG_CHECK_INTERVAL))
+            }
             None => Some(claim.asked_at + CLAIM_TIMEOUT),
             Some(lost_at) => Some(lost_at + claim.phase.reconnect_wait()),
         }
@@ -533,7 +541,8 @@
         let Some(claim) = self.claims.claims.get_mut(job) else {
             return self.release_claim_at(agent, job, false);
         };
-        if claim.phase == ClaimPhase::Pending && claim.asked.last() == Some(agent) {
+        if claim.phase.is_ungranted() && claim.asked.last() == Some(agent) {
+            claim.phase = ClaimPhase::Pending;
             claim.is_declined = true;
             claim.declines += 1;
             self.claims.require_check(now);
@@ -543,6 +552,7 @@
     /// Ends a job that its caller has sent to another entry. The claim is released once
     /// no run of the job is active.
     fn on_claim_recalled(&mut self, now: Instant, agent: &NodeId, job: &JobId) {
+        self.claims.note_confirm(now, agent, job);
         let Some(claim) = self.claims.claims.get_mut(job) else {
             return self.release_claim_at(agent, job, true);
         };
@@ -621,6 +631,10 @@
         if state.link_lost_at.is_some() {
             return;
         }
+        let keeper = self.claims.confirmed.get(job);
+        if keeper.is_some_and(|(keeper, _)| keeper == agent) {
+            state.claim_outbox.confirmed.push(job.clone());
+        }
         state.claim_outbox.released.push(job.clone());
         if at_once {
             self.due_agents.insert(agent.clone());
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -287,7 +287,7 @@
         job: JobId,
     },
     /// Another scheduler claims the job at an agent that doesn't know all claims: this one
-    /// has to stop its runs of the job, and to confirm by a release that none is active.
+    /// has to stop its runs of the job, and to confirm that none is active.
     Confirm {
         /// The claimed job.
         job: JobId,
@@ -316,6 +316,9 @@
     /// an agent that comes before this one is gone or silent, or the claim was recalled.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub passed_on: Vec<JobId>,
+    /// Jobs of which it has no active run, in answer to a request to confirm that.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub confirmed: Vec<JobId>,
     /// Jobs that it no longer claims, and of which it has no active run.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub released: Vec<JobId>,
