--- a/tests/long_runs.rs
+++ b/tests/long_runs.rs
@@ -217,3 +217,13 @@
         play_day(seed);
     }
 }
+
+// Further days, for the same reason.
+#[test]
+fn later_days_single() {
+    let first = 1_002;
+    for seed in first..first + u64::from(crate::support::case_count(20)) {
+        println!("seed {seed}");
+        play_day(seed);
+    }
+}
