--- a/crates/decisions/src/agent/claim_entries.rs
+++ b/crates/decisions/src/agent/claim_entries.rs
@@ -35,13 +35,6 @@
     earlier_until: Option<Instant>,
 }
 
-impl ClaimEntry {
-    /// Whether no run of a job is active that this entry may have started.
-    fn is_released(&self, is_confirmed: bool) -> bool {
-        self.earlier_until.is_none() && is_confirmed
-    }
-}
-
 /// The entries that have claimed jobs at an agent.
 #[derive(Debug, Clone)]
 pub(super) struct ClaimEntries {
@@ -150,7 +143,7 @@
             let is_confirmed = scheduler == holder
                 || confirmed.contains(scheduler)
                 || entry.lost_until.is_some_and(|until| until <= now);
-            entry.is_released(is_confirmed)
+            is_confirmed && entry.earlier_until.is_none()
         };
         self.phase() == StartPhase::RunsKnown && self.entries.iter().all(is_released)
     }
--- a/crates/decisions/src/agent/claim_table.rs
+++ b/crates/decisions/src/agent/claim_table.rs
@@ -60,8 +60,8 @@
 struct KeptClaim {
     holder: Claimant,
     state: GrantState,
-    /// Whether other entries may ask another agent first: an entry that has just started
-    /// is told of the claim.
+    /// Whether the claim is kept here in place of another agent, which other entries may ask
+    /// first: an entry that has just started is told of it.
     is_substitute: bool,
     /// Time from which no run of the holder is active; set while it has no connection.
     free_at: Option<Instant>,
@@ -360,9 +360,9 @@
         let mut notices = Vec::new();
         if self.entries.on_tick(now) == Some(StartPhase::RunsKnown) {
             let confirming = self.claims.iter().filter(|(_, claim)| !claim.is_granted());
-            let recalls = confirming
+            let requests = confirming
                 .flat_map(|(job, claim)| ask_others_to_confirm(&self.entries, job, claim));
-            notices.extend(recalls);
+            notices.extend(requests);
         }
         let claims = self.claims.iter();
         let due = claims.filter(|(_, claim)| match claim.free_at {
@@ -396,11 +396,11 @@
     claim: &KeptClaim,
 ) -> Vec<ClaimNotice> {
     let others = entries.connected().filter(|other| **other != claim.holder.scheduler);
-    let recall = |other: &SchedulerKey| ClaimNotice {
+    let request = |other: &SchedulerKey| ClaimNotice {
         scheduler: other.clone(),
         update: ClaimUpdate::Confirm { job: job.clone() },
         cause: None,
         urgency: UpdateUrgency::WithOthers,
     };
-    others.map(recall).collect()
+    others.map(request).collect()
 }
--- a/crates/decisions/src/schedule/job_claims.rs
+++ b/crates/decisions/src/schedule/job_claims.rs
@@ -27,7 +27,7 @@
 
 /// How long a connected agent may take to answer a claim before another one is asked too.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(100);
-/// How long an entry with inputs that wait looks no further for agents that are silent.
+/// Interval at which an entry that has inputs to handle checks whether agents are silent.
 const LAG_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// How long a claim waits for an agent whose connection was lost to connect again.
 const RECONNECT_WAIT: Duration = Duration::from_millis(300);
@@ -39,11 +39,9 @@
 /// Time after the connection of an agent, while no other one was connected, in which the
 /// others connect.
 const CONNECT_TIME: Duration = Duration::from_millis(200);
-
 /// How long an entry remembers which agent it has confirmed a claim to: longer than callers
 /// of best-effort jobs wait for them.
 const CONFIRM_MEMORY: Duration = Duration::from_secs(10);
-
 /// How long an entry remembers an agent that it has lost: others may still reach it.
 const DEPARTED_MEMORY: Duration = Duration::from_secs(600);
 
@@ -88,7 +86,7 @@
     asked_at: Instant,
     /// Whether the agent that was asked last can't grant the claim yet.
     is_declined: bool,
-    /// Number of agents that can't.
+    /// Number of agents that could not, since the claim was last granted.
     declines: usize,
     /// Tasks whose runs may still be active although the job has ended.
     stopping: Vec<TaskName>,
@@ -134,7 +132,7 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct JobClaims {
     claims: IndexMap<JobId, JobClaim>,
-    /// Jobs of which no run was confirmed to be active, to which agent and when; oldest first.
+    /// Jobs confirmed to have no active run here, to which agent and when; oldest first.
     confirmed: IndexMap<JobId, (NodeId, Instant)>,
     /// Agents without contact, and when they were given up; oldest first.
     departed: IndexMap<NodeId, Instant>,
