--- a/tests/job_claims.rs
+++ b/tests/job_claims.rs
@@ -525,6 +525,26 @@
     }
 }
 
+// Guards against an entry that has released a recalled claim, kept in place of a silent agent, and
+// is granted it by that one while the claimant runs the job.
+#[test]
+fn released_holder_asks() {
+    for (id, keeper, pause) in fault_cases([30, 90, 300, 900]) {
+        let mut model = model(2);
+        model.run_time = LONG_RUN;
+        model.freeze_agent(keeper);
+        model.submit(1, job(id, 2, true));
+        play(&mut model, Duration::from_millis(300));
+        model.thaw_agent(keeper);
+        play(&mut model, pause);
+        model.submit(2, job(id, 2, true));
+        play(&mut model, Duration::from_millis(150));
+        let third = model.submit(1, job(id, 2, true));
+        play(&mut model, Duration::from_millis(300));
+        check_ended(&mut model, third, id);
+    }
+}
+
 /// Callers send jobs again at once, to any entry, while connections are lost and agents
 /// and entries are restarted.
 fn play_resends(seed: u64) {
