--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -3,6 +3,8 @@
 mod cut_agent;
 mod deleted_job;
 mod dropped_route;
+mod hidden_queue;
+mod waiting_drain;
 
 use crate::Verdict;
 use crate::minion::Run;
@@ -20,6 +22,8 @@
         "6" => cut_agent::run(record, has_trouble),
         "7" => deleted_job::run(record, has_trouble),
         "8" => dropped_route::run(record, has_trouble),
+        "9" => hidden_queue::run(record, has_trouble),
+        "10" => waiting_drain::run(record, has_trouble),
         _ => Verdict::NotRun(format!("there is no case {case}")),
     }
 }
--- a/review/standins-2/minion.rs
+++ b/review/standins-2/minion.rs
@@ -35,6 +35,8 @@
     pub agent: SocketAddr,
     /// Whether it rejects starts beyond its capacity.
     pub guards: bool,
+    /// Label of its rack.
+    pub rack: String,
 }
 
 /// One run of a task, as it happened.
@@ -80,7 +82,7 @@
     ended: Vec<Listed>,
     last_end: u64,
     runs: Vec<Run>,
-    is_draining: bool,
+    sheds: bool,
     has_lease: bool,
 }
 
@@ -115,10 +117,6 @@
         minion
     }
 
-    pub fn id(&self) -> &str {
-        &self.shape.id
-    }
-
     pub fn runs(&self) -> Vec<Run> {
         self.lock().runs.clone()
     }
@@ -150,6 +148,7 @@
         }
         state.fence = fence;
         match request.path.as_str() {
+            "/cactuswing/run-start" if state.sheds => Response::new(503, String::new()),
             "/cactuswing/run-start" => self.on_start(&mut state, now, &body),
             "/cactuswing/run-stop" => self.on_stop(&mut state, now, &body),
             "/cactuswing/hold" => self.on_hold(state, now, &body),
@@ -311,9 +310,10 @@
         }
     }
 
-    /// Says from now on that it is draining.
-    pub fn drain(&self) {
-        self.lock().is_draining = true;
+    /// Whether it is unhealthy: it answers each start with 503 and does nothing then.
+    pub fn set_shedding(&self, sheds: bool) {
+        self.record.line(format!("{} sheds starts: {sheds}", self.shape.id));
+        self.lock().sheds = sheds;
     }
 
     fn register(&self) {
@@ -321,16 +321,15 @@
         let mut sequence = 0;
         loop {
             sequence += 1;
-            let is_draining = self.lock().is_draining;
-            let word = if is_draining { "draining" } else { "ready" };
             let body = format!(
                 "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
-                 \"slots\":8,\"state\":\"{word}\",\"cold_left_ms\":0,\"labels\":[\"a\",\"r1\"],\
+                 \"slots\":8,\"state\":\"ready\",\"cold_left_ms\":0,\"labels\":[\"a\",\"{}\"],\
                  \"capacity\":{{\"cpu\":{},\"mem_mb\":32768,\"gpu\":0}},\"clock_ms\":{},\
                  \"born\":{},\"sequence\":{sequence}}}",
                 self.shape.service,
                 self.shape.address,
                 self.shape.zone,
+                self.shape.rack,
                 self.shape.cpu,
                 self.clock_ms(Instant::now()),
                 self.born_ms
--- a/review/standins-2/system.rs
+++ b/review/standins-2/system.rs
@@ -128,6 +128,7 @@
                 address: (ip, APP_PORT).into(),
                 agent: (ip, CONTROL_PORT).into(),
                 guards: plan.guards,
+                rack: rack_label(agent),
             };
             system.minions.push(Minion::start(shape, record));
         }
@@ -354,6 +355,11 @@
     }
 }
 
+/// Label of the rack of a machine beside a minion; three to a rack.
+pub fn rack_label(agent: usize) -> String {
+    format!("r1-{}", agent / 3)
+}
+
 /// A call of a client at an entry, with its answer in the record.
 pub fn client_call(
     record: &Record,
