--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -4,6 +4,8 @@
 mod deleted_job;
 mod dropped_route;
 mod hidden_queue;
+mod late_submission;
+mod suspended_machine;
 mod waiting_drain;
 
 use crate::Verdict;
@@ -20,10 +22,12 @@
 pub fn run(case: &str, record: &Record, has_trouble: bool) -> Verdict {
     match case {
         "6" => cut_agent::run(record, has_trouble),
-        "7" => deleted_job::run(record, has_trouble),
+        "7" => suspended_machine::run(record, has_trouble),
         "8" => dropped_route::run(record, has_trouble),
-        "9" => hidden_queue::run(record, has_trouble),
-        "10" => waiting_drain::run(record, has_trouble),
+        "9" => waiting_drain::run(record, has_trouble),
+        "10" => hidden_queue::run(record, has_trouble),
+        "more-2/deleted-job" => deleted_job::run(record, has_trouble),
+        "more-2/late-submission" => late_submission::run(record, has_trouble),
         _ => Verdict::NotRun(format!("there is no case {case}")),
     }
 }
--- a/review/standins-2/cases/cut_agent.rs
+++ b/review/standins-2/cases/cut_agent.rs
@@ -72,9 +72,8 @@
 fn await_start(system: &System) -> Option<usize> {
     let until = Instant::now() + Duration::from_secs(3);
     while Instant::now() < until {
-        let active = |minion: &crate::minion::Minion| {
-            minion.runs().iter().any(|run| run.ended.is_none())
-        };
+        let active =
+            |minion: &crate::minion::Minion| minion.runs().iter().any(|run| run.ended.is_none());
         if let Some(agent) = system.minions.iter().position(active) {
             return Some(agent);
         }
--- a/review/standins-2/cases/deleted_job.rs
+++ b/review/standins-2/cases/deleted_job.rs
@@ -1,4 +1,4 @@
-//! Case 7: a client cancels a best-effort job while it runs.
+//! A client cancels a best-effort job while it runs.
 
 use std::time::Duration;
 
@@ -25,7 +25,8 @@
         return verdict;
     }
     let step = |number: usize| {
-        let depends = if number == 0 { String::new() } else { format!(",\"depends_on\":[{}]", number - 1) };
+        let depends =
+            if number == 0 { String::new() } else { format!(",\"depends_on\":[{}]", number - 1) };
         format!("{{\"count\":1,\"cpu\":1600,\"mem_mb\":64,\"estimate_ms\":{RUN_MS}{depends}}}")
     };
     let steps: Vec<String> = (0..STEPS).map(step).collect();
--- a/review/standins-2/cases/hidden_queue.rs
+++ b/review/standins-2/cases/hidden_queue.rs
@@ -1,4 +1,4 @@
-//! Case 9: a minion rejects all starts for some seconds, and callers ask how many jobs wait.
+//! Case 10: a minion rejects all starts for some seconds, and callers ask how many jobs wait.
 
 use std::time::Duration;
 
--- a/review/standins-2/cases/waiting_drain.rs
+++ b/review/standins-2/cases/waiting_drain.rs
@@ -1,4 +1,4 @@
-//! Case 10: an entry gets SIGTERM while a request waits there for capacity.
+//! Case 9: an entry gets SIGTERM while a request waits there for capacity.
 
 use std::time::Duration;
 
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,4 +1,4 @@
-//! The cases of the second review that are scripts. The argument is the number of a case;
+//! The cases of the second review that are scripts. The argument is the folder of a case in `review/`;
 //! `TROUBLE=0` leaves its disruption out. Exits with 1 if the rule was broken, 0 if it held and
 //! 2 if the case could not run.
 
--- a/review/standins-2/minion.rs
+++ b/review/standins-2/minion.rs
@@ -50,8 +50,6 @@
     pub ended: Option<(Duration, &'static str)>,
     /// When `acked_upto` reached the end, with no lapse of the lease between the two.
     pub noted: Option<Duration>,
-    /// Processor use on the minion with this run, in thousandths of a core.
-    pub cpu_with: u64,
 }
 
 struct Active {
@@ -82,6 +80,8 @@
     ended: Vec<Listed>,
     last_end: u64,
     runs: Vec<Run>,
+    /// Time for which it was suspended.
+    suspended: Duration,
     sheds: bool,
     has_lease: bool,
 }
@@ -91,7 +91,7 @@
 pub struct Minion {
     shape: Arc<Shape>,
     record: Record,
-    born: Instant,
+    started: Instant,
     born_ms: u64,
     state: Arc<(Mutex<State>, Condvar)>,
 }
@@ -104,7 +104,7 @@
         let minion = Minion {
             shape: Arc::new(shape),
             record: record.clone(),
-            born: Instant::now(),
+            started: Instant::now(),
             born_ms: since_1970.unwrap_or_default().as_millis() as u64,
             state: Arc::default(),
         };
@@ -125,8 +125,24 @@
         self.state.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
-    fn clock_ms(&self, now: Instant) -> u64 {
-        1_000 + now.saturating_duration_since(self.born).as_millis() as u64
+    /// The steady clock, which doesn't count the time for which the machine was suspended.
+    fn clock_ms(&self, state: &State, now: Instant) -> u64 {
+        let up = now.saturating_duration_since(self.started).saturating_sub(state.suspended);
+        1_000 + up.as_millis() as u64
+    }
+
+    /// Suspends it for this long, as part of its machine: nothing happens meanwhile, calls wait,
+    /// and its steady clock stands still.
+    pub fn suspend(&self, time: Duration) {
+        let mut state = self.lock();
+        self.end_due(&mut state, Instant::now());
+        self.record.line(format!("{} is suspended", self.shape.id));
+        let from = Instant::now();
+        std::thread::sleep(time);
+        let time = from.elapsed();
+        state.suspended += time;
+        state.running.values_mut().for_each(|active| active.ends_at += time);
+        self.record.line(format!("{} goes on", self.shape.id));
     }
 
     fn answer(&self, request: &Request) -> Response {
@@ -144,7 +160,7 @@
         self.end_due(&mut state, now);
         let fence = body.number("fence").unwrap_or(0);
         if fence < state.fence {
-            return self.reject(now, "fence");
+            return self.reject(&state, now, "fence");
         }
         state.fence = fence;
         match request.path.as_str() {
@@ -156,18 +172,18 @@
         }
     }
 
-    fn reject(&self, now: Instant, reason: &str) -> Response {
-        let clock = self.clock_ms(now);
+    fn reject(&self, state: &State, now: Instant, reason: &str) -> Response {
+        let clock = self.clock_ms(state, now);
         Response::new(409, format!("{{\"clock_ms\":{clock},\"reason\":\"{reason}\"}}"))
     }
 
-    fn accept(&self, now: Instant) -> Response {
-        Response::new(200, format!("{{\"clock_ms\":{}}}", self.clock_ms(now)))
+    fn accept(&self, state: &State, now: Instant) -> Response {
+        Response::new(200, format!("{{\"clock_ms\":{}}}", self.clock_ms(state, now)))
     }
 
     fn extend_lease(&self, state: &mut State, now: Instant, body: &Json) {
         if let Some(until) = body.number("until_ms") {
-            let until = until.min(self.clock_ms(now) + LEASE_MAX_MS);
+            let until = until.min(self.clock_ms(state, now) + LEASE_MAX_MS);
             if until > state.lease_until_ms {
                 state.lease_until_ms = until;
                 state.has_lease = true;
@@ -180,21 +196,21 @@
             return Response::new(400, String::new());
         };
         if state.running.get(task).is_some_and(|active| active.run == run) {
-            return self.accept(now);
+            return self.accept(state, now);
         }
         self.extend_lease(state, now, body);
         let is_barred = state.barred.get(task).is_some_and(|barred| run <= *barred);
         if is_barred || state.running.contains_key(task) {
-            return self.reject(now, "old");
+            return self.reject(state, now, "old");
         }
-        if body.number("until_ms").is_none_or(|until| until <= self.clock_ms(now)) {
-            return self.reject(now, "late");
+        if body.number("until_ms").is_none_or(|until| until <= self.clock_ms(state, now)) {
+            return self.reject(state, now, "late");
         }
         let spec = body.text("spec").unwrap_or_default();
         let (run_ms, cpu) = (spec_number(spec, "ms="), spec_number(spec, "cpu="));
         let used: u64 = state.running.values().map(|active| active.cpu).sum();
         if self.shape.guards && used + cpu > self.shape.cpu {
-            return self.reject(now, "room");
+            return self.reject(state, now, "room");
         }
         let record = state.runs.len();
         state.runs.push(Run {
@@ -204,14 +220,13 @@
             began: self.record.now(),
             ended: None,
             noted: None,
-            cpu_with: used + cpu,
         });
         let ends_at = now + Duration::from_millis(run_ms);
         let active = Active { run, cpu, ends_at, how: "done", record };
         state.running.insert(task.to_owned(), active);
         let id = &self.shape.id;
         self.record.line(format!("{id} start {task} run {run} cpu {} with it", used + cpu));
-        self.accept(now)
+        self.accept(state, now)
     }
 
     fn on_stop(&self, state: &mut State, now: Instant, body: &Json) -> Response {
@@ -226,7 +241,7 @@
             (active.ends_at, active.how) = (now + STOP_TIME, "stopped");
         }
         self.record.line(format!("{} stop {task} run {run}", self.shape.id));
-        self.accept(now)
+        self.accept(state, now)
     }
 
     fn on_hold(&self, mut state: MutexGuard<'_, State>, now: Instant, body: &Json) -> Response {
@@ -269,7 +284,7 @@
             200,
             format!(
                 "{{\"clock_ms\":{},\"born\":{},\"running\":[{}],\"ended\":[{}]}}",
-                self.clock_ms(now),
+                self.clock_ms(&state, now),
                 self.born_ms,
                 running.join(","),
                 ended.join(",")
@@ -279,7 +294,8 @@
 
     /// Ends the runs that are over, and all of them once the lease has lapsed.
     fn end_due(&self, state: &mut State, now: Instant) {
-        let lapses_at = self.born + Duration::from_millis(state.lease_until_ms.saturating_sub(1_000));
+        let lease = Duration::from_millis(state.lease_until_ms.saturating_sub(1_000));
+        let lapses_at = self.started + state.suspended + lease;
         let has_lapsed = lapses_at <= now;
         let due = state.running.iter().filter(|(_, active)| active.ends_at <= now || has_lapsed);
         let due: Vec<String> = due.map(|(task, _)| task.clone()).collect();
@@ -331,7 +347,7 @@
                 self.shape.zone,
                 self.shape.rack,
                 self.shape.cpu,
-                self.clock_ms(Instant::now()),
+                self.clock_ms(&self.lock(), Instant::now()),
                 self.born_ms
             );
             let timeout = Duration::from_secs(1);
--- a/review/standins-2/system.rs
+++ b/review/standins-2/system.rs
@@ -156,7 +156,8 @@
             let bytes = (0..CONTROLS).map(|control| {
                 (Role::Control(control).last_byte(), System::link_byte(agent, control))
             });
-            let replace: Vec<_> = bytes.clone().map(|(own, link)| (text(own), text(link))).collect();
+            let replace: Vec<_> =
+                bytes.clone().map(|(own, link)| (text(own), text(link))).collect();
             for (own, link) in bytes {
                 let listen = self.address(link, PEER_PORT);
                 start_link(listen, self.address(own, PEER_PORT), &cut, &replace);
@@ -194,7 +195,10 @@
             ("{{listen.front}}", format!("{ip}:{FRONT_PORT}")),
             ("{{listen.ready}}", format!("{ip}:{READY_PORT}")),
             ("{{app}}", format!("{ip}:{APP_PORT}")),
-            ("{{data_dir}}", self.folder.join(format!("data-{}", role.number())).display().to_string()),
+            (
+                "{{data_dir}}",
+                self.folder.join(format!("data-{}", role.number())).display().to_string(),
+            ),
             ("{{tolerate.machines}}", "1".to_owned()),
             ("{{bootstrap}}", bootstrap.to_string()),
             ("{{bounds.hold_max_ms}}", "1000".to_owned()),
@@ -244,11 +248,6 @@
         }
     }
 
-    /// Starts a process again that has ended.
-    pub fn restart(&mut self, role: Role) {
-        self.launch(role, false);
-    }
-
     /// Sends a signal by its name to a process.
     pub fn signal(&mut self, role: Role, name: &str) {
         if let Some(child) = &self.process(role).child {
@@ -390,7 +389,8 @@
 /// The middle bytes of a loopback network in which the ports are free.
 fn free_network() -> [u8; 2] {
     let id = std::process::id();
-    let networks = (0..200).map(|attempt| [(id % 90 + 110) as u8, (100 + (id / 90 + attempt) % 150) as u8]);
+    let networks =
+        (0..200).map(|attempt| [(id % 90 + 110) as u8, (100 + (id / 90 + attempt) % 150) as u8]);
     let is_free = |network: &[u8; 2]| {
         let address = SocketAddr::from(([127, network[0], network[1], 11], PEER_PORT));
         TcpListener::bind(address).is_ok()
