--- a/review/standins-2/system.rs
+++ b/review/standins-2/system.rs
@@ -248,6 +248,11 @@
         }
     }
 
+    /// Starts a process again that has ended.
+    pub fn restart(&mut self, role: Role) {
+        self.launch(role, false);
+    }
+
     /// Sends a signal by its name to a process.
     pub fn signal(&mut self, role: Role, name: &str) {
         if let Some(child) = &self.process(role).child {
