--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -5,6 +5,7 @@
 mod dropped_route;
 mod hidden_queue;
 mod late_submission;
+mod renamed_route;
 mod suspended_machine;
 mod unknown_keeper;
 mod waiting_drain;
@@ -29,6 +30,7 @@
         "10" => hidden_queue::run(record, has_trouble),
         "more-2/deleted-job" => deleted_job::run(record, has_trouble),
         "more-2/late-submission" => late_submission::run(record, has_trouble),
+        "more-2/renamed-route" => renamed_route::run(record, has_trouble),
         "more-2/unknown-keeper" => unknown_keeper::run(record, has_trouble),
         _ => Verdict::NotRun(format!("there is no case {case}")),
     }
--- a/review/standins-2/system.rs
+++ b/review/standins-2/system.rs
@@ -89,6 +89,8 @@
     cuts: Vec<Cut>,
     record: Record,
     version: u64,
+    /// End of the names of routes; another one makes them other routes at the same places.
+    pub name_suffix: &'static str,
 }
 
 impl System {
@@ -105,6 +107,7 @@
             cuts: Vec::new(),
             record: record.clone(),
             version: 0,
+            name_suffix: "",
         };
         record.line(format!("network 127.{}.{}.0/24", network[0], network[1]));
         if plan.links {
@@ -292,10 +295,11 @@
             .iter()
             .map(|(prefix, timeout_ms)| {
                 format!(
-                    "{{\"name\":\"r{}\",\"host\":\"{HOST}\",\"path_prefix\":\"{prefix}\",\
+                    "{{\"name\":\"r{}{}\",\"host\":\"{HOST}\",\"path_prefix\":\"{prefix}\",\
                      \"kind\":\"unsafe\",\"timeout_ms\":{timeout_ms},\"goal_ms\":60,\"priority\":0,\
                      \"service\":\"{SERVICE}\",\"max_attempts\":4,\"stretch\":1.6}}",
-                    prefix.replace('/', "-")
+                    prefix.replace('/', "-"),
+                    self.name_suffix
                 )
             })
             .collect();
