A restarted agent's run duty spun while its reports waited for lists

Cause: a report whose time has come is not sent before the backend server has listed its runs, or all runs from before the agent's start have lapsed (2.1 s), but its time stayed the duty's next deadline, in the past: the thread handled it again at once, up to two leases long. Change: until then, such a report is due when the agent may list its runs. Test: departed_servers::awaited_lists_rest, seen to fail before ("due since 10ms").

--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -408,7 +408,8 @@
         });
         let reports = self.schedulers.iter().filter_map(|(scheduler, session)| {
             let other_usage = life.map(|life| life.other_usage(scheduler)).unwrap_or_default();
-            session.next_report(&other_usage)
+            let due = session.next_report(&other_usage)?;
+            Some(if self.has_lists { due } else { due.max(self.lapsed_at()) })
         });
         let life = life.and_then(ServerLife::next_deadline);
         let claims = self.claims.next_deadline();
--- a/tests/departed_servers.rs
+++ b/tests/departed_servers.rs
@@ -78,6 +78,23 @@
     next_server_followed(&mut agent);
 }
 
+// Guards against a thread that spins while the agent may not report yet.
+#[test]
+fn awaited_lists_rest() {
+    let mut agent = restarted_agent();
+    agent.heartbeat(9, false);
+    agent.start(1_000);
+    for _ in 0..100 {
+        agent.advance(Duration::from_millis(10));
+        let due = agent.table.next_deadline();
+        assert!(
+            due.is_none_or(|due| due > agent.now),
+            "due since {:?}",
+            due.map(|due| agent.now - due)
+        );
+    }
+}
+
 /// Whether the agent's next process is told of the leave, or not, makes no difference.
 #[test]
 fn late_leave_ignored() {
