--- a/crates/decisions/src/agent/mod.rs
+++ b/crates/decisions/src/agent/mod.rs
@@ -13,6 +13,7 @@
 mod claim_table;
 mod heartbeat_interval;
 mod instance_pool;
+mod pause_watch;
 mod run_calls;
 mod run_lease;
 mod run_table;
--- a/crates/decisions/src/agent/run_calls.rs
+++ b/crates/decisions/src/agent/run_calls.rs
@@ -57,6 +57,7 @@
         clock: Option<(Duration, Instant)>,
         answer: ServerAnswer,
     ) -> Vec<RunStep> {
+        self.record_input(now);
         let Some(life) = self.life.as_mut().filter(|life| life.view.life == call.life) else {
             return Vec::new();
         };
--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -13,6 +13,8 @@
 //!   its end;
 //! - no run starts unless the grant of its scheduler is valid, and a run is stopped when
 //!   it expires;
+//! - no run counts as lapsed for a time in which this agent did not run: its host may have
+//!   been suspended, and the lease has stood still;
 //! - ends, except those of best-effort jobs, are reported in each new session
 //!   until control acknowledges that they are recorded.
 
@@ -27,6 +29,7 @@
 };
 
 use super::claim_table::{ClaimNotice, ClaimTable, GrantCause};
+use super::pause_watch::PauseWatch;
 use super::scheduler_session::{SchedulerSession, UpdateUrgency};
 use super::server_heartbeats::Candidate;
 use super::server_life::{OwnedUpdate, RunPhase, ServerLife};
@@ -69,7 +72,10 @@
     pub(super) agent: NodeId,
     pub(super) incarnation: Incarnation,
     pub(super) limits: RunLimits,
-    pub(super) started_at: Instant,
+    pauses: PauseWatch,
+    /// Time by which all runs from before the start of this agent have lapsed: twice the
+    /// lease, each with the drift margin.
+    earlier_runs_until: Instant,
     /// Whether a backend server has listed its runs since this agent started.
     pub(super) has_lists: bool,
     /// Current life of the backend server, if one is known.
@@ -96,7 +102,8 @@
             agent,
             incarnation,
             limits,
-            started_at: now,
+            pauses: PauseWatch::new(now),
+            earlier_runs_until: now + limits.lease.mul_f64(1.0 + MAX_CLOCK_DRIFT_RATIO) * 2,
             has_lists: false,
             life: None,
             candidate: None,
@@ -107,6 +114,20 @@
         }
     }
 
+    /// Records that the agent handles an input now. What ends with the lease of the backend
+    /// server is put off by a time in which both may have been suspended.
+    pub(super) fn record_input(&mut self, now: Instant) {
+        let Some(pause) = self.pauses.record_input(now) else { return };
+        self.earlier_runs_until += pause;
+        if let Some(life) = &mut self.life {
+            life.put_off_lapse(now, pause);
+        }
+        if pause >= self.limits.lease {
+            let line = EventLine::new("agent_paused").with("pause_ms", pause.as_millis());
+            self.steps.push(RunStep::Log(line));
+        }
+    }
+
     /// Makes a report due in each session, if `required`.
     pub(super) fn require_reports(&mut self, required: bool) {
         for session in self.schedulers.values_mut() {
@@ -171,6 +192,7 @@
         scheduler: SchedulerKey,
         session: SessionId,
     ) -> Vec<RunStep> {
+        self.record_input(now);
         let life = self.life.as_ref();
         let mut updates = life.map(|life| life.unacked_of(&scheduler)).unwrap_or_default();
         let is_entry = scheduler != SchedulerKey::Control;
@@ -189,6 +211,7 @@
         scheduler: &SchedulerKey,
         session: SessionId,
     ) -> Vec<RunStep> {
+        self.record_input(now);
         if let Some(known) = self.schedulers.get_mut(scheduler)
             && known.close(session)
         {
@@ -206,6 +229,7 @@
         session: SessionId,
         count: usize,
     ) -> Vec<RunStep> {
+        self.record_input(now);
         if let Some(known) = self.session_mut(scheduler, session) {
             known.on_reports_acked(count);
         }
@@ -230,6 +254,7 @@
         sent_at: Instant,
         orders: AgentOrders,
     ) -> Vec<RunStep> {
+        self.record_input(now);
         let Some(known) = self.session_mut(scheduler, session) else { return Vec::new() };
         if orders.term < known.term {
             return Vec::new();
@@ -308,6 +333,7 @@
 
     /// Handles timeouts; see [`RunTable::next_deadline`].
     pub fn on_tick(&mut self, now: Instant) -> Vec<RunStep> {
+        self.record_input(now);
         self.finish(now)
     }
 
@@ -385,35 +411,41 @@
     /// listed them, or once all runs from before the start have lapsed with the
     /// lease, given the bound on clock drift.
     fn can_list_runs(&self, now: Instant) -> bool {
-        self.has_lists || now >= self.lapsed_at()
+        self.has_lists || now >= self.earlier_runs_until
+    }
+
+    /// Time at which the agent has to run next so that its time counts, while it awaits that
+    /// runs lapse.
+    fn next_lapse_check(&self) -> Option<Instant> {
+        let last_input = self.pauses.last_input();
+        let earlier = (!self.can_list_runs(last_input)).then_some(last_input);
+        let life = self.life.as_ref();
+        let own = life.and_then(|life| life.lapse_awaited_from(last_input, self.limits.lease));
+        let awaited_from = earlier.into_iter().chain(own).min()?;
+        Some(awaited_from.max(self.pauses.next_check()))
     }
 
-    /// Time by which all runs from before the start of this agent have lapsed:
-    /// twice the lease, each with the drift margin.
-    fn lapsed_at(&self) -> Instant {
-        self.started_at + self.limits.lease.mul_f64(1.0 + MAX_CLOCK_DRIFT_RATIO) * 2
+    /// Time at which the next report is due; while the agent may not list its runs, none is.
+    fn next_report(&self) -> Option<Instant> {
+        let life = self.life.as_ref();
+        let due = self.schedulers.iter().filter_map(|(scheduler, session)| {
+            let other_usage = life.map(|life| life.other_usage(scheduler)).unwrap_or_default();
+            session.next_report(&other_usage)
+        });
+        due.min().filter(|_| self.can_list_runs(self.pauses.last_input()))
     }
 
     /// Time at which [`RunTable::on_tick`] is next due.
     pub fn next_deadline(&self) -> Option<Instant> {
-        let report_needed = self
-            .schedulers
-            .values()
-            .any(|session| session.needs_report && session.accepts_report());
-        let list_deadline = report_needed.then(|| self.lapsed_at());
         let life = self.life.as_ref();
         let granted = life.into_iter().flat_map(|life| {
             let active = life.runs.values().filter(|state| state.phase.is_active());
             active.filter_map(|state| self.granted_until(state))
         });
-        let reports = self.schedulers.iter().filter_map(|(scheduler, session)| {
-            let other_usage = life.map(|life| life.other_usage(scheduler)).unwrap_or_default();
-            let due = session.next_report(&other_usage)?;
-            Some(if self.has_lists { due } else { due.max(self.lapsed_at()) })
-        });
         let life = life.and_then(ServerLife::next_deadline);
         let claims = self.claims.next_deadline();
-        list_deadline.into_iter().chain(granted).chain(reports).chain(life).chain(claims).min()
+        let checks = [self.next_lapse_check(), self.next_report(), life, claims];
+        checks.into_iter().flatten().chain(granted).min()
     }
 
     /// Incarnation of the agent; rises with each of its starts.
--- a/crates/decisions/src/agent/server_heartbeats.rs
+++ b/crates/decisions/src/agent/server_heartbeats.rs
@@ -35,6 +35,7 @@
     /// Handles a heartbeat of the backend server. A late one is ignored. One of another
     /// instance is followed once the current life is over.
     pub fn on_heartbeat(&mut self, now: Instant, heartbeat: &ServerHeartbeat) -> Vec<RunStep> {
+        self.record_input(now);
         match &mut self.life {
             None => self.begin_life(now, heartbeat),
             Some(life) if life.instance != heartbeat.instance => self.await_end(now, heartbeat),
@@ -61,6 +62,7 @@
         clock: Option<(Duration, Instant)>,
         generation: Option<u64>,
     ) -> Vec<RunStep> {
+        self.record_input(now);
         let Some(life) = self.life.as_ref().filter(|life| life.view.life == call.life) else {
             return Vec::new();
         };
@@ -127,6 +129,7 @@
 
     /// Handles the leave of the backend server.
     pub fn on_leave(&mut self, now: Instant, instance: &LifeId) -> Vec<RunStep> {
+        self.record_input(now);
         self.candidate.take_if(|candidate| candidate.heartbeat.instance == *instance);
         if self.life.as_ref().is_some_and(|life| life.instance == *instance) {
             self.end_life(now, "backend server left");
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -28,6 +28,9 @@
 /// list, to the number of a listed end. One beyond it is not taken: it would bar all
 /// true ends up to it, and acknowledge them unseen.
 const MAX_END_STEP: EndNumber = 1_000_000;
+/// Time without an extension, as a share of a full lease, after which the end of a lease is
+/// awaited; usually it is extended sooner.
+const USUAL_RENEWAL_SHARE: f64 = 0.5;
 /// Time after the end of the lease that is allowed for stopping runs and for
 /// messages in flight; both together take less.
 const LEASE_MARGIN: Duration = Duration::from_millis(150);
@@ -271,6 +274,28 @@
         self.lease_expires_at.or(self.silent_from.filter(|_| self.listed))
     }
 
+    /// Time from which the end of the lease is awaited, if it matters: there are runs, or a
+    /// call was not answered. `lease` is a full one.
+    pub(super) fn lapse_awaited_from(&self, now: Instant, lease: Duration) -> Option<Instant> {
+        self.lapses_at()?;
+        if self.silent_from.is_some() {
+            return Some(now);
+        }
+        let until = self.lease_until.filter(|_| !self.runs.is_empty())?;
+        Some(until.checked_sub(lease.mul_f64(USUAL_RENEWAL_SHARE)).unwrap_or(now))
+    }
+
+    /// Takes into account that the backend server may have stood still for this time up to
+    /// now: its lease lasts longer, and its clock may be behind.
+    pub(super) fn put_off_lapse(&mut self, now: Instant, pause: Duration) {
+        for end in [&mut self.lease_expires_at, &mut self.silent_from].into_iter().flatten() {
+            *end += pause;
+        }
+        if let Some((_, at)) = &mut self.clock {
+            *at = (*at + pause).min(now);
+        }
+    }
+
     /// Handles a cumulative acknowledgement: control has recorded its ends up to
     /// this number.
     pub(super) fn ack_upto(&mut self, upto: EndNumber) {
--- a/tests/agent_fixture.rs
+++ b/tests/agent_fixture.rs
@@ -17,6 +17,9 @@
 /// Step of the time in which the backend server is silent.
 const SILENT_STEP: Duration = Duration::from_millis(10);
 
+/// Least time between two timeouts that the agent handles.
+const MIN_TICK: Duration = Duration::from_millis(1);
+
 /// A run table with the calls that it has made and the updates that it has reported.
 pub(crate) struct AgentFixture {
     pub(crate) now: Instant,
@@ -204,9 +207,25 @@
         }
     }
 
-    pub(crate) fn advance(&mut self, step: Duration) {
-        self.now += step;
-        let steps = self.table.on_tick(self.now);
+    /// Lets time pass, in which the agent handles each timeout when it is due.
+    pub(crate) fn advance(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until
+            && let Some(due) = self.table.next_deadline().filter(|due| *due < until)
+        {
+            self.tick_at(due.max(self.now + MIN_TICK).min(until));
+        }
+        self.tick_at(until);
+    }
+
+    /// Lets time pass in which the agent does not run, as while its host is suspended.
+    pub(crate) fn pause(&mut self, time: Duration) {
+        self.tick_at(self.now + time);
+    }
+
+    fn tick_at(&mut self, now: Instant) {
+        self.now = now;
+        let steps = self.table.on_tick(now);
         self.apply_steps(steps);
     }
 
--- a/tests/odd_heartbeats.rs
+++ b/tests/odd_heartbeats.rs
@@ -293,7 +293,9 @@
     agent.advance(Duration::from_millis(2_000));
     let lapsed = agent.updates.iter().any(|update| *update == RunUpdate::lapsed(run()));
     assert!(lapsed, "{:?}", agent.updates);
-    let renewal = agent.take_call(is_renewal).expect("the new server's lists are queried");
+    // The former server's lists were queried until its lease had expired.
+    let renewals = std::iter::from_fn(|| agent.take_call(is_renewal));
+    let renewal = renewals.last().expect("the new server's lists are queried");
     assert_eq!(renewal.instance, "i-odd");
 }
 
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -403,9 +403,30 @@
         self.frozen_agents.entry(agent).or_default();
     }
 
+    /// Suspends the host of an agent, and its backend server with it. Calls between the two
+    /// stay in transit.
+    pub(crate) fn suspend_host(&mut self, agent: usize) {
+        self.servers[agent].suspend(self.now);
+        self.freeze_agent(agent);
+    }
+
+    /// Lets the host of an agent go on. The agent handles its timeouts first.
+    pub(crate) fn resume_host(&mut self, agent: usize) {
+        self.servers[agent].resume(self.now);
+        let held = self.frozen_agents.remove(&agent).unwrap_or_default();
+        let steps = self.agents[agent].table.on_tick(self.now);
+        self.apply_run_steps(agent, steps);
+        self.handle_held(agent, held);
+    }
+
     /// Lets an agent go on; what waited for it is handled in order.
     pub(crate) fn thaw_agent(&mut self, agent: usize) {
-        for input in self.frozen_agents.remove(&agent).unwrap_or_default() {
+        let held = self.frozen_agents.remove(&agent).unwrap_or_default();
+        self.handle_held(agent, held);
+    }
+
+    fn handle_held(&mut self, agent: usize, held: Vec<HeldInput>) {
+        for input in held {
             match input {
                 HeldInput::Orders(number, link, orders) => {
                     self.deliver_orders(number, link, orders);
@@ -849,18 +870,28 @@
     /// Runs rounds of 30 ms in which all are connected and every call arrives.
     pub(crate) fn run_fault_free(&mut self, rounds: usize) {
         for _ in 0..rounds {
-            for agent in 0..self.agents.len() {
-                for scheduler in 0..self.schedulers.len() {
-                    self.connect(scheduler, agent);
-                }
-                self.heartbeat(agent);
-                for _ in 0..self.agents[agent].calls.len() {
-                    self.deliver(agent, 0, false);
-                }
+            self.run_round(|_| false);
+        }
+    }
+
+    /// Runs a round of 30 ms in which an agent's host is suspended, and the others run
+    /// without faults.
+    pub(crate) fn step_beside(&mut self, suspended: usize) {
+        self.run_round(|agent| agent == suspended);
+    }
+
+    fn run_round(&mut self, is_suspended: impl Fn(usize) -> bool) {
+        for agent in (0..self.agents.len()).filter(|agent| !is_suspended(*agent)) {
+            for scheduler in 0..self.schedulers.len() {
+                self.connect(scheduler, agent);
+            }
+            self.heartbeat(agent);
+            for _ in 0..self.agents[agent].calls.len() {
+                self.deliver(agent, 0, false);
             }
-            self.commit();
-            self.advance(Duration::from_millis(30));
         }
+        self.commit();
+        self.advance(Duration::from_millis(30));
     }
 
     /// Delivers all delayed calls, then runs without faults until every lease and
--- a/tests/server_model.rs
+++ b/tests/server_model.rs
@@ -31,6 +31,8 @@
     /// Tasks with an unacknowledged end when the lease expired: the platform's
     /// rules void such an end.
     pub(crate) lapsed_tasks: BTreeSet<TaskName>,
+    /// Since when its host is suspended.
+    suspended_at: Option<Instant>,
 }
 
 impl ServerModel {
@@ -47,9 +49,22 @@
             unacked_ends: Vec::new(),
             end_count: 0,
             lapsed_tasks: BTreeSet::new(),
+            suspended_at: None,
         }
     }
 
+    /// Suspends it with its host: its steady clock and its runs stand still.
+    pub(crate) fn suspend(&mut self, now: Instant) {
+        self.suspended_at = Some(now);
+    }
+
+    /// Lets it go on.
+    pub(crate) fn resume(&mut self, now: Instant) {
+        let Some(since) = self.suspended_at.take() else { return };
+        self.started_at += now - since;
+        self.runs.values_mut().for_each(|(_, ends_at)| *ends_at += now - since);
+    }
+
     pub(crate) fn clock(&self, now: Instant) -> Duration {
         now - self.started_at
     }
@@ -73,6 +88,9 @@
     }
 
     pub(crate) fn advance(&mut self, now: Instant) {
+        if self.suspended_at.is_some() {
+            return;
+        }
         let expires_at = self.started_at + self.lease_until;
         let ended_runs: Vec<(String, EndKind)> = self
             .runs
