--- a/crates/decisions/src/agent/run_calls.rs
+++ b/crates/decisions/src/agent/run_calls.rs
@@ -193,9 +193,12 @@
         let Some(life) = self.life.as_mut().filter(lapsed) else { return };
         life.listed = false;
         life.lease_expires_at = None;
+        let ends = life.binding_ends().count();
+        life.void_ends();
         let line = EventLine::new("lease_lapsed")
             .with("life", &life.view.life)
             .with("runs", life.runs.len())
+            .with("voided_ends", ends)
             .with("holds_failed", life.failed_renewals);
         self.steps.push(RunStep::Log(line));
         let lapsed = life.take_lapsed();
@@ -204,6 +207,16 @@
         self.follow_candidate(now);
     }
 
+    /// Voids the unacknowledged ends if no lease is in force: neither one of this process nor
+    /// of an earlier one.
+    pub(super) fn void_ends_without_lease(&mut self, now: Instant) {
+        let is_over = self.are_earlier_runs_over(now);
+        let without_lease = |life: &&mut ServerLife| life.lease_expires_at.is_none() && is_over;
+        if let Some(life) = self.life.as_mut().filter(without_lease) {
+            life.void_ends();
+        }
+    }
+
     /// Stops runs whose scheduler's grant has expired, and runs that no scheduler
     /// claimed in time.
     pub(super) fn stop_ungranted_runs(&mut self, now: Instant) {
--- a/crates/decisions/src/agent/run_lease.rs
+++ b/crates/decisions/src/agent/run_lease.rs
@@ -4,12 +4,18 @@
 //! Invariants:
 //! - no call lets a run outlast its own scheduler's grant by more than [`STOP_MARGIN`],
 //!   whatever the grants of other schedulers allow;
-//! - a run that is barred, or whose end is listed, limits the lease of the others no more.
+//! - nor does any call let an end that control has not acknowledged outlast control's grant by
+//!   more: control may start its task elsewhere, and an end counts that is acknowledged under
+//!   the lease in which the run has ended;
+//! - a run that is barred, or whose end is acknowledged or of a best-effort job, limits the
+//!   lease of the others no more, nor does an end since which the lease has expired.
 
 use std::time::{Duration, Instant};
 
+use model::SchedulerKey;
+
 use super::run_table::RunTable;
-use super::server_life::RunState;
+use super::server_life::UnackedEnd;
 
 /// How long a run may outlast its scheduler's grant: the time to stop it, with the call
 /// and its reply. If the stop is not confirmed by then, the lease of all runs expires.
@@ -25,8 +31,8 @@
     /// than the longest remaining grant. A call renews the lease of all runs there, so it
     /// is zero while the backend server is silent, while it is not known what it runs, and
     /// while there are runs that nobody has claimed, whose scheduler may long have lost
-    /// contact with this agent. Nor may any run outlast its own scheduler's grant by more
-    /// than the time to stop it.
+    /// contact with this agent. Nor may any run, or unacknowledged end, outlast its own
+    /// scheduler's grant by more than the time to stop it.
     pub(super) fn allowed_lease(&self, now: Instant) -> Duration {
         let Some(life) = &self.life else { return Duration::ZERO };
         if life.is_silent(now) || !life.listed || life.has_unclaimed_runs() {
@@ -35,14 +41,21 @@
         let grants = self.schedulers.values().map(|session| session.remaining_grant(now));
         let longest = grants.max().unwrap_or_default().min(self.limits.lease);
         let active = life.runs.values().filter(|run| run.phase.may_be_active());
-        let shortest = active.map(|run| self.lease_left(now, run)).min();
+        let runs = active.map(|run| self.granted_until(run));
+        let ends = life.binding_ends().map(|end| self.end_granted_until(end));
+        let shortest = runs.chain(ends).map(|until| lease_left(now, until)).min();
         shortest.map_or(longest, |shortest| longest.min(shortest))
     }
 
-    /// Longest lease that a run may have, by the grant of its own scheduler.
-    fn lease_left(&self, now: Instant, run: &RunState) -> Duration {
-        let ends_at = self.granted_until(run).map(|until| until + STOP_MARGIN);
-        ends_at.map_or(Duration::ZERO, |at| at.saturating_duration_since(now))
+    /// Time until which control waits for an unacknowledged end, as far as this agent knows.
+    /// One that nobody has claimed may have been found by an agent that has just started.
+    fn end_granted_until(&self, end: &UnackedEnd) -> Option<Instant> {
+        let control = self.schedulers.get(&SchedulerKey::Control);
+        let granted = control.and_then(|session| session.grant_until);
+        match end.owner {
+            Some(_) => granted,
+            None => granted.max(Some(end.listed_at + self.limits.claim_wait)),
+        }
     }
 
     /// How long a renewal may wait for an end: as large a share of the lease that it gives
@@ -70,3 +83,9 @@
         life.renew_early_at = is_wanted.then(|| short_at.max(now));
     }
 }
+
+/// Longest lease that what is granted until this time may have.
+fn lease_left(now: Instant, granted_until: Option<Instant>) -> Duration {
+    let ends_at = granted_until.map(|until| until + STOP_MARGIN);
+    ends_at.map_or(Duration::ZERO, |at| at.saturating_duration_since(now))
+}
--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -340,6 +340,7 @@
     /// Carries out all that is due after an input, and returns the steps.
     pub(super) fn finish(&mut self, now: Instant) -> Vec<RunStep> {
         self.expire_lease(now);
+        self.void_ends_without_lease(now);
         let notices = self.claims.on_tick(now);
         self.notify_claims(now, notices);
         self.stop_ungranted_runs(now);
@@ -411,7 +412,12 @@
     /// listed them, or once all runs from before the start have lapsed with the
     /// lease, given the bound on clock drift.
     fn can_list_runs(&self, now: Instant) -> bool {
-        self.has_lists || now >= self.earlier_runs_until
+        self.has_lists || self.are_earlier_runs_over(now)
+    }
+
+    /// Whether all runs from before the start of this agent have lapsed.
+    pub(super) fn are_earlier_runs_over(&self, now: Instant) -> bool {
+        now >= self.earlier_runs_until
     }
 
     /// Time at which the agent has to run next so that its time counts, while it awaits that
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -15,8 +15,8 @@
 
 use indexmap::IndexMap;
 use model::{
-    EndNumber, LifeId, ListedEnd, ResourceAmount, RunUpdate, SchedulerKey, ServerHeartbeat,
-    ServerView, StartRefusal, TaskRun,
+    EndKind, EndNumber, LifeId, ListedEnd, ResourceAmount, RunUpdate, SchedulerKey,
+    ServerHeartbeat, ServerView, StartRefusal, TaskRun,
 };
 
 use super::start_queue::StartQueue;
@@ -97,10 +97,22 @@
 
 /// End of a run that is not acknowledged as recorded yet.
 #[derive(Debug, Clone)]
-struct UnackedEnd {
+pub(super) struct UnackedEnd {
     number: EndNumber,
     update: RunUpdate,
-    owner: Option<SchedulerKey>,
+    pub(super) owner: Option<SchedulerKey>,
+    pub(super) listed_at: Instant,
+    /// Whether the lease has expired since: the end does not count any more if control has
+    /// given the run up.
+    is_void: bool,
+}
+
+impl UnackedEnd {
+    /// Whether another run of the task must not start while the end counts.
+    fn is_binding(&self) -> bool {
+        let RunUpdate::Ended { kind, .. } = &self.update else { return false };
+        !self.is_void && matches!(kind, EndKind::Done | EndKind::Failed)
+    }
 }
 
 /// One lifetime of a backend server's process.
@@ -274,14 +286,15 @@
         self.lease_expires_at.or(self.silent_from.filter(|_| self.listed))
     }
 
-    /// Time from which the end of the lease is awaited, if it matters: there are runs, or a
-    /// call was not answered. `lease` is a full one.
+    /// Time from which the end of the lease is awaited, if it matters: there are runs, or ends
+    /// that count, or a call was not answered. `lease` is a full one.
     pub(super) fn lapse_awaited_from(&self, now: Instant, lease: Duration) -> Option<Instant> {
         self.lapses_at()?;
         if self.silent_from.is_some() {
             return Some(now);
         }
-        let until = self.lease_until.filter(|_| !self.runs.is_empty())?;
+        let is_idle = self.runs.is_empty() && self.binding_ends().next().is_none();
+        let until = self.lease_until.filter(|_| !is_idle)?;
         Some(until.checked_sub(lease.mul_f64(USUAL_RENEWAL_SHARE)).unwrap_or(now))
     }
 
@@ -302,6 +315,16 @@
         self.unacked.retain(|unacked| unacked.number > upto);
     }
 
+    /// The unacknowledged ends that count once they are acknowledged.
+    pub(super) fn binding_ends(&self) -> impl Iterator<Item = &UnackedEnd> {
+        self.unacked.iter().filter(|end| end.is_binding())
+    }
+
+    /// Records that the lease has expired, which voids the unacknowledged ends.
+    pub(super) fn void_ends(&mut self) {
+        self.unacked.iter_mut().for_each(|end| end.is_void = true);
+    }
+
     /// Number up to which all ends are acknowledged and may be dropped.
     pub(super) fn last_acked_end(&self) -> EndNumber {
         self.unacked.first().map_or(self.last_end, |unacked| unacked.number - 1)
@@ -351,7 +374,8 @@
             updates.push((owner.clone(), update.clone()));
             // The ends of best-effort jobs are not recorded.
             if !matches!(owner, Some(SchedulerKey::Entry(_))) {
-                self.unacked.push(UnackedEnd { number: end.number, update, owner });
+                let (number, listed_at) = (end.number, now);
+                self.unacked.push(UnackedEnd { number, update, owner, listed_at, is_void: false });
             }
         }
         if !is_latest {
--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -264,7 +264,8 @@
     /// Applies refused starts and ended runs. Ends of stored jobs are proposed to
     /// the log; those of best-effort jobs take effect at once, if the run is placed here:
     /// every entry numbers its runs from 1, and the agent reports the end of a run that
-    /// nobody claimed to all of them.
+    /// nobody claimed to all of them. The end of a stored job's run that was given up and
+    /// replaced is not recorded.
     fn apply_updates(&mut self, now: Instant, report: &AgentReport) {
         let mut ends = Vec::new();
         for update in &report.updates {
@@ -276,7 +277,7 @@
                     if self.is_new_end(&report.agent, *number, run) {
                         let ran = ran_ms.map(Duration::from_millis);
                         let is_placed = self.on_ended(now, &report.agent, run, *kind, ran);
-                        if is_placed || self.is_stored(run) {
+                        if is_placed || (self.is_stored(run) && !self.is_superseded(run)) {
                             ends.push(EndedRun { run: run.clone(), kind: *kind });
                         } else {
                             // There is nothing to record here.
@@ -317,6 +318,19 @@
         self.kind == SchedulerKind::Control && self.store.job(&run.task.job).is_some()
     }
 
+    /// Whether a later run of the task was ordered since, because this one was given up: its
+    /// end doesn't count, as the lease that it was listed under has expired.
+    fn is_superseded(&mut self, run: &TaskRun) -> bool {
+        let later = self.placements.get(&run.task).filter(|placed| placed.run > run.run);
+        let Some(placed) = later else { return false };
+        let line = EventLine::new("end_superseded")
+            .with("run", run)
+            .with("by", placed.run)
+            .with("agent", &placed.agent);
+        self.steps.push(ScheduleStep::Log(line));
+        true
+    }
+
     fn on_refused(&mut self, now: Instant, agent: &NodeId, run: &TaskRun, refusal: StartRefusal) {
         let line = EventLine::new("start_refused")
             .with("run", run)
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -3,7 +3,8 @@
 //!
 //! Invariants, checked at every start: no task runs twice at a time, and a task
 //! of a stored job doesn't start again once its end is recorded, unless a lease
-//! expired with its end unacknowledged.
+//! expired with its end unacknowledged. Checked at every call: no task of a stored job
+//! has started after a successful end that counts, then or later.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -190,6 +191,10 @@
     pub(crate) replies: BTreeMap<u64, CallStatus>,
     /// Number of starts of each task.
     pub(crate) starts: BTreeMap<TaskName, usize>,
+    /// Time of the latest start of each task.
+    latest_starts: BTreeMap<TaskName, Instant>,
+    /// Time of the first successful end of each task that counts.
+    counted_done: BTreeMap<TaskName, Instant>,
     /// Tasks whose successful end is committed.
     done: BTreeSet<TaskName>,
     /// Ids of the submitted jobs that control stores.
@@ -225,6 +230,8 @@
             last_generation: 0,
             replies: BTreeMap::new(),
             starts: BTreeMap::new(),
+            latest_starts: BTreeMap::new(),
+            counted_done: BTreeMap::new(),
             done: BTreeSet::new(),
             stored: BTreeSet::new(),
             events: Vec::new(),
@@ -799,13 +806,35 @@
         {
             self.check_start(&run.task);
         }
+        self.check_counted(server);
         answer
     }
 
+    /// Checks that no task of a stored job has started after a successful end that counts: it
+    /// was acknowledged under the lease in which the run ended, then or later.
+    fn check_counted(&mut self, server: usize) {
+        for server in &mut self.servers[server..=server] {
+            for (task, ended_at) in std::mem::take(&mut server.counted_done) {
+                let earliest = self.counted_done.entry(task).or_insert(ended_at);
+                *earliest = ended_at.min(*earliest);
+            }
+        }
+        for (task, ended_at) in &self.counted_done {
+            let started = self.latest_starts.get(task);
+            assert!(
+                !self.stored.contains(task.job.as_str())
+                    || started.is_none_or(|started| started <= ended_at),
+                "{task} started after an end that counts\n{}",
+                self.event_trace(&task.job)
+            );
+        }
+    }
+
     /// Checks that a task that has just started runs once at a time, and that a
     /// stored job's task doesn't start once its end is recorded.
     fn check_start(&mut self, task: &TaskName) {
         *self.starts.entry(task.clone()).or_insert(0) += 1;
+        self.latest_starts.insert(task.clone(), self.now);
         let runs = self.servers.iter().flat_map(|server| server.runs.values());
         let running = runs.filter(|(run, _)| run.task == *task).count();
         assert!(
@@ -867,6 +896,12 @@
         }
     }
 
+    /// Runs a round of 30 ms without faults, but that an agent is cut off from control.
+    pub(crate) fn step_cut(&mut self, cut: usize) {
+        self.disconnect(0, cut);
+        self.run_round_with(|_| false, |scheduler, agent| scheduler == 0 && agent == cut);
+    }
+
     /// Runs rounds of 30 ms in which all are connected and every call arrives.
     pub(crate) fn run_fault_free(&mut self, rounds: usize) {
         for _ in 0..rounds {
@@ -881,9 +916,19 @@
     }
 
     fn run_round(&mut self, is_suspended: impl Fn(usize) -> bool) {
+        self.run_round_with(is_suspended, |_, _| false);
+    }
+
+    fn run_round_with(
+        &mut self,
+        is_suspended: impl Fn(usize) -> bool,
+        is_cut: impl Fn(usize, usize) -> bool,
+    ) {
         for agent in (0..self.agents.len()).filter(|agent| !is_suspended(*agent)) {
             for scheduler in 0..self.schedulers.len() {
-                self.connect(scheduler, agent);
+                if !is_cut(scheduler, agent) {
+                    self.connect(scheduler, agent);
+                }
             }
             self.heartbeat(agent);
             for _ in 0..self.agents[agent].calls.len() {
--- a/tests/server_model.rs
+++ b/tests/server_model.rs
@@ -31,6 +31,11 @@
     /// Tasks with an unacknowledged end when the lease expired: the platform's
     /// rules void such an end.
     pub(crate) lapsed_tasks: BTreeSet<TaskName>,
+    /// Successful ends that are not acknowledged, with their times, and whether the lease has
+    /// expired since.
+    pending_done: Vec<(ListedEnd, Instant, bool)>,
+    /// Successful ends that count, since they were acknowledged under the same lease.
+    pub(crate) counted_done: Vec<(TaskName, Instant)>,
     /// Since when its host is suspended.
     suspended_at: Option<Instant>,
 }
@@ -49,6 +54,8 @@
             unacked_ends: Vec::new(),
             end_count: 0,
             lapsed_tasks: BTreeSet::new(),
+            pending_done: Vec::new(),
+            counted_done: Vec::new(),
             suspended_at: None,
         }
     }
@@ -80,11 +87,15 @@
     }
 
     fn end(&mut self, name: &str, kind: EndKind) {
-        let Some((run, _)) = self.runs.remove(name) else { return };
+        let Some((run, done_at)) = self.runs.remove(name) else { return };
         self.end_count += 1;
         let highest = self.highest_ended.entry(run.task.clone()).or_insert(0);
         *highest = (*highest).max(run.run);
-        self.unacked_ends.push(ListedEnd { number: self.end_count, run, kind });
+        let end = ListedEnd { number: self.end_count, run, kind };
+        if kind == EndKind::Done {
+            self.pending_done.push((end.clone(), done_at, false));
+        }
+        self.unacked_ends.push(end);
     }
 
     pub(crate) fn advance(&mut self, now: Instant) {
@@ -106,9 +117,18 @@
         }
         if expires_at <= now {
             self.lapsed_tasks.extend(self.unacked_ends.iter().map(|end| end.run.task.clone()));
+            self.pending_done.iter_mut().for_each(|(_, _, has_lapsed)| *has_lapsed = true);
         }
     }
 
+    /// Forgets the ends up to a number. Those that no lapse has voided count.
+    fn acknowledge(&mut self, acked: u64) {
+        self.unacked_ends.retain(|end| end.number > acked);
+        let ends = self.pending_done.extract_if(.., |(end, ..)| end.number <= acked);
+        let counted = ends.filter(|(_, _, has_lapsed)| !has_lapsed);
+        self.counted_done.extend(counted.map(|(end, at, _)| (end.run.task, at)));
+    }
+
     /// Executes a call; `run_time` is that of the run that it starts, if it starts one.
     pub(crate) fn handle_call(
         &mut self,
@@ -116,6 +136,7 @@
         call: &ServerCall,
         run_time: Duration,
     ) -> ServerAnswer {
+        self.advance(now);
         if call.instance != self.instance() {
             return ServerAnswer::Refused(StartRefusal::Gone);
         }
@@ -135,7 +156,7 @@
                 ServerAnswer::Done
             }
             ServerRequest::RenewLease { acked, .. } => {
-                self.unacked_ends.retain(|end| end.number > *acked);
+                self.acknowledge(*acked);
                 let running = self.runs.values().map(|(run, _)| run.clone()).collect();
                 ServerAnswer::Lists { running, ended: self.unacked_ends.clone() }
             }
