--- a/crates/cactuswing/src/roles/queue_entry.rs
+++ b/crates/cactuswing/src/roles/queue_entry.rs
@@ -18,6 +18,11 @@
 /// How long an agent may keep an entry's runs going after it sent the latest message
 /// that the entry acknowledged; shorter than a caller waits before it resubmits a job.
 const RUN_GRANT: Duration = Duration::from_millis(1_000);
+/// Time from when a drain has each request answered to its end, in which the answers are
+/// delivered; at most [`MAX_ANSWER_SHARE`] of the drain.
+const ANSWER_MARGIN: Duration = Duration::from_millis(400);
+/// Largest share of a drain that is left for delivering answers.
+const MAX_ANSWER_SHARE: f64 = 0.25;
 /// How long an agent's message waits for orders that acknowledge it.
 const REPLY_WAIT: Duration = Duration::from_millis(200);
 
@@ -93,6 +98,9 @@
     // One item in progress, the front: it sets the gate to 0 when its drain has
     // finished.
     context.gate.set(1);
+    let drain_limit = settings.drain_limit();
+    let answer_margin = ANSWER_MARGIN.min(drain_limit.mul_f64(MAX_ANSWER_SHARE));
+    let drain_clock = clock.clone();
     Ok(RunningRole {
         kernel,
         address,
@@ -101,12 +109,13 @@
         clock: clock.clone(),
         stop: StopSignal::default(),
         gate: context.gate,
-        drain_limit: settings.drain_limit(),
+        drain_limit,
         min_drain_time: Duration::ZERO,
         begin_drain: Box::new(move || {
             // While the ring is full, new calls are refused without this message,
             // and the drain limit ends the drain.
-            let _full = front.push(QueueFrontMessage::Drain);
+            let until = drain_clock.now() + (drain_limit - answer_margin);
+            let _full = front.push(QueueFrontMessage::Drain { until });
         }),
     })
 }
--- a/crates/decisions/src/schedule/job_admission.rs
+++ b/crates/decisions/src/schedule/job_admission.rs
@@ -207,6 +207,22 @@
         self.next_expiry = live.filter_map(|(id, live)| self.expires_at(id, live, slowness)).min();
     }
 
+    /// Handles the shutdown of an entry: no caller waits beyond `until`. What can't end by then
+    /// is refused or given up in time, as at the end of its caller's wait.
+    pub fn on_drain(&mut self, now: Instant, until: Instant) {
+        let waiters = self.live.values_mut().filter_map(|live| live.waiter.as_mut());
+        let mut callers = 0;
+        for waiter in waiters {
+            waiter.until = waiter.until.min(until);
+            callers += 1;
+        }
+        let left = until.saturating_duration_since(now);
+        let line = EventLine::new("callers_limited").with("callers", callers);
+        self.steps.push(ScheduleStep::Log(line.with("left_ms", left.as_millis())));
+        self.next_expiry = Some(now);
+        self.placement_due = true;
+    }
+
     fn log_expiry(&mut self, now: Instant, id: &JobId, started: bool) {
         let Some(live) = self.live.get(id) else { return };
         let waiting = self.waiting_path(id, live).unwrap_or_default();
--- a/crates/edges/src/caller_edge.rs
+++ b/crates/edges/src/caller_edge.rs
@@ -100,6 +100,7 @@
         while let Some(reply) = ring.next().await {
             context.calls.complete(reply.call, reply.answer);
         }
+        context.calls.abandon_all();
         drop(stop);
         let _ended = tokio::time::timeout(FLUSH_TIMEOUT, server).await;
     });
--- a/crates/edges/src/pending_calls.rs
+++ b/crates/edges/src/pending_calls.rs
@@ -58,6 +58,11 @@
         sender.is_some_and(|sender| sender.send(answer).is_ok())
     }
 
+    /// Ends the wait of all pending calls without a reply, when the process stops.
+    pub fn abandon_all(&self) {
+        self.lock().clear();
+    }
+
     /// Number of pending calls.
     pub fn len(&self) -> usize {
         self.lock().len()
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -570,6 +570,11 @@
         /// The call that submitted the job.
         call: CallId,
     },
+    /// The entry is shutting down; sent to an entry's scheduler only.
+    Drain {
+        /// Time by which each caller has to be answered.
+        until: std::time::Instant,
+    },
     /// A message of an agent.
     Agent {
         /// The agent's connection.
@@ -673,7 +678,10 @@
         at: std::time::Instant,
     },
     /// The process is shutting down.
-    Drain,
+    Drain {
+        /// Time by which each request has to be answered.
+        until: std::time::Instant,
+    },
 }
 
 /// Name of a host that is known by its address only: the text of its IP
--- a/crates/services/src/job_scheduling.rs
+++ b/crates/services/src/job_scheduling.rs
@@ -127,6 +127,7 @@
                 self.waiting_callers.swap_remove(&call);
                 self.scheduler.on_abandoned(now, call);
             }
+            SchedulingMessage::Drain { until } => self.scheduler.on_drain(now, until),
             SchedulingMessage::Agent { link, message } => {
                 self.scheduler.on_agent_message(now, link, &message);
             }
--- a/tests/queue_path.rs
+++ b/tests/queue_path.rs
@@ -14,9 +14,17 @@
 
 const JOB_ID: &str = "5c0e7a21d94b36f8";
 
-/// Starts a stub backend server that reports every run as done at once.
-/// Returns its address and the bodies of all start requests.
-fn start_stub_server() -> (SocketAddr, Arc<Mutex<Vec<Value>>>) {
+/// When the runs of a stub backend server end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum StubRuns {
+    /// They are done at once.
+    Done,
+    /// They never end.
+    Endless,
+}
+
+/// Starts a stub backend server. Returns its address and the bodies of all start requests.
+fn start_stub_server(runs: StubRuns) -> (SocketAddr, Arc<Mutex<Vec<Value>>>) {
     let started: Arc<Mutex<Vec<Value>>> = Arc::default();
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("free port");
     listener.set_nonblocking(true).expect("non-blocking mode");
@@ -37,9 +45,18 @@
                     let starts = hold_starts.lock().expect("lock is not poisoned").clone();
                     async move {
                         let acked = body["acked_upto"].as_u64().unwrap_or(0) as usize;
-                        if starts.len() <= acked {
+                        if starts.len() <= acked || runs == StubRuns::Endless {
                             tokio::time::sleep(Duration::from_millis(20)).await;
                         }
+                        if runs == StubRuns::Endless {
+                            let rows = starts
+                                .iter()
+                                .map(|start| json!([start["task"], start["run"], "", 100]));
+                            let running: Vec<Value> = rows.collect();
+                            return warp::reply::json(
+                                &json!({ "clock_ms": 1_000, "running": running, "ended": [] }),
+                            );
+                        }
                         let rows = starts.iter().enumerate().skip(acked).map(|(number, start)| {
                             json!([number + 1, start["task"], start["run"], "done", ""])
                         });
@@ -62,13 +79,13 @@
 }
 
 /// One control host, agent, entry and stub backend server.
-struct QueueSystem {
-    control: RunningRole,
-    agent: RunningRole,
-    entry: RunningRole,
-    operators: SocketAddr,
+pub(crate) struct QueueSystem {
+    pub(crate) control: RunningRole,
+    pub(crate) agent: RunningRole,
+    pub(crate) entry: RunningRole,
+    pub(crate) operators: SocketAddr,
     /// Bodies of the start requests that the backend server got.
-    started: Arc<Mutex<Vec<Value>>>,
+    pub(crate) started: Arc<Mutex<Vec<Value>>>,
 }
 
 /// Ports of the control host. They are fixed, as each test has a loopback
@@ -88,6 +105,17 @@
     /// Starts the system; `name` is of its data folder, `number` of its loopback
     /// address.
     fn start(name: &str, number: u8) -> QueueSystem {
+        QueueSystem::start_with(name, number, StubRuns::Done, 5_000)
+    }
+
+    /// Starts the system with a backend server of this kind, and an entry that drains for at
+    /// most `drain_limit_ms`.
+    pub(crate) fn start_with(
+        name: &str,
+        number: u8,
+        runs: StubRuns,
+        drain_limit_ms: u64,
+    ) -> QueueSystem {
         let clock: SharedClock = Arc::new(SystemClock);
         let folder = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
         let host = unique_address(number);
@@ -100,7 +128,7 @@
         });
         let control = read_control_settings(&control.to_string()).expect("valid settings");
         let control = start_control(&control, &clock).expect("control starts");
-        let (server, started) = start_stub_server();
+        let (server, started) = start_stub_server(runs);
         let agent = json!({
             "worker": "agent-1", "domain": "north", "rack": "r1", "listen": "127.0.0.1:0",
             "announce_listen": "127.0.0.1:0", "controls": seeds, "control_port": rpc,
@@ -110,7 +138,7 @@
         let agent = start_agent(&agent, &clock).expect("the agent starts");
         let entry = json!({
             "name": "entry-1", "domain": "north", "listen": "127.0.0.1:0", "controls": seeds,
-            "control_port": rpc, "drain_limit_ms": 5000,
+            "control_port": rpc, "drain_limit_ms": drain_limit_ms,
             "front": { "listen": "127.0.0.1:0", "ready": "127.0.0.1:0", "linger_ms": 1 }
         });
         let entry = read_entry_settings(&entry.to_string()).expect("valid settings");
@@ -120,7 +148,7 @@
 
     /// Repeats a call until it returns this status; panics after 400 attempts,
     /// which are at least 10 s.
-    async fn retry_until(
+    pub(crate) async fn retry_until(
         &self,
         status: u16,
         call: impl AsyncFn() -> Option<CallReply>,
@@ -135,12 +163,12 @@
     }
 
     /// Sends a PUT request to the operator interface of the control host.
-    async fn put(&self, path: &str, body: &Value) -> Option<CallReply> {
+    pub(crate) async fn put(&self, path: &str, body: &Value) -> Option<CallReply> {
         Caller::new().call("PUT", self.operators, path, &[], body.to_string()).await.ok()
     }
 
     /// Sends a heartbeat of the stub backend server to the agent.
-    async fn send_heartbeat(&self) -> Option<CallReply> {
+    pub(crate) async fn send_heartbeat(&self) -> Option<CallReply> {
         self.send_heartbeat_with("sequence", json!(1)).await
     }
 
@@ -170,7 +198,7 @@
     }
 }
 
-fn config_body(version: u64) -> Value {
+pub(crate) fn config_body(version: u64) -> Value {
     json!({
         "version": version,
         "routes": [{ "name": "r", "host": "a.example", "path_prefix": "/x/", "timeout_ms": 5000,
