--- a/crates/decisions/src/control/catalog_store.rs
+++ b/crates/decisions/src/control/catalog_store.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use model::{ConfigVersion, QueueCatalog};
+use model::{ConfigVersion, QueueCatalog, QueueId, QueueRule};
 use serde::{Deserialize, Serialize};
 
 /// Holds the catalog of queues in force.
@@ -25,6 +25,11 @@
         self.current.clone()
     }
 
+    /// Rule of a queue in the catalog in force.
+    pub fn rule(&self, queue: &QueueId) -> Option<&QueueRule> {
+        self.current.as_ref()?.queues.get(queue)
+    }
+
     /// Puts a catalog in force if its version is higher than the current one.
     /// Returns whether it did.
     pub fn set(&mut self, catalog: &Arc<QueueCatalog>) -> bool {
--- a/crates/decisions/src/control/job_store.rs
+++ b/crates/decisions/src/control/job_store.rs
@@ -4,14 +4,16 @@
 //! Invariants:
 //! - an id refers to the first job accepted under it, until that job is removed;
 //! - a job that ended never changes again;
-//! - a task that is done stays done, even if another run of it fails later.
+//! - a task that is done stays done, even if another run of it fails later;
+//! - the last rule of a queue is known for as long as there are jobs of it: an accepted job goes
+//!   on when its queue is taken out of the catalog.
 
 use std::sync::Arc;
 
 use indexmap::{IndexMap, IndexSet};
 use model::{
     Command, EndKind, EndedRun, JobId, JobPhase, JobRecord, LogRecord, NodeId, QueueCatalog,
-    QueuedJob, ScheduleState, TaskName, Term,
+    QueueId, QueueRule, QueuedJob, ScheduleState, TaskName, Term,
 };
 use serde::{Deserialize, Serialize};
 
@@ -54,6 +56,9 @@
     jobs: IndexMap<JobId, JobRecord>,
     registered: IndexSet<NodeId>,
     catalog: CatalogStore,
+    /// Rules of queues that are not in the catalog any more, and have jobs.
+    #[serde(default, skip_serializing_if = "IndexMap::is_empty")]
+    retired: IndexMap<QueueId, QueueRule>,
 }
 
 impl From<ScheduleState> for JobStore {
@@ -62,7 +67,8 @@
         if let Some(current) = &state.catalog {
             catalog.set(current);
         }
-        JobStore { jobs: state.jobs, registered: state.registered, catalog }
+        let ScheduleState { jobs, registered, retired, .. } = state;
+        JobStore { jobs, registered, catalog, retired }
     }
 }
 
@@ -73,9 +79,27 @@
             jobs: self.jobs.clone(),
             registered: self.registered.clone(),
             catalog: self.catalog.current(),
+            retired: self.retired.clone(),
         }
     }
 
+    /// Rule of a queue: the one in force, or the last one of a queue that was removed and still
+    /// has jobs.
+    pub fn rule(&self, queue: &QueueId) -> Option<&QueueRule> {
+        self.catalog.rule(queue).or_else(|| self.retired.get(queue))
+    }
+
+    /// Whether two names are of one queue: a queue may get another name at the place where
+    /// callers find it.
+    pub fn is_same_queue(&self, known: &QueueId, asked: &QueueId) -> bool {
+        let rules = self.rule(known).zip(self.rule(asked));
+        let is_same_place = |(known, asked): (&QueueRule, &QueueRule)| {
+            let is_same_host = known.host.eq_ignore_ascii_case(&asked.host);
+            is_same_host && known.path_prefix == asked.path_prefix
+        };
+        known == asked || rules.is_some_and(is_same_place)
+    }
+
     /// The catalog in force, if any.
     pub fn catalog(&self) -> Option<Arc<QueueCatalog>> {
         self.catalog.current()
@@ -106,7 +130,7 @@
     pub fn apply(&mut self, record: &LogRecord) -> JobChange {
         match &record.command {
             Command::SetCatalog { catalog } => {
-                if self.catalog.set(catalog) {
+                if self.replace_catalog(catalog) {
                     JobChange::Catalog
                 } else {
                     JobChange::None
@@ -127,6 +151,7 @@
             }
             Command::ForgetJobs { before_ms } => {
                 self.jobs.retain(|_, job| job.ended.is_none() || job.ended_ms >= *before_ms);
+                self.drop_unused_rules();
                 JobChange::None
             }
             _ => JobChange::None,
@@ -135,12 +160,37 @@
 
     /// Puts a catalog in force if its version is higher than the current one.
     pub fn set_catalog(&mut self, catalog: &Arc<QueueCatalog>) {
-        self.catalog.set(catalog);
+        self.replace_catalog(catalog);
+    }
+
+    /// Puts a catalog in force if it is newer, and keeps the rules of the queues that it lacks
+    /// and that have jobs. Returns whether it did.
+    fn replace_catalog(&mut self, catalog: &Arc<QueueCatalog>) -> bool {
+        let earlier = self.catalog.current();
+        if !self.catalog.set(catalog) {
+            return false;
+        }
+        let earlier = earlier.iter().flat_map(|earlier| &earlier.queues);
+        let removed = earlier.filter(|(queue, _)| !catalog.queues.contains_key(*queue));
+        self.retired.extend(removed.map(|(queue, rule)| (queue.clone(), rule.clone())));
+        self.drop_unused_rules();
+        true
+    }
+
+    /// Drops the rules of removed queues that are in the catalog again, or have no jobs.
+    fn drop_unused_rules(&mut self) {
+        if self.retired.is_empty() {
+            return;
+        }
+        let used: IndexSet<&QueueId> = self.jobs.values().map(|job| &job.queue).collect();
+        let (catalog, retired) = (&self.catalog, &mut self.retired);
+        retired.retain(|queue, _| used.contains(queue) && catalog.rule(queue).is_none());
     }
 
     /// Removes a job and its outcome.
     pub fn remove(&mut self, id: &JobId) {
         self.jobs.swap_remove(id);
+        self.drop_unused_rules();
     }
 
     fn change_registration(
@@ -223,20 +273,13 @@
                 runs.insert(end.run.run);
                 let failures = runs.len() as u32;
                 let is_done = record.is_done(task);
-                let max_attempts = self.max_attempts(&job)?;
+                let max_attempts = self.rule(&job.queue)?.max_attempts.max(1);
                 (failures >= max_attempts && !is_done).then_some(JobPhase::Failed)
             }
             EndKind::Stopped | EndKind::Lapsed => None,
         }
     }
 
-    /// Maximum number of attempts per task. `None`, which is no limit, if the queue
-    /// was removed from the catalog while it still had jobs.
-    fn max_attempts(&self, job: &QueuedJob) -> Option<u32> {
-        let catalog = self.catalog.current()?;
-        catalog.queues.get(&job.queue).map(|queue| queue.max_attempts.max(1))
-    }
-
     /// Whether all tasks of all steps that `step` depends on are done.
     pub fn is_step_ready(record: &JobRecord, job: &QueuedJob, step: model::StepIndex) -> bool {
         let Some(own) = job.steps.get(step as usize) else { return false };
--- a/crates/decisions/src/schedule/agent_search.rs
+++ b/crates/decisions/src/schedule/agent_search.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use model::{JobStep, NodeId, QueuedJob, ServiceId, StepIndex};
+use model::{JobStep, NodeId, QueueRule, QueuedJob, ServiceId, StepIndex};
 
 use super::agent_state::AgentState;
 use super::placement_round::{AgentClass, AgentDemand, Candidate, PlacementRound};
@@ -61,7 +61,7 @@
     }
 
     /// Agents that the tasks of a step may run on, and their urgency there; `None` if
-    /// the job has no such step or its queue is not in the catalog.
+    /// the job has no such step or its queue is unknown.
     pub(super) fn step_urgency(
         &mut self,
         now: Instant,
@@ -153,8 +153,12 @@
     }
 
     pub(super) fn service_of(&self, job: &QueuedJob) -> Option<ServiceId> {
-        let catalog = self.store.catalog()?;
-        catalog.queues.get(&job.queue).map(|queue| queue.service.clone())
+        self.rule_of(job).map(|rule| rule.service.clone())
+    }
+
+    /// Rule of a job's queue, which may have been removed since it was accepted.
+    pub(super) fn rule_of(&self, job: &QueuedJob) -> Option<&QueueRule> {
+        self.store.rule(&job.queue).or_else(|| self.volatile_store.rule(&job.queue))
     }
 
     /// Whether the agent runs fewer tasks of the step than the step's limit for
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -7,7 +7,7 @@
 use indexmap::{IndexMap, IndexSet};
 use model::{
     AgentOrders, CallId, Command, EntryHost, EventLine, Incarnation, JobCall, JobId, JobPhase,
-    JobRecord, JobReply, JobStep, LeaderHint, LinkId, LogRecord, NodeId, QueueCatalog,
+    JobRecord, JobReply, JobStep, LeaderHint, LinkId, LogRecord, NodeId, QueueCatalog, QueueId,
     ScheduleState, TaskName, Term, later, scaled,
 };
 
@@ -333,7 +333,9 @@
             JobCall::Submit { job, .. } => self.admit(now, job),
             JobCall::Cancel { queue, job } => match self.store.job(job) {
                 None => JobDecision::Reply(JobReply::UnknownJob),
-                Some(record) if record.queue != *queue => JobDecision::Reply(JobReply::UnknownJob),
+                Some(record) if !self.store.is_same_queue(&record.queue, queue) => {
+                    JobDecision::Reply(JobReply::UnknownJob)
+                }
                 Some(record) if record.ended.is_some() => JobDecision::Reply(JobReply::Cancelled),
                 Some(_) => JobDecision::Commit(Command::CancelJob { job: job.clone() }),
             },
@@ -343,8 +345,10 @@
     }
 
     /// Phase of a stored job; queued until a task is placed.
-    fn phase(&self, queue: &str, id: &JobId) -> JobReply {
-        let Some(record) = self.store.job(id).filter(|record| record.queue == queue) else {
+    fn phase(&self, queue: &QueueId, id: &JobId) -> JobReply {
+        let record = self.store.job(id);
+        let is_asked = |record: &&JobRecord| self.store.is_same_queue(&record.queue, queue);
+        let Some(record) = record.filter(is_asked) else {
             return JobReply::UnknownJob;
         };
         if let Some(phase) = record.ended {
@@ -355,8 +359,9 @@
     }
 
     /// Number of jobs of a queue of which no task is placed yet.
-    fn waiting(&self, queue: &str) -> JobReply {
-        let waits = |live: &&LiveJob| !live.started && live.job.queue == queue;
+    fn waiting(&self, queue: &QueueId) -> JobReply {
+        let is_asked = |live: &LiveJob| self.store.is_same_queue(&live.job.queue, queue);
+        let waits = |live: &&LiveJob| !live.started && is_asked(live);
         JobReply::Waiting(self.live.values().filter(waits).count() as u64)
     }
 
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -48,10 +48,9 @@
             self.steps.push(ScheduleStep::Log(line));
             return false;
         }
-        let catalog = self.store.catalog();
-        let queue = catalog.as_ref().and_then(|catalog| catalog.queues.get(&job.queue));
         let critical_path = job.critical_path();
-        let objective = queue.map_or(critical_path, |queue| queue.objective(critical_path));
+        let rule = self.rule_of(&job);
+        let objective = rule.map_or(critical_path, |rule| rule.objective(critical_path));
         let terms = self.term.unwrap_or_default().saturating_sub(record.accepted_term);
         let live = LiveJob {
             job,
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -28,7 +28,7 @@
     TaskIndex, Term,
 };
 use crate::leader_hint::LeaderHint;
-use crate::queue_catalog::QueueCatalog;
+use crate::queue_catalog::{QueueCatalog, QueueRule};
 use crate::queue_jobs::{EndKind, JobPhase, QueuedJob, ResourceAmount, TaskName, TaskRun};
 use crate::replica::LogRecord;
 
@@ -549,6 +549,8 @@
     pub registered: IndexSet<NodeId>,
     /// The catalog in force; `None` before the first.
     pub catalog: Option<Arc<QueueCatalog>>,
+    /// Rules of queues that are not in the catalog any more, and have jobs.
+    pub retired: IndexMap<QueueId, QueueRule>,
 }
 
 /// Messages to the scheduling duty.
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -307,6 +307,26 @@
         self.commit();
     }
 
+    /// Commits a catalog, which the entries learn of at once.
+    pub(crate) fn change_catalog(&mut self, catalog: QueueCatalog) {
+        let catalog = Arc::new(catalog);
+        self.commit_command(Command::SetCatalog { catalog: catalog.clone() });
+        for number in 1..self.schedulers.len() {
+            self.schedulers[number].scheduler.on_catalog(&catalog);
+            self.settle_scheduler(number);
+        }
+    }
+
+    /// Calls a scheduler about a job that it answers at once.
+    pub(crate) fn ask(&mut self, scheduler: usize, call: &JobCall) -> JobReply {
+        self.last_call += 1;
+        let id = self.last_call;
+        match self.schedulers[scheduler].scheduler.on_job_call(self.now, id, call) {
+            JobDecision::Reply(reply) => reply,
+            decision => panic!("{call:?} is not answered: {decision:?}"),
+        }
+    }
+
     /// Elects another leader, which knows only the committed state. Pending
     /// proposals are lost.
     pub(crate) fn change_leader(&mut self) {
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -77,6 +77,7 @@
 mod queue_routes;
 mod queued_calls;
 mod reborn_servers;
+mod removed_queues;
 mod replaced_host;
 mod request_path;
 mod resent_at_once;
