--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -238,6 +238,7 @@
         self.placements.insert(run.task.clone(), placed);
         if let Some(live) = self.live.get_mut(&run.task.job) {
             live.started = true;
+            live.begun = true;
             let last = live.last_runs.entry(run.task.clone()).or_insert(0);
             *last = (*last).max(run.run);
         }
@@ -395,6 +396,9 @@
             return false;
         };
         self.release_capacity(&placed);
+        if let Some(live) = self.live.get_mut(&run.task.job) {
+            live.begun = true;
+        }
         let seen = now.saturating_duration_since(placed.since);
         let ran = ran.unwrap_or(seen);
         self.report_delay.add_sample(seen.saturating_sub(ran));
--- a/crates/decisions/src/schedule/live_job.rs
+++ b/crates/decisions/src/schedule/live_job.rs
@@ -57,6 +57,9 @@
     pub(super) critical_path: Duration,
     /// Whether a task of the job is done or was placed.
     pub(super) started: bool,
+    /// Whether a run of the job is known to have begun. A start that was ordered may have been
+    /// refused.
+    pub(super) begun: bool,
     /// Steps whose dependencies are done and whose tasks were queued.
     pub(super) released_steps: IndexSet<u32>,
     /// Number of the latest run of each task that was placed or adopted.
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -51,6 +51,8 @@
     pub remote_factor: f64,
 }
 
+/// Time in which a start that a backend server does not accept is reported as refused.
+const REFUSAL_TIME: Duration = Duration::from_millis(500);
 /// Interval of the check for overdue runs while any task is placed.
 const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -340,11 +342,11 @@
                 Some(_) => JobDecision::Commit(Command::CancelJob { job: job.clone() }),
             },
             JobCall::Phase { queue, job } => JobDecision::Reply(self.phase(queue, job)),
-            JobCall::Waiting { queue } => JobDecision::Reply(self.waiting(queue)),
+            JobCall::Waiting { queue } => JobDecision::Reply(self.waiting(now, queue)),
         }
     }
 
-    /// Phase of a stored job; queued until a task is placed.
+    /// Phase of a stored job; queued until a task is placed that is not refused.
     fn phase(&self, queue: &QueueId, id: &JobId) -> JobReply {
         let record = self.store.job(id);
         let is_asked = |record: &&JobRecord| self.store.is_same_queue(&record.queue, queue);
@@ -354,14 +356,19 @@
         if let Some(phase) = record.ended {
             return JobReply::Phase(phase);
         }
-        let started = self.live.get(id).is_none_or(|live| live.started);
-        JobReply::Phase(if started { JobPhase::Running } else { JobPhase::Queued })
+        let is_placed = || self.placements.keys().any(|task| task.job == *id);
+        let has_begun = self.live.get(id).is_none_or(|live| live.begun || is_placed());
+        JobReply::Phase(if has_begun { JobPhase::Running } else { JobPhase::Queued })
     }
 
-    /// Number of jobs of a queue of which no task is placed yet.
-    fn waiting(&self, queue: &QueueId) -> JobReply {
+    /// Number of jobs of a queue of which no task has begun, as far as is known.
+    fn waiting(&self, now: Instant, queue: &QueueId) -> JobReply {
         let is_asked = |live: &LiveJob| self.store.is_same_queue(&live.job.queue, queue);
-        let waits = |live: &&LiveJob| !live.started && is_asked(live);
+        let placed = self.placements.iter();
+        let accepted = placed.filter(|(_, placed)| placed.since + REFUSAL_TIME <= now);
+        let accepted: IndexSet<&JobId> = accepted.map(|(task, _)| &task.job).collect();
+        let waits =
+            |live: &&LiveJob| !live.begun && !accepted.contains(&live.job.id) && is_asked(live);
         JobReply::Waiting(self.live.values().filter(waits).count() as u64)
     }
 
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -58,6 +58,7 @@
             since: now,
             critical_path,
             started: !record.done.is_empty(),
+            begun: !record.done.is_empty(),
             released_steps: IndexSet::new(),
             last_runs: IndexMap::new(),
             first_run: terms * RUNS_PER_TERM + 1,
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -418,6 +418,11 @@
         self.apply_run_steps(agent, steps);
     }
 
+    /// Makes a backend server refuse all starts as unhealthy, or accept them again.
+    pub(crate) fn set_shedding(&mut self, server: usize, sheds: bool) {
+        self.servers[server].sheds = sheds;
+    }
+
     /// Lets a backend server serve [`OTHER_SERVICE`] from now on.
     pub(crate) fn serve_other(&mut self, agent: usize) {
         self.other_servers.insert(agent);
--- a/tests/server_model.rs
+++ b/tests/server_model.rs
@@ -36,6 +36,8 @@
     pending_done: Vec<(ListedEnd, Instant, bool)>,
     /// Successful ends that count, since they were acknowledged under the same lease.
     pub(crate) counted_done: Vec<(TaskName, Instant)>,
+    /// Whether it refuses all starts as unhealthy.
+    pub(crate) sheds: bool,
     /// Since when its host is suspended.
     suspended_at: Option<Instant>,
 }
@@ -56,6 +58,7 @@
             lapsed_tasks: BTreeSet::new(),
             pending_done: Vec::new(),
             counted_done: Vec::new(),
+            sheds: false,
             suspended_at: None,
         }
     }
@@ -171,6 +174,9 @@
         run_time: Duration,
     ) -> ServerAnswer {
         let name = run.to_string();
+        if self.sheds {
+            return ServerAnswer::Refused(StartRefusal::Unhealthy);
+        }
         if self.runs.contains_key(&name) {
             return ServerAnswer::Done;
         }
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -95,4 +95,5 @@
 mod task_urgency;
 mod unclaimed_runs;
 mod unconfirmed_catalog;
+mod waiting_jobs;
 mod wide_jobs;
