--- a/tests/cut_agents.rs
+++ b/tests/cut_agents.rs
@@ -4,17 +4,12 @@
 
 use std::time::{Duration, Instant};
 
-use model::{
-    AgentOrder, AgentOrders, EndKind, JobPhase, ListedEnd, ResourceAmount, SchedulerKey,
-    ServerAnswer,
-};
+use model::{AgentOrder, EndKind, JobPhase, ListedEnd, ResourceAmount, SchedulerKey, ServerAnswer};
 
 use crate::agent_fixture::{AgentFixture, is_renewal, is_start, run};
+use crate::end_acks::{CONTROL_GRANT, CONTROL_SESSION, orders};
 use crate::schedule_model::{LEASE, ScheduleModel, job};
 
-const CONTROL_SESSION: u64 = 9;
-/// How long the agent keeps control's runs active without contact.
-const CONTROL_GRANT: Duration = Duration::from_secs(4);
 /// Tasks of the stored job.
 const TASKS: u32 = 6;
 /// Time between two best-effort jobs, for which entries give grants meanwhile.
@@ -87,23 +82,6 @@
     }
 }
 
-fn control_orders(agent: &mut AgentFixture, orders: Vec<AgentOrder>) {
-    let orders = AgentOrders {
-        term: 1,
-        received: 1,
-        grant_ms: CONTROL_GRANT.as_millis() as u64,
-        usage_interval_ms: 50,
-        ack: None,
-        orders,
-        claims: None,
-        entries: None,
-        controls: None,
-    };
-    let now = agent.now;
-    let steps = agent.table.on_orders(now, &SchedulerKey::Control, CONTROL_SESSION, now, orders);
-    agent.apply_steps(steps);
-}
-
 /// Lets time pass in which the entry gives grants and renewals are answered; returns when a
 /// renewal was sent and until when it lets runs stay active, of those that do.
 fn extended_leases(agent: &mut AgentFixture, time: Duration) -> Vec<(Instant, Instant)> {
@@ -130,7 +108,10 @@
     agent.apply_steps(steps);
     let size = ResourceAmount { cpu_milli: 100, memory_mb: 1, accelerators: 0 };
     let (life, spec) = ("i-1/7".into(), "work".to_owned());
-    control_orders(&mut agent, vec![AgentOrder::Start { life, runs: vec![run()], spec, size }]);
+    let start = orders(None, vec![AgentOrder::Start { life, runs: vec![run()], spec, size }]);
+    let now = agent.now;
+    let steps = agent.table.on_orders(now, &SchedulerKey::Control, CONTROL_SESSION, now, start);
+    agent.apply_steps(steps);
     let start = agent.take_call(is_start).expect("the run is started");
     agent.answer(&start, ServerAnswer::Done);
     agent.advance(Duration::from_millis(20));
--- a/tests/end_acks.rs
+++ b/tests/end_acks.rs
@@ -10,14 +10,16 @@
 
 use crate::agent_fixture::{AgentFixture, entry, is_renewal, is_start, run};
 
-const CONTROL_SESSION: u64 = 9;
+pub(crate) const CONTROL_SESSION: u64 = 9;
+/// How long the agent keeps control's runs active without contact.
+pub(crate) const CONTROL_GRANT: Duration = Duration::from_secs(4);
 
-/// Orders with an acknowledgement of the first end of the agent's backend server.
-fn orders(upto: Option<u64>, orders: Vec<AgentOrder>) -> AgentOrders {
+/// Control's orders with an acknowledgement of the first end of the agent's backend server.
+pub(crate) fn orders(upto: Option<u64>, orders: Vec<AgentOrder>) -> AgentOrders {
     AgentOrders {
         term: 1,
         received: 1,
-        grant_ms: 4_000,
+        grant_ms: CONTROL_GRANT.as_millis() as u64,
         usage_interval_ms: 50,
         ack: upto.map(|upto| EndAck { life: "i-1/7".into(), upto }),
         orders,
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -838,11 +838,9 @@
     /// Checks that no task of a stored job has started after a successful end that counts: it
     /// was acknowledged under the lease in which the run ended, then or later.
     fn check_counted(&mut self, server: usize) {
-        for server in &mut self.servers[server..=server] {
-            for (task, ended_at) in std::mem::take(&mut server.counted_done) {
-                let earliest = self.counted_done.entry(task).or_insert(ended_at);
-                *earliest = ended_at.min(*earliest);
-            }
+        for (task, ended_at) in std::mem::take(&mut self.servers[server].counted_done) {
+            let earliest = self.counted_done.entry(task).or_insert(ended_at);
+            *earliest = ended_at.min(*earliest);
         }
         for (task, ended_at) in &self.counted_done {
             let started = self.latest_starts.get(task);
@@ -934,9 +932,8 @@
         }
     }
 
-    /// Runs a round of 30 ms in which an agent's host is suspended, and the others run
-    /// without faults.
-    pub(crate) fn step_beside(&mut self, suspended: usize) {
+    /// Runs a round of 30 ms without faults, but that an agent's host is suspended.
+    pub(crate) fn step_suspended(&mut self, suspended: usize) {
         self.run_round(|agent| agent == suspended);
     }
 
@@ -944,6 +941,8 @@
         self.run_round_with(is_suspended, |_, _| false);
     }
 
+    /// Runs a round. `is_suspended` is of an agent's host, `is_cut` of the connection between a
+    /// scheduler and an agent.
     fn run_round_with(
         &mut self,
         is_suspended: impl Fn(usize) -> bool,
--- a/tests/suspended_hosts.rs
+++ b/tests/suspended_hosts.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use kernel::{BootTimeline, Clock, SystemClock};
-use model::{AgentOrder, JobPhase, ResourceAmount, ServerAnswer};
+use model::{AgentOrder, JobPhase, ResourceAmount, RunUpdate, ServerAnswer};
 use rustix::time::{ClockId, clock_gettime};
 
 use crate::agent_fixture::{AgentFixture, GRANT, is_renewal, is_start, run};
@@ -89,7 +89,7 @@
     agent.advance(LEASE / 2);
     assert_eq!(agent.updates, []);
     agent.advance(LEASE);
-    assert!(agent.updates.contains(&model::RunUpdate::lapsed(run())), "{:?}", agent.updates);
+    assert!(agent.updates.contains(&RunUpdate::lapsed(run())), "{:?}", agent.updates);
 }
 
 // Guards against a call whose lease counts the time in which the server's clock stood still:
@@ -117,7 +117,7 @@
     model.suspend_host(0);
     let until = model.now + suspension;
     while model.now < until {
-        model.step_beside(0);
+        model.step_suspended(0);
     }
     model.resume_host(0);
     model.run_fault_free(150);
