Count grants of claims by kind, with their waits, in schedule_load

Cause: entries logged only grants that took 0.1 s or more, without the kind, so a slow start could not be told apart as one passed on in place of an agent that is gone, or as one placed blindly. Change: schedule_load has first_grants and passed_on_grants, each with mean and longest wait, and confirm_requests; claim_granted says whether it was passed on.

--- a/crates/decisions/src/schedule/job_claims.rs
+++ b/crates/decisions/src/schedule/job_claims.rs
@@ -88,6 +88,8 @@
     is_declined: bool,
     /// Number of agents that could not, since the claim was last granted.
     declines: usize,
+    /// Whether it was last asked for in place of an agent that comes first.
+    is_passed_on: bool,
     /// Tasks whose runs may still be active although the job has ended.
     stopping: Vec<TaskName>,
 }
@@ -225,6 +227,7 @@
                     asked_at: now,
                     is_declined: false,
                     declines: 0,
+                    is_passed_on: false,
                     stopping: Vec::new(),
                 };
                 self.claims.claims.insert(job.clone(), claim);
@@ -397,10 +400,11 @@
         claim.is_declined = false;
         let is_running = claim.phase == ClaimPhase::Unconfirmed;
         let is_confirmed = claim.confirmed_to.is_some();
-        self.claims.require_check(now + CLAIM_TIMEOUT);
         let rank = claim_rank(job, &agent);
         let mut known = self.agents.keys().chain(self.claims.departed.keys());
         let is_passed_on = is_confirmed || known.any(|other| claim_rank(job, other) > rank);
+        claim.is_passed_on = is_passed_on;
+        self.claims.require_check(now + CLAIM_TIMEOUT);
         if let Some(state) = self.agents.get_mut(&agent) {
             let orders = &mut state.claim_outbox;
             let list = match (is_running, is_passed_on) {
@@ -494,14 +498,19 @@
                 claim.set_keeper(agent);
             }
         }
-        let since = claim.since;
+        let (since, is_passed_on) = (claim.since, claim.is_passed_on);
         if self.claims.agent_connected_at.is_some_and(|at| at >= since) {
             self.list_granted(agent, job);
         }
         let waited = now.saturating_duration_since(since);
+        match is_passed_on {
+            true => self.counts.passed_on_grants.add(waited),
+            false => self.counts.first_grants.add(waited),
+        }
         if waited >= CLAIM_TIMEOUT {
             let line = EventLine::new("claim_granted").with("job", job).with("agent", agent);
             let line = line.with("waited_ms", waited.as_millis());
+            let line = line.with("passed_on", is_passed_on);
             self.steps.push(ScheduleStep::Log(line));
         }
         self.release_steps(job);
@@ -565,6 +574,7 @@
     /// Confirms that no run of a job is active here, at once or when its runs have been
     /// stopped. Under a claim that no agent has granted yet there are none.
     fn on_confirm_request(&mut self, now: Instant, agent: &NodeId, job: &JobId) {
+        self.counts.confirm_requests += 1;
         self.claims.note_confirm(now, agent, job);
         let Some(claim) = self.claims.claims.get_mut(job) else {
             return self.release_claim_at(agent, job, true);
@@ -589,6 +599,7 @@
         claim.phase = ClaimPhase::Contended;
         claim.asked.push(agent.clone());
         claim.asked_at = now;
+        claim.is_passed_on = true;
         if let Some(state) = self.agents.get_mut(agent) {
             state.claim_outbox.passed_on.push(job.clone());
             self.due_agents.insert(agent.clone());
--- a/crates/decisions/src/schedule/load_counts.rs
+++ b/crates/decisions/src/schedule/load_counts.rs
@@ -1,5 +1,32 @@
 //! Counts what a scheduler did, for the periodic log line about its load.
 
+use std::time::Duration;
+
+/// Claims of one kind that were granted, and how long their jobs waited for that.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct GrantCounts {
+    /// Number of claims.
+    pub claims: u64,
+    /// Sum of the waits.
+    pub waited: Duration,
+    /// Longest wait.
+    pub longest: Duration,
+}
+
+impl GrantCounts {
+    /// Counts a claim that was granted after this wait.
+    pub(super) fn add(&mut self, waited: Duration) {
+        self.claims += 1;
+        self.waited += waited;
+        self.longest = self.longest.max(waited);
+    }
+
+    /// Mean wait; zero without a claim.
+    pub fn mean_wait(&self) -> Duration {
+        self.waited / self.claims.clamp(1, u64::from(u32::MAX)) as u32
+    }
+}
+
 /// Work of a scheduler since the counts were last taken.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct LoadCounts {
@@ -21,4 +48,10 @@
     pub unreserved: u64,
     /// Steps that counted as late at the time they were queued.
     pub late_queued: u64,
+    /// Claims that the agent which comes first for their job has granted.
+    pub first_grants: GrantCounts,
+    /// Claims that were granted in place of agents that come first for their job.
+    pub passed_on_grants: GrantCounts,
+    /// Requests of agents to confirm that no run of a job is active.
+    pub confirm_requests: u64,
 }
--- a/crates/decisions/src/schedule/mod.rs
+++ b/crates/decisions/src/schedule/mod.rs
@@ -39,7 +39,7 @@
 mod task_urgency;
 
 pub use agent_state::AgentState;
-pub use load_counts::LoadCounts;
+pub use load_counts::{GrantCounts, LoadCounts};
 pub use report_delay::ReportDelay;
 pub use scheduler::{JobDecision, ScheduleLimits, ScheduleStep, Scheduler, SchedulerKind};
 pub use speed_estimate::SpeedEstimate;
--- a/crates/services/src/load_meter.rs
+++ b/crates/services/src/load_meter.rs
@@ -120,7 +120,14 @@
             .with("overdue", counts.overdue)
             .with("too_late", counts.too_late)
             .with("unreserved", counts.unreserved)
-            .with("late_queued", counts.late_queued);
+            .with("late_queued", counts.late_queued)
+            .with("first_grants", counts.first_grants.claims)
+            .with("first_grant_ms", counts.first_grants.mean_wait().as_millis())
+            .with("max_first_grant_ms", counts.first_grants.longest.as_millis())
+            .with("passed_on_grants", counts.passed_on_grants.claims)
+            .with("passed_on_grant_ms", counts.passed_on_grants.mean_wait().as_millis())
+            .with("max_passed_on_grant_ms", counts.passed_on_grants.longest.as_millis())
+            .with("confirm_requests", counts.confirm_requests);
         *self = LoadMeter::new(now);
         Some(line)
     }
