--- a/crates/decisions/src/agent/claim_table.rs
+++ b/crates/decisions/src/agent/claim_table.rs
@@ -11,17 +11,20 @@
 //!   asked to release it, and it is granted once all have, or their runs are over. That is
 //!   so for a claim that another agent may have kept, and for all claims at an agent that
 //!   has not yet outlived the runs from before its start;
+//! - an entry that has given up all agents which come first for a job has listed here what it
+//!   runs, so it need not be asked;
 //! - an entry that has released a claim on such a request has the agent that sent it decide
 //!   on its next claim to that job.
 
 use std::time::{Duration, Instant};
 
-use indexmap::{IndexMap, IndexSet};
-use model::{ClaimOrders, ClaimUpdate, Incarnation, JobId, SchedulerKey};
+use indexmap::IndexMap;
+use model::{ClaimOrders, ClaimUpdate, Incarnation, JobId, NodeId, SchedulerKey};
 use strum::Display;
 
-use super::claim_entries::{ClaimEntries, StartPhase};
+use super::claim_entries::{ClaimEntries, EntryContact, GrantBasis, PassedOver, StartPhase};
 use super::scheduler_session::UpdateUrgency;
+use crate::claim_order::claim_rank;
 
 /// Why an entry has the claim to a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -29,6 +32,8 @@
 pub(super) enum GrantCause {
     /// It asked this agent first, and no other entry had the claim.
     Claimed,
+    /// All entries have given up the agents that come first.
+    Succeeded,
     /// All other entries have released the claim, or their runs are over.
     Confirmed,
     /// It listed the claim as its own.
@@ -51,8 +56,8 @@
 enum GrantState {
     /// It may run the job.
     Granted(GrantCause),
-    /// These entries have released the claim; the others may hold it.
-    Confirming(IndexSet<SchedulerKey>),
+    /// Other entries may hold it, but for those that are settled by this.
+    Confirming(GrantBasis),
 }
 
 /// The claim to one job.
@@ -82,6 +87,8 @@
 /// The claims that an agent keeps, by job.
 #[derive(Debug, Clone)]
 pub(super) struct ClaimTable {
+    /// Name of this agent.
+    agent: NodeId,
     claims: IndexMap<JobId, KeptClaim>,
     entries: ClaimEntries,
 }
@@ -134,32 +141,43 @@
 
 impl ClaimTable {
     /// Creates claims at an agent that starts now.
-    pub(super) fn new(now: Instant) -> ClaimTable {
-        ClaimTable { claims: IndexMap::new(), entries: ClaimEntries::new(now) }
+    pub(super) fn new(now: Instant, agent: NodeId) -> ClaimTable {
+        ClaimTable { agent, claims: IndexMap::new(), entries: ClaimEntries::new(now) }
     }
 
-    /// Handles an entry's message; `grant` is how long its runs stay active without another
-    /// one. Returns the updates that follow.
+    /// Handles a new connection to an entry.
+    pub(super) fn on_opened(&mut self, scheduler: &SchedulerKey) {
+        self.entries.on_opened(scheduler);
+    }
+
+    /// Handles any message of an entry.
+    pub(super) fn on_contact(&mut self, scheduler: &SchedulerKey, contact: EntryContact) {
+        self.entries.on_contact(scheduler, contact);
+    }
+
+    /// Handles an entry's message about claims. Returns the updates that follow.
     pub(super) fn on_orders(
         &mut self,
         now: Instant,
         scheduler: &SchedulerKey,
-        grant: Duration,
+        contact: EntryContact,
         orders: ClaimOrders,
     ) -> Vec<ClaimNotice> {
         let claimant = Claimant { scheduler: scheduler.clone(), incarnation: orders.incarnation };
         let up_time = Duration::from_millis(orders.up_ms.unwrap_or_default());
-        let is_restarted = self.entries.on_orders(now, &claimant, grant, up_time);
+        let is_restarted = self.entries.on_orders(now, &claimant, contact, up_time);
         let mut notices = Vec::new();
         if orders.is_first {
             notices.extend(self.release_unlisted(now, &claimant, &orders.held));
         }
+        let readmitted = self.entries.on_given_up(scheduler, &orders);
         for job in orders.held {
             let is_new = !orders.is_first && !self.claims.contains_key(&job);
             notices.extend(self.restore(job.clone(), &claimant));
             if let Some(claim) = self.claims.get_mut(&job).filter(|_| is_new) {
                 claim.is_substitute = true;
-                notices.extend(ask_others_to_confirm(&self.entries, &job, claim));
+                let basis = GrantBasis::unknown();
+                notices.extend(ask_to_confirm(&self.entries, now, &job, claim, &basis));
             }
         }
         for job in orders.confirmed {
@@ -169,14 +187,22 @@
             notices.extend(self.release(now, &job, &claimant));
         }
         for job in orders.claimed {
-            let is_first_choice = self.entries.phase() == StartPhase::RunsKnown;
-            notices.extend(self.claim(now, job, &claimant, is_first_choice));
+            let passed_over = match self.entries.phase() {
+                StartPhase::RunsKnown => self.entries.passed_over(&job, &self.agent, scheduler),
+                StartPhase::RunsUnknown => PassedOver::Unknown,
+            };
+            notices.extend(self.claim(now, job, &claimant, passed_over));
         }
         for job in orders.passed_on {
-            notices.extend(self.claim(now, job, &claimant, false));
+            notices.extend(self.claim(now, job, &claimant, PassedOver::Unknown));
         }
         if orders.is_first {
-            notices.extend(self.ask_to_confirm(&claimant, is_restarted));
+            notices.extend(self.ask_connected(now, &claimant, is_restarted));
+        }
+        notices.extend(self.ask_readmitting(&claimant, &readmitted));
+        if let Some(revision) = orders.revision {
+            let update = ClaimUpdate::FollowsGiveUps { revision };
+            notices.push(untargeted(scheduler, update, UpdateUrgency::Eventually));
         }
         notices
     }
@@ -198,7 +224,12 @@
     /// Asks an entry that has connected to confirm what is being granted to others. A
     /// process that has just started is also told of the claims which others hold here
     /// although other agents come first.
-    fn ask_to_confirm(&mut self, entry: &Claimant, is_restarted: bool) -> Vec<ClaimNotice> {
+    fn ask_connected(
+        &mut self,
+        now: Instant,
+        entry: &Claimant,
+        is_restarted: bool,
+    ) -> Vec<ClaimNotice> {
         let mut notices = Vec::new();
         for (job, claim) in &mut self.claims {
             let is_holder = claim.holder.scheduler == entry.scheduler;
@@ -206,11 +237,13 @@
                 continue;
             }
             let is_due = match &mut claim.state {
-                GrantState::Confirming(confirmed) if is_restarted => {
-                    confirmed.swap_remove(&entry.scheduler);
+                GrantState::Confirming(basis) if is_restarted => {
+                    basis.confirmed.swap_remove(&entry.scheduler);
                     true
                 }
-                GrantState::Confirming(confirmed) => !confirmed.contains(&entry.scheduler),
+                GrantState::Confirming(basis) => {
+                    self.entries.must_confirm(now, &entry.scheduler, basis)
+                }
                 GrantState::Granted(_) => is_restarted && claim.is_substitute,
             };
             if is_due && self.entries.phase() == StartPhase::RunsKnown {
@@ -220,6 +253,25 @@
         notices
     }
 
+    /// Tells an entry that is going to ask agents again of the claims that others have been
+    /// granted here in their place.
+    fn ask_readmitting(&self, entry: &Claimant, readmitted: &[NodeId]) -> Vec<ClaimNotice> {
+        let mut notices = Vec::new();
+        if readmitted.is_empty() || self.entries.phase() == StartPhase::RunsUnknown {
+            return notices;
+        }
+        for (job, claim) in &self.claims {
+            let is_own =
+                claim.holder.scheduler == entry.scheduler || claim.next.as_ref() == Some(entry);
+            let rank = claim_rank(job, &self.agent);
+            let mut before = readmitted.iter().filter(|agent| claim_rank(job, agent) > rank);
+            if !is_own && claim.is_substitute && before.next().is_some() {
+                notices.push(claim.notice(entry, ClaimUpdate::Confirm { job: job.clone() }));
+            }
+        }
+        notices
+    }
+
     /// Restores a claim. Another entry that was granted the claim meanwhile goes first. One
     /// that is new here was granted by another agent: the other entries are to ask here.
     fn restore(&mut self, job: JobId, holder: &Claimant) -> Vec<ClaimNotice> {
@@ -240,20 +292,16 @@
         claim.notices(&job, StartPhase::RunsKnown)
     }
 
-    /// Handles a claim; `is_first_choice` is whether this agent knows that no other entry
-    /// holds it unless it is kept here.
+    /// Handles a claim, for which these agents were passed over.
     fn claim(
         &mut self,
         now: Instant,
         job: JobId,
         claimant: &Claimant,
-        is_first_choice: bool,
+        passed_over: PassedOver,
     ) -> Vec<ClaimNotice> {
         let Some(claim) = self.claims.get_mut(&job) else {
-            return match is_first_choice {
-                true => self.grant_new(job, claimant),
-                false => self.confirm_new(now, job, claimant),
-            };
+            return self.claim_new(now, job, claimant, passed_over);
         };
         let mut replaced = None;
         if claim.holder == *claimant {
@@ -266,40 +314,51 @@
         recalled.into_iter().chain(claim.notices(&job, self.entries.phase())).collect()
     }
 
-    fn grant_new(&mut self, job: JobId, claimant: &Claimant) -> Vec<ClaimNotice> {
-        let claim = KeptClaim::granted(claimant.clone(), GrantCause::Claimed);
-        let notices = claim.notices(&job, StartPhase::RunsKnown);
-        self.claims.insert(job, claim);
-        notices
-    }
-
-    /// Begins to ask the other entries for the claim that one of them may hold.
-    fn confirm_new(&mut self, now: Instant, job: JobId, claimant: &Claimant) -> Vec<ClaimNotice> {
+    /// Grants a claim that is not known here, or begins to ask the other entries that may hold
+    /// it.
+    fn claim_new(
+        &mut self,
+        now: Instant,
+        job: JobId,
+        claimant: &Claimant,
+        passed_over: PassedOver,
+    ) -> Vec<ClaimNotice> {
+        let requests = self.entries.take_requests(&claimant.scheduler, &passed_over);
+        let is_substitute = passed_over != PassedOver::GivenUp(Vec::new());
+        let basis = GrantBasis::over(passed_over);
         let claim = KeptClaim {
-            state: GrantState::Confirming(IndexSet::new()),
-            is_substitute: true,
+            state: GrantState::Confirming(basis.clone()),
+            is_substitute,
             ..KeptClaim::granted(claimant.clone(), GrantCause::Confirmed)
         };
         let phase = self.entries.phase();
-        let mut notices = match phase {
+        let questions = match phase {
             StartPhase::RunsUnknown => Vec::new(),
-            StartPhase::RunsKnown => ask_others_to_confirm(&self.entries, &job, &claim),
+            StartPhase::RunsKnown => ask_to_confirm(&self.entries, now, &job, &claim, &basis),
         };
         let waits = claim.notices(&job, phase);
         self.claims.insert(job.clone(), claim);
         let granted = self.grant_confirmed(now, &job);
-        notices.extend(if granted.is_empty() { waits } else { granted });
+        let mut notices = if granted.is_empty() { waits } else { granted };
+        notices.extend(questions);
+        notices.extend(requests.into_iter().map(|(scheduler, agent)| {
+            untargeted(&scheduler, ClaimUpdate::GiveUp { agent }, UpdateUrgency::WithOthers)
+        }));
         notices
     }
 
     /// Grants a claim if no other entry can have active runs of the job.
     fn grant_confirmed(&mut self, now: Instant, job: &JobId) -> Vec<ClaimNotice> {
         let Some(claim) = self.claims.get_mut(job) else { return Vec::new() };
-        let GrantState::Confirming(confirmed) = &claim.state else { return Vec::new() };
-        if !self.entries.are_released(now, &claim.holder.scheduler, confirmed) {
+        let GrantState::Confirming(basis) = &claim.state else { return Vec::new() };
+        if !self.entries.are_released(now, &claim.holder.scheduler, basis) {
             return Vec::new();
         }
-        claim.state = GrantState::Granted(GrantCause::Confirmed);
+        claim.state = GrantState::Granted(match (&basis.passed_over, claim.is_substitute) {
+            (PassedOver::GivenUp(_), false) => GrantCause::Claimed,
+            (PassedOver::GivenUp(_), true) if basis.confirmed.is_empty() => GrantCause::Succeeded,
+            _ => GrantCause::Confirmed,
+        });
         claim.notices(job, StartPhase::RunsKnown)
     }
 
@@ -315,8 +374,8 @@
     /// Handles an entry's answer that it has no active run of a job.
     fn confirm(&mut self, now: Instant, job: &JobId, entry: &Claimant) -> Vec<ClaimNotice> {
         let Some(claim) = self.claims.get_mut(job) else { return Vec::new() };
-        if let GrantState::Confirming(confirmed) = &mut claim.state {
-            confirmed.insert(entry.scheduler.clone());
+        if let GrantState::Confirming(basis) = &mut claim.state {
+            basis.confirmed.insert(entry.scheduler.clone());
         }
         self.grant_confirmed(now, job)
     }
@@ -335,17 +394,22 @@
                 *granted = cause;
                 claim.notices(job, StartPhase::RunsKnown)
             }
-            GrantState::Confirming(confirmed) => {
-                confirmed.insert(former.scheduler);
-                self.grant_confirmed(now, job)
+            GrantState::Confirming(basis) => {
+                basis.confirmed.insert(former.scheduler);
+                // The next claimant may have passed over others.
+                basis.passed_over = PassedOver::Unknown;
+                let basis = basis.clone();
+                let questions = ask_to_confirm(&self.entries, now, job, claim, &basis);
+                let granted = self.grant_confirmed(now, job);
+                if granted.is_empty() { questions } else { granted }
             }
         }
     }
 
     /// Handles the loss of an entry's connection: its runs are over at `free_at`, unless
     /// it comes back.
-    pub(super) fn on_closed(&mut self, scheduler: &SchedulerKey, free_at: Instant) {
-        self.entries.on_closed(scheduler, free_at);
+    pub(super) fn on_closed(&mut self, now: Instant, scheduler: &SchedulerKey, free_at: Instant) {
+        self.entries.on_closed(now, scheduler, free_at);
         for claim in self.claims.values_mut() {
             claim.next.take_if(|next| next.scheduler == *scheduler);
             if claim.holder.scheduler == *scheduler {
@@ -359,10 +423,11 @@
     pub(super) fn on_tick(&mut self, now: Instant) -> Vec<ClaimNotice> {
         let mut notices = Vec::new();
         if self.entries.on_tick(now) == Some(StartPhase::RunsKnown) {
-            let confirming = self.claims.iter().filter(|(_, claim)| !claim.is_granted());
-            let requests = confirming
-                .flat_map(|(job, claim)| ask_others_to_confirm(&self.entries, job, claim));
-            notices.extend(requests);
+            for (job, claim) in &self.claims {
+                if let GrantState::Confirming(basis) = &claim.state {
+                    notices.extend(ask_to_confirm(&self.entries, now, job, claim, basis));
+                }
+            }
         }
         let claims = self.claims.iter();
         let due = claims.filter(|(_, claim)| match claim.free_at {
@@ -389,18 +454,27 @@
     }
 }
 
-/// Asks all connected entries but the holder to confirm that they don't run a job.
-fn ask_others_to_confirm(
+/// Asks the connected entries that may run a job to confirm that they don't.
+fn ask_to_confirm(
     entries: &ClaimEntries,
+    now: Instant,
     job: &JobId,
     claim: &KeptClaim,
+    basis: &GrantBasis,
 ) -> Vec<ClaimNotice> {
-    let others = entries.connected().filter(|other| **other != claim.holder.scheduler);
-    let request = |other: &SchedulerKey| ClaimNotice {
-        scheduler: other.clone(),
-        update: ClaimUpdate::Confirm { job: job.clone() },
-        cause: None,
-        urgency: UpdateUrgency::WithOthers,
+    let asked = entries.unsettled(now, &claim.holder.scheduler, basis);
+    let request = |other: &SchedulerKey| {
+        let update = ClaimUpdate::Confirm { job: job.clone() };
+        untargeted(other, update, UpdateUrgency::WithOthers)
     };
-    others.map(request).collect()
+    asked.map(request).collect()
+}
+
+/// An update that is not about the scheduler's own claim.
+fn untargeted(
+    scheduler: &SchedulerKey,
+    update: ClaimUpdate,
+    urgency: UpdateUrgency,
+) -> ClaimNotice {
+    ClaimNotice { scheduler: scheduler.clone(), update, cause: None, urgency }
 }
--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -28,12 +28,13 @@
     SessionId, StartRefusal, TaskRun, is_reachable_term,
 };
 
+use super::claim_entries::EntryContact;
 use super::claim_table::{ClaimNotice, ClaimTable, GrantCause};
 use super::pause_watch::PauseWatch;
 use super::scheduler_session::{SchedulerSession, UpdateUrgency};
 use super::server_heartbeats::Candidate;
 use super::server_life::{OwnedUpdate, RunPhase, ServerLife};
-use crate::run_bounds::{MAX_CLOCK_DRIFT_RATIO, contact_timeout};
+use crate::run_bounds::{MAX_CLOCK_DRIFT_RATIO, contact_timeout, give_up_timeout};
 
 /// Timing parameters of a run table.
 #[derive(Debug, Clone, Copy)]
@@ -99,6 +100,7 @@
         limits: RunLimits,
     ) -> RunTable {
         RunTable {
+            claims: ClaimTable::new(now, agent.clone()),
             agent,
             incarnation,
             limits,
@@ -108,7 +110,6 @@
             life: None,
             candidate: None,
             schedulers: IndexMap::new(),
-            claims: ClaimTable::new(now),
             fence: incarnation,
             steps: Vec::new(),
         }
@@ -196,11 +197,16 @@
         let life = self.life.as_ref();
         let mut updates = life.map(|life| life.unacked_of(&scheduler)).unwrap_or_default();
         let is_entry = scheduler != SchedulerKey::Control;
+        self.claims.on_opened(&scheduler);
         let known = self.schedulers.entry(scheduler).or_default();
         let kept_ends = known.take_kept_ends();
         // Those for control are unacknowledged ends of the life.
         updates.extend(kept_ends.into_iter().filter(|_| is_entry));
         known.open(session, updates);
+        if is_entry {
+            let follows = ClaimUpdate::FollowsGiveUps { revision: 0 };
+            known.add_claim_update(now, follows, UpdateUrgency::AtOnce);
+        }
         self.finish(now)
     }
 
@@ -216,7 +222,7 @@
             && known.close(session)
         {
             let timeout = contact_timeout(known.grant, self.limits.lease);
-            self.claims.on_closed(scheduler, now + timeout);
+            self.claims.on_closed(now, scheduler, now + timeout);
         }
         self.finish(now)
     }
@@ -277,9 +283,12 @@
         if let Some(entries) = orders.entries {
             self.steps.push(RunStep::Connect(entries));
         }
+        let grant = Duration::from_millis(orders.grant_ms);
+        let known_until = sent_at + give_up_timeout(grant, self.limits.lease);
+        let contact = EntryContact { grant, known_until };
+        self.claims.on_contact(scheduler, contact);
         if let Some(claims) = orders.claims {
-            let grant = Duration::from_millis(orders.grant_ms);
-            let notices = self.claims.on_orders(now, scheduler, grant, *claims);
+            let notices = self.claims.on_orders(now, scheduler, contact, *claims);
             self.notify_claims(now, notices);
         }
         for order in orders.orders {
@@ -316,7 +325,9 @@
     /// Queues claim updates for their schedulers.
     fn notify_claims(&mut self, now: Instant, notices: Vec<ClaimNotice>) {
         for ClaimNotice { scheduler, update, cause, urgency } in notices {
-            self.steps.push(RunStep::Log(claim_line(&scheduler, &update, cause)));
+            if let Some(line) = claim_line(&scheduler, &update, cause) {
+                self.steps.push(RunStep::Log(line));
+            }
             if let Some(session) = self.schedulers.get_mut(&scheduler) {
                 session.add_claim_update(now, update, urgency);
             }
@@ -465,12 +476,13 @@
     }
 }
 
+/// The line about a claim update, unless it only acknowledges something.
 fn claim_line(
     scheduler: &SchedulerKey,
     update: &ClaimUpdate,
     cause: Option<GrantCause>,
-) -> EventLine {
-    match update {
+) -> Option<EventLine> {
+    Some(match update {
         ClaimUpdate::Granted { job } => {
             let line = EventLine::new("claim_granted").with("job", job).with("holder", scheduler);
             cause.map_or(line.clone(), |cause| line.with("cause", cause))
@@ -487,7 +499,11 @@
         ClaimUpdate::Confirm { job } => {
             EventLine::new("claim_in_doubt").with("job", job).with("asked", scheduler)
         }
-    }
+        ClaimUpdate::GiveUp { agent } => {
+            EventLine::new("give_up_requested").with("agent", agent).with("asked", scheduler)
+        }
+        ClaimUpdate::FollowsGiveUps { .. } => return None,
+    })
 }
 
 fn update_line(update: &RunUpdate) -> EventLine {
--- a/crates/decisions/src/agent/scheduler_session.rs
+++ b/crates/decisions/src/agent/scheduler_session.rs
@@ -16,6 +16,9 @@
 /// How long an update that is not urgent may wait for others.
 const JOINED_UPDATE_DELAY: Duration = Duration::from_millis(20);
 
+/// How long an update that nothing waits for may wait for others.
+const EVENTUAL_UPDATE_DELAY: Duration = Duration::from_millis(400);
+
 /// Interval of reports of changed usage until the scheduler has named its own.
 const INITIAL_USAGE_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -29,6 +32,8 @@
     AtOnce,
     /// It only releases capacity, or most likely asks for nothing but a confirmation.
     WithOthers,
+    /// No job waits for it.
+    Eventually,
 }
 
 /// Session with one scheduler.
@@ -143,6 +148,7 @@
         let due = match urgency {
             UpdateUrgency::AtOnce => now,
             UpdateUrgency::WithOthers => now + JOINED_UPDATE_DELAY,
+            UpdateUrgency::Eventually => now + EVENTUAL_UPDATE_DELAY,
         };
         self.updates_due = self.updates_due.into_iter().chain([due]).min();
     }
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -18,6 +18,7 @@
 //!   it.
 
 pub mod agent;
+mod claim_order;
 pub mod control;
 pub mod discovery;
 pub mod entry;
--- a/crates/decisions/src/run_bounds.rs
+++ b/crates/decisions/src/run_bounds.rs
@@ -22,3 +22,9 @@
 pub(crate) fn run_timeout(grant: Duration) -> Duration {
     grant.mul_f64(1.0 + MAX_CLOCK_DRIFT_RATIO) + STOP_MARGIN
 }
+
+/// Time since an agent sent a message that a scheduler has acknowledged in which the scheduler
+/// does not give the agent up for lack of contact, whatever the drift of both clocks.
+pub(crate) fn give_up_timeout(grant: Duration, lease: Duration) -> Duration {
+    (grant + lease).mul_f64(1.0 - MAX_CLOCK_DRIFT_RATIO)
+}
--- a/crates/decisions/src/schedule/agent_state.rs
+++ b/crates/decisions/src/schedule/agent_state.rs
@@ -13,6 +13,7 @@
 };
 
 use super::agent_link::AgentLink;
+use super::given_up_agents::GiveUpKnowledge;
 use super::speed_estimate::SpeedEstimate;
 
 /// Consecutive failed runs after which a backend server is paused.
@@ -49,6 +50,8 @@
     pub(super) outbox: Vec<AgentOrder>,
     /// Claims to send with the next message.
     pub(super) claim_outbox: ClaimOrders,
+    /// What it knows of the agents that this scheduler has given up.
+    pub(super) give_ups: GiveUpKnowledge,
     /// Time until which the backend server gets no work.
     pub(super) paused_until: Option<Instant>,
     speed: SpeedEstimate,
@@ -74,6 +77,7 @@
             link_lost_at: Some(now),
             outbox: Vec::new(),
             claim_outbox: ClaimOrders::default(),
+            give_ups: GiveUpKnowledge::default(),
             paused_until: None,
             speed: SpeedEstimate::new(now),
             consecutive_failures: 0,
@@ -126,6 +130,9 @@
         incarnation: Incarnation,
         session: SessionId,
     ) {
+        if self.incarnation != incarnation {
+            self.give_ups = GiveUpKnowledge::default();
+        }
         self.incarnation = incarnation;
         self.session = session;
         self.outbox.clear();
--- a/crates/decisions/src/schedule/job_claims.rs
+++ b/crates/decisions/src/schedule/job_claims.rs
@@ -19,18 +19,18 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use model::{
-    ClaimOrders, ClaimUpdate, EventLine, JobId, JobPhase, JobReply, NodeId, TaskName, fingerprint,
-};
+use model::{ClaimOrders, ClaimUpdate, EventLine, JobId, JobPhase, JobReply, NodeId, TaskName};
 
+use super::given_up_agents::{GivenUpAgents, KeptJob, drop_asked};
 use super::scheduler::{ScheduleStep, Scheduler, SchedulerKind};
+use crate::claim_order::claim_rank;
 
 /// How long a connected agent may take to answer a claim before another one is asked too.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(100);
 /// Interval at which an entry that has inputs to handle checks whether agents are silent.
 const LAG_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// How long a claim waits for an agent whose connection was lost to connect again.
-const RECONNECT_WAIT: Duration = Duration::from_millis(300);
+pub(super) const RECONNECT_WAIT: Duration = Duration::from_millis(300);
 /// How long the holder of a claim waits for it, before it tells the next agent of the claim:
 /// well before other entries ask that one.
 const HOLDER_WAIT: Duration = Duration::from_millis(150);
@@ -42,12 +42,10 @@
 /// How long an entry remembers which agent it has confirmed a claim to: longer than callers
 /// of best-effort jobs wait for them.
 const CONFIRM_MEMORY: Duration = Duration::from_secs(10);
-/// How long an entry remembers an agent that it has lost: others may still reach it.
-const DEPARTED_MEMORY: Duration = Duration::from_secs(600);
 
 /// State of a claim.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ClaimPhase {
+pub(super) enum ClaimPhase {
     /// No agent has granted it yet.
     Pending,
     /// Another entry holds it; the agent grants it later.
@@ -60,7 +58,7 @@
 
 impl ClaimPhase {
     /// Whether no agent has granted the claim yet.
-    fn is_ungranted(self) -> bool {
+    pub(super) fn is_ungranted(self) -> bool {
         matches!(self, ClaimPhase::Pending | ClaimPhase::Contended)
     }
 
@@ -72,8 +70,8 @@
 
 /// Claim of this entry to one job.
 #[derive(Debug, Clone)]
-struct JobClaim {
-    phase: ClaimPhase,
+pub(super) struct JobClaim {
+    pub(super) phase: ClaimPhase,
     /// When the job has ended here; the claim is released once its last run is over.
     closed_at: Option<Instant>,
     /// Whether another entry waits for the release.
@@ -82,7 +80,7 @@
     confirmed_to: Option<NodeId>,
     since: Instant,
     /// Agents that were asked; the last one keeps the claim, or was asked last.
-    asked: Vec<NodeId>,
+    pub(super) asked: Vec<NodeId>,
     asked_at: Instant,
     /// Whether the agent that was asked last can't grant the claim yet.
     is_declined: bool,
@@ -103,6 +101,15 @@
         self.asked.push(agent.clone());
     }
 
+    /// Takes an agent that can't grant the claim any more out of those that were asked.
+    pub(super) fn drop_agent(&mut self, agent: &NodeId) {
+        if self.asked.last() == Some(agent) {
+            self.phase = ClaimPhase::Pending;
+            self.is_declined = true;
+        }
+        self.asked.retain(|asked| asked != agent);
+    }
+
     /// Whether an agent that was asked, and that others would ask too, comes before this one
     /// in the order of the job.
     fn is_preceded(&self, job: &JobId, agent: &NodeId, is_gone: impl Fn(&NodeId) -> bool) -> bool {
@@ -136,8 +143,8 @@
     claims: IndexMap<JobId, JobClaim>,
     /// Jobs confirmed to have no active run here, to which agent and when; oldest first.
     confirmed: IndexMap<JobId, (NodeId, Instant)>,
-    /// Agents without contact, and when they were given up; oldest first.
-    departed: IndexMap<NodeId, Instant>,
+    /// Agents that are not asked.
+    pub(super) given_up: GivenUpAgents,
     /// Number of claims that are closing.
     closing: usize,
     /// Time of the next check for claims without a grant.
@@ -181,16 +188,36 @@
         self.confirmed.insert(job.clone(), (agent.clone(), now));
     }
 
-    /// Remembers an agent that was given up for lack of contact.
-    fn note_departure(&mut self, now: Instant, agent: &NodeId) {
-        let is_old = |at: &Instant| *at + DEPARTED_MEMORY <= now;
-        while self.departed.first().is_some_and(|(_, at)| is_old(at)) {
-            self.departed.shift_remove_index(0);
-        }
-        self.departed.insert(agent.clone(), now);
+    /// Whether a claim under which a job runs is kept by this agent.
+    pub(super) fn is_keeper(&self, agent: &NodeId) -> bool {
+        let mut claims = self.claims.values();
+        claims.any(|claim| !claim.phase.is_ungranted() && claim.asked.last() == Some(agent))
+    }
+
+    /// Takes an agent that is given up out of the claims without a grant. Returns the running
+    /// jobs for which it was asked.
+    pub(super) fn drop_asked(&mut self, agent: &NodeId) -> Vec<KeptJob> {
+        let claims = self.claims.iter_mut();
+        let kept = claims.filter_map(|(job, claim)| {
+            drop_asked(claim, agent).map(|keeper| (job.clone(), keeper))
+        });
+        kept.collect()
+    }
+
+    /// Time until which other agents may connect that have lost their connections with this
+    /// entry's others, if it has not come.
+    pub(super) fn next_connect_end(&self, now: Instant) -> Option<Instant> {
+        let connected_at = self.connected_at.max(self.resumed_at)?;
+        Some(connected_at + CONNECT_TIME).filter(|until| now < *until)
+    }
+
+    /// Notes that an agent may be asked from now on.
+    pub(super) fn on_agent_connected(&mut self, now: Instant) {
+        self.agent_connected_at = Some(now);
+        self.require_check(now);
     }
 
-    fn require_check(&mut self, at: Instant) {
+    pub(super) fn require_check(&mut self, at: Instant) {
         self.next_check = self.next_check.into_iter().chain([at]).min();
     }
 }
@@ -256,6 +283,7 @@
                 ClaimStep::Wait => {}
             }
         }
+        self.give_up_agents(now);
     }
 
     /// Doubts all claims after a time in which this entry stood still: it may not have
@@ -312,13 +340,6 @@
         }
     }
 
-    /// Notes that an agent was given up for lack of contact.
-    pub(super) fn on_agent_departed(&mut self, now: Instant, agent: &NodeId) {
-        if self.kind == SchedulerKind::Entry {
-            self.claims.note_departure(now, agent);
-        }
-    }
-
     /// Requires a check of the claims that an agent keeps, once it has had time to connect
     /// again.
     pub(super) fn on_claim_keeper_lost(&mut self, now: Instant) {
@@ -382,7 +403,7 @@
     ) -> ClaimStep {
         let reachable = self.agents.iter().filter(|(agent, state)| {
             let is_back_soon = state.link_lost_at.is_none_or(|at| now < at + wait);
-            is_back_soon && !asked.contains(*agent)
+            is_back_soon && !asked.contains(*agent) && !self.claims.given_up.contains(agent)
         });
         let Some((agent, state)) = reachable.max_by_key(|(agent, _)| claim_rank(job, agent)) else {
             return ClaimStep::Wait;
@@ -393,16 +414,24 @@
         }
     }
 
+    /// Whether others may ask an agent that comes before this one in the order of a job. If all
+    /// are told that it is given up, the agent that is asked decides that itself.
+    fn are_others_first(&self, job: &JobId, agent: &NodeId) -> bool {
+        let rank = claim_rank(job, agent);
+        let given_up = &self.claims.given_up;
+        let decides = self.agents.get(agent).is_some_and(|state| state.give_ups.is_follower());
+        let mut known = self.agents.keys().chain(given_up.names());
+        known.any(|other| claim_rank(job, other) > rank && !(decides && given_up.is_gone(other)))
+    }
+
     fn ask_for_claim(&mut self, now: Instant, job: &JobId, agent: NodeId) {
+        let are_others_first = self.are_others_first(job, &agent);
         let Some(claim) = self.claims.claims.get_mut(job) else { return };
         claim.asked.push(agent.clone());
         claim.asked_at = now;
         claim.is_declined = false;
         let is_running = claim.phase == ClaimPhase::Unconfirmed;
-        let is_confirmed = claim.confirmed_to.is_some();
-        let rank = claim_rank(job, &agent);
-        let mut known = self.agents.keys().chain(self.claims.departed.keys());
-        let is_passed_on = is_confirmed || known.any(|other| claim_rank(job, other) > rank);
+        let is_passed_on = are_others_first || claim.confirmed_to.is_some();
         claim.is_passed_on = is_passed_on;
         self.claims.require_check(now + CLAIM_TIMEOUT);
         if let Some(state) = self.agents.get_mut(&agent) {
@@ -423,22 +452,23 @@
         if self.kind != SchedulerKind::Entry {
             return;
         }
-        self.claims.departed.shift_remove(agent);
+        self.on_agent_returned(agent);
         let mut others = self.agents.iter().filter(|(other, _)| *other != agent);
         if others.all(|(_, state)| state.link.is_none()) {
             self.claims.connected_at = Some(now);
         }
-        self.claims.agent_connected_at = Some(now);
-        self.claims.require_check(now);
+        self.claims.on_agent_connected(now);
         let (mut claimed, mut held) = (Vec::new(), Vec::new());
         let agents = &self.agents;
         // While all agents connect again, one that is not back yet may still keep the claim.
         let connected_at = self.claims.connected_at.max(self.claims.resumed_at);
         let are_back = connected_at.is_none_or(|at| at + CONNECT_TIME <= now);
+        let given_up = &self.claims.given_up;
         let is_gone = |asked: &NodeId| {
             let lost_at = agents.get(asked).map(|state| state.link_lost_at);
-            are_back
-                && lost_at.is_none_or(|lost_at| lost_at.is_some_and(|at| at + HOLDER_WAIT <= now))
+            let is_lost =
+                lost_at.is_none_or(|lost_at| lost_at.is_some_and(|at| at + HOLDER_WAIT <= now));
+            given_up.is_gone(asked) || (are_back && is_lost)
         };
         let claims = self.claims.claims.iter_mut();
         for (job, claim) in claims {
@@ -457,6 +487,7 @@
             list.push(job.clone());
         }
         self.due_agents.insert(agent.clone());
+        let (given_up, revision) = self.list_given_up(agent);
         if let Some(state) = self.agents.get_mut(agent) {
             let up_time = now.saturating_duration_since(self.leader_since);
             state.claim_outbox = ClaimOrders {
@@ -464,9 +495,12 @@
                 up_ms: Some(up_time.as_millis() as u64),
                 claimed,
                 held,
+                given_up,
+                revision: Some(revision),
                 ..ClaimOrders::default()
             };
         }
+        self.end_agent_returns(now);
     }
 
     /// Handles a claim update of an agent.
@@ -477,6 +511,10 @@
             ClaimUpdate::Declined { job } => self.on_claim_declined(now, agent, job),
             ClaimUpdate::Recalled { job } => self.on_claim_recalled(now, agent, job),
             ClaimUpdate::Confirm { job } => self.on_confirm_request(now, agent, job),
+            ClaimUpdate::GiveUp { agent } => self.on_give_up_request(now, agent),
+            ClaimUpdate::FollowsGiveUps { revision } => {
+                self.on_give_ups_followed(now, agent, *revision)
+            }
         }
     }
 
@@ -499,7 +537,8 @@
             }
         }
         let (since, is_passed_on) = (claim.since, claim.is_passed_on);
-        if self.claims.agent_connected_at.is_some_and(|at| at >= since) {
+        let has_connected = self.claims.agent_connected_at.is_some_and(|at| at >= since);
+        if has_connected || self.claims.given_up.has_returning() {
             self.list_granted(agent, job);
         }
         let waited = now.saturating_duration_since(since);
@@ -519,7 +558,7 @@
 
     /// Lists a claim at the agents that other entries ask before its keeper: one that connected
     /// while the claim was pending was not told of it.
-    fn list_granted(&mut self, keeper: &NodeId, job: &JobId) {
+    pub(super) fn list_granted(&mut self, keeper: &NodeId, job: &JobId) {
         let rank = claim_rank(job, keeper);
         let Some(claim) = self.claims.claims.get_mut(job) else { return };
         for (agent, state) in &mut self.agents {
@@ -650,10 +689,3 @@
         }
     }
 }
-
-/// Rank of an agent in the order of a job. Similar names differ most in the low bits of
-/// their hash, so these are spread over all bits.
-fn claim_rank(job: &JobId, agent: &NodeId) -> u64 {
-    let hash = fingerprint([job.as_bytes(), agent.as_bytes()]);
-    (hash ^ (hash >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15)
-}
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -60,6 +60,8 @@
 /// Fencing token of calls to a backend server, which refuses a lower one than
 /// it has seen.
 pub type FenceNumber = u64;
+/// Number of a change to the agents that an entry has given up; rises by one with each.
+pub type Revision = u64;
 /// Sequence number of the connections from one agent to one scheduler.
 pub type SessionId = u64;
 /// Position of an agent's message within its session, from 1.
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -24,7 +24,7 @@
 use crate::control_messages::ControlReply;
 use crate::ids::{
     CallId, ConfigVersion, DomainId, EndNumber, Incarnation, JobId, LabelId, LifeId, LinkId,
-    LogIndex, MessageNumber, NodeId, QueueId, RunNumber, ServiceId, SessionId, StepIndex,
+    LogIndex, MessageNumber, NodeId, QueueId, Revision, RunNumber, ServiceId, SessionId, StepIndex,
     TaskIndex, Term,
 };
 use crate::leader_hint::LeaderHint;
@@ -292,6 +292,18 @@
         /// The claimed job.
         job: JobId,
     },
+    /// Another scheduler has given an agent up: this one has to give it up too, unless it
+    /// knows it.
+    GiveUp {
+        /// The agent that was given up.
+        agent: NodeId,
+    },
+    /// The agent counts those agents as given up by this scheduler that it has told it of, up to
+    /// a revision. In the first message of a session that is 0: it follows these lists.
+    FollowsGiveUps {
+        /// The latest revision that the agent has handled.
+        revision: Revision,
+    },
 }
 
 /// An entry's claims at one agent.
@@ -306,6 +318,16 @@
     /// In the first message, how long the entry's process has run, in milliseconds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub up_ms: Option<u64>,
+    /// Agents that it has given up since its last message, or all of them in the first one:
+    /// it has listed elsewhere what it runs under their grants, and asks them for nothing.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub given_up: Vec<NodeId>,
+    /// Agents that it is going to ask again, once their return is acknowledged.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub readmitted: Vec<NodeId>,
+    /// Revision of these lists that is to be acknowledged.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub revision: Option<Revision>,
     /// Jobs that it runs under a claim.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub held: Vec<JobId>,
--- a/tests/entry_model.rs
+++ b/tests/entry_model.rs
@@ -67,6 +67,8 @@
     /// Reports with the usage by other entries only.
     pub(crate) usage_reports: u64,
     pub(crate) heartbeats: u64,
+    /// Requests of agents to confirm that no run of a job is active.
+    pub(crate) confirm_requests: u64,
     /// Messages to agents.
     pub(crate) sent: u64,
     /// Time for which the processor was busy.
@@ -448,7 +450,9 @@
         let mut finished = self.apply_schedule_steps(entry, steps);
         finished.extend(reply);
         let node = &mut self.entries[entry];
-        let searches = PRICING_COST * node.scheduler.take_counts().agents_priced as u32;
+        let counts = node.scheduler.take_counts();
+        node.counts.confirm_requests += counts.confirm_requests;
+        let searches = PRICING_COST * counts.agents_priced as u32;
         let sent = STREAM_COST * node.outgoing.len() as u32;
         let cost = if self.shape.charged { message_cost + searches + sent } else { Duration::ZERO };
         node.counts.busy += cost;
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -24,6 +24,7 @@
 mod catalog_versions;
 mod config_versions;
 mod cut_agents;
+mod departed_agents;
 mod departed_servers;
 mod duty_failures;
 mod early_end;
