An agent that lost all entries may be asked too soon by a restarted one

Cause: let an agent that no entry reached grant again by the bounds of its own start, 0.3 s after the first connection. Others may count on what that entry's earlier process told them for up to 2.4 s after its end, so two agents could grant one claim. Change: such an agent declines until that time has passed since the first new connection. Price: when all entries end at once, best-effort jobs wait for 2.4 s. Result: isolated_agent_declines and kept_jobs_listed (the listing before an agent is given up, which no test needed) hold.

--- a/crates/decisions/src/agent/claim_entries.rs
+++ b/crates/decisions/src/agent/claim_entries.rs
@@ -73,6 +73,9 @@
     /// Time until which it asks no agent again that it has given up, unless this one has
     /// acknowledged that.
     pub(super) known_until: Instant,
+    /// How long after the end of an entry's process other agents may count on what it has told
+    /// them.
+    pub(super) known_for: Duration,
 }
 
 /// The agents that an entry has given up.
@@ -141,11 +144,13 @@
     earlier_runs: EarlierRuns,
 }
 
-/// The runs under claims from before an agent's start.
+/// The runs under claims from before an agent's start, or while no entry reached it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum EarlierRuns {
     /// No entry has connected yet.
     Unbounded,
+    /// All entries were lost, and none has connected again.
+    Isolated,
     /// None is active from this time on.
     Until(Instant),
     /// None is active.
@@ -169,9 +174,15 @@
         up_time: Duration,
     ) -> bool {
         let timeout = run_timeout(contact.grant);
-        if self.earlier_runs == EarlierRuns::Unbounded {
-            let until = (self.started_at + timeout).max(now) + CONNECT_TIME;
-            self.earlier_runs = EarlierRuns::Until(until);
+        match self.earlier_runs {
+            EarlierRuns::Unbounded => {
+                let until = (self.started_at + timeout).max(now) + CONNECT_TIME;
+                self.earlier_runs = EarlierRuns::Until(until);
+            }
+            EarlierRuns::Isolated => {
+                self.earlier_runs = EarlierRuns::Until(now + contact.known_for);
+            }
+            EarlierRuns::Until(_) | EarlierRuns::Over => {}
         }
         let known = self.entries.get_mut(&claimant.scheduler);
         if let Some(entry) = known.filter(|entry| entry.incarnation == claimant.incarnation) {
@@ -268,12 +279,11 @@
 
     /// Handles the loss of an entry's connection. While there is no other one, entries may have
     /// given up this agent, and agreed on another one in its place.
-    pub(super) fn on_closed(&mut self, now: Instant, scheduler: &SchedulerKey, until: Instant) {
+    pub(super) fn on_closed(&mut self, scheduler: &SchedulerKey, until: Instant) {
         let Some(entry) = self.entries.get_mut(scheduler) else { return };
         entry.lost_until = Some(until);
-        if self.connected().next().is_none() {
-            self.started_at = now;
-            self.earlier_runs = EarlierRuns::Unbounded;
+        if self.connected().next().is_none() && self.earlier_runs != EarlierRuns::Unbounded {
+            self.earlier_runs = EarlierRuns::Isolated;
         }
     }
 
@@ -299,7 +309,9 @@
     /// What is known of the runs from before the agent's start.
     pub(super) fn phase(&self) -> StartPhase {
         match self.earlier_runs {
-            EarlierRuns::Unbounded | EarlierRuns::Until(_) => StartPhase::RunsUnknown,
+            EarlierRuns::Unbounded | EarlierRuns::Isolated | EarlierRuns::Until(_) => {
+                StartPhase::RunsUnknown
+            }
             EarlierRuns::Over => StartPhase::RunsKnown,
         }
     }
@@ -354,7 +366,7 @@
         let over = entries.flat_map(|entry| [entry.lost_until, entry.earlier_until]);
         let earlier = match self.earlier_runs {
             EarlierRuns::Until(until) => Some(until),
-            EarlierRuns::Unbounded | EarlierRuns::Over => None,
+            EarlierRuns::Unbounded | EarlierRuns::Isolated | EarlierRuns::Over => None,
         };
         over.flatten().chain(earlier).min()
     }
--- a/crates/decisions/src/agent/claim_table.rs
+++ b/crates/decisions/src/agent/claim_table.rs
@@ -408,10 +408,10 @@
 
     /// Handles the loss of an entry's connection: its runs are over at `free_at`, unless
     /// it comes back.
-    pub(super) fn on_closed(&mut self, now: Instant, scheduler: &SchedulerKey, free_at: Instant) {
-        self.entries.on_closed(now, scheduler, free_at);
+    pub(super) fn on_closed(&mut self, scheduler: &SchedulerKey, free_at: Instant) {
+        self.entries.on_closed(scheduler, free_at);
         for claim in self.claims.values_mut() {
-            claim.next.take_if(|next| next.scheduler == *scheduler);
+            claim.next.take_if(|next| next.claimant.scheduler == *scheduler);
             if claim.holder.scheduler == *scheduler {
                 claim.free_at = Some(free_at);
             }
--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -222,7 +222,7 @@
             && known.close(session)
         {
             let timeout = contact_timeout(known.grant, self.limits.lease);
-            self.claims.on_closed(now, scheduler, now + timeout);
+            self.claims.on_closed(scheduler, now + timeout);
         }
         self.finish(now)
     }
@@ -285,7 +285,8 @@
         }
         let grant = Duration::from_millis(orders.grant_ms);
         let known_until = sent_at + give_up_timeout(grant, self.limits.lease);
-        let contact = EntryContact { grant, known_until };
+        let known_for = contact_timeout(grant, self.limits.lease);
+        let contact = EntryContact { grant, known_until, known_for };
         self.claims.on_contact(scheduler, contact);
         if let Some(claims) = orders.claims {
             let notices = self.claims.on_orders(now, scheduler, contact, *claims);
--- a/tests/departed_agents.rs
+++ b/tests/departed_agents.rs
@@ -158,6 +158,52 @@
     }
 }
 
+// Guards against an agent that no entry reached and that grants a claim to a restarted one, while
+// others count on what that entry's earlier process has told them.
+#[test]
+fn isolated_agent_declines() {
+    for (id, agent, pause) in cases() {
+        let mut model = model(3);
+        (1..=3).for_each(|entry| model.lose_link(entry, agent));
+        play(&mut model, Duration::from_millis(1_500));
+        model.restart_entry(2);
+        model.connect(2, agent);
+        play(&mut model, Duration::from_millis(240));
+        model.submit(2, job(id, 2, true));
+        play(&mut model, pause);
+        model.run_time = SHORT_RUN;
+        model.submit(1, job(id, 2, true));
+        play(&mut model, Duration::from_millis(1_000));
+        model.run_fault_free(100);
+    }
+}
+
+// Guards against a running job that is unknown at the agent which others ask next, once the one
+// that comes before it is given up.
+#[test]
+fn kept_jobs_listed() {
+    let agents = (0..AGENTS).flat_map(|silent| (0..AGENTS).map(move |late| (silent, late)));
+    for (silent, late) in agents.filter(|(silent, late)| silent != late) {
+        for id in 1..=8 {
+            let mut model = model(2);
+            model.lose_link(1, late);
+            model.freeze_agent(silent);
+            play(&mut model, Duration::from_millis(400));
+            model.submit(1, job(id, 2, true));
+            play(&mut model, Duration::from_millis(240));
+            model.thaw_agent(silent);
+            model.connect(1, late);
+            play(&mut model, Duration::from_millis(1_200));
+            (1..=2).for_each(|entry| model.lose_link(entry, silent));
+            play(&mut model, Duration::from_millis(1_200));
+            model.run_time = SHORT_RUN;
+            model.submit(2, job(id, 2, true));
+            play(&mut model, Duration::from_millis(600));
+            model.run_fault_free(100);
+        }
+    }
+}
+
 /// Agents lose and find their connections to some entries, and jobs are sent again to any entry.
 fn play_departures(seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
