A claim passed to its next claimant at a later agent without a question (TWICE)

Trace: agent-0, which does not come first, passed the claim of entry-0, which had died, to entry-2 (holder_lost); agent-5, which does, granted it 0.36 s later to entry-0's next process (claimed). The returns that lets agents wait for make it likelier. Cause: a new claim in place of other agents asks all entries, a queued one did not: who waits for the holder got the claim as soon as that was over, and nobody else learned where it is kept. Class: a second way to a right, with fewer checks. Change: a claimant that waits keeps what it has passed over, and is granted the claim on the same terms as a new one; the former holder counts as asked only if no later process of it is connected.

--- a/crates/decisions/src/agent/claim_entries.rs
+++ b/crates/decisions/src/agent/claim_entries.rs
@@ -52,6 +52,8 @@
     pub(super) passed_over: PassedOver,
     /// Entries that have released the claim, or confirmed that they have no active run.
     pub(super) confirmed: IndexSet<SchedulerKey>,
+    /// Whether it was passed on by the only entry that had it.
+    pub(super) is_handed_over: bool,
 }
 
 impl GrantBasis {
@@ -60,8 +62,13 @@
         GrantBasis::over(PassedOver::Unknown)
     }
 
+    /// The only entry that had the claim has passed it on.
+    pub(super) fn handed_over() -> GrantBasis {
+        GrantBasis { is_handed_over: true, ..GrantBasis::unknown() }
+    }
+
     pub(super) fn over(passed_over: PassedOver) -> GrantBasis {
-        GrantBasis { passed_over, confirmed: IndexSet::new() }
+        GrantBasis { passed_over, confirmed: IndexSet::new(), is_handed_over: false }
     }
 }
 
@@ -132,7 +139,9 @@
 
     /// Whether the runs of its earlier processes are over, or known here.
     fn are_earlier_over(&self, basis: &GrantBasis) -> bool {
-        self.earlier_until.is_none() || basis.passed_over.is_within(&self.earlier_given_up)
+        self.earlier_until.is_none()
+            || basis.is_handed_over
+            || basis.passed_over.is_within(&self.earlier_given_up)
     }
 }
 
@@ -357,7 +366,14 @@
             let is_settled = entry.is_settled(now, scheduler, basis);
             (scheduler == holder || is_settled || is_over) && entry.are_earlier_over(basis)
         };
-        self.phase() == StartPhase::RunsKnown && self.entries.iter().all(is_released)
+        let are_runs_known = basis.is_handed_over || self.phase() == StartPhase::RunsKnown;
+        are_runs_known && self.entries.iter().all(is_released)
+    }
+
+    /// Whether a process is the latest one of its entry.
+    pub(super) fn is_latest(&self, process: &Claimant) -> bool {
+        let entry = self.entries.get(&process.scheduler);
+        entry.is_none_or(|entry| entry.incarnation == process.incarnation)
     }
 
     /// Time at which a run that may be active is next over.
--- a/crates/decisions/src/agent/claim_table.rs
+++ b/crates/decisions/src/agent/claim_table.rs
@@ -51,6 +51,13 @@
     pub(super) incarnation: Incarnation,
 }
 
+/// The process that gets a claim next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct NextClaimant {
+    claimant: Claimant,
+    passed_over: PassedOver,
+}
+
 /// How far the holder of a claim has got.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum GrantState {
@@ -71,7 +78,7 @@
     /// Time from which no run of the holder is active; set while it has no connection.
     free_at: Option<Instant>,
     /// Who gets the claim next.
-    next: Option<Claimant>,
+    next: Option<NextClaimant>,
 }
 
 /// A claim update for a scheduler.
@@ -103,6 +110,10 @@
         matches!(self.state, GrantState::Granted(_))
     }
 
+    fn is_next(&self, claimant: &Claimant) -> bool {
+        self.next.as_ref().is_some_and(|next| next.claimant == *claimant)
+    }
+
     fn cause(&self) -> Option<GrantCause> {
         match self.state {
             GrantState::Granted(cause) => Some(cause),
@@ -130,10 +141,10 @@
                 vec![self.notice(&self.holder, ClaimUpdate::Granted { job })]
             }
             None => vec![self.notice(&self.holder, wait)],
-            Some(next) if self.free_at.is_some() => vec![self.notice(next, wait)],
+            Some(next) if self.free_at.is_some() => vec![self.notice(&next.claimant, wait)],
             Some(next) => {
                 let recalled = self.notice(&self.holder, ClaimUpdate::Recalled { job });
-                vec![recalled, self.notice(next, wait)]
+                vec![recalled, self.notice(&next.claimant, wait)]
             }
         }
     }
@@ -233,7 +244,7 @@
         let mut notices = Vec::new();
         for (job, claim) in &mut self.claims {
             let is_holder = claim.holder.scheduler == entry.scheduler;
-            if is_holder || claim.next.as_ref() == Some(entry) {
+            if is_holder || claim.is_next(entry) {
                 continue;
             }
             let is_due = match &mut claim.state {
@@ -261,8 +272,7 @@
             return notices;
         }
         for (job, claim) in &self.claims {
-            let is_own =
-                claim.holder.scheduler == entry.scheduler || claim.next.as_ref() == Some(entry);
+            let is_own = claim.holder.scheduler == entry.scheduler || claim.is_next(entry);
             let rank = claim_rank(job, &self.agent);
             let mut before = readmitted.iter().filter(|agent| claim_rank(job, agent) > rank);
             if !is_own && claim.is_substitute && before.next().is_some() {
@@ -277,10 +287,14 @@
     fn restore(&mut self, job: JobId, holder: &Claimant) -> Vec<ClaimNotice> {
         let restored = || KeptClaim::granted(holder.clone(), GrantCause::Listed);
         let claim = self.claims.entry(job.clone()).or_insert_with(restored);
-        if claim.holder != *holder && !claim.is_granted() {
-            let claimant = std::mem::replace(claim, restored());
-            claim.is_substitute = claimant.is_substitute;
-            claim.next = claimant.next.or(Some(claimant.holder));
+        if let GrantState::Confirming(basis) = &claim.state
+            && claim.holder != *holder
+        {
+            let passed_over = basis.passed_over.clone();
+            let earlier = std::mem::replace(claim, restored());
+            claim.is_substitute = earlier.is_substitute;
+            let claimant = NextClaimant { claimant: earlier.holder, passed_over };
+            claim.next = earlier.next.or(Some(claimant));
         }
         if claim.holder != *holder {
             return vec![claim.notice(holder, ClaimUpdate::Recalled { job })];
@@ -307,7 +321,9 @@
         if claim.holder == *claimant {
             claim.free_at = None;
         } else {
-            replaced = claim.next.replace(claimant.clone()).filter(|next| next != claimant);
+            let next = NextClaimant { claimant: claimant.clone(), passed_over };
+            let earlier = claim.next.replace(next).map(|earlier| earlier.claimant);
+            replaced = earlier.filter(|earlier| earlier != claimant);
         }
         let recalled = ClaimUpdate::Recalled { job: job.clone() };
         let recalled = replaced.map(|replaced| claim.notice(&replaced, recalled));
@@ -364,7 +380,7 @@
 
     fn release(&mut self, now: Instant, job: &JobId, claimant: &Claimant) -> Vec<ClaimNotice> {
         let Some(claim) = self.claims.get_mut(job) else { return Vec::new() };
-        claim.next.take_if(|next| next == claimant);
+        claim.next.take_if(|next| next.claimant == *claimant);
         match claim.holder == *claimant {
             true => self.pass_on(now, job, GrantCause::Released),
             false => Vec::new(),
@@ -387,23 +403,26 @@
             self.claims.swap_remove(job);
             return Vec::new();
         };
-        let former = std::mem::replace(&mut claim.holder, next);
+        let former = std::mem::replace(&mut claim.holder, next.claimant);
         claim.free_at = None;
-        match &mut claim.state {
-            GrantState::Granted(granted) => {
-                *granted = cause;
-                claim.notices(job, StartPhase::RunsKnown)
-            }
-            GrantState::Confirming(basis) => {
-                basis.confirmed.insert(former.scheduler);
-                // The next claimant may have passed over others.
-                basis.passed_over = PassedOver::Unknown;
-                let basis = basis.clone();
-                let questions = ask_to_confirm(&self.entries, now, job, claim, &basis);
-                let granted = self.grant_confirmed(now, job);
-                if granted.is_empty() { questions } else { granted }
-            }
+        if claim.is_granted() && next.passed_over == PassedOver::GivenUp(Vec::new()) {
+            claim.state = GrantState::Granted(cause);
+            return claim.notices(job, StartPhase::RunsKnown);
+        }
+        // Others may ask the agents that this claimant has passed over.
+        let mut basis = match &claim.state {
+            GrantState::Granted(_) => GrantBasis::handed_over(),
+            GrantState::Confirming(basis) => basis.clone(),
+        };
+        basis.passed_over = next.passed_over;
+        if self.entries.is_latest(&former) {
+            basis.confirmed.insert(former.scheduler);
         }
+        claim.is_substitute = true;
+        claim.state = GrantState::Confirming(basis.clone());
+        let questions = ask_to_confirm(&self.entries, now, job, claim, &basis);
+        let granted = self.grant_confirmed(now, job);
+        if granted.is_empty() { questions } else { granted }
     }
 
     /// Handles the loss of an entry's connection: its runs are over at `free_at`, unless
--- a/tests/job_claims.rs
+++ b/tests/job_claims.rs
@@ -545,6 +545,58 @@
     }
 }
 
+// Guards against a claim that passes to the next claimant at a later agent without a question,
+// while a restarted entry asks the agent that comes first and is back.
+#[test]
+fn queued_claim_asks() {
+    let pairs = (0..AGENTS).flat_map(|first| (0..AGENTS).map(move |silent| (first, silent)));
+    for (first_agent, silent) in pairs.filter(|(first, silent)| first != silent) {
+        for id in 1..=8 {
+            let mut model = model(3);
+            model.run_time = LONG_RUN;
+            (1..=3).for_each(|entry| model.lose_link(entry, first_agent));
+            play(&mut model, Duration::from_millis(1_500));
+            model.submit(1, job(id, 2, true));
+            play(&mut model, Duration::from_millis(60));
+            model.freeze_agent(silent);
+            model.restart_entry(1);
+            restart_and_connect(&mut model, first_agent, &[2, 3]);
+            play(&mut model, Duration::from_millis(1_800));
+            (0..AGENTS).for_each(|agent| model.connect(1, agent));
+            play(&mut model, Duration::from_millis(240));
+            model.submit(2, job(id, 2, true));
+            play(&mut model, Duration::from_millis(510));
+            let third = model.submit(1, job(id, 2, true));
+            play(&mut model, Duration::from_millis(600));
+            model.thaw_agent(silent);
+            check_ended(&mut model, third, id);
+        }
+    }
+}
+
+// Guards against an entry that was cut off from all agents until its claims had passed to others,
+// and takes them up again at an agent that has restarted.
+#[test]
+fn returned_holder_asks() {
+    for (id, first_agent, pause) in fault_cases([0, 300, 900, 1_500]) {
+        let mut model = model(3);
+        model.run_time = LONG_RUN;
+        (1..=3).for_each(|entry| model.lose_link(entry, first_agent));
+        play(&mut model, Duration::from_millis(1_500));
+        model.submit(1, job(id, 2, true));
+        play(&mut model, Duration::from_millis(60));
+        (0..AGENTS).for_each(|agent| model.lose_link(1, agent));
+        restart_and_connect(&mut model, first_agent, &[2]);
+        model.connect(3, first_agent);
+        play(&mut model, pause);
+        model.submit(2, job(id, 2, true));
+        play(&mut model, Duration::from_millis(3_000));
+        let third = model.submit(3, job(id, 2, true));
+        play(&mut model, Duration::from_millis(600));
+        check_ended(&mut model, third, id);
+    }
+}
+
 /// Callers send jobs again at once, to any entry, while connections are lost and agents
 /// and entries are restarted.
 fn play_resends(seed: u64) {
