Claims of a given-up agent are dropped in one place

Names and doc comments only where the first form needed explaining; no change of behaviour: the same statements in JobClaim::drop_agent and JobClaims::drop_agent.

--- a/crates/decisions/src/agent/claim_entries.rs
+++ b/crates/decisions/src/agent/claim_entries.rs
@@ -72,23 +72,25 @@
     }
 }
 
-/// How long an entry's process counts on what it has told an agent.
+/// How long the grant of an entry's message lasts, and what it has told of agents that it has
+/// given up.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct EntryContact {
     /// How long its runs stay active without another grant.
     pub(super) grant: Duration,
-    /// Time until which it asks no agent again that it has given up, unless this one has
-    /// acknowledged that.
+    /// Time until which it asks no agent that it has given up without this one's
+    /// acknowledgement.
     pub(super) known_until: Instant,
     /// How long after the end of an entry's process other agents may count on what it has told
     /// them.
     pub(super) known_for: Duration,
 }
 
-/// The agents that an entry has given up.
+/// The agents that an entry has given up, as it has told this one.
 #[derive(Debug, Clone)]
 struct GivenUpList {
     agents: IndexSet<NodeId>,
+    /// Time until which it asks none of them without this agent's acknowledgement.
     known_until: Instant,
     /// Whether a new session is opening: the entry may take this list for void.
     is_opening: bool,
--- a/crates/decisions/src/schedule/given_up_agents.rs
+++ b/crates/decisions/src/schedule/given_up_agents.rs
@@ -13,9 +13,9 @@
 use std::time::Instant;
 
 use indexmap::IndexMap;
-use model::{JobId, NodeId, Revision};
+use model::{NodeId, Revision};
 
-use super::job_claims::{JobClaim, RECONNECT_WAIT};
+use super::job_claims::RECONNECT_WAIT;
 use super::scheduler::{Scheduler, SchedulerKind};
 
 /// Maximum number of agents that are remembered.
@@ -219,7 +219,7 @@
     fn give_up_agent(&mut self, now: Instant, agent: &NodeId) {
         // Claims that it has not granted go to other agents.
         self.claims.require_check(now);
-        for (job, keeper) in self.claims.drop_asked(agent) {
+        for (job, keeper) in self.claims.drop_agent(agent) {
             self.list_granted(&keeper, &job);
         }
         let revision = self.claims.given_up.set_gone(agent);
@@ -283,19 +283,3 @@
         }
     }
 }
-
-/// A running job with the agent that keeps its claim.
-pub(super) type KeptJob = (JobId, NodeId);
-
-/// Takes an agent that is given up out of the agents asked for a claim that has no grant yet.
-/// Returns the keeper of a claim under which the job runs, if the agent was asked for it.
-pub(super) fn drop_asked(claim: &mut JobClaim, agent: &NodeId) -> Option<NodeId> {
-    if !claim.asked.contains(agent) {
-        return None;
-    }
-    if claim.phase.is_ungranted() {
-        claim.drop_agent(agent);
-        return None;
-    }
-    claim.asked.last().cloned()
-}
--- a/crates/decisions/src/schedule/job_claims.rs
+++ b/crates/decisions/src/schedule/job_claims.rs
@@ -21,7 +21,7 @@
 use indexmap::IndexMap;
 use model::{ClaimOrders, ClaimUpdate, EventLine, JobId, JobPhase, JobReply, NodeId, TaskName};
 
-use super::given_up_agents::{GivenUpAgents, KeptJob, drop_asked};
+use super::given_up_agents::GivenUpAgents;
 use super::scheduler::{ScheduleStep, Scheduler, SchedulerKind};
 use crate::claim_order::claim_rank;
 
@@ -45,7 +45,7 @@
 
 /// State of a claim.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum ClaimPhase {
+enum ClaimPhase {
     /// No agent has granted it yet.
     Pending,
     /// Another entry holds it; the agent grants it later.
@@ -58,7 +58,7 @@
 
 impl ClaimPhase {
     /// Whether no agent has granted the claim yet.
-    pub(super) fn is_ungranted(self) -> bool {
+    fn is_ungranted(self) -> bool {
         matches!(self, ClaimPhase::Pending | ClaimPhase::Contended)
     }
 
@@ -70,8 +70,8 @@
 
 /// Claim of this entry to one job.
 #[derive(Debug, Clone)]
-pub(super) struct JobClaim {
-    pub(super) phase: ClaimPhase,
+struct JobClaim {
+    phase: ClaimPhase,
     /// When the job has ended here; the claim is released once its last run is over.
     closed_at: Option<Instant>,
     /// Whether another entry waits for the release.
@@ -80,7 +80,7 @@
     confirmed_to: Option<NodeId>,
     since: Instant,
     /// Agents that were asked; the last one keeps the claim, or was asked last.
-    pub(super) asked: Vec<NodeId>,
+    asked: Vec<NodeId>,
     asked_at: Instant,
     /// Whether the agent that was asked last can't grant the claim yet.
     is_declined: bool,
@@ -101,13 +101,21 @@
         self.asked.push(agent.clone());
     }
 
-    /// Takes an agent that can't grant the claim any more out of those that were asked.
-    pub(super) fn drop_agent(&mut self, agent: &NodeId) {
+    /// Takes an agent that is given up out of those that were asked for the first grant.
+    /// Returns the keeper instead if the job runs and the agent was asked for it.
+    fn drop_agent(&mut self, agent: &NodeId) -> Option<NodeId> {
+        if !self.asked.contains(agent) {
+            return None;
+        }
+        if !self.phase.is_ungranted() {
+            return self.asked.last().cloned();
+        }
         if self.asked.last() == Some(agent) {
             self.phase = ClaimPhase::Pending;
             self.is_declined = true;
         }
         self.asked.retain(|asked| asked != agent);
+        None
     }
 
     /// Whether an agent that was asked, and that others would ask too, comes before this one
@@ -195,12 +203,11 @@
     }
 
     /// Takes an agent that is given up out of the claims without a grant. Returns the running
-    /// jobs for which it was asked.
-    pub(super) fn drop_asked(&mut self, agent: &NodeId) -> Vec<KeptJob> {
+    /// jobs for which it was asked, with the agents that keep their claims.
+    pub(super) fn drop_agent(&mut self, agent: &NodeId) -> Vec<(JobId, NodeId)> {
         let claims = self.claims.iter_mut();
-        let kept = claims.filter_map(|(job, claim)| {
-            drop_asked(claim, agent).map(|keeper| (job.clone(), keeper))
-        });
+        let kept = claims
+            .filter_map(|(job, claim)| claim.drop_agent(agent).map(|keeper| (job.clone(), keeper)));
         kept.collect()
     }
 
