A claim that is handed over ignored the runs of a former holder's next process (TWICE)

Trace: agent-7 kept entry-0's claim, entry-1 waited; entry-0's second process had the job from agent-0 and died; its third connected to agent-7 and confirmed, and entry-1 was granted the claim while the second one's runs were being stopped. Cause: took a claim that its holder passes on as a sign that no other run can be active, and skipped the bound on runs of an entry's earlier process. Another agent may have granted it since. Change: the bound holds there too. That the agent itself has outlived its start is still not required, as it was before: it knew this claim.

--- a/crates/decisions/src/agent/claim_entries.rs
+++ b/crates/decisions/src/agent/claim_entries.rs
@@ -52,7 +52,8 @@
     pub(super) passed_over: PassedOver,
     /// Entries that have released the claim, or confirmed that they have no active run.
     pub(super) confirmed: IndexSet<SchedulerKey>,
-    /// Whether it was passed on by the only entry that had it.
+    /// Whether it was passed on by an entry that had it here, so that this agent has known the
+    /// claim before it could know of all others.
     pub(super) is_handed_over: bool,
 }
 
@@ -62,7 +63,7 @@
         GrantBasis::over(PassedOver::Unknown)
     }
 
-    /// The only entry that had the claim has passed it on.
+    /// An entry that had the claim has passed it on.
     pub(super) fn handed_over() -> GrantBasis {
         GrantBasis { is_handed_over: true, ..GrantBasis::unknown() }
     }
@@ -141,9 +142,7 @@
 
     /// Whether the runs of its earlier processes are over, or known here.
     fn are_earlier_over(&self, basis: &GrantBasis) -> bool {
-        self.earlier_until.is_none()
-            || basis.is_handed_over
-            || basis.passed_over.is_within(&self.earlier_given_up)
+        self.earlier_until.is_none() || basis.passed_over.is_within(&self.earlier_given_up)
     }
 }
 
