Long tasks went to idle slow servers although their estimates are rough

Cause: placement takes the declared run time as exact, so a task that is expected to end just before its caller leaves goes to any idle server; on the slow ones it outlasts the caller. Change: with `estimate_spread` (front settings; absent is 0) the probability that a run outlasts its caller is a part of a server's cost.

--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -151,6 +151,8 @@
         reply_wait: REPLY_WAIT,
         ack_delay: ACK_DELAY,
         remote_factor: settings.remote_factor,
+        // Only best-effort jobs have callers that wait for their ends.
+        estimate_spread: 0.0,
     }
 }
 
--- a/crates/decisions/src/schedule/agent_search.rs
+++ b/crates/decisions/src/schedule/agent_search.rs
@@ -200,7 +200,8 @@
         let deadline_remaining = live.map_or(0.0, |live| remaining(live.latest_end()));
         let waiter = live.and_then(|live| live.waiter);
         let caller_remaining = waiter.map_or(f64::INFINITY, |waiter| remaining(waiter.until));
-        TaskUrgency::new(deadline_remaining, caller_remaining, range)
+        let urgency = TaskUrgency::new(deadline_remaining, caller_remaining, range);
+        urgency.with_estimate_spread(self.limits.estimate_spread)
     }
 
     /// Expected run time on an agent, in multiples of the estimate.
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -49,6 +49,9 @@
     pub ack_delay: Duration,
     /// Factor on the run time of a task outside the rack of its data.
     pub remote_factor: f64,
+    /// Standard deviation of the natural logarithm of run times over their estimates; 0
+    /// takes estimates as exact.
+    pub estimate_spread: f64,
 }
 
 /// Time in which a start that a backend server does not accept is reported as refused.
--- a/crates/decisions/src/schedule/task_urgency.rs
+++ b/crates/decisions/src/schedule/task_urgency.rs
@@ -6,6 +6,10 @@
 //! rather than start at once on one where it is expected to end late. In an overload
 //! short tasks take more, but not the last part, which long tasks of other schedulers
 //! would never find free otherwise.
+//!
+//! Handles the load pattern *rough estimates*: a task that is expected to end in time on
+//! every server may outlast its caller on a slow one, since its estimate may be too short.
+//! The probability of that is a part of the cost.
 
 /// Margin on estimated run times; most estimates are off by a smaller factor.
 const RUN_TIME_MARGIN: f64 = 1.1;
@@ -34,6 +38,11 @@
 /// Cost per run time of a server on which the task is expected to end late; above
 /// all other costs.
 const LATE_COST: f64 = 1_000_000.0;
+/// Cost of a task that outlasts its caller, in estimated run times: what it has used is
+/// wasted, and its caller has waited in vain. Below the cost of reserved capacity.
+const OUTLAST_COST: f64 = 10.0;
+/// Factor that makes the logistic function approximate the normal distribution.
+const LOGISTIC_SCALE: f64 = 1.702;
 
 /// Run times of a task on its eligible servers, as multiples of its estimated
 /// run time.
@@ -64,13 +73,22 @@
     /// Time left until its caller stops waiting.
     caller_remaining: f64,
     range: RunTimeRange,
+    /// Standard deviation of the natural logarithm of run times over estimates; 0 takes
+    /// estimates as exact.
+    estimate_spread: f64,
 }
 
 impl TaskUrgency {
     /// Creates the urgency of a task from the time left until its deadline and
     /// until its caller stops waiting, and the run times on eligible servers.
     pub fn new(remaining: f64, caller_remaining: f64, range: RunTimeRange) -> TaskUrgency {
-        TaskUrgency { remaining, caller_remaining, range }
+        TaskUrgency { remaining, caller_remaining, range, estimate_spread: 0.0 }
+    }
+
+    /// Sets the spread of run times over estimates: the standard deviation of the natural
+    /// logarithm of their ratio.
+    pub fn with_estimate_spread(self, estimate_spread: f64) -> TaskUrgency {
+        TaskUrgency { estimate_spread, ..self }
     }
 
     /// Cost of placing the task on a server; the lowest is best. `utilization` is
@@ -80,7 +98,8 @@
             return LATE_COST * run_time;
         }
         let slack = (self.remaining - 1.0).max(MIN_SLACK);
-        let cost = run_time * (1.0 + UTILIZATION_WEIGHT * slack * utilization);
+        let run_cost = run_time * (1.0 + UTILIZATION_WEIGHT * slack * utilization);
+        let cost = run_cost + OUTLAST_COST * self.outlast_probability(run_time);
         if self.is_reserved(run_time, utilization) { RESERVED_COST + cost } else { cost }
     }
 
@@ -106,6 +125,16 @@
         run_time > self.caller_remaining
     }
 
+    /// Probability that a run of this expected run time that starts now ends after its caller
+    /// has stopped waiting, from 0 to 1.
+    pub fn outlast_probability(&self, run_time: f64) -> f64 {
+        if self.estimate_spread <= 0.0 || self.caller_remaining.is_infinite() {
+            return 0.0;
+        }
+        let margin = (self.caller_remaining / run_time).ln() / self.estimate_spread;
+        1.0 / (1.0 + (LOGISTIC_SCALE * margin).exp())
+    }
+
     fn is_fast(&self, run_time: f64) -> bool {
         run_time < FAST_SHARE * self.range.median
     }
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -124,6 +124,11 @@
     /// data.
     #[serde(default = "default_remote_factor")]
     pub remote_factor: f64,
+    /// How far run times are off from the estimates that jobs declare: the standard deviation
+    /// of the natural logarithm of their ratio. Placement then weighs the risk that a task
+    /// outlasts its caller; 0 takes estimates as exact.
+    #[serde(default)]
+    pub estimate_spread: f64,
     /// Time after which a catalog that no leader has confirmed is taken for old, in
     /// milliseconds; what it lacks may exist then. At most the time in which a change has
     /// to be in force everywhere.
@@ -403,6 +408,7 @@
     optional("linger_ms", DURATION_MS),
     optional("run_lease_ms", DURATION_MS),
     optional("remote_factor", ValueSchema::Number(1.0, 100.0)),
+    optional("estimate_spread", ValueSchema::Number(0.0, 2.0)),
     optional("max_catalog_age_ms", DURATION_MS),
 ];
 const SERVER_FIELDS: &[FieldRule] =
