Agents learn the speed of their backend server and report it

Cause: each entry learned a backend server's speed from its own last eight runs, the tasks of two or three jobs, which share the error of their estimate. That is too coarse to tell servers of speed 0.8 from those of 1.25.

Change: start orders carry the step's estimate_ms. It reports the figure when it has changed by 5%. A scheduler uses figures based on 8 jobs, and raises them where its own runs are more than twice as slow. Setting speed_reports, at the agent and at the entry; absent changes nothing.

The whole suite was not run yet.

--- a/crates/cactuswing/src/roles/server_agent.rs
+++ b/crates/cactuswing/src/roles/server_agent.rs
@@ -72,6 +72,7 @@
             renewal_interval: RENEWAL_INTERVAL,
             retry_delay: RETRY_INTERVAL,
             claim_wait: CLAIM_WAIT,
+            speed_reports: server.speed_reports,
         },
     };
     let run_context = context.clone();
--- a/crates/decisions/src/agent/mod.rs
+++ b/crates/decisions/src/agent/mod.rs
@@ -20,10 +20,12 @@
 mod scheduler_session;
 mod server_heartbeats;
 mod server_life;
+mod server_speed;
 mod start_queue;
 mod start_table;
 
 pub use heartbeat_interval::heartbeat_interval;
 pub use instance_pool::{InstancePool, PoolChange};
 pub use run_table::{RunLimits, RunStep, RunTable};
+pub use server_speed::{RunTime, ServerSpeed};
 pub use start_table::{StartLimits, StartStep, StartTable};
--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -33,7 +33,7 @@
 use super::pause_watch::PauseWatch;
 use super::scheduler_session::{SchedulerSession, UpdateUrgency};
 use super::server_heartbeats::Candidate;
-use super::server_life::{OwnedUpdate, RunPhase, ServerLife};
+use super::server_life::{OwnedUpdate, RunDemand, RunPhase, ServerLife};
 use crate::run_bounds::{MAX_CLOCK_DRIFT_RATIO, contact_timeout, give_up_timeout};
 
 /// Timing parameters of a run table.
@@ -50,6 +50,8 @@
     pub retry_delay: Duration,
     /// How long a run without a known scheduler is kept for one to claim it.
     pub claim_wait: Duration,
+    /// Whether the speed of the backend server is learned and reported.
+    pub speed_reports: bool,
 }
 
 /// An effect for the agent's run service to carry out.
@@ -294,8 +296,10 @@
         }
         for order in orders.orders {
             match order {
-                AgentOrder::Start { life, runs, spec, size } => {
-                    self.queue_starts(now, scheduler, &life, runs, &Arc::from(spec), size);
+                AgentOrder::Start { life, runs, spec, size, estimate_ms } => {
+                    let estimate = estimate_ms.map(Duration::from_millis);
+                    let demand = RunDemand { size, estimate };
+                    self.queue_starts(now, scheduler, &life, runs, &Arc::from(spec), demand);
                 }
                 AgentOrder::Stop { run } => self.stop(now, run),
                 AgentOrder::Keep { run } => self.claim_run(scheduler, &run),
@@ -359,11 +363,28 @@
         self.retry_stops(now);
         self.start_waiting(now);
         self.renew_if_due(now);
+        self.update_speed(now);
         self.report_if_due(now);
         self.notify_activity();
         std::mem::take(&mut self.steps)
     }
 
+    /// Updates the learned speed of the backend server.
+    fn update_speed(&mut self, now: Instant) {
+        let Some(life) = &mut self.life else { return };
+        let Some((before, report)) = life.update_speed(now) else { return };
+        let line = EventLine::new("server_speed")
+            .with("life", &life.view.life)
+            .with("slowness", format_args!("{:.3}", report.slowness()))
+            .with("before", before.map_or(1.0, |before| before.slowness()))
+            .with("jobs", report.jobs)
+            .with("average", if life.uses_recent_speed() { "recent" } else { "long" });
+        self.steps.push(RunStep::Log(line));
+        for session in self.schedulers.values_mut() {
+            session.require_speed_report(now);
+        }
+    }
+
     /// Sends the reports that are due. At most [`model::MAX_UNACKED_REPORTS`] to each
     /// scheduler are unacknowledged; later updates go with the next one.
     fn report_if_due(&mut self, now: Instant) {
@@ -381,17 +402,20 @@
                 continue;
             }
             let Some(number) = session.session else { continue };
+            let server = session.server_report(server());
+            let speed = session.speed_report(&server, life.and_then(ServerLife::speed_report));
             let listed = |owner| life.map(|life| life.runs_of(owner)).unwrap_or_default();
             let report = AgentReport {
                 agent: self.agent.clone(),
                 incarnation: self.incarnation,
                 session: number,
-                server: session.server_report(server()),
+                server,
                 runs: session.must_list_runs.then(|| listed(Some(scheduler))),
                 unowned: if session.must_list_runs { listed(None) } else { Vec::new() },
                 updates: session.take_updates(now, other_usage),
                 claims: session.take_claim_updates(),
                 other_usage,
+                speed,
             };
             self.steps.push(RunStep::Report(scheduler.clone(), report));
         }
--- a/crates/decisions/src/agent/scheduler_session.rs
+++ b/crates/decisions/src/agent/scheduler_session.rs
@@ -10,9 +10,11 @@
 
 use model::{
     ClaimUpdate, EndKind, MAX_UNACKED_REPORTS, ResourceAmount, RunUpdate, ServerReport, SessionId,
-    Term,
+    SpeedReport, Term,
 };
 
+use super::server_speed::differs;
+
 /// How long an update that is not urgent may wait for others.
 const JOINED_UPDATE_DELAY: Duration = Duration::from_millis(20);
 
@@ -25,6 +27,15 @@
 /// Maximum number of ends that wait for an entry to connect again.
 const MAX_KEPT_ENDS: usize = 500;
 
+/// Change of the backend server's speed that is reported.
+const REPORTED_SPEED_FACTOR: f64 = 1.05;
+
+/// Factor by which the number of jobs that the speed is based on has to rise to be reported.
+const REPORTED_JOBS_FACTOR: u32 = 2;
+
+/// Number of jobs above which a rise isn't reported.
+const MAX_REPORTED_JOBS: u32 = 64;
+
 /// When an update has to be reported.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum UpdateUrgency {
@@ -65,6 +76,8 @@
     updates_due: Option<Instant>,
     /// What the latest report of the session said of the backend server.
     reported_server: ServerReport,
+    /// The latest speed of the backend server that was reported since.
+    reported_speed: Option<SpeedReport>,
     /// Minimum time between reports that carry only a changed usage by other
     /// schedulers.
     pub(super) usage_interval: Duration,
@@ -202,6 +215,36 @@
         server
     }
 
+    /// What the next report, which says this of the backend server, says of its speed:
+    /// nothing unless it has changed.
+    pub(super) fn speed_report(
+        &mut self,
+        server: &ServerReport,
+        speed: Option<SpeedReport>,
+    ) -> Option<SpeedReport> {
+        // The scheduler forgets the speed with the life.
+        if !server.is_unchanged() {
+            self.reported_speed = None;
+        }
+        let speed = speed.filter(|speed| match self.reported_speed {
+            None => true,
+            Some(reported) => {
+                let jobs = reported.jobs.saturating_mul(REPORTED_JOBS_FACTOR);
+                differs(reported, *speed, REPORTED_SPEED_FACTOR)
+                    || speed.jobs.min(MAX_REPORTED_JOBS) >= jobs
+            }
+        });
+        self.reported_speed = speed.or(self.reported_speed);
+        speed
+    }
+
+    /// Requires that a notable change of the speed is reported soon.
+    pub(super) fn require_speed_report(&mut self, now: Instant) {
+        if self.session.is_some() {
+            self.require_report(now, UpdateUrgency::Eventually);
+        }
+    }
+
     /// Time at which the updates, or a changed usage by other schedulers, have to be
     /// reported.
     pub(super) fn next_report(&self, other_usage: &ResourceAmount) -> Option<Instant> {
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -16,9 +16,10 @@
 use indexmap::IndexMap;
 use model::{
     EndKind, EndNumber, LifeId, ListedEnd, ResourceAmount, RunUpdate, SchedulerKey,
-    ServerHeartbeat, ServerView, StartRefusal, TaskRun,
+    ServerHeartbeat, ServerView, SpeedReport, StartRefusal, TaskRun,
 };
 
+use super::server_speed::{RunTime, ServerSpeed};
 use super::start_queue::StartQueue;
 use crate::run_bounds::MAX_CLOCK_DRIFT_RATIO;
 
@@ -77,12 +78,23 @@
     }
 }
 
+/// What an order says of each of its runs.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct RunDemand {
+    /// Resources that the run takes.
+    pub(super) size: ResourceAmount,
+    /// Estimated run time, if the order has one.
+    pub(super) estimate: Option<Duration>,
+}
+
 /// A run that may be active.
 #[derive(Debug, Clone)]
 pub(super) struct RunState {
     pub(super) phase: RunPhase,
     /// Resources that the run takes; zero if it is known only from a list.
     pub(super) size: ResourceAmount,
+    /// Estimated run time, if its order has one and it was started in this life.
+    pub(super) estimate: Option<Duration>,
     /// Scheduler that ordered the run; `None` if this agent was restarted since
     /// and no scheduler has claimed it.
     pub(super) owner: Option<SchedulerKey>,
@@ -92,6 +104,15 @@
     pub(super) since: Instant,
 }
 
+impl RunState {
+    /// Time since the start, if it was sent and the run has an estimate.
+    fn run_time(&self, now: Instant) -> Option<RunTime> {
+        let ran = now.saturating_duration_since(self.since);
+        let estimate = self.estimate.filter(|_| self.phase != RunPhase::Waiting)?;
+        Some(RunTime { ran, estimate })
+    }
+}
+
 /// Update about a run and the scheduler it is for; `None` for all schedulers.
 pub(super) type OwnedUpdate = (Option<SchedulerKey>, RunUpdate);
 
@@ -161,10 +182,14 @@
     latest_listed_renewal: u64,
     /// Whether rows of the latest lists could not be decoded.
     lists_partial: bool,
+    /// Speed of the server, if it is to be learned.
+    speed: Option<ServerSpeed>,
+    /// Time at which a run counts as overdue for the speed.
+    overdue_at: Option<Instant>,
 }
 
 impl ServerLife {
-    pub(super) fn new(now: Instant, heartbeat: &ServerHeartbeat) -> ServerLife {
+    pub(super) fn new(now: Instant, heartbeat: &ServerHeartbeat, learns_speed: bool) -> ServerLife {
         ServerLife {
             view: heartbeat.view.clone(),
             address: heartbeat.address,
@@ -190,6 +215,8 @@
             renewals_sent: 0,
             latest_listed_renewal: 0,
             lists_partial: false,
+            speed: learns_speed.then(|| ServerSpeed::new(now)),
+            overdue_at: None,
         }
     }
 
@@ -368,6 +395,8 @@
             }
             self.last_end = end.number;
             let run = self.runs.swap_remove(&end.run);
+            let run_time = run.as_ref().and_then(|run| run.run_time(now));
+            self.add_run_time(now, &end, run_time);
             let ran = run.as_ref().map(|run| now.saturating_duration_since(run.since));
             let owner = run.and_then(|run| run.owner);
             let update = update_of(&end, ran);
@@ -385,6 +414,7 @@
             self.runs.entry(run.clone()).or_insert(RunState {
                 phase: RunPhase::Running { since_renewal: self.renewals_sent },
                 size: ResourceAmount::default(),
+                estimate: None,
                 owner: None,
                 ordered_at: now,
                 since: now,
@@ -420,6 +450,44 @@
         updates
     }
 
+    /// Adds the run time of an ended run to the speed.
+    fn add_run_time(&mut self, now: Instant, end: &ListedEnd, run_time: Option<RunTime>) {
+        let Some((speed, run_time)) = self.speed.as_mut().zip(run_time) else { return };
+        match end.kind {
+            EndKind::Done => speed.add_completed(now, &end.run.task.job, run_time),
+            EndKind::Stopped => speed.add_stopped(now, &end.run.task.job, run_time),
+            _ => {}
+        }
+    }
+
+    /// Updates the speed with the runs that are active; returns the figure before and the
+    /// present one after a notable change.
+    pub(super) fn update_speed(
+        &mut self,
+        now: Instant,
+    ) -> Option<(Option<SpeedReport>, SpeedReport)> {
+        let speed = self.speed.as_mut()?;
+        let active = self.runs.iter().filter(|(_, state)| state.phase.is_active());
+        let running = active.filter_map(|(run, state)| Some((&run.task.job, state.run_time(now)?)));
+        speed.update(now, running.clone());
+        let overdue_in = running.filter_map(|(_, run)| {
+            let left = speed.overdue_after(run.estimate).checked_sub(run.ran)?;
+            (!left.is_zero()).then_some(left)
+        });
+        self.overdue_at = overdue_in.min().and_then(|left| now.checked_add(left));
+        speed.take_notable_change()
+    }
+
+    /// The speed to report, if it is to be learned and there are samples.
+    pub(super) fn speed_report(&self) -> Option<SpeedReport> {
+        self.speed.as_ref()?.report()
+    }
+
+    /// Whether the speed is that of the latest few jobs.
+    pub(super) fn uses_recent_speed(&self) -> bool {
+        self.speed.as_ref().is_some_and(ServerSpeed::has_recent_taken_over)
+    }
+
     /// Records whether the latest lists are complete; `true` if they no longer are.
     pub(super) fn set_lists_complete(&mut self, complete: bool) -> bool {
         !std::mem::replace(&mut self.lists_partial, !complete) && !complete
@@ -451,6 +519,7 @@
         self.lease_expires_at = earlier.lease_expires_at;
         self.runs = earlier.runs;
         for state in self.runs.values_mut() {
+            state.estimate = None;
             state.phase = match state.phase {
                 RunPhase::Running { .. } => RunPhase::Running { since_renewal: 0 },
                 _ => RunPhase::Stopping { retry_at: Some(now) },
@@ -481,7 +550,9 @@
         });
         let queries = [self.query_lists_at, self.renew_early_at];
         let ends = [self.lapses_at(), self.start_queue.next_deadline()];
-        [renewal].into_iter().chain(queries).chain(ends).flatten().chain(retries).min()
+        let speed = [self.overdue_at, self.speed.as_ref().and_then(ServerSpeed::next_decay)];
+        let fixed = [renewal].into_iter().chain(queries).chain(ends).chain(speed);
+        fixed.flatten().chain(retries).min()
     }
 }
 
--- a/crates/decisions/src/agent/start_queue.rs
+++ b/crates/decisions/src/agent/start_queue.rs
@@ -8,12 +8,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use model::{
-    LifeId, ResourceAmount, RunUpdate, SchedulerKey, ServerRequest, StartRefusal, TaskRun,
-};
+use model::{LifeId, RunUpdate, SchedulerKey, ServerRequest, StartRefusal, TaskRun};
 
 use super::run_table::RunTable;
-use super::server_life::{OwnedUpdate, RunPhase, RunState, ServerLife};
+use super::server_life::{OwnedUpdate, RunDemand, RunPhase, RunState, ServerLife};
 
 /// How long a start waits for free capacity before it is refused; about the time
 /// in which its scheduler can place it elsewhere.
@@ -55,7 +53,7 @@
         life: &LifeId,
         runs: Vec<TaskRun>,
         spec: &Arc<str>,
-        size: ResourceAmount,
+        demand: RunDemand,
     ) {
         for run in runs {
             let Some(life) = self.life.as_mut().filter(|known| known.view.life == *life) else {
@@ -76,8 +74,9 @@
                 }
                 None => {}
             }
-            let state =
-                RunState { phase: RunPhase::Waiting, size, owner, ordered_at: now, since: now };
+            let RunDemand { size, estimate } = demand;
+            let phase = RunPhase::Waiting;
+            let state = RunState { phase, size, estimate, owner, ordered_at: now, since: now };
             life.runs.insert(run.clone(), state);
             let (spec, until) = (Arc::clone(spec), now + MAX_START_WAIT);
             life.start_queue.starts.push_back(WaitingStart { run, spec, until });
--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -74,6 +74,7 @@
             return None;
         }
         self.update_server_view(now, report);
+        self.take_reported_speed(report);
         if let Some(runs) = &report.runs {
             self.reconcile_runs(now, report, runs);
         }
@@ -170,6 +171,24 @@
         self.steps.push(ScheduleStep::Log(line));
     }
 
+    /// Takes the speed that an agent reports for its backend server.
+    fn take_reported_speed(&mut self, report: &AgentReport) {
+        let Some(speed) = report.speed.filter(|_| self.limits.speed_reports) else { return };
+        let Some(state) = self.agents.get_mut(&report.agent) else { return };
+        if state.server.is_none() {
+            return;
+        }
+        self.counts.speed_reports += 1;
+        if let Some(before) = state.set_reported_speed(speed) {
+            let line = EventLine::new("agent_speed")
+                .with("agent", &report.agent)
+                .with("slowness", format_args!("{:.3}", speed.slowness()))
+                .with("before", format_args!("{before:.3}"))
+                .with("jobs", speed.jobs);
+            self.steps.push(ScheduleStep::Log(line));
+        }
+    }
+
     /// Moves the placements on an agent to the current life of its backend server, which
     /// may have accepted runs that were ordered for an earlier one. Those that it does not
     /// have are reported as ended.
--- a/crates/decisions/src/schedule/agent_state.rs
+++ b/crates/decisions/src/schedule/agent_state.rs
@@ -9,7 +9,7 @@
 
 use model::{
     AgentOrder, ClaimOrders, EndAck, EndNumber, Incarnation, LifeId, ResourceAmount, ServerView,
-    SessionId, TaskRun,
+    SessionId, SpeedReport, TaskRun,
 };
 
 use super::agent_link::AgentLink;
@@ -20,6 +20,10 @@
 const FAILURES_BEFORE_PAUSE: u32 = 3;
 /// How long a backend server gets no work after repeated failures.
 const FAILURE_PAUSE: Duration = Duration::from_secs(2);
+/// Number of jobs that a reported speed has to be based on.
+const MIN_REPORTED_JOBS: u32 = 8;
+/// Change of a used speed that is logged.
+const NOTABLE_FACTOR: f64 = 1.25;
 
 /// End of a run that is reported and not acknowledged yet.
 #[derive(Debug, Clone, PartialEq)]
@@ -55,6 +59,8 @@
     /// Time until which the backend server gets no work.
     pub(super) paused_until: Option<Instant>,
     speed: SpeedEstimate,
+    /// Speed that this process of the agent has reported for this life.
+    reported_speed: Option<SpeedReport>,
     consecutive_failures: u32,
     pending_ends: VecDeque<PendingEnd>,
     /// Number of the end up to which all ends are recorded.
@@ -80,6 +86,7 @@
             give_ups: GiveUpKnowledge::default(),
             paused_until: None,
             speed: SpeedEstimate::new(now),
+            reported_speed: None,
             consecutive_failures: 0,
             pending_ends: VecDeque::new(),
             last_acked_end: 0,
@@ -93,9 +100,32 @@
         all.saturating_sub(&self.usage).saturating_sub(&self.other_usage)
     }
 
-    /// Ratio of run times on this backend server to the estimates.
+    /// Ratio of run times on this backend server to the estimates, by the agent's figure
+    /// and this scheduler's own runs.
     pub fn slowness(&self) -> f64 {
-        self.speed.slowness()
+        self.speed.slowness_with(self.used_speed())
+    }
+
+    /// The agent's figure, if it is based on enough jobs.
+    pub(super) fn used_speed(&self) -> Option<SpeedReport> {
+        self.reported_speed.filter(|report| report.jobs >= MIN_REPORTED_JOBS)
+    }
+
+    /// Whether this scheduler's own runs show the server to be much slower than its agent
+    /// reports.
+    pub(super) fn is_slower_than_reported(&self) -> bool {
+        self.used_speed().is_some_and(|report| self.slowness() > report.slowness())
+    }
+
+    /// Takes a reported speed; returns the figure used before if it has changed by more
+    /// than a quarter.
+    pub(super) fn set_reported_speed(&mut self, report: SpeedReport) -> Option<f64> {
+        let before = self.slowness();
+        let was_used = self.used_speed().is_some();
+        self.reported_speed = Some(report);
+        let ratio = self.used_speed()?.slowness() / before;
+        let changed = !(1.0 / NOTABLE_FACTOR..=NOTABLE_FACTOR).contains(&ratio);
+        (changed || !was_used).then_some(before)
     }
 
     /// Life of the backend server: one lifetime of its process.
@@ -121,6 +151,7 @@
         self.consecutive_failures = 0;
         self.paused_until = None;
         self.speed = SpeedEstimate::new(now);
+        self.reported_speed = None;
     }
 
     /// Starts a session and resets everything that belongs to a connection.
@@ -132,6 +163,7 @@
     ) {
         if self.incarnation != incarnation {
             self.give_ups = GiveUpKnowledge::default();
+            self.reported_speed = None;
         }
         self.incarnation = incarnation;
         self.session = session;
--- a/crates/decisions/src/schedule/load_counts.rs
+++ b/crates/decisions/src/schedule/load_counts.rs
@@ -54,4 +54,6 @@
     pub passed_on_grants: GrantCounts,
     /// Requests of agents to confirm that no run of a job is active.
     pub confirm_requests: u64,
+    /// Reports with a speed that an agent has learned.
+    pub speed_reports: u64,
 }
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -49,6 +49,9 @@
     pub ack_delay: Duration,
     /// Factor on the run time of a task outside the rack of its data.
     pub remote_factor: f64,
+    /// Whether start orders carry the estimated run time, and the speeds that agents
+    /// report are used.
+    pub speed_reports: bool,
 }
 
 /// Time in which a start that a backend server does not accept is reported as refused.
@@ -261,6 +264,19 @@
         servers.map(AgentState::slowness).max_by(f64::total_cmp)
     }
 
+    /// Whether the speeds that agents report are used.
+    pub fn uses_speed_reports(&self) -> bool {
+        self.limits.speed_reports
+    }
+
+    /// Number of agents whose reported speed is used, and of those among them that this
+    /// scheduler's own runs show to be much slower.
+    pub fn reported_speeds(&self) -> (usize, usize) {
+        let used = self.agents.values().filter(|state| state.used_speed().is_some());
+        let slower = self.agents.values().filter(|state| state.is_slower_than_reported());
+        (used.count(), slower.count())
+    }
+
     /// How much longer runs seem to this scheduler than to their agents.
     pub fn report_delay(&self) -> Duration {
         self.report_delay.estimate()
--- a/crates/decisions/src/schedule/speed_estimate.rs
+++ b/crates/decisions/src/schedule/speed_estimate.rs
@@ -8,6 +8,8 @@
 
 use std::time::{Duration, Instant};
 
+use model::SpeedReport;
+
 /// Window of the current slowness, in runs; recent runs weigh most.
 const CURRENT_WINDOW_RUNS: u32 = 8;
 /// Window of the baseline slowness, in runs.
@@ -21,6 +23,9 @@
 /// that each step removes.
 const DECAY_INTERVAL: Duration = Duration::from_millis(250);
 const DECAY_SHARE: f64 = 0.25;
+/// Factor up to which the estimate may exceed the agent's figure without effect: the latest
+/// eight runs are those of two or three jobs, which share their estimation errors.
+const TOLERATED_FACTOR: f64 = 2.0;
 
 /// Slowness of a backend server: the ratio of run times to their estimates.
 #[derive(Debug, Clone)]
@@ -49,6 +54,14 @@
         self.current
     }
 
+    /// Returns the ratio by the figure that the agent has reported, if there is one, raised
+    /// where this estimate shows the server to be much slower at present.
+    pub fn slowness_with(&self, reported: Option<SpeedReport>) -> f64 {
+        let Some(reported) = reported else { return self.current };
+        let reported = reported.slowness().clamp(MIN_SLOWNESS, MAX_SLOWNESS);
+        reported.max(self.current / TOLERATED_FACTOR)
+    }
+
     /// Adds a sample from a run that completed.
     pub fn add_sample(&mut self, now: Instant, ran: Duration, estimate: Duration) {
         let Some(sample) = slowness_sample(ran, estimate) else { return };
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -351,7 +351,9 @@
             self.steps.push(ScheduleStep::Log(line));
             let size = search.step.size;
             let spec = job.spec.clone();
-            self.push_order(&agent, AgentOrder::Start { life, runs, spec, size });
+            let estimate_ms = self.limits.speed_reports.then_some(search.step.estimate_ms);
+            let start = AgentOrder::Start { life, runs, spec, size, estimate_ms };
+            self.push_order(&agent, start);
         }
     }
 }
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -395,6 +395,26 @@
     /// Capacity used by the runs of other schedulers.
     #[serde(rename = "others")]
     pub other_usage: ResourceAmount,
+    /// Speed of the backend server, if it has changed since it was last reported.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub speed: Option<SpeedReport>,
+}
+
+/// Speed of a backend server as its agent has learned it from the runs of all schedulers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SpeedReport {
+    /// Run time over the estimate, in thousandths; above 1,000 is slower.
+    #[serde(rename = "slowness")]
+    pub slowness_milli: u32,
+    /// Number of jobs that it is based on.
+    pub jobs: u32,
+}
+
+impl SpeedReport {
+    /// Run time over the estimate.
+    pub fn slowness(&self) -> f64 {
+        f64::from(self.slowness_milli) / 1_000.0
+    }
 }
 
 /// A message of an agent that has nothing to report; its acknowledgement extends the
@@ -463,6 +483,10 @@
         spec: String,
         /// Capacity that each run needs.
         size: ResourceAmount,
+        /// Estimated run time of each run, in milliseconds; absent in the orders of
+        /// schedulers that use no speeds learned by agents.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        estimate_ms: Option<u64>,
     },
     /// Stops a run, or bars it from starting if it has not started.
     Stop {
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -129,6 +129,10 @@
     /// to be in force everywhere.
     #[serde(default = "default_catalog_age")]
     pub max_catalog_age_ms: u64,
+    /// Whether agents are sent estimated run times, and the speeds that they report are
+    /// used.
+    #[serde(default)]
+    pub speed_reports: bool,
 }
 
 fn default_catalog_age() -> u64 {
@@ -229,6 +233,9 @@
     /// How long it keeps runs executing without a lease renewal, in
     /// milliseconds.
     pub lease_ms: u64,
+    /// Whether the agent learns the server's speed and reports it.
+    #[serde(default)]
+    pub speed_reports: bool,
 }
 
 impl AgentSettings {
@@ -404,9 +411,13 @@
     optional("run_lease_ms", DURATION_MS),
     optional("remote_factor", ValueSchema::Number(1.0, 100.0)),
     optional("max_catalog_age_ms", DURATION_MS),
+    optional("speed_reports", ValueSchema::Boolean),
+];
+const SERVER_FIELDS: &[FieldRule] = &[
+    required("address", ValueSchema::Address),
+    required("lease_ms", DURATION_MS),
+    optional("speed_reports", ValueSchema::Boolean),
 ];
-const SERVER_FIELDS: &[FieldRule] =
-    &[required("address", ValueSchema::Address), required("lease_ms", DURATION_MS)];
 const ADDRESSES: ValueSchema = ValueSchema::List(&ValueSchema::Address);
 const PEER_FIELDS: &[FieldRule] =
     &[required("name", ValueSchema::Name), required("address", ValueSchema::Address)];
--- a/crates/services/src/load_meter.rs
+++ b/crates/services/src/load_meter.rs
@@ -128,6 +128,14 @@
             .with("passed_on_grant_ms", counts.passed_on_grants.mean_wait().as_millis())
             .with("max_passed_on_grant_ms", counts.passed_on_grants.longest.as_millis())
             .with("confirm_requests", counts.confirm_requests);
+        let line = if scheduler.uses_speed_reports() {
+            let (used, slower) = scheduler.reported_speeds();
+            line.with("speed_reports", counts.speed_reports)
+                .with("reported_speeds", used)
+                .with("slower_than_reported", slower)
+        } else {
+            line
+        };
         *self = LoadMeter::new(now);
         Some(line)
     }
--- a/tests/agent_fixture.rs
+++ b/tests/agent_fixture.rs
@@ -3,10 +3,11 @@
 
 use std::time::{Duration, Instant};
 
-use decisions::agent::{RunStep, RunTable};
+use decisions::agent::{RunLimits, RunStep, RunTable};
 use model::{
     AgentOrder, AgentOrders, ListedEnd, ResourceAmount, RunUpdate, SchedulerKey, ServerAnswer,
-    ServerCall, ServerHeartbeat, ServerReport, ServerRequest, ServerView, TaskName, TaskRun, Term,
+    ServerCall, ServerHeartbeat, ServerReport, ServerRequest, ServerView, SpeedReport, TaskName,
+    TaskRun, Term,
 };
 
 use crate::schedule_model::run_limits;
@@ -29,6 +30,8 @@
     pub(crate) updates: Vec<RunUpdate>,
     /// What the reports say of the backend server.
     pub(crate) server: ServerReport,
+    /// Speeds of the backend server that the reports contain.
+    pub(crate) speeds: Vec<SpeedReport>,
 }
 
 pub(crate) fn entry() -> SchedulerKey {
@@ -68,14 +71,20 @@
 impl AgentFixture {
     /// Creates an agent with a grant and a backend server without runs or ends.
     pub(crate) fn new() -> AgentFixture {
+        AgentFixture::with_limits(run_limits())
+    }
+
+    /// Creates the same agent with other limits.
+    pub(crate) fn with_limits(limits: RunLimits) -> AgentFixture {
         let now = Instant::now();
-        let table = RunTable::new(now, "agent-1".into(), 40, run_limits());
+        let table = RunTable::new(now, "agent-1".into(), 40, limits);
         let mut agent = AgentFixture {
             now,
             table,
             calls: Vec::new(),
             updates: Vec::new(),
             server: ServerReport::Absent,
+            speeds: Vec::new(),
         };
         agent.heartbeat(1, false);
         agent.answer_renewal();
@@ -91,6 +100,7 @@
                 RunStep::Call(call) => self.calls.push(call),
                 RunStep::Report(scheduler, report) => {
                     self.updates.extend(report.updates);
+                    self.speeds.extend(report.speed);
                     if report.server != ServerReport::Unchanged {
                         self.server = report.server;
                     }
@@ -136,7 +146,13 @@
     pub(crate) fn start_run(&mut self, run: TaskRun, cpu_milli: u64) {
         let size = ResourceAmount { cpu_milli, memory_mb: 1, accelerators: 0 };
         let (life, spec) = ("i-1/7".into(), "work".to_owned());
-        self.order(vec![AgentOrder::Start { life, runs: vec![run], spec, size }]);
+        self.order(vec![AgentOrder::Start {
+            life,
+            runs: vec![run],
+            spec,
+            size,
+            estimate_ms: None,
+        }]);
     }
 
     /// Answers the pending renewal with a list that shows one end, and no runs.
--- a/tests/cut_agents.rs
+++ b/tests/cut_agents.rs
@@ -108,7 +108,10 @@
     agent.apply_steps(steps);
     let size = ResourceAmount { cpu_milli: 100, memory_mb: 1, accelerators: 0 };
     let (life, spec) = ("i-1/7".into(), "work".to_owned());
-    let start = orders(None, vec![AgentOrder::Start { life, runs: vec![run()], spec, size }]);
+    let start = orders(
+        None,
+        vec![AgentOrder::Start { life, runs: vec![run()], spec, size, estimate_ms: None }],
+    );
     let now = agent.now;
     let steps = agent.table.on_orders(now, &SchedulerKey::Control, CONTROL_SESSION, now, start);
     agent.apply_steps(steps);
--- a/tests/end_acks.rs
+++ b/tests/end_acks.rs
@@ -54,7 +54,7 @@
     agent.apply_steps(steps);
     let size = ResourceAmount { cpu_milli: 100, memory_mb: 1, accelerators: 0 };
     let (life, spec) = ("i-1/7".into(), "work".to_owned());
-    let start = AgentOrder::Start { life, runs: vec![run()], spec, size };
+    let start = AgentOrder::Start { life, runs: vec![run()], spec, size, estimate_ms: None };
     acked_after(&mut agent, &SchedulerKey::Control, orders(None, vec![start]));
     agent.take_call(is_start).expect("the run is started");
     agent.list_end(ListedEnd { number: 1, run: run(), kind: EndKind::Done });
--- a/tests/grant_margin.rs
+++ b/tests/grant_margin.rs
@@ -135,7 +135,13 @@
 
 fn start(run: TaskRun) -> AgentOrder {
     let size = ResourceAmount { cpu_milli: 500, memory_mb: 1, accelerators: 0 };
-    AgentOrder::Start { life: "i-1/7".into(), runs: vec![run], spec: "work".to_owned(), size }
+    AgentOrder::Start {
+        life: "i-1/7".into(),
+        runs: vec![run],
+        spec: "work".to_owned(),
+        size,
+        estimate_ms: None,
+    }
 }
 
 /// Guards against a run that the grants of others keep active, when its stop gets lost.
--- a/tests/late_orders.rs
+++ b/tests/late_orders.rs
@@ -26,7 +26,13 @@
 
 fn start() -> AgentOrder {
     let size = ResourceAmount { cpu_milli: 500, memory_mb: 1, accelerators: 0 };
-    AgentOrder::Start { life: "i-1/7".into(), runs: vec![run()], spec: "work".to_owned(), size }
+    AgentOrder::Start {
+        life: "i-1/7".into(),
+        runs: vec![run()],
+        spec: "work".to_owned(),
+        size,
+        estimate_ms: None,
+    }
 }
 
 /// An agent that was paused for longer than its grant, and an order from before.
--- a/tests/odd_messages.rs
+++ b/tests/odd_messages.rs
@@ -3,16 +3,17 @@
 
 use std::time::{Duration, Instant};
 
-use decisions::schedule::{JobDecision, ScheduleStep, Scheduler, SchedulerKind};
+use decisions::agent::RunLimits;
+use decisions::schedule::{JobDecision, ScheduleLimits, ScheduleStep, Scheduler, SchedulerKind};
 use model::{
     AgentHeartbeat, AgentMessage, AgentOrder, AgentOrders, AgentReport, ClaimUpdate, EndAck,
     EndKind, JobCall, JobReply, LinkId, NumberedMessage, ResourceAmount, RunUpdate, ServerReport,
-    ServerView, StartRefusal, TaskName, TaskRun,
+    ServerView, SpeedReport, StartRefusal, TaskName, TaskRun,
 };
 use proptest::prelude::*;
 
 use crate::agent_fixture::{AgentFixture, entry, is_start, run_of};
-use crate::schedule_model::{SERVICE, catalog, job, schedule_limits};
+use crate::schedule_model::{SERVICE, catalog, job, run_limits, schedule_limits};
 use crate::support::case_count;
 
 fn odd_number() -> impl Strategy<Value = u64> {
@@ -75,21 +76,30 @@
         updates: Vec::new(),
         claims: Vec::new(),
         other_usage: ResourceAmount::default(),
+        speed: None,
     }
 }
 
+fn odd_speed() -> impl Strategy<Value = Option<SpeedReport>> {
+    let number = || odd_number().prop_map(|number| number as u32);
+    let speed = (number(), number())
+        .prop_map(|(slowness_milli, jobs)| SpeedReport { slowness_milli, jobs });
+    prop::option::of(speed)
+}
+
 fn odd_report() -> impl Strategy<Value = AgentReport> {
     let runs = || prop::collection::vec(odd_run(), 0..3);
     let updates = prop::collection::vec(odd_update(), 0..4);
     let agent = prop_oneof![Just("agent-1"), Just("agent-2"), Just("agent-3")];
     let session = (odd_number(), odd_number());
-    (agent, session, odd_amount(), odd_amount(), prop::option::of(runs()), runs(), updates)
-        .prop_map(
-            |(agent, (incarnation, session), capacity, other_usage, runs, unowned, updates)| {
-                let usual = report(agent, capacity);
-                AgentReport { incarnation, session, runs, unowned, updates, other_usage, ..usual }
-            },
-        )
+    let amounts = (odd_amount(), odd_amount());
+    (agent, session, amounts, prop::option::of(runs()), runs(), updates, odd_speed()).prop_map(
+        |(agent, session, (capacity, other_usage), runs, unowned, updates, speed)| {
+            let (incarnation, session) = session;
+            let usual = AgentReport { incarnation, session, ..report(agent, capacity) };
+            AgentReport { runs, unowned, updates, other_usage, speed, ..usual }
+        },
+    )
 }
 
 /// Sends a report as the first message of a connection.
@@ -148,6 +158,7 @@
     ) {
         let mut now = Instant::now();
         let limits = schedule_limits(SchedulerKind::Entry);
+        let limits = ScheduleLimits { speed_reports: true, ..limits };
         let mut scheduler = Scheduler::new(now, SchedulerKind::Entry, limits);
         scheduler.on_catalog(&catalog(1));
         for (number, (odd, wait_ms, step_ms)) in reports.iter().enumerate() {
@@ -196,7 +207,7 @@
         orders in prop::collection::vec(
             (odd_number(), odd_number(), odd_number(), odd_amount(), odd_run()), 1..8),
     ) {
-        let mut agent = AgentFixture::new();
+        let mut agent = AgentFixture::with_limits(RunLimits { speed_reports: true, ..run_limits() });
         for (grant_ms, usage_interval_ms, upto, size, run) in orders {
             let ack = Some(EndAck { life: "i-1/7".into(), upto });
             let start = AgentOrder::Start {
@@ -204,6 +215,7 @@
                 runs: vec![run.clone(), TaskRun { run: run.run ^ 1, ..run.clone() }],
                 spec: "work".to_owned(),
                 size,
+                estimate_ms: Some(grant_ms),
             };
             let orders = vec![start, AgentOrder::Keep { run: run.clone() }, AgentOrder::Stop { run }];
             let (term, received) = (0, 1);
--- a/tests/odd_terms.rs
+++ b/tests/odd_terms.rs
@@ -106,7 +106,10 @@
     let mut agent = AgentFixture::new();
     let size = ResourceAmount { cpu_milli: 100, memory_mb: 1, accelerators: 0 };
     let (life, spec) = ("i-1/7".into(), "work".to_owned());
-    agent.order_in_term(term, vec![AgentOrder::Start { life, runs: vec![run()], spec, size }]);
+    agent.order_in_term(
+        term,
+        vec![AgentOrder::Start { life, runs: vec![run()], spec, size, estimate_ms: None }],
+    );
     assert!(agent.take_start().is_some(), "the agent carries out an order of this term");
 }
 
@@ -176,6 +179,7 @@
             updates: Vec::new(),
             claims: Vec::new(),
             other_usage: ResourceAmount::default(),
+            speed: None,
         };
         let message = AgentMessage::Report(Box::new(report));
         scheduler.on_agent_message(now, link, &NumberedMessage { number: 1, message });
--- a/tests/overload_model.rs
+++ b/tests/overload_model.rs
@@ -334,6 +334,7 @@
             updates: std::mem::take(&mut state.updates),
             claims: std::mem::take(&mut state.claim_updates),
             other_usage: ResourceAmount::default(),
+            speed: None,
         };
         self.send_message(agent, AgentMessage::Report(Box::new(report)));
     }
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -55,6 +55,7 @@
         renewal_interval: Duration::from_millis(15),
         retry_delay: Duration::from_millis(100),
         claim_wait: Duration::from_millis(300),
+        speed_reports: false,
     }
 }
 
@@ -66,6 +67,7 @@
         reply_wait: Duration::from_millis(200),
         ack_delay: Duration::from_millis(150),
         remote_factor: 1.5,
+        speed_reports: false,
     }
 }
 
--- a/tests/settings_errors.rs
+++ b/tests/settings_errors.rs
@@ -46,6 +46,35 @@
     assert_eq!(error_places(&errors), ["line 2 column 11"]);
 }
 
+/// Without the setting nothing changes, and a value of another type is an error with its place.
+#[test]
+fn speed_reports_checked() {
+    let entry = |front: &str| {
+        let addresses = r#""listen": "127.0.0.1:2", "ready": "127.0.0.1:3""#;
+        let text = format!(
+            r#"{{ "name": "e", "domain": "d", "listen": "127.0.0.1:1", "controls": ["127.0.0.1:4"],
+            "front": {{ {addresses} {front} }} }}"#
+        );
+        read_entry_settings(&text).map(|settings| settings.front.expect("a front").speed_reports)
+    };
+    assert_eq!(entry(""), Ok(false));
+    assert_eq!(entry(r#", "speed_reports": true"#), Ok(true));
+    let errors = entry(r#", "speed_reports": 1"#).expect_err("not a boolean");
+    assert_eq!(error_places(&errors), ["$.front.speed_reports"]);
+    let agent = |server: &str| {
+        let text = format!(
+            r#"{{ "worker": "w", "domain": "d", "rack": "r", "listen": "127.0.0.1:1",
+            "announce_listen": "127.0.0.1:2", "controls": ["127.0.0.1:4"], "cores": 1,
+            "memory_mb": 1, "server": {{ "address": "127.0.0.1:3", "lease_ms": 1000 {server} }} }}"#
+        );
+        read_agent_settings(&text).map(|settings| settings.server.expect("a server").speed_reports)
+    };
+    assert_eq!(agent(""), Ok(false));
+    assert_eq!(agent(r#", "speed_reports": true"#), Ok(true));
+    let errors = agent(r#", "speed_reports": "yes""#).expect_err("not a boolean");
+    assert_eq!(error_places(&errors), ["$.server.speed_reports"]);
+}
+
 #[test]
 fn duplicate_member_reported() {
     let text = r#"{ "name": "a", "domain": "d", "listen": "127.0.0.1:1", "data_folder": "x",
--- a/tests/speed_estimates.rs
+++ b/tests/speed_estimates.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use decisions::schedule::SpeedEstimate;
+use model::SpeedReport;
 
 const ESTIMATE: Duration = Duration::from_millis(100);
 
@@ -60,6 +61,31 @@
     assert!(speed.slowness() < slowness / 1.5, "{}", speed.slowness());
 }
 
+/// The latest eight runs are those of two or three jobs, so an error of one job must not
+/// replace the agent's figure, which is based on many.
+#[test]
+fn reported_speed_preferred() {
+    let now = Instant::now();
+    let reported = Some(SpeedReport { slowness_milli: 800, jobs: 40 });
+    for run_ms in [40, 100, 150] {
+        let speed = steady_speed(now, run_ms);
+        assert!((speed.slowness_with(reported) - 0.8).abs() < 0.001, "{run_ms} ms");
+    }
+}
+
+/// A server that stands still is not given more tasks until its agent has reported that.
+#[test]
+fn own_runs_blended() {
+    let now = Instant::now();
+    let mut speed = steady_speed(now, 100);
+    for _ in 0..20 {
+        speed.add_sample(now, ESTIMATE * 8, ESTIMATE);
+    }
+    let reported = Some(SpeedReport { slowness_milli: 1_000, jobs: 64 });
+    let slowness = speed.slowness_with(reported);
+    assert!(slowness > 3.0 && slowness < speed.slowness(), "{slowness}");
+}
+
 #[test]
 fn zero_estimate_ignored() {
     let now = Instant::now();
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -17,6 +17,7 @@
 mod soak_operators;
 mod support;
 
+mod agent_speeds;
 mod bad_input;
 mod bounded_log;
 mod broken_snapshots;
@@ -89,6 +90,7 @@
 mod silent_replica;
 mod silent_server;
 mod speed_estimates;
+mod speed_reports;
 mod stale_answers;
 mod start_queue;
 mod start_table;
--- a/tests/suspended_hosts.rs
+++ b/tests/suspended_hosts.rs
@@ -29,7 +29,13 @@
     agent.now = timeline.instant_at(UPTIME + 2 * GRANT);
     let size = ResourceAmount { cpu_milli: 500, memory_mb: 1, accelerators: 0 };
     let spec = "work".to_owned();
-    let start = AgentOrder::Start { life: "i-1/7".into(), runs: vec![run()], spec, size };
+    let start = AgentOrder::Start {
+        life: "i-1/7".into(),
+        runs: vec![run()],
+        spec,
+        size,
+        estimate_ms: None,
+    };
     order(&mut agent, acked_at, vec![start]);
     assert_eq!(agent.take_start(), None);
 }
