--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -153,6 +153,7 @@
         remote_factor: settings.remote_factor,
         // Only best-effort jobs have callers that wait for their ends.
         estimate_spread: 0.0,
+        speed_reports: false,
     }
 }
 
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -55,6 +55,7 @@
         renewal_interval: Duration::from_millis(15),
         retry_delay: Duration::from_millis(100),
         claim_wait: Duration::from_millis(300),
+        speed_reports: false,
     }
 }
 
@@ -67,6 +68,7 @@
         ack_delay: Duration::from_millis(150),
         remote_factor: 1.5,
         estimate_spread: 0.0,
+        speed_reports: false,
     }
 }
 
