--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -124,11 +124,20 @@
     /// data.
     #[serde(default = "default_remote_factor")]
     pub remote_factor: f64,
+    /// How far run times are off from the estimates that jobs declare: the standard deviation
+    /// of the natural logarithm of their ratio. Placement then weighs the risk that a task
+    /// outlasts its caller; 0 takes estimates as exact.
+    #[serde(default)]
+    pub estimate_spread: f64,
     /// Time after which a catalog that no leader has confirmed is taken for old, in
     /// milliseconds; what it lacks may exist then. At most the time in which a change has
     /// to be in force everywhere.
     #[serde(default = "default_catalog_age")]
     pub max_catalog_age_ms: u64,
+    /// Whether agents are sent estimated run times, and the speeds that they report are
+    /// used.
+    #[serde(default)]
+    pub speed_reports: bool,
 }
 
 fn default_catalog_age() -> u64 {
@@ -229,6 +238,9 @@
     /// How long it keeps runs executing without a lease renewal, in
     /// milliseconds.
     pub lease_ms: u64,
+    /// Whether the agent learns the server's speed and reports it.
+    #[serde(default)]
+    pub speed_reports: bool,
 }
 
 impl AgentSettings {
@@ -403,10 +415,15 @@
     optional("linger_ms", DURATION_MS),
     optional("run_lease_ms", DURATION_MS),
     optional("remote_factor", ValueSchema::Number(1.0, 100.0)),
+    optional("estimate_spread", ValueSchema::Number(0.0, 2.0)),
     optional("max_catalog_age_ms", DURATION_MS),
+    optional("speed_reports", ValueSchema::Boolean),
+];
+const SERVER_FIELDS: &[FieldRule] = &[
+    required("address", ValueSchema::Address),
+    required("lease_ms", DURATION_MS),
+    optional("speed_reports", ValueSchema::Boolean),
 ];
-const SERVER_FIELDS: &[FieldRule] =
-    &[required("address", ValueSchema::Address), required("lease_ms", DURATION_MS)];
 const ADDRESSES: ValueSchema = ValueSchema::List(&ValueSchema::Address);
 const PEER_FIELDS: &[FieldRule] =
     &[required("name", ValueSchema::Name), required("address", ValueSchema::Address)];
