A job whose starts were all refused counts as not started

What callers saw: of the jobs that wait in vain, those of which a start had been refused got 504 at the end of their wait, although nothing had run. Cause: a job counted as started from its first placement, and expired as unclear from then on. Change: a live job counts the runs that were placed or adopted and not reported as refused. Without one it is refused with time_over once three times its objective can't be met, as a job that was never placed. A run whose placement is given up for another reason (a lost connection, an agent that restarted, an expired lease) stays counted: it may have run. The precedence of such jobs is unchanged.

--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -239,6 +239,7 @@
         if let Some(live) = self.live.get_mut(&run.task.job) {
             live.started = true;
             live.begun = true;
+            live.unrefused_runs += 1;
             let last = live.last_runs.entry(run.task.clone()).or_insert(0);
             *last = (*last).max(run.run);
         }
@@ -350,6 +351,9 @@
             }
         }
         if self.remove_placement(agent, run) {
+            if let Some(live) = self.live.get_mut(&run.task.job) {
+                live.unrefused_runs = live.unrefused_runs.saturating_sub(1);
+            }
             self.requeue_task(&run.task);
         }
     }
--- a/crates/decisions/src/schedule/job_admission.rs
+++ b/crates/decisions/src/schedule/job_admission.rs
@@ -173,8 +173,8 @@
     }
 
     /// Ends best-effort jobs that can't complete while their callers wait. A job of
-    /// which no task was placed is refused: no start was ordered for it. The runs of
-    /// another are stopped, so that their capacity goes to jobs that can.
+    /// which no task was placed, or each start was refused, is refused itself: it has not
+    /// run. The runs of another are stopped, so that their capacity goes to jobs that can.
     pub(super) fn expire_jobs(&mut self, now: Instant) {
         if self.next_expiry.is_none_or(|at| at > now) {
             return;
@@ -185,7 +185,7 @@
             .iter()
             .filter(|(id, live)| self.expires_at(id, live, slowness).is_some_and(|at| at <= now));
         let expired: Vec<(JobId, bool)> =
-            expired.map(|(id, live)| (id.clone(), live.started)).collect();
+            expired.map(|(id, live)| (id.clone(), live.may_have_run())).collect();
         for (id, started) in expired {
             self.log_expiry(now, &id, started);
             let reply = if started {
--- a/crates/decisions/src/schedule/live_job.rs
+++ b/crates/decisions/src/schedule/live_job.rs
@@ -57,6 +57,9 @@
     pub(super) critical_path: Duration,
     /// Whether a task of the job is done or was placed.
     pub(super) started: bool,
+    /// Number of runs that were placed or adopted, and not reported as refused: a refused
+    /// start never ran. A run whose placement is given up stays counted.
+    pub(super) unrefused_runs: u32,
     /// Whether a run of the job is known to have begun. A start that was ordered may have been
     /// refused.
     pub(super) begun: bool,
@@ -71,6 +74,12 @@
 }
 
 impl LiveJob {
+    /// Whether a run of the job was or may have been active. A job of which each start was
+    /// refused has not run, and may be refused.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.begun || self.unrefused_runs > 0
+    }
+
     /// Time by which the job must end: its deadline or the end of its caller's
     /// wait, whichever is earlier.
     pub(super) fn latest_end(&self) -> Instant {
@@ -84,7 +93,7 @@
     }
 
     /// Time at which the job can no longer be expected to end while its caller
-    /// waits, or, before its start, while its result has a value; `None` without a
+    /// waits, or, before it may have run, while its result has a value; `None` without a
     /// caller. `waiting` is the run time from its earliest waiting task to its end, by
     /// the estimates; `None` if no task waits.
     pub(super) fn expires_at(
@@ -95,7 +104,7 @@
         let until = self.waiter?.until;
         let Some(waiting) = waiting else { return Some(until) };
         let objective = self.deadline.saturating_duration_since(self.since);
-        let until = match self.started {
+        let until = match self.may_have_run() {
             true => until,
             false => until.min(later(self.since, objective.saturating_mul(MAX_OBJECTIVE_FACTOR))),
         };
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -59,6 +59,7 @@
             critical_path,
             started: !record.done.is_empty(),
             begun: !record.done.is_empty(),
+            unrefused_runs: 0,
             released_steps: IndexSet::new(),
             last_runs: IndexMap::new(),
             first_run: terms * RUNS_PER_TERM + 1,
@@ -307,6 +308,7 @@
             run = last.saturating_add(1).max(live.first_run);
             live.last_runs.insert(task.clone(), run);
             live.started = true;
+            live.unrefused_runs += 1;
         }
         let mut life = Default::default();
         if let Some(state) = self.agents.get_mut(agent) {
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -78,6 +78,7 @@
 mod queue_routes;
 mod queued_calls;
 mod reborn_servers;
+mod refused_starts;
 mod removed_queues;
 mod replaced_host;
 mod request_path;
