Best-effort jobs are refused by their expected start

Cause: a waiting job ends when three times its objective, or its caller's wait, can no longer be met; that no capacity is free by then is known sooner. At the submission all waiting work counts as ahead, also that which is placed later. A job that can't have run is refused when its latest start on the fastest backend server that can hold it has passed, when half of its caller's wait is over, or when it misses its objective and no capacity is expected by its latest start. Work ahead counts in placement order, at this scheduler's part of the capacity. Refused and expired jobs are counted by cause in schedule_load. Without the setting the rule is as before; schedule_load has the counts in seconds in which there are any. No load test was run.

--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -12,7 +12,7 @@
 use edges::group_join::GroupJoin;
 use edges::journal::{Journal, RecoveredJournal};
 use kernel::{Kernel, SharedClock};
-use model::{ControlPeer, ControlReply, ControlSettings, ServiceName, host_name};
+use model::{AdmissionRule, ControlPeer, ControlReply, ControlSettings, ServiceName, host_name};
 use services::replicated_log::LogSetup;
 
 use super::{
@@ -151,6 +151,7 @@
         reply_wait: REPLY_WAIT,
         ack_delay: ACK_DELAY,
         remote_factor: settings.remote_factor,
+        admission: AdmissionRule::Backlog,
     }
 }
 
--- a/crates/decisions/src/schedule/job_admission.rs
+++ b/crates/decisions/src/schedule/job_admission.rs
@@ -8,12 +8,13 @@
 use std::time::{Duration, Instant};
 
 use model::{
-    CallId, Command, EventLine, JobId, JobPhase, JobReply, QueuedJob, RefusalCause, ServerView,
-    ServiceId, scaled, span_of_secs, span_sum,
+    AdmissionRule, CallId, Command, EventLine, JobId, JobPhase, JobReply, QueuedJob, RefusalCause,
+    ServiceId, later, scaled,
 };
 
 use super::agent_state::AgentState;
 use super::job_claims::ClaimStart;
+use super::job_expiry::ExpiredJob;
 use super::live_job::{JobWaiter, LiveJob, MAX_OBJECTIVE_FACTOR};
 use super::scheduler::{JobDecision, ScheduleStep, Scheduler};
 use crate::control::JobChange;
@@ -106,25 +107,42 @@
         }
         let critical_path = job.critical_path();
         let objective = queue.objective(critical_path);
-        let wait = self.expected_wait(&queue.service, job);
+        let backlog_wait = self.expected_wait(&queue.service, job);
         let max_duration = objective.saturating_mul(MAX_OBJECTIVE_FACTOR);
+        let caller_wait = limit;
         let limit = limit.map_or(max_duration, |limit| limit.min(max_duration));
+        let (wait, run, latest_start) = match (self.limits.admission, caller_wait) {
+            (AdmissionRule::ExpectedStart, Some(caller_wait)) => {
+                let latest_end = later(now, objective.min(caller_wait));
+                let wait = self.wait_of_new(now, &queue.service, job, latest_end);
+                let run = scaled(critical_path, self.slowness_for(&queue.service, job));
+                // A job without a start is held for no longer than half of its caller's wait.
+                (wait, run, limit.saturating_sub(run).min(caller_wait / 2))
+            }
+            _ => {
+                let run = scaled(critical_path, self.min_slowness());
+                (backlog_wait, run, limit.saturating_sub(run))
+            }
+        };
         // Estimates are rough: with free capacity, an attempt delays no other job.
-        let run = scaled(critical_path, self.min_slowness());
-        if wait.is_zero() || span_sum(wait, run) <= limit {
+        if wait.is_zero() || wait <= latest_start {
             return None;
         }
         let cause = RefusalCause::QueueFull;
+        self.counts.refusals.queue_full += 1;
         let line = EventLine::new("job_refused")
             .with("job", &job.id)
             .with("queue", &job.queue)
             .with("cause", cause)
             .with("wait_ms", wait.as_millis())
             .with("run_ms", run.as_millis())
-            .with("limit_ms", limit.as_millis())
-            .with("term", self.term.unwrap_or_default());
-        self.steps.push(ScheduleStep::Log(line));
-        let retry_after_ms = wait.as_millis() as u64;
+            .with("limit_ms", limit.as_millis());
+        let line = match self.limits.admission {
+            AdmissionRule::Backlog => line,
+            AdmissionRule::ExpectedStart => line.with("latest_start_ms", latest_start.as_millis()),
+        };
+        self.steps.push(ScheduleStep::Log(line.with("term", self.term.unwrap_or_default())));
+        let retry_after_ms = backlog_wait.max(wait).as_millis() as u64;
         Some(JobReply::Refused { cause, retry_after_ms })
     }
 
@@ -141,6 +159,7 @@
 
     fn refuse_oversized(&mut self, job: &QueuedJob) -> JobReply {
         let cause = RefusalCause::NoServer;
+        self.counts.refusals.no_server += 1;
         let line = EventLine::new("job_refused")
             .with("job", &job.id)
             .with("queue", &job.queue)
@@ -151,21 +170,28 @@
         JobReply::Refused { cause, retry_after_ms }
     }
 
-    /// Moves the next check for expired jobs forward to the expiry of this one.
+    /// Moves the next check for expired jobs forward to that of this one.
     pub(super) fn note_expiry(&mut self, id: &JobId) {
-        let slowness = self.min_slowness();
-        let live = self.live.get(id);
-        let expires_at = live.and_then(|live| self.expires_at(id, live, slowness));
-        self.next_expiry = self.next_expiry.into_iter().chain(expires_at).min();
-    }
-
-    fn expires_at(&self, id: &JobId, live: &LiveJob, min_slowness: f64) -> Option<Instant> {
-        live.expires_at(self.waiting_path(id, live), min_slowness)
+        let Some(live) = self.live.get(id) else { return };
+        let waiting = self.waiting_path(id, live);
+        let bounds = match (self.limits.admission, waiting) {
+            (AdmissionRule::ExpectedStart, Some(waiting)) if !live.may_have_run() => {
+                let service = self.service_of(&live.job);
+                let slowness = service.map(|service| self.slowness_for(&service, &live.job));
+                live.start_bounds(waiting, slowness.unwrap_or(1.0))
+            }
+            _ => None,
+        };
+        let check_at = match bounds {
+            Some(bounds) => Some(bounds.first_check(self.expiry_checked_at)),
+            None => live.expires_at(waiting, self.min_slowness()),
+        };
+        self.next_expiry = self.next_expiry.into_iter().chain(check_at).min();
     }
 
     /// Estimated run time from the earliest task of a job that waits for a placement
     /// to its end; `None` if no task waits.
-    fn waiting_path(&self, id: &JobId, live: &LiveJob) -> Option<Duration> {
+    pub(super) fn waiting_path(&self, id: &JobId, live: &LiveJob) -> Option<Duration> {
         if self.is_held(id) {
             return Some(live.critical_path);
         }
@@ -179,19 +205,19 @@
         if self.next_expiry.is_none_or(|at| at > now) {
             return;
         }
-        let slowness = self.min_slowness();
-        let expired = self
-            .live
-            .iter()
-            .filter(|(id, live)| self.expires_at(id, live, slowness).is_some_and(|at| at <= now));
-        let expired: Vec<(JobId, bool)> =
-            expired.map(|(id, live)| (id.clone(), live.may_have_run())).collect();
-        for (id, started) in expired {
-            self.log_expiry(now, &id, started);
-            let reply = if started {
+        let checks = match self.limits.admission {
+            AdmissionRule::Backlog => self.check_ends(now),
+            AdmissionRule::ExpectedStart => self.check_starts(now),
+        };
+        self.expiry_checked_at = now;
+        self.next_expiry = checks.next_check;
+        for ExpiredJob { id, cause, line } in checks.expired {
+            self.counts.refusals.add_expired(cause);
+            self.steps.push(ScheduleStep::Log(line));
+            let live = self.live.get(&id);
+            let reply = if live.is_some_and(LiveJob::may_have_run) {
                 JobReply::Unclear
             } else {
-                let live = self.live.get(&id);
                 let wait = live.and_then(|live| {
                     let service = self.service_of(&live.job)?;
                     Some(self.expected_wait(&service, &live.job))
@@ -203,8 +229,6 @@
             let change = self.volatile_store.close(&id, JobPhase::Cancelled, 0);
             self.on_change(now, change);
         }
-        let live = self.live.iter();
-        self.next_expiry = live.filter_map(|(id, live)| self.expires_at(id, live, slowness)).min();
     }
 
     /// Handles the shutdown of an entry: no caller waits beyond `until`. What can't end by then
@@ -223,18 +247,6 @@
         self.placement_due = true;
     }
 
-    fn log_expiry(&mut self, now: Instant, id: &JobId, started: bool) {
-        let Some(live) = self.live.get(id) else { return };
-        let waiting = self.waiting_path(id, live).unwrap_or_default();
-        let until = live.waiter.map_or(now, |waiter| waiter.until);
-        let line = EventLine::new("job_expired")
-            .with("job", id)
-            .with("started", started)
-            .with("run_ms", scaled(waiting, self.min_slowness()).as_millis())
-            .with("caller_ms", until.saturating_duration_since(now).as_millis());
-        self.steps.push(ScheduleStep::Log(line));
-    }
-
     /// Cancels a best-effort job whose caller has disconnected, to free its
     /// capacity.
     pub fn on_abandoned(&mut self, now: Instant, call: CallId) {
@@ -254,33 +266,14 @@
         servers.map(AgentState::slowness).min_by(f64::total_cmp).unwrap_or(1.0)
     }
 
-    /// Expected queueing delay of a job of a service admitted now: the work that is queued
-    /// for the service divided by the part of its servers' total speed that this scheduler
-    /// gets; at most [`model::MAX_SPAN`]. That part is taken to be its share of their
-    /// capacity in use, and at least the capacity of one task of the job: a scheduler that
-    /// has no run just now is placing its next one.
+    /// Expected queueing delay of a job of a service that is placed after all work that
+    /// waits for the service.
     fn expected_wait(&self, service: &ServiceId, job: &QueuedJob) -> Duration {
         let left_work = self.ready.left_work(service);
         if left_work == 0 {
             return Duration::ZERO;
         }
-        let serves = |server: &ServerView| !server.draining && server.service == *service;
-        let servers =
-            self.agents.values().filter(|state| state.server.as_ref().is_some_and(serves));
-        let (mut speed, mut own, mut others) = (0.0, 0.0, 0.0);
-        for state in servers {
-            let capacity = state.server.as_ref().map_or(0, |server| server.capacity.cpu_milli);
-            speed += capacity as f64 / 1_000.0 / state.slowness();
-            own += state.usage.cpu_milli as f64;
-            others += state.other_usage.cpu_milli as f64;
-        }
-        let task = job.steps.iter().map(|step| step.size.cpu_milli).max().unwrap_or(0);
-        let least = f64::max(task as f64, 1.0);
-        let share = f64::max(own, least) / f64::max(own + others, least);
-        if speed <= 0.0 {
-            return Duration::ZERO;
-        }
-        span_of_secs(left_work as f64 / (speed * share) / 1_000.0)
+        self.service_speed(service).time_for(left_work, job)
     }
 
     pub(super) fn answer_waiter(&mut self, id: &JobId, reply: JobReply) {
--- a/crates/decisions/src/schedule/live_job.rs
+++ b/crates/decisions/src/schedule/live_job.rs
@@ -8,6 +8,7 @@
     CallId, JobStep, LifeId, NodeId, QueuedJob, ResourceAmount, RunNumber, TaskName, later, scaled,
 };
 
+use super::start_bounds::StartBounds;
 use super::task_urgency::MIN_RUN_TIME_SHARE;
 
 /// Multiple of its objective beyond which a job has no value left.
@@ -92,6 +93,29 @@
         latest_end.checked_sub(step.estimate()).unwrap_or(latest_end)
     }
 
+    /// Latest times at which the job may start if nothing of it has run; `None` without a
+    /// caller. `waiting` is the run time from its earliest waiting task to its end, by the
+    /// estimates; `slowness` that of the fastest server that can hold it.
+    pub(super) fn start_bounds(&self, waiting: Duration, slowness: f64) -> Option<StartBounds> {
+        let waiter = self.waiter?;
+        let run = scaled(waiting, slowness);
+        let objective = self.deadline.saturating_duration_since(self.since);
+        let max_useful = objective.saturating_mul(MAX_OBJECTIVE_FACTOR);
+        let useful_end = waiter.until.min(later(self.since, max_useful));
+        // One that is expected to end too late wherever it runs may still end sooner.
+        let least_run = match run > useful_end.saturating_duration_since(self.since) {
+            true => scaled(run, MIN_RUN_TIME_SHARE),
+            false => run,
+        };
+        let before = |end: Instant, run| end.checked_sub(run).unwrap_or(end).max(self.since);
+        let caller_wait = waiter.until.saturating_duration_since(waiter.since);
+        Some(StartBounds {
+            in_time: before(self.latest_end(), run),
+            useful: before(useful_end, least_run),
+            held: later(waiter.since, caller_wait / 2),
+        })
+    }
+
     /// Time at which the job can no longer be expected to end while its caller
     /// waits, or, before it may have run, while its result has a value; `None` without a
     /// caller. `waiting` is the run time from its earliest waiting task to its end, by
@@ -117,5 +141,6 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct JobWaiter {
     pub(super) call: CallId,
+    pub(super) since: Instant,
     pub(super) until: Instant,
 }
--- a/crates/decisions/src/schedule/load_counts.rs
+++ b/crates/decisions/src/schedule/load_counts.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::start_bounds::ExpiryCause;
+
 /// Claims of one kind that were granted, and how long their jobs waited for that.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct GrantCounts {
@@ -27,6 +29,36 @@
     }
 }
 
+/// Jobs that were refused at their admission, or ended later, by cause.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RefusalCounts {
+    /// Refused at once: the work queued ahead leaves no time.
+    pub queue_full: u64,
+    /// Refused at once: no backend server can hold a task.
+    pub no_server: u64,
+    /// Ended after a start: the rest can't end while the caller waits.
+    pub caller_time: u64,
+    /// Refused while waiting: the latest start has passed.
+    pub latest_start: u64,
+    /// Refused while waiting: no capacity is expected in time.
+    pub no_capacity: u64,
+    /// Refused while waiting: half of the caller's wait is over.
+    pub held_long: u64,
+}
+
+impl RefusalCounts {
+    /// Counts a job that was ended before its caller had left.
+    pub(super) fn add_expired(&mut self, cause: ExpiryCause) {
+        let count = match cause {
+            ExpiryCause::CallerTime => &mut self.caller_time,
+            ExpiryCause::LatestStart => &mut self.latest_start,
+            ExpiryCause::NoCapacity => &mut self.no_capacity,
+            ExpiryCause::HeldLong => &mut self.held_long,
+        };
+        *count += 1;
+    }
+}
+
 /// Work of a scheduler since the counts were last taken.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct LoadCounts {
@@ -54,4 +86,6 @@
     pub passed_on_grants: GrantCounts,
     /// Requests of agents to confirm that no run of a job is active.
     pub confirm_requests: u64,
+    /// Jobs that were refused or ended before their callers had left.
+    pub refusals: RefusalCounts,
 }
--- a/crates/decisions/src/schedule/ready_queue.rs
+++ b/crates/decisions/src/schedule/ready_queue.rs
@@ -16,6 +16,7 @@
     pub(super) job: JobId,
     pub(super) step: StepIndex,
     pub(super) tasks: VecDeque<TaskIndex>,
+    pub(super) latest_start: Instant,
     /// Highest task that was ever added; a higher one is new.
     highest: TaskIndex,
     /// Processor time that one task needs, in core-milliseconds.
@@ -29,6 +30,14 @@
     pub(super) at_stake: bool,
 }
 
+impl ReadyGroup {
+    /// Processor time of the tasks that the latest placement round left waiting, in
+    /// core-milliseconds, and the service for whose capacity they wait.
+    pub(super) fn left_work(&self) -> Option<(&ServiceId, u128)> {
+        self.service.as_ref().map(|service| (service, work_of(self, self.left)))
+    }
+}
+
 /// Latest start time, and a sequence number that breaks ties.
 pub(super) type GroupKey = (Instant, u64);
 
@@ -64,6 +73,7 @@
             job: job.clone(),
             step,
             tasks: VecDeque::new(),
+            latest_start,
             highest: task,
             work,
             service: None,
@@ -84,6 +94,13 @@
         in_time.chain(late).collect()
     }
 
+    /// The groups by latest start, those that are late last; in placement order but for the
+    /// precedence of some.
+    pub(super) fn in_order(&self, now: Instant) -> impl Iterator<Item = &ReadyGroup> {
+        let in_time = self.groups.range((now, 0)..).map(|(_, group)| group);
+        in_time.chain(self.groups.range(..(now, 0)).rev().map(|(_, group)| group))
+    }
+
     pub(super) fn group(&self, key: GroupKey) -> Option<&ReadyGroup> {
         self.groups.get(&key)
     }
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -6,9 +6,9 @@
 
 use indexmap::{IndexMap, IndexSet};
 use model::{
-    AgentOrders, CallId, Command, EntryHost, EventLine, Incarnation, JobCall, JobId, JobPhase,
-    JobRecord, JobReply, JobStep, LeaderHint, LinkId, LogRecord, NodeId, QueueCatalog, QueueId,
-    ScheduleState, TaskName, Term, later, scaled,
+    AdmissionRule, AgentOrders, CallId, Command, EntryHost, EventLine, Incarnation, JobCall, JobId,
+    JobPhase, JobRecord, JobReply, JobStep, LeaderHint, LinkId, LogRecord, NodeId, QueueCatalog,
+    QueueId, ScheduleState, TaskName, Term, later, scaled,
 };
 
 use super::agent_checks::AgentChecks;
@@ -49,6 +49,8 @@
     pub ack_delay: Duration,
     /// Factor on the run time of a task outside the rack of its data.
     pub remote_factor: f64,
+    /// Which best-effort jobs are refused.
+    pub admission: AdmissionRule,
 }
 
 /// Time in which a start that a backend server does not accept is reported as refused.
@@ -154,6 +156,8 @@
     /// Time of the next check for expired jobs: the earliest expiry at the last check,
     /// or that of a job admitted since.
     pub(super) next_expiry: Option<Instant>,
+    /// Time of the latest check for expired jobs.
+    pub(super) expiry_checked_at: Instant,
     pub(super) steps: Vec<ScheduleStep>,
 }
 
@@ -187,6 +191,7 @@
             report_delay: ReportDelay::default(),
             overdue_checked_at: now,
             next_expiry: None,
+            expiry_checked_at: now,
             steps: Vec::new(),
         }
     }
@@ -330,7 +335,7 @@
         match call {
             JobCall::Submit { job, wait_ms } if job.best_effort => {
                 let until = later(now, Duration::from_millis(*wait_ms));
-                self.admit_best_effort(now, job, JobWaiter { call: id, until })
+                self.admit_best_effort(now, job, JobWaiter { call: id, since: now, until })
             }
             JobCall::Submit { job, .. } => self.admit(now, job),
             JobCall::Cancel { queue, job } => match self.store.job(job) {
--- a/crates/decisions/src/schedule/server_sizes.rs
+++ b/crates/decisions/src/schedule/server_sizes.rs
@@ -32,6 +32,13 @@
     }
 }
 
+/// Whether a server, when it is idle, can run a task of a step.
+pub(super) fn can_run(server: &ServerView, service: &ServiceId, step: &JobStep) -> bool {
+    server.service == *service
+        && has_label(&server.labels, step.required_label.as_ref())
+        && server.capacity.fits(&step.size)
+}
+
 /// The different sizes of the servers of one service that have one label.
 #[derive(Debug)]
 struct SizeClass {
--- /dev/null
+++ b/crates/decisions/src/schedule/start_forecast.rs
@@ -0,0 +1,169 @@
+//! Forecasts when capacity is free for a job, and how fast it runs then.
+//!
+//! Handles the load pattern *demand above capacity for some seconds*. Work queued ahead
+//! counts in the order in which it is placed, and at this scheduler's part of the
+//! capacity. A forecast costs one pass over the agents and one over the waiting steps,
+//! however many jobs it is asked for.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use model::{JobId, JobStep, QueuedJob, ServerView, ServiceId, span_of_secs};
+
+use super::agent_state::AgentState;
+use super::scheduler::Scheduler;
+use super::server_sizes::can_run;
+
+/// Total speed of the servers of one service, and who uses it.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct ServiceSpeed {
+    /// Core-seconds of work that are done in a second.
+    speed: f64,
+    /// Capacity in use by this scheduler's runs, in thousandths of a core.
+    own: f64,
+    /// The same by those of other schedulers.
+    others: f64,
+}
+
+impl ServiceSpeed {
+    /// Time until this scheduler's part of the capacity has done some work, in
+    /// core-milliseconds; at most [`model::MAX_SPAN`], and zero without servers. That part
+    /// is taken to be its share of the capacity in use, and at least the capacity of one
+    /// task of the job: a scheduler that has no run just now is placing its next one.
+    pub(super) fn time_for(&self, work: u128, job: &QueuedJob) -> Duration {
+        if work == 0 || self.speed <= 0.0 {
+            return Duration::ZERO;
+        }
+        let task = largest_step(job).map_or(0, |step| step.size.cpu_milli);
+        let least = f64::max(task as f64, 1.0);
+        let share = f64::max(self.own, least) / f64::max(self.own + self.others, least);
+        span_of_secs(work as f64 / (self.speed * share) / 1_000.0)
+    }
+}
+
+/// What a scheduler expects of its backend servers, as it knows them at one time.
+pub(super) struct StartForecast<'scheduler> {
+    scheduler: &'scheduler Scheduler,
+    /// Slowness of the servers that accept work, fastest first.
+    servers: Vec<(f64, &'scheduler ServerView)>,
+    /// By service, as far as they were asked for.
+    speeds: IndexMap<ServiceId, ServiceSpeed>,
+    /// Processor time that is placed ahead of each waiting job, in core-milliseconds.
+    ahead: IndexMap<&'scheduler JobId, u128>,
+}
+
+impl<'scheduler> StartForecast<'scheduler> {
+    pub(super) fn new(now: Instant, scheduler: &'scheduler Scheduler) -> Self {
+        let mut servers: Vec<(f64, &ServerView)> = scheduler.open_servers().collect();
+        servers.sort_by(|(one, _), (other, _)| one.total_cmp(other));
+        let ahead = scheduler.work_ahead(now);
+        StartForecast { scheduler, servers, speeds: IndexMap::new(), ahead }
+    }
+
+    /// Slowness of the fastest server that can hold the largest task of a job; that of the
+    /// fastest one of all if none can.
+    pub(super) fn slowness(&self, service: &ServiceId, job: &QueuedJob) -> f64 {
+        let holds = |(_, server): &&(f64, &ServerView)| holds_largest(server, service, job);
+        let fastest = self.servers.iter().find(holds).or(self.servers.first());
+        fastest.map_or(1.0, |(slowness, _)| *slowness)
+    }
+
+    /// Expected wait of a job of which nothing is placed. One that isn't queued yet, since
+    /// its claim is not granted, comes after all others.
+    pub(super) fn wait(&mut self, service: &ServiceId, job: &QueuedJob) -> Duration {
+        let ready = &self.scheduler.ready;
+        let work = self.ahead.get(&job.id).copied().unwrap_or_else(|| ready.left_work(service));
+        if work == 0 {
+            return Duration::ZERO;
+        }
+        if !self.speeds.contains_key(service) {
+            self.speeds.insert(service.clone(), self.scheduler.service_speed(service));
+        }
+        self.speeds.get(service).map_or(Duration::ZERO, |speed| speed.time_for(work, job))
+    }
+}
+
+impl Scheduler {
+    /// Slowness and view of the backend servers that accept new work.
+    fn open_servers(&self) -> impl Iterator<Item = (f64, &ServerView)> {
+        let servers = self
+            .agents
+            .values()
+            .filter_map(|state| state.server.as_ref().map(|server| (state.slowness(), server)));
+        servers.filter(|(_, server)| !server.draining)
+    }
+
+    /// Slowness of the fastest backend server that can hold the largest task of a job; that
+    /// of the fastest one of all if none can.
+    pub(super) fn slowness_for(&self, service: &ServiceId, job: &QueuedJob) -> f64 {
+        let holding = self.open_servers().filter(|(_, server)| holds_largest(server, service, job));
+        let fastest = holding.map(|(slowness, _)| slowness).min_by(f64::total_cmp);
+        fastest.unwrap_or_else(|| self.min_slowness())
+    }
+
+    /// Total speed of the servers of a service.
+    pub(super) fn service_speed(&self, service: &ServiceId) -> ServiceSpeed {
+        let serves = |server: &ServerView| !server.draining && server.service == *service;
+        let is_serving = |state: &&AgentState| state.server.as_ref().is_some_and(serves);
+        let mut sum = ServiceSpeed::default();
+        for state in self.agents.values().filter(is_serving) {
+            let capacity = state.server.as_ref().map_or(0, |server| server.capacity.cpu_milli);
+            sum.speed += capacity as f64 / 1_000.0 / state.slowness();
+            sum.own += state.usage.cpu_milli as f64;
+            sum.others += state.other_usage.cpu_milli as f64;
+        }
+        sum
+    }
+
+    /// Processor time that is placed ahead of each waiting job, in core-milliseconds: of the
+    /// steps that the latest placement round left waiting for capacity of its service.
+    fn work_ahead(&self, now: Instant) -> IndexMap<&JobId, u128> {
+        let mut sums: IndexMap<&ServiceId, u128> = IndexMap::new();
+        let mut ahead = IndexMap::with_capacity(self.ready.len());
+        let (at_stake, others): (Vec<_>, Vec<_>) =
+            self.ready.in_order(now).partition(|group| group.at_stake);
+        for group in at_stake.into_iter().chain(others) {
+            let Some((service, work)) = group.left_work() else { continue };
+            let sum = sums.entry(service).or_default();
+            ahead.entry(&group.job).or_insert(*sum);
+            *sum += work;
+        }
+        ahead
+    }
+
+    /// Expected wait of a job that is submitted now, and has to end within its objective by
+    /// `latest_end`.
+    pub(super) fn wait_of_new(
+        &self,
+        now: Instant,
+        service: &ServiceId,
+        job: &QueuedJob,
+        latest_end: Instant,
+    ) -> Duration {
+        if self.ready.left_work(service) == 0 {
+            return Duration::ZERO;
+        }
+        let latest_start = latest_end.checked_sub(job.critical_path()).unwrap_or(latest_end);
+        let is_late = latest_start < now;
+        let mut work = 0;
+        for group in self.ready.in_order(now) {
+            let comes_first = match group.latest_start < now {
+                // Late groups are placed last, the least late first.
+                true => is_late && group.latest_start >= latest_start,
+                false => is_late || group.latest_start <= latest_start,
+            };
+            let left = group.left_work().filter(|(ahead, _)| *ahead == service);
+            work += left.filter(|_| group.at_stake || comes_first).map_or(0, |(_, work)| work);
+        }
+        self.service_speed(service).time_for(work, job)
+    }
+}
+
+/// The step of a job whose tasks take the most processor capacity.
+fn largest_step(job: &QueuedJob) -> Option<&JobStep> {
+    job.steps.iter().max_by_key(|step| step.size.cpu_milli)
+}
+
+fn holds_largest(server: &ServerView, service: &ServiceId, job: &QueuedJob) -> bool {
+    largest_step(job).is_some_and(|step| can_run(server, service, step))
+}
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -129,6 +129,27 @@
     /// to be in force everywhere.
     #[serde(default = "default_catalog_age")]
     pub max_catalog_age_ms: u64,
+    /// Which best-effort jobs are refused, at once or while they wait.
+    #[serde(default, skip_serializing_if = "AdmissionRule::is_default")]
+    pub admission: AdmissionRule,
+}
+
+/// Which best-effort jobs an entry refuses.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AdmissionRule {
+    /// Those for which all work that waits leaves no time, and those that have waited until
+    /// they can't end while their result has a value.
+    #[default]
+    Backlog,
+    /// Also those that are not expected to start in time, as soon as that is known.
+    ExpectedStart,
+}
+
+impl AdmissionRule {
+    fn is_default(&self) -> bool {
+        *self == AdmissionRule::default()
+    }
 }
 
 fn default_catalog_age() -> u64 {
@@ -397,6 +418,8 @@
 const DURATION_MS: ValueSchema = ValueSchema::Integer(1, MAX_DURATION_MS);
 const RETENTION_MS: ValueSchema = ValueSchema::Integer(1_000, 24 * MAX_DURATION_MS);
 const PORT: ValueSchema = ValueSchema::Integer(1, 65_535);
+/// Rules other than the default, which applies where the setting is absent.
+const ADMISSION_RULES: &[&str] = &["expected_start"];
 const FRONT_FIELDS: &[FieldRule] = &[
     required("listen", ValueSchema::Address),
     required("ready", ValueSchema::Address),
@@ -404,6 +427,7 @@
     optional("run_lease_ms", DURATION_MS),
     optional("remote_factor", ValueSchema::Number(1.0, 100.0)),
     optional("max_catalog_age_ms", DURATION_MS),
+    optional("admission", ValueSchema::OneOf(ADMISSION_RULES)),
 ];
 const SERVER_FIELDS: &[FieldRule] =
     &[required("address", ValueSchema::Address), required("lease_ms", DURATION_MS)];
--- a/crates/services/src/load_meter.rs
+++ b/crates/services/src/load_meter.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use decisions::schedule::Scheduler;
+use decisions::schedule::{RefusalCounts, Scheduler};
 use model::{AgentMessage, AgentOrders, AgentReport, EventLine, RunUpdate, SchedulingMessage};
 
 /// Minimum interval between two lines; without messages none is written.
@@ -129,6 +129,19 @@
             .with("max_passed_on_grant_ms", counts.passed_on_grants.longest.as_millis())
             .with("confirm_requests", counts.confirm_requests);
         *self = LoadMeter::new(now);
-        Some(line)
+        Some(with_refusals(line, &counts.refusals))
     }
 }
+
+/// Adds the numbers of refused and expired jobs by cause, if there are any.
+fn with_refusals(line: EventLine, counts: &RefusalCounts) -> EventLine {
+    if *counts == RefusalCounts::default() {
+        return line;
+    }
+    line.with("jobs_queue_full", counts.queue_full)
+        .with("jobs_no_server", counts.no_server)
+        .with("jobs_caller_time", counts.caller_time)
+        .with("jobs_latest_start", counts.latest_start)
+        .with("jobs_no_capacity", counts.no_capacity)
+        .with("jobs_held_long", counts.held_long)
+}
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -16,10 +16,10 @@
     JobDecision, LoadCounts, ScheduleLimits, ScheduleStep, Scheduler, SchedulerKind,
 };
 use model::{
-    AgentHeartbeat, AgentMessage, AgentOrders, AgentReport, Command, JobCall, JobPhase, JobReply,
-    JobStep, LogRecord, NumberedMessage, QueueCatalog, QueueRule, QueuedJob, ResourceAmount,
-    SchedulerKey, ServerAnswer, ServerCall, ServerHeartbeat, ServerRequest, ServerView,
-    ServiceRule, TaskName, life_id,
+    AdmissionRule, AgentHeartbeat, AgentMessage, AgentOrders, AgentReport, Command, JobCall,
+    JobPhase, JobReply, JobStep, LogRecord, NumberedMessage, QueueCatalog, QueueRule, QueuedJob,
+    ResourceAmount, SchedulerKey, ServerAnswer, ServerCall, ServerHeartbeat, ServerRequest,
+    ServerView, ServiceRule, TaskName, life_id,
 };
 
 use crate::link_model::LinkModel;
@@ -66,6 +66,7 @@
         reply_wait: Duration::from_millis(200),
         ack_delay: Duration::from_millis(150),
         remote_factor: 1.5,
+        admission: AdmissionRule::Backlog,
     }
 }
 
@@ -163,6 +164,8 @@
     pub(crate) run_time: Duration,
     /// How long callers of best-effort jobs wait.
     pub(crate) caller_wait: Duration,
+    /// Which jobs entries refuse.
+    admission: AdmissionRule,
     schedulers: Vec<SchedulerModel>,
     agents: Vec<AgentModel>,
     servers: Vec<ServerModel>,
@@ -207,11 +210,21 @@
     /// Creates control as scheduler 0 and entries from 1 on, and a backend server
     /// for each agent; runs until all are connected and agents grant claims.
     pub(crate) fn new(entries: usize, agents: usize) -> ScheduleModel {
+        ScheduleModel::with_admission(entries, agents, AdmissionRule::Backlog)
+    }
+
+    /// The same, with entries that refuse jobs by this rule.
+    pub(crate) fn with_admission(
+        entries: usize,
+        agents: usize,
+        admission: AdmissionRule,
+    ) -> ScheduleModel {
         let now = Instant::now();
         let mut model = ScheduleModel {
             now,
             run_time: RUN_TIME,
             caller_wait: CALLER_WAIT,
+            admission,
             schedulers: Vec::new(),
             agents: Vec::new(),
             servers: Vec::new(),
@@ -265,7 +278,8 @@
             SchedulerKey::Control => SchedulerKind::Control,
             SchedulerKey::Entry(_) => SchedulerKind::Entry,
         };
-        let mut scheduler = Scheduler::new(self.now, kind, schedule_limits(kind));
+        let limits = ScheduleLimits { admission: self.admission, ..schedule_limits(kind) };
+        let mut scheduler = Scheduler::new(self.now, kind, limits);
         if kind == SchedulerKind::Entry {
             scheduler.on_catalog(&catalog(1));
         }
@@ -353,7 +367,11 @@
     pub(crate) fn restart_entry(&mut self, number: usize) {
         self.last_generation += 1;
         let incarnation = self.last_generation;
-        let limits = ScheduleLimits { incarnation, ..schedule_limits(SchedulerKind::Entry) };
+        let limits = ScheduleLimits {
+            incarnation,
+            admission: self.admission,
+            ..schedule_limits(SchedulerKind::Entry)
+        };
         let mut scheduler = Scheduler::new(self.now, SchedulerKind::Entry, limits);
         scheduler.on_catalog(&catalog(1));
         self.schedulers[number].scheduler = scheduler;
--- a/tests/settings_errors.rs
+++ b/tests/settings_errors.rs
@@ -2,8 +2,8 @@
 //! its place in the document.
 
 use model::{
-    ValidationError, read_agent_settings, read_control_settings, read_entry_settings,
-    read_operator_config,
+    AdmissionRule, ValidationError, read_agent_settings, read_control_settings,
+    read_entry_settings, read_operator_config,
 };
 
 fn error_places(errors: &[ValidationError]) -> Vec<&str> {
@@ -70,3 +70,24 @@
     let errors = read_operator_config(text).expect_err("unknown services");
     assert_eq!(error_places(&errors), ["$.services.a.depends_on[0]", "$.services.a.depends_on[1]"]);
 }
+
+/// Settings of an entry for callers of queues, with another field of its `front`.
+fn front_settings(field: &str) -> String {
+    format!(
+        r#"{{ "name": "a", "domain": "d", "listen": "127.0.0.1:1", "controls": ["127.0.0.1:2"],
+        "front": {{ "listen": "127.0.0.1:3", "ready": "127.0.0.1:4"{field} }} }}"#
+    )
+}
+
+// A misspelled rule must not silently leave the default in force.
+#[test]
+fn admission_validated() {
+    let read = |field| read_entry_settings(&front_settings(field)).map(|entry| entry.front);
+    let rule = |field| read(field).expect("valid settings").expect("a front").admission;
+    assert_eq!(rule(""), AdmissionRule::Backlog);
+    assert_eq!(rule(r#", "admission": "expected_start""#), AdmissionRule::ExpectedStart);
+    for field in [r#", "admission": "expected""#, r#", "admission": 1"#] {
+        let errors = read(field).expect_err("no such rule");
+        assert_eq!(error_places(&errors), ["$.front.admission"]);
+    }
+}
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -30,6 +30,7 @@
 mod early_end;
 mod end_acks;
 mod entry_share;
+mod expected_start;
 mod expired_grants;
 mod fair_sharing;
 mod full_disk;
