Jobs that are more likely to outlast their callers than not are refused at once

Cause: an entry takes estimates as they are, and tries a job unless 0.6 of its run time on the fastest backend server exceeds the caller's wait. A job whose median run time on the fastest backend server exceeds its limit is refused with too_long; the same median is in the bounds of a start. Jobs that are stopped at their callers' time count as lower bounds. No load test was run: what it changes in value is not measured.

--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -417,6 +417,11 @@
                 _ => {}
             }
         }
+        if let (Some(estimate), EndKind::Done) = (estimate, kind)
+            && let Some(live) = self.live.get_mut(&run.task.job)
+        {
+            live.run_ratio = live.run_ratio.max(placed.run_ratio(ran, estimate));
+        }
         if let Some(placed) = self.placements.get_mut(&run.task) {
             placed.ended = true;
         }
--- a/crates/decisions/src/schedule/job_admission.rs
+++ b/crates/decisions/src/schedule/job_admission.rs
@@ -9,12 +9,12 @@
 
 use model::{
     AdmissionRule, CallId, Command, EventLine, JobId, JobPhase, JobReply, QueuedJob, RefusalCause,
-    ServiceId, later, scaled,
+    ServiceId, later, scaled, span_sum,
 };
 
 use super::agent_state::AgentState;
 use super::job_claims::ClaimStart;
-use super::job_expiry::ExpiredJob;
+use super::job_expiry::{ExpiredJob, ratio_text};
 use super::live_job::{JobWaiter, LiveJob, MAX_OBJECTIVE_FACTOR};
 use super::scheduler::{JobDecision, ScheduleStep, Scheduler};
 use crate::control::JobChange;
@@ -107,25 +107,16 @@
         }
         let critical_path = job.critical_path();
         let objective = queue.objective(critical_path);
-        let backlog_wait = self.expected_wait(&queue.service, job);
         let max_duration = objective.saturating_mul(MAX_OBJECTIVE_FACTOR);
-        let caller_wait = limit;
+        if let (AdmissionRule::ExpectedStart, Some(caller_wait)) = (self.limits.admission, limit) {
+            let service = queue.service.clone();
+            return self.refusal_by_start(now, job, &service, objective, caller_wait);
+        }
         let limit = limit.map_or(max_duration, |limit| limit.min(max_duration));
-        let (wait, run, latest_start) = match (self.limits.admission, caller_wait) {
-            (AdmissionRule::ExpectedStart, Some(caller_wait)) => {
-                let latest_end = later(now, objective.min(caller_wait));
-                let wait = self.wait_of_new(now, &queue.service, job, latest_end);
-                let run = scaled(critical_path, self.slowness_for(&queue.service, job));
-                // A job without a start is held for no longer than half of its caller's wait.
-                (wait, run, limit.saturating_sub(run).min(caller_wait / 2))
-            }
-            _ => {
-                let run = scaled(critical_path, self.min_slowness());
-                (backlog_wait, run, limit.saturating_sub(run))
-            }
-        };
+        let wait = self.expected_wait(&queue.service, job);
         // Estimates are rough: with free capacity, an attempt delays no other job.
-        if wait.is_zero() || wait <= latest_start {
+        let run = scaled(critical_path, self.min_slowness());
+        if wait.is_zero() || span_sum(wait, run) <= limit {
             return None;
         }
         let cause = RefusalCause::QueueFull;
@@ -136,13 +127,52 @@
             .with("cause", cause)
             .with("wait_ms", wait.as_millis())
             .with("run_ms", run.as_millis())
-            .with("limit_ms", limit.as_millis());
-        let line = match self.limits.admission {
-            AdmissionRule::Backlog => line,
-            AdmissionRule::ExpectedStart => line.with("latest_start_ms", latest_start.as_millis()),
+            .with("limit_ms", limit.as_millis())
+            .with("term", self.term.unwrap_or_default());
+        self.steps.push(ScheduleStep::Log(line));
+        let retry_after_ms = wait.as_millis() as u64;
+        Some(JobReply::Refused { cause, retry_after_ms })
+    }
+
+    /// Returns the refusal of a job that is more likely to end after its limit than before,
+    /// or whose expected start is too late: for its result to have a value, or for its caller.
+    fn refusal_by_start(
+        &mut self,
+        now: Instant,
+        job: &QueuedJob,
+        service: &ServiceId,
+        objective: Duration,
+        caller_wait: Duration,
+    ) -> Option<JobReply> {
+        let limit = caller_wait.min(objective.saturating_mul(MAX_OBJECTIVE_FACTOR));
+        let ratio = self.median_ratio(now, job);
+        let slowness = self.slowness_for(service, job);
+        let run = scaled(job.critical_path(), slowness * ratio.unwrap_or(1.0));
+        let latest_end = later(now, objective.min(caller_wait));
+        let wait = self.wait_of_new(now, service, job, latest_end);
+        // A job without a start is held for no longer than half of its caller's wait.
+        let latest_start = limit.saturating_sub(run).min(caller_wait / 2);
+        let cause = if ratio.is_some() && run > limit {
+            self.counts.refusals.too_long += 1;
+            RefusalCause::TooLong
+        } else if wait > latest_start {
+            self.counts.refusals.queue_full += 1;
+            RefusalCause::QueueFull
+        } else {
+            return None;
         };
-        self.steps.push(ScheduleStep::Log(line.with("term", self.term.unwrap_or_default())));
-        let retry_after_ms = backlog_wait.max(wait).as_millis() as u64;
+        let line = EventLine::new("job_refused")
+            .with("job", &job.id)
+            .with("queue", &job.queue)
+            .with("cause", cause)
+            .with("wait_ms", wait.as_millis())
+            .with("run_ms", run.as_millis())
+            .with("quantile", ratio_text(ratio))
+            .with("limit_ms", limit.as_millis())
+            .with("latest_start_ms", latest_start.as_millis())
+            .with("term", self.term.unwrap_or_default());
+        self.steps.push(ScheduleStep::Log(line));
+        let retry_after_ms = self.expected_wait(service, job).max(wait).as_millis() as u64;
         Some(JobReply::Refused { cause, retry_after_ms })
     }
 
@@ -178,7 +208,8 @@
             (AdmissionRule::ExpectedStart, Some(waiting)) if !live.may_have_run() => {
                 let service = self.service_of(&live.job);
                 let slowness = service.map(|service| self.slowness_for(&service, &live.job));
-                live.start_bounds(waiting, slowness.unwrap_or(1.0))
+                let ratio = self.median_ratio(self.expiry_checked_at, &live.job);
+                live.start_bounds(waiting, slowness.unwrap_or(1.0), ratio)
             }
             _ => None,
         };
@@ -214,6 +245,7 @@
         for ExpiredJob { id, cause, line } in checks.expired {
             self.counts.refusals.add_expired(cause);
             self.steps.push(ScheduleStep::Log(line));
+            self.learn_expired(now, &id, cause);
             let live = self.live.get(&id);
             let reply = if live.is_some_and(LiveJob::may_have_run) {
                 JobReply::Unclear
--- a/crates/decisions/src/schedule/job_expiry.rs
+++ b/crates/decisions/src/schedule/job_expiry.rs
@@ -2,13 +2,20 @@
 
 use std::time::{Duration, Instant};
 
-use model::{EventLine, JobId, later, scaled};
+use model::{AdmissionRule, EventLine, JobId, QueuedJob, StepIndex, later, scaled};
 
 use super::live_job::LiveJob;
 use super::scheduler::Scheduler;
 use super::start_bounds::{ExpiryCause, StartBounds, StartVerdict};
 use super::start_forecast::StartForecast;
 
+/// Assumed ratio of the whole run time of a run that is stopped to its run time so far: the
+/// mean for a log-normal distribution of the spread that estimates have (0.4). Without it no
+/// run would ever count as longer than its caller waits.
+const STOPPED_RUN_FACTOR: f64 = 1.25;
+/// Share of the jobs of a queue that end sooner than is expected.
+const MEDIAN: f64 = 0.5;
+
 /// A job that is to be ended.
 pub(super) struct ExpiredJob {
     pub(super) id: JobId,
@@ -115,7 +122,8 @@
         let waiting = self.waiting_path(id, live)?;
         let service = self.service_of(&live.job)?;
         let slowness = forecast.slowness(&service, &live.job);
-        let bounds = live.start_bounds(waiting, slowness)?;
+        let ratio = self.median_ratio(now, &live.job);
+        let bounds = live.start_bounds(waiting, slowness, ratio)?;
         let wait = match bounds.in_time <= now {
             true => forecast.wait(&service, &live.job),
             false => Duration::ZERO,
@@ -123,14 +131,76 @@
         match bounds.verdict(now, later(now, wait)) {
             StartVerdict::Wait { until } => Some(ExpiryCheck::Later(until)),
             StartVerdict::Refuse(cause) => {
-                let job = ExpiredJob::new(now, live, cause, scaled(waiting, slowness));
+                let run = scaled(waiting, slowness * ratio.unwrap_or(1.0));
+                let job = ExpiredJob::new(now, live, cause, run);
                 let line = with_bounds(job.line, now, &bounds, wait, cause);
+                let line = line.with("quantile", ratio_text(ratio));
                 Some(ExpiryCheck::Expired(ExpiredJob { line, ..job }))
             }
         }
     }
 }
 
+impl Scheduler {
+    /// Median ratio of run time to estimate of such jobs, on a backend server of slowness 1;
+    /// `None` until enough jobs of the queue are known.
+    pub(super) fn median_ratio(&self, now: Instant, job: &QueuedJob) -> Option<f64> {
+        self.run_times.quantile(now, &job.queue, job.critical_path(), MEDIAN)
+    }
+
+    /// Learns from the run time of a best-effort job that has completed.
+    pub(super) fn learn_run_time(&mut self, now: Instant, id: &JobId) {
+        let Some(live) = self.live.get(id) else { return };
+        self.learn_ratio(now, id, live.run_ratio);
+    }
+
+    /// Learns from the run time so far of a job whose runs are about to be stopped. A job of
+    /// which tasks wait tells nothing, nor does one that is stopped sooner than most end.
+    fn learn_stopped(&mut self, now: Instant, id: &JobId) {
+        let Some(live) = self.live.get(id) else { return };
+        if self.waiting_path(id, live).is_some() {
+            return;
+        }
+        let mut ratio = live.run_ratio;
+        for step in 0..live.job.steps.len() {
+            let estimate = live.job.steps[step].estimate();
+            for task in live.job.tasks_of(step as StepIndex) {
+                let Some(placed) = self.placements.get(&task) else { continue };
+                let agent = self.agents.get(&placed.agent);
+                if placed.ended || agent.is_none_or(|state| state.link.is_none()) {
+                    continue;
+                }
+                let seen = now.saturating_duration_since(placed.since);
+                let ran = seen.saturating_sub(self.report_delay.estimate());
+                ratio = ratio.max(placed.run_ratio(ran, estimate) * STOPPED_RUN_FACTOR);
+            }
+        }
+        if ratio >= self.median_ratio(now, &live.job).unwrap_or(1.0) {
+            self.learn_ratio(now, id, ratio);
+        }
+    }
+
+    fn learn_ratio(&mut self, now: Instant, id: &JobId, ratio: f64) {
+        let Some(live) = self.live.get(id).filter(|live| live.job.best_effort) else { return };
+        if self.limits.admission == AdmissionRule::ExpectedStart && ratio > 0.0 {
+            self.run_times.add_job(now, &live.job.queue, live.critical_path, ratio);
+        }
+    }
+
+    /// Learns from a job that is about to be ended by its expiry.
+    pub(super) fn learn_expired(&mut self, now: Instant, id: &JobId, cause: ExpiryCause) {
+        let is_learning = self.limits.admission == AdmissionRule::ExpectedStart;
+        if is_learning && cause == ExpiryCause::CallerTime {
+            self.learn_stopped(now, id);
+        }
+    }
+}
+
+/// A learned ratio for a log line.
+pub(super) fn ratio_text(ratio: Option<f64>) -> String {
+    ratio.map_or_else(|| "none".to_owned(), |ratio| format!("{ratio:.2}"))
+}
+
 /// Adds the bounds of a job's start, relative to now: those that have passed are negative.
 fn with_bounds(
     line: EventLine,
--- a/crates/decisions/src/schedule/live_job.rs
+++ b/crates/decisions/src/schedule/live_job.rs
@@ -26,6 +26,8 @@
     pub(super) size: ResourceAmount,
     /// Time of the placement, or of its adoption from an agent's report.
     pub(super) since: Instant,
+    /// Slowness of the backend server when the run was placed.
+    pub(super) slowness: f64,
     /// Whether the run has been reported as ended; its capacity is released and
     /// its end is yet to be recorded.
     pub(super) ended: bool,
@@ -42,7 +44,12 @@
         since: Instant,
     ) -> Placement {
         let overdue_factor = FIRST_OVERDUE_FACTOR;
-        Placement { agent, life, run, size, since, ended: false, overdue_factor }
+        Placement { agent, life, run, size, since, slowness: 1.0, ended: false, overdue_factor }
+    }
+
+    /// Ratio of a run time here to its estimate, on a backend server of slowness 1.
+    pub(super) fn run_ratio(&self, ran: Duration, estimate: Duration) -> f64 {
+        ran.as_secs_f64() / (estimate.as_secs_f64() * self.slowness).max(f64::MIN_POSITIVE)
     }
 }
 
@@ -64,6 +71,8 @@
     /// Whether a run of the job is known to have begun. A start that was ordered may have been
     /// refused.
     pub(super) begun: bool,
+    /// Highest ratio of run time to estimate of its ended runs; 0 without any.
+    pub(super) run_ratio: f64,
     /// Steps whose dependencies are done and whose tasks were queued.
     pub(super) released_steps: IndexSet<u32>,
     /// Number of the latest run of each task that was placed or adopted.
@@ -95,17 +104,25 @@
 
     /// Latest times at which the job may start if nothing of it has run; `None` without a
     /// caller. `waiting` is the run time from its earliest waiting task to its end, by the
-    /// estimates; `slowness` that of the fastest server that can hold it.
-    pub(super) fn start_bounds(&self, waiting: Duration, slowness: f64) -> Option<StartBounds> {
+    /// estimates; `slowness` that of the fastest server that can hold it; `ratio` the median
+    /// ratio of run time to estimate, if it is known.
+    pub(super) fn start_bounds(
+        &self,
+        waiting: Duration,
+        slowness: f64,
+        ratio: Option<f64>,
+    ) -> Option<StartBounds> {
         let waiter = self.waiter?;
-        let run = scaled(waiting, slowness);
+        let run = scaled(waiting, slowness * ratio.unwrap_or(1.0));
         let objective = self.deadline.saturating_duration_since(self.since);
         let max_useful = objective.saturating_mul(MAX_OBJECTIVE_FACTOR);
         let useful_end = waiter.until.min(later(self.since, max_useful));
-        // One that is expected to end too late wherever it runs may still end sooner.
-        let least_run = match run > useful_end.saturating_duration_since(self.since) {
-            true => scaled(run, MIN_RUN_TIME_SHARE),
-            false => run,
+        // One that is expected to end too late wherever it runs may still end sooner, while it
+        // is not known how far estimates are off.
+        let is_too_long = run > useful_end.saturating_duration_since(self.since);
+        let least_run = match ratio {
+            None if is_too_long => scaled(run, MIN_RUN_TIME_SHARE),
+            _ => run,
         };
         let before = |end: Instant, run| end.checked_sub(run).unwrap_or(end).max(self.since);
         let caller_wait = waiter.until.saturating_duration_since(waiter.since);
--- a/crates/decisions/src/schedule/load_counts.rs
+++ b/crates/decisions/src/schedule/load_counts.rs
@@ -34,6 +34,9 @@
 pub struct RefusalCounts {
     /// Refused at once: the work queued ahead leaves no time.
     pub queue_full: u64,
+    /// Refused at once: more likely to end too late than not, even on the fastest backend
+    /// server.
+    pub too_long: u64,
     /// Refused at once: no backend server can hold a task.
     pub no_server: u64,
     /// Ended after a start: the rest can't end while the caller waits.
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -20,6 +20,7 @@
 use super::proposed_ends::ProposedEnds;
 use super::ready_queue::ReadyQueue;
 use super::report_delay::ReportDelay;
+use super::run_time_quantiles::RunTimeQuantiles;
 use super::server_sizes::ServerShape;
 use crate::control::{JobChange, JobStore};
 use crate::run_bounds::contact_timeout;
@@ -152,6 +153,8 @@
     pub(super) fast_wanted_at: Option<Instant>,
     pub(super) counts: LoadCounts,
     pub(super) report_delay: ReportDelay,
+    /// How run times of best-effort jobs compare to their estimates.
+    pub(super) run_times: RunTimeQuantiles,
     overdue_checked_at: Instant,
     /// Time of the next check for expired jobs: the earliest expiry at the last check,
     /// or that of a job admitted since.
@@ -189,6 +192,7 @@
             fast_wanted_at: None,
             counts: LoadCounts::default(),
             report_delay: ReportDelay::default(),
+            run_times: RunTimeQuantiles::default(),
             overdue_checked_at: now,
             next_expiry: None,
             expiry_checked_at: now,
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -60,6 +60,7 @@
             started: !record.done.is_empty(),
             begun: !record.done.is_empty(),
             unrefused_runs: 0,
+            run_ratio: 0.0,
             released_steps: IndexSet::new(),
             last_runs: IndexMap::new(),
             first_run: terms * RUNS_PER_TERM + 1,
@@ -127,6 +128,9 @@
     /// and, unless the job completed, stops its runs.
     pub(super) fn close_job(&mut self, now: Instant, id: &JobId, phase: JobPhase) {
         self.answer_waiter(id, JobReply::Phase(phase));
+        if phase == JobPhase::Completed {
+            self.learn_run_time(now, id);
+        }
         let Some(live) = self.live.swap_remove(id) else { return };
         self.volatile_store.remove(id);
         self.ready.remove_job(id, live.job.steps.len() as StepIndex);
@@ -311,11 +315,13 @@
             live.unrefused_runs += 1;
         }
         let mut life = Default::default();
+        let mut slowness = 1.0;
         if let Some(state) = self.agents.get_mut(agent) {
             state.usage = state.usage.with(&size);
             life = state.life().cloned().unwrap_or_default();
+            slowness = state.slowness();
         }
-        let placed = Placement::new(agent.clone(), life, run, size, now);
+        let placed = Placement { slowness, ..Placement::new(agent.clone(), life, run, size, now) };
         self.counts.placed += 1;
         self.placements.insert(task.clone(), placed);
         TaskRun { task, run }
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -111,6 +111,9 @@
     /// The job waited until too little time was left to run it; none of its
     /// tasks started.
     TimeOver,
+    /// By the run times of its queue, the job is more likely to end after its limit than
+    /// before, even on the fastest backend server.
+    TooLong,
     /// No backend server can hold a task of the job, even when it is idle.
     NoServer,
     /// The catalog in force has no such queue.
--- a/crates/services/src/load_meter.rs
+++ b/crates/services/src/load_meter.rs
@@ -139,6 +139,7 @@
         return line;
     }
     line.with("jobs_queue_full", counts.queue_full)
+        .with("jobs_too_long", counts.too_long)
         .with("jobs_no_server", counts.no_server)
         .with("jobs_caller_time", counts.caller_time)
         .with("jobs_latest_start", counts.latest_start)
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -85,6 +85,7 @@
 mod request_path;
 mod resent_at_once;
 mod ring_bounds;
+mod run_quantiles;
 mod run_updates;
 mod schedule_faults;
 mod settings_errors;
