Jobs that can't wait for agents that have just started are refused at once

Cause: an agent that has just started declines claims, and doesn't say for how long. Change: ClaimUpdate::Declined says for how long the agent grants no claim (grants_in_ms, optional). With admission expected_start a job is refused at once if all agents that may be asked have declined and the earliest of these times lies beyond its latest start; Retry-After is that time. Grants are as before. No load test was run.

--- a/crates/decisions/src/agent/claim_entries.rs
+++ b/crates/decisions/src/agent/claim_entries.rs
@@ -326,6 +326,16 @@
         }
     }
 
+    /// Time for which runs from before the agent's start, or while no entry reached it, may be
+    /// active; `None` if that is not known.
+    pub(super) fn unknown_for(&self, now: Instant) -> Option<Duration> {
+        match self.earlier_runs {
+            EarlierRuns::Until(until) => Some(until.saturating_duration_since(now)),
+            EarlierRuns::Over => Some(Duration::ZERO),
+            EarlierRuns::Unbounded | EarlierRuns::Isolated => None,
+        }
+    }
+
     /// The entries that have a connection.
     fn connected(&self) -> impl Iterator<Item = (&SchedulerKey, &ClaimEntry)> {
         self.entries.iter().filter(|(_, entry)| entry.lost_until.is_none())
--- a/crates/decisions/src/agent/claim_table.rs
+++ b/crates/decisions/src/agent/claim_table.rs
@@ -132,7 +132,7 @@
         let job = job.clone();
         let wait = match started {
             StartPhase::RunsUnknown if !self.is_granted() => {
-                ClaimUpdate::Declined { job: job.clone() }
+                ClaimUpdate::Declined { job: job.clone(), grants_in_ms: None }
             }
             _ => ClaimUpdate::Held { job: job.clone() },
         };
@@ -215,9 +215,20 @@
             let update = ClaimUpdate::FollowsGiveUps { revision };
             notices.push(untargeted(scheduler, update, UpdateUrgency::Eventually));
         }
+        self.add_grant_time(now, &mut notices);
         notices
     }
 
+    /// Tells those whose claims are declined how long no claim is granted here.
+    fn add_grant_time(&self, now: Instant, notices: &mut [ClaimNotice]) {
+        let left = self.entries.unknown_for(now).map(|left| left.as_millis() as u64);
+        for notice in notices {
+            if let ClaimUpdate::Declined { grants_in_ms, .. } = &mut notice.update {
+                *grants_in_ms = left;
+            }
+        }
+    }
+
     /// Releases the claims that an entry no longer holds after a lost connection. The runs
     /// of an earlier process of it may still be active.
     fn release_unlisted(
--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -491,8 +491,9 @@
         ClaimUpdate::Held { job } => {
             EventLine::new("claim_contended").with("job", job).with("by", scheduler)
         }
-        ClaimUpdate::Declined { job } => {
-            EventLine::new("claim_declined").with("job", job).with("by", scheduler)
+        ClaimUpdate::Declined { job, grants_in_ms } => {
+            let line = EventLine::new("claim_declined").with("job", job).with("by", scheduler);
+            grants_in_ms.map_or(line.clone(), |left| line.with("grants_in_ms", left))
         }
         ClaimUpdate::Recalled { job } => {
             EventLine::new("claim_recalled").with("job", job).with("holder", scheduler)
--- a/crates/decisions/src/schedule/job_admission.rs
+++ b/crates/decisions/src/schedule/job_admission.rs
@@ -242,7 +242,7 @@
         };
         self.expiry_checked_at = now;
         self.next_expiry = checks.next_check;
-        for ExpiredJob { id, cause, line } in checks.expired {
+        for ExpiredJob { id, cause, grant_wait, line } in checks.expired {
             self.counts.refusals.add_expired(cause);
             self.steps.push(ScheduleStep::Log(line));
             self.learn_expired(now, &id, cause);
@@ -254,7 +254,7 @@
                     let service = self.service_of(&live.job)?;
                     Some(self.expected_wait(&service, &live.job))
                 });
-                let retry_after_ms = wait.unwrap_or_default().as_millis() as u64;
+                let retry_after_ms = wait.unwrap_or_default().max(grant_wait).as_millis() as u64;
                 JobReply::Refused { cause: RefusalCause::TimeOver, retry_after_ms }
             };
             self.answer_waiter(&id, reply);
--- a/crates/decisions/src/schedule/job_claims.rs
+++ b/crates/decisions/src/schedule/job_claims.rs
@@ -19,7 +19,9 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use model::{ClaimOrders, ClaimUpdate, EventLine, JobId, JobPhase, JobReply, NodeId, TaskName};
+use model::{
+    ClaimOrders, ClaimUpdate, EventLine, JobId, JobPhase, JobReply, NodeId, TaskName, later,
+};
 
 use super::given_up_agents::GivenUpAgents;
 use super::scheduler::{ScheduleStep, Scheduler, SchedulerKind};
@@ -86,6 +88,8 @@
     is_declined: bool,
     /// Number of agents that could not, since the claim was last granted.
     declines: usize,
+    /// Earliest time at which one of them can; set with the first that could not.
+    grants_at: Option<Instant>,
     /// Whether it was last asked for in place of an agent that comes first.
     is_passed_on: bool,
     /// Tasks whose runs may still be active although the job has ended.
@@ -97,6 +101,7 @@
     fn set_keeper(&mut self, agent: &NodeId) {
         self.is_declined = false;
         self.declines = 0;
+        self.grants_at = None;
         self.asked.retain(|asked| asked != agent);
         self.asked.push(agent.clone());
     }
@@ -261,6 +266,7 @@
                     asked_at: now,
                     is_declined: false,
                     declines: 0,
+                    grants_at: None,
                     is_passed_on: false,
                     stopping: Vec::new(),
                 };
@@ -515,7 +521,11 @@
         match update {
             ClaimUpdate::Granted { job } => self.on_claim_granted(now, agent, job),
             ClaimUpdate::Held { job } => self.on_claim_held(agent, job),
-            ClaimUpdate::Declined { job } => self.on_claim_declined(now, agent, job),
+            ClaimUpdate::Declined { job, grants_in_ms } => {
+                // Agents of an earlier version don't tell: they may grant it at any time.
+                let grants_in = Duration::from_millis(grants_in_ms.unwrap_or_default());
+                self.on_claim_declined(now, agent, job, later(now, grants_in));
+            }
             ClaimUpdate::Recalled { job } => self.on_claim_recalled(now, agent, job),
             ClaimUpdate::Confirm { job } => self.on_confirm_request(now, agent, job),
             ClaimUpdate::GiveUp { agent } => self.on_give_up_request(now, agent),
@@ -590,7 +600,7 @@
     }
 
     /// Asks the next agent, since this one has just started.
-    fn on_claim_declined(&mut self, now: Instant, agent: &NodeId, job: &JobId) {
+    fn on_claim_declined(&mut self, now: Instant, agent: &NodeId, job: &JobId, grants_at: Instant) {
         let Some(claim) = self.claims.claims.get_mut(job) else {
             return self.release_claim_at(agent, job, false);
         };
@@ -598,10 +608,21 @@
             claim.phase = ClaimPhase::Pending;
             claim.is_declined = true;
             claim.declines += 1;
+            claim.grants_at = claim.grants_at.into_iter().chain([grants_at]).min();
             self.claims.require_check(now);
+            self.note_declined(now, job);
         }
     }
 
+    /// Earliest time at which the claim to a job can be granted, if all agents that may be
+    /// asked for it have declined it.
+    pub(super) fn grant_time(&self, now: Instant, job: &JobId) -> Option<Instant> {
+        let claim = self.claims.claims.get(job)?;
+        let is_declined = claim.phase == ClaimPhase::Pending && claim.is_declined;
+        let is_last = || matches!(self.next_claim_step(now, job), ClaimStep::Wait);
+        claim.grants_at.filter(|_| is_declined && is_last())
+    }
+
     /// Ends a job that its caller has sent to another entry. The claim is released once
     /// no run of the job is active.
     fn on_claim_recalled(&mut self, now: Instant, agent: &NodeId, job: &JobId) {
--- a/crates/decisions/src/schedule/job_expiry.rs
+++ b/crates/decisions/src/schedule/job_expiry.rs
@@ -20,6 +20,8 @@
 pub(super) struct ExpiredJob {
     pub(super) id: JobId,
     pub(super) cause: ExpiryCause,
+    /// Time for which no agent grants its claim, as far as is known.
+    pub(super) grant_wait: Duration,
     /// Log line with the inputs of the decision.
     pub(super) line: EventLine,
 }
@@ -59,7 +61,7 @@
             .with("started", live.may_have_run())
             .with("run_ms", run.as_millis())
             .with("caller_ms", until.saturating_duration_since(now).as_millis());
-        ExpiredJob { id: live.job.id.clone(), cause, line }
+        ExpiredJob { id: live.job.id.clone(), cause, grant_wait: Duration::ZERO, line }
     }
 }
 
@@ -128,14 +130,21 @@
             true => forecast.wait(&service, &live.job),
             false => Duration::ZERO,
         };
-        match bounds.verdict(now, later(now, wait)) {
+        let grants_at = self.grant_time(now, id).filter(|at| bounds.end_before(*at));
+        let verdict = match grants_at {
+            Some(_) => StartVerdict::Refuse(ExpiryCause::NoGrant),
+            None => bounds.verdict(now, later(now, wait)),
+        };
+        match verdict {
             StartVerdict::Wait { until } => Some(ExpiryCheck::Later(until)),
             StartVerdict::Refuse(cause) => {
                 let run = scaled(waiting, slowness * ratio.unwrap_or(1.0));
                 let job = ExpiredJob::new(now, live, cause, run);
-                let line = with_bounds(job.line, now, &bounds, wait, cause);
+                let grant_wait =
+                    grants_at.map_or(Duration::ZERO, |at| at.saturating_duration_since(now));
+                let line = with_bounds(job.line, now, &bounds, wait.max(grant_wait), cause);
                 let line = line.with("quantile", ratio_text(ratio));
-                Some(ExpiryCheck::Expired(ExpiredJob { line, ..job }))
+                Some(ExpiryCheck::Expired(ExpiredJob { grant_wait, line, ..job }))
             }
         }
     }
@@ -187,6 +196,14 @@
         }
     }
 
+    /// Checks a job soon whose claim can't be granted for a while.
+    pub(super) fn note_declined(&mut self, now: Instant, id: &JobId) {
+        let is_checked = self.limits.admission == AdmissionRule::ExpectedStart;
+        if is_checked && self.grant_time(now, id).is_some() {
+            self.next_expiry = Some(now);
+        }
+    }
+
     /// Learns from a job that is about to be ended by its expiry.
     pub(super) fn learn_expired(&mut self, now: Instant, id: &JobId, cause: ExpiryCause) {
         let is_learning = self.limits.admission == AdmissionRule::ExpectedStart;
--- a/crates/decisions/src/schedule/load_counts.rs
+++ b/crates/decisions/src/schedule/load_counts.rs
@@ -47,6 +47,8 @@
     pub no_capacity: u64,
     /// Refused while waiting: half of the caller's wait is over.
     pub held_long: u64,
+    /// Refused while waiting: no agent grants the claim in time.
+    pub no_grant: u64,
 }
 
 impl RefusalCounts {
@@ -57,6 +59,7 @@
             ExpiryCause::LatestStart => &mut self.latest_start,
             ExpiryCause::NoCapacity => &mut self.no_capacity,
             ExpiryCause::HeldLong => &mut self.held_long,
+            ExpiryCause::NoGrant => &mut self.no_grant,
         };
         *count += 1;
     }
--- a/crates/decisions/src/schedule/start_bounds.rs
+++ b/crates/decisions/src/schedule/start_bounds.rs
@@ -24,6 +24,9 @@
     NoCapacity,
     /// It has waited for half of the time that its caller waits.
     HeldLong,
+    /// No agent grants its claim before its latest start: all that were asked have just
+    /// started.
+    NoGrant,
 }
 
 /// What becomes of a job without a start.
@@ -50,6 +53,11 @@
 }
 
 impl StartBounds {
+    /// Whether a job that can't start before this time is refused at once.
+    pub fn end_before(&self, at: Instant) -> bool {
+        self.useful.min(self.held) < at
+    }
+
     /// Decides on the job now; `expected_start` is the time at which capacity is expected
     /// for it.
     pub fn verdict(&self, now: Instant, expected_start: Instant) -> StartVerdict {
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -282,6 +282,10 @@
     Declined {
         /// The claimed job.
         job: JobId,
+        /// Time before which the agent grants no claim, in milliseconds; `None` if it does not
+        /// know.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        grants_in_ms: Option<u64>,
     },
     /// Another scheduler claims the job; the holder has to stop its runs and release
     /// the claim.
--- a/crates/services/src/load_meter.rs
+++ b/crates/services/src/load_meter.rs
@@ -145,4 +145,5 @@
         .with("jobs_latest_start", counts.latest_start)
         .with("jobs_no_capacity", counts.no_capacity)
         .with("jobs_held_long", counts.held_long)
+        .with("jobs_no_grant", counts.no_grant)
 }
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -24,6 +24,7 @@
 mod catalog_versions;
 mod config_versions;
 mod cut_agents;
+mod declined_claims;
 mod departed_agents;
 mod departed_servers;
 mod duty_failures;
