--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -12,7 +12,7 @@
 use edges::group_join::GroupJoin;
 use edges::journal::{Journal, RecoveredJournal};
 use kernel::{Kernel, SharedClock};
-use model::{ControlPeer, ControlReply, ControlSettings, ServiceName, host_name};
+use model::{AdmissionRule, ControlPeer, ControlReply, ControlSettings, ServiceName, host_name};
 use services::replicated_log::LogSetup;
 
 use super::{
@@ -154,6 +154,7 @@
         // Only best-effort jobs have callers that wait for their ends.
         estimate_spread: 0.0,
         speed_reports: false,
+        admission: AdmissionRule::Backlog,
     }
 }
 
--- a/crates/cactuswing/src/roles/queue_entry.rs
+++ b/crates/cactuswing/src/roles/queue_entry.rs
@@ -56,6 +56,7 @@
         remote_factor: front.remote_factor,
         estimate_spread: front.estimate_spread,
         speed_reports: front.speed_reports,
+        admission: front.admission,
     };
     let schedule_context = context.clone();
     kernel.register(ServiceName::JobScheduling, DUTY_RING_SLOTS, move |ring, registry| {
--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -258,6 +258,7 @@
         if let Some(live) = self.live.get_mut(&run.task.job) {
             live.started = true;
             live.begun = true;
+            live.unrefused_runs += 1;
             let last = live.last_runs.entry(run.task.clone()).or_insert(0);
             *last = (*last).max(run.run);
         }
@@ -369,6 +370,9 @@
             }
         }
         if self.remove_placement(agent, run) {
+            if let Some(live) = self.live.get_mut(&run.task.job) {
+                live.unrefused_runs = live.unrefused_runs.saturating_sub(1);
+            }
             self.requeue_task(&run.task);
         }
     }
@@ -432,6 +436,11 @@
                 _ => {}
             }
         }
+        if let (Some(estimate), EndKind::Done) = (estimate, kind)
+            && let Some(live) = self.live.get_mut(&run.task.job)
+        {
+            live.run_ratio = live.run_ratio.max(placed.run_ratio(ran, estimate));
+        }
         if let Some(placed) = self.placements.get_mut(&run.task) {
             placed.ended = true;
         }
--- a/crates/decisions/src/schedule/live_job.rs
+++ b/crates/decisions/src/schedule/live_job.rs
@@ -8,6 +8,7 @@
     CallId, JobStep, LifeId, NodeId, QueuedJob, ResourceAmount, RunNumber, TaskName, later, scaled,
 };
 
+use super::start_bounds::StartBounds;
 use super::task_urgency::MIN_RUN_TIME_SHARE;
 
 /// Multiple of its objective beyond which a job has no value left.
@@ -25,6 +26,8 @@
     pub(super) size: ResourceAmount,
     /// Time of the placement, or of its adoption from an agent's report.
     pub(super) since: Instant,
+    /// Slowness of the backend server when the run was placed.
+    pub(super) slowness: f64,
     /// Whether the run has been reported as ended; its capacity is released and
     /// its end is yet to be recorded.
     pub(super) ended: bool,
@@ -41,7 +44,12 @@
         since: Instant,
     ) -> Placement {
         let overdue_factor = FIRST_OVERDUE_FACTOR;
-        Placement { agent, life, run, size, since, ended: false, overdue_factor }
+        Placement { agent, life, run, size, since, slowness: 1.0, ended: false, overdue_factor }
+    }
+
+    /// Ratio of a run time here to its estimate, on a backend server of slowness 1.
+    pub(super) fn run_ratio(&self, ran: Duration, estimate: Duration) -> f64 {
+        ran.as_secs_f64() / (estimate.as_secs_f64() * self.slowness).max(f64::MIN_POSITIVE)
     }
 }
 
@@ -57,9 +65,14 @@
     pub(super) critical_path: Duration,
     /// Whether a task of the job is done or was placed.
     pub(super) started: bool,
+    /// Number of runs that were placed or adopted, and not reported as refused: a refused
+    /// start never ran. A run whose placement is given up stays counted.
+    pub(super) unrefused_runs: u32,
     /// Whether a run of the job is known to have begun. A start that was ordered may have been
     /// refused.
     pub(super) begun: bool,
+    /// Highest ratio of run time to estimate of its ended runs; 0 without any.
+    pub(super) run_ratio: f64,
     /// Steps whose dependencies are done and whose tasks were queued.
     pub(super) released_steps: IndexSet<u32>,
     /// Number of the latest run of each task that was placed or adopted.
@@ -71,6 +84,12 @@
 }
 
 impl LiveJob {
+    /// Whether a run of the job was or may have been active. A job of which each start was
+    /// refused has not run, and may be refused.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.begun || self.unrefused_runs > 0
+    }
+
     /// Time by which the job must end: its deadline or the end of its caller's
     /// wait, whichever is earlier.
     pub(super) fn latest_end(&self) -> Instant {
@@ -83,8 +102,39 @@
         latest_end.checked_sub(step.estimate()).unwrap_or(latest_end)
     }
 
+    /// Latest times at which the job may start if nothing of it has run; `None` without a
+    /// caller. `waiting` is the run time from its earliest waiting task to its end, by the
+    /// estimates; `slowness` that of the fastest server that can hold it; `ratio` the median
+    /// ratio of run time to estimate, if it is known.
+    pub(super) fn start_bounds(
+        &self,
+        waiting: Duration,
+        slowness: f64,
+        ratio: Option<f64>,
+    ) -> Option<StartBounds> {
+        let waiter = self.waiter?;
+        let run = scaled(waiting, slowness * ratio.unwrap_or(1.0));
+        let objective = self.deadline.saturating_duration_since(self.since);
+        let max_useful = objective.saturating_mul(MAX_OBJECTIVE_FACTOR);
+        let useful_end = waiter.until.min(later(self.since, max_useful));
+        // One that is expected to end too late wherever it runs may still end sooner, while it
+        // is not known how far estimates are off.
+        let is_too_long = run > useful_end.saturating_duration_since(self.since);
+        let least_run = match ratio {
+            None if is_too_long => scaled(run, MIN_RUN_TIME_SHARE),
+            _ => run,
+        };
+        let before = |end: Instant, run| end.checked_sub(run).unwrap_or(end).max(self.since);
+        let caller_wait = waiter.until.saturating_duration_since(waiter.since);
+        Some(StartBounds {
+            in_time: before(self.latest_end(), run),
+            useful: before(useful_end, least_run),
+            held: later(waiter.since, caller_wait / 2),
+        })
+    }
+
     /// Time at which the job can no longer be expected to end while its caller
-    /// waits, or, before its start, while its result has a value; `None` without a
+    /// waits, or, before it may have run, while its result has a value; `None` without a
     /// caller. `waiting` is the run time from its earliest waiting task to its end, by
     /// the estimates; `None` if no task waits.
     pub(super) fn expires_at(
@@ -95,7 +145,7 @@
         let until = self.waiter?.until;
         let Some(waiting) = waiting else { return Some(until) };
         let objective = self.deadline.saturating_duration_since(self.since);
-        let until = match self.started {
+        let until = match self.may_have_run() {
             true => until,
             false => until.min(later(self.since, objective.saturating_mul(MAX_OBJECTIVE_FACTOR))),
         };
@@ -108,5 +158,6 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct JobWaiter {
     pub(super) call: CallId,
+    pub(super) since: Instant,
     pub(super) until: Instant,
 }
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -6,9 +6,9 @@
 
 use indexmap::{IndexMap, IndexSet};
 use model::{
-    AgentOrders, CallId, Command, EntryHost, EventLine, Incarnation, JobCall, JobId, JobPhase,
-    JobRecord, JobReply, JobStep, LeaderHint, LinkId, LogRecord, NodeId, QueueCatalog, QueueId,
-    ScheduleState, TaskName, Term, later, scaled,
+    AdmissionRule, AgentOrders, CallId, Command, EntryHost, EventLine, Incarnation, JobCall, JobId,
+    JobPhase, JobRecord, JobReply, JobStep, LeaderHint, LinkId, LogRecord, NodeId, QueueCatalog,
+    QueueId, ScheduleState, TaskName, Term, later, scaled,
 };
 
 use super::agent_checks::AgentChecks;
@@ -20,6 +20,7 @@
 use super::proposed_ends::ProposedEnds;
 use super::ready_queue::ReadyQueue;
 use super::report_delay::ReportDelay;
+use super::run_time_quantiles::RunTimeQuantiles;
 use super::server_sizes::ServerShape;
 use crate::control::{JobChange, JobStore};
 use crate::run_bounds::contact_timeout;
@@ -55,6 +56,8 @@
     /// Whether start orders carry the estimated run time, and the speeds that agents
     /// report are used.
     pub speed_reports: bool,
+    /// Which best-effort jobs are refused.
+    pub admission: AdmissionRule,
 }
 
 /// Time in which a start that a backend server does not accept is reported as refused.
@@ -156,10 +159,14 @@
     pub(super) fast_wanted_at: Option<Instant>,
     pub(super) counts: LoadCounts,
     pub(super) report_delay: ReportDelay,
+    /// How run times of best-effort jobs compare to their estimates.
+    pub(super) run_times: RunTimeQuantiles,
     overdue_checked_at: Instant,
     /// Time of the next check for expired jobs: the earliest expiry at the last check,
     /// or that of a job admitted since.
     pub(super) next_expiry: Option<Instant>,
+    /// Time of the latest check for expired jobs.
+    pub(super) expiry_checked_at: Instant,
     pub(super) steps: Vec<ScheduleStep>,
 }
 
@@ -191,8 +198,10 @@
             fast_wanted_at: None,
             counts: LoadCounts::default(),
             report_delay: ReportDelay::default(),
+            run_times: RunTimeQuantiles::default(),
             overdue_checked_at: now,
             next_expiry: None,
+            expiry_checked_at: now,
             steps: Vec::new(),
         }
     }
@@ -349,7 +358,7 @@
         match call {
             JobCall::Submit { job, wait_ms } if job.best_effort => {
                 let until = later(now, Duration::from_millis(*wait_ms));
-                self.admit_best_effort(now, job, JobWaiter { call: id, until })
+                self.admit_best_effort(now, job, JobWaiter { call: id, since: now, until })
             }
             JobCall::Submit { job, .. } => self.admit(now, job),
             JobCall::Cancel { queue, job } => match self.store.job(job) {
