Evacuation of a failure domain: command, lists for agents, operators' calls

Cause: `POST /cactuswing/evacuation/ZONE` had no route, and nothing kept work off the backend servers of a failure domain.

The leader's scheduler sends the set with its lists of hosts (`AgentOrders::evacuated`), at each change and in the first message of a session. An agent in a listed domain reports its backend server as draining and refuses starts as `Gone`; a drain of the server itself stays apart. `schedule_load` counts `evacuated_agents`.

--- a/crates/cactuswing/src/roles/server_agent.rs
+++ b/crates/cactuswing/src/roles/server_agent.rs
@@ -66,6 +66,7 @@
     let runs = RunSettings {
         agent: settings.worker.clone(),
         incarnation,
+        domain: settings.domain.clone(),
         limits: RunLimits {
             lease,
             renewal_wait: lease.mul_f64(RENEWAL_WAIT_SHARE),
--- a/crates/decisions/src/agent/mod.rs
+++ b/crates/decisions/src/agent/mod.rs
@@ -11,6 +11,7 @@
 
 mod claim_entries;
 mod claim_table;
+mod evacuation;
 mod heartbeat_interval;
 mod instance_pool;
 mod pause_watch;
--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -24,12 +24,13 @@
 use indexmap::IndexMap;
 use model::{
     AgentOrder, AgentOrders, AgentReport, ClaimUpdate, EndKind, EntryHost, EventLine, FenceNumber,
-    Incarnation, NodeId, RunUpdate, SchedulerKey, ServerCall, ServerReport, ServerRequest,
-    SessionId, StartRefusal, TaskRun, is_reachable_term,
+    Incarnation, NodeId, RunUpdate, SchedulerKey, ServerCall, ServerRequest, SessionId,
+    StartRefusal, TaskRun, is_reachable_term,
 };
 
 use super::claim_entries::EntryContact;
 use super::claim_table::{ClaimNotice, ClaimTable, GrantCause};
+use super::evacuation::Evacuation;
 use super::pause_watch::PauseWatch;
 use super::scheduler_session::{SchedulerSession, UpdateUrgency};
 use super::server_heartbeats::Candidate;
@@ -85,6 +86,7 @@
     pub(super) candidate: Option<Candidate>,
     pub(super) schedulers: IndexMap<SchedulerKey, SchedulerSession>,
     claims: ClaimTable,
+    pub(super) evacuation: Evacuation,
     /// Fencing token of calls to the backend server. Only this agent calls it, so
     /// a token that rises with each start of the agent fences earlier processes.
     pub(super) fence: FenceNumber,
@@ -110,6 +112,7 @@
             life: None,
             candidate: None,
             schedulers: IndexMap::new(),
+            evacuation: Evacuation::default(),
             fence: incarnation,
             steps: Vec::new(),
         }
@@ -280,6 +283,8 @@
         {
             life.ack_upto(ack.upto);
         }
+        // Before the orders, which it concerns, and before entries are connected.
+        self.take_evacuated(scheduler, orders.evacuated);
         if let Some(entries) = orders.entries {
             self.steps.push(RunStep::Connect(entries));
         }
@@ -355,6 +360,7 @@
         self.void_ends_without_lease(now);
         let notices = self.claims.on_tick(now);
         self.notify_claims(now, notices);
+        self.follow_evacuation();
         self.stop_ungranted_runs(now);
         self.retry_stops(now);
         self.start_waiting(now);
@@ -371,10 +377,8 @@
             return;
         }
         let life = self.life.as_ref();
-        let server = || match life.filter(|life| life.listed) {
-            Some(life) => ServerReport::Present(life.view.clone()),
-            None => ServerReport::Absent,
-        };
+        let evacuation = &self.evacuation;
+        let server = || evacuation.report_of(life.filter(|life| life.listed));
         for (scheduler, session) in &mut self.schedulers {
             let other_usage = life.map(|life| life.other_usage(scheduler)).unwrap_or_default();
             if !session.is_report_due(now, &other_usage) {
--- a/crates/decisions/src/agent/start_queue.rs
+++ b/crates/decisions/src/agent/start_queue.rs
@@ -95,6 +95,7 @@
             return;
         };
         let is_silent = life.is_silent(now);
+        let is_evacuated = self.evacuation.covers(&life.view);
         let schedulers = &self.schedulers;
         let is_granted = |owner: &SchedulerKey| {
             let session = schedulers.get(owner);
@@ -103,7 +104,7 @@
         let mut refused = Vec::new();
         let mut requests = Vec::new();
         for start in std::mem::take(&mut life.start_queue.starts) {
-            if let Some(refusal) = life.start_refusal(&start.run) {
+            if let Some(refusal) = life.start_refusal(&start.run, is_evacuated) {
                 refused.extend(life.refuse(&start.run, refusal));
             } else if may_start
                 && life.is_owned_by(&start.run, is_granted)
@@ -126,8 +127,8 @@
 
 impl ServerLife {
     /// Reason to refuse a waiting start for good, if there is one.
-    fn start_refusal(&self, run: &TaskRun) -> Option<StartRefusal> {
-        if self.view.draining || !self.listed {
+    fn start_refusal(&self, run: &TaskRun, is_evacuated: bool) -> Option<StartRefusal> {
+        if self.view.draining || is_evacuated || !self.listed {
             return Some(StartRefusal::Gone);
         }
         let size = self.runs.get(run).map(|state| state.size).unwrap_or_default();
--- a/crates/decisions/src/control/control_state.rs
+++ b/crates/decisions/src/control/control_state.rs
@@ -73,7 +73,8 @@
             | Command::EndRuns { .. }
             | Command::RegisterAgent { .. }
             | Command::DeregisterAgent { .. }
-            | Command::ForgetJobs { .. } => {
+            | Command::ForgetJobs { .. }
+            | Command::SetEvacuation { .. } => {
                 self.jobs.apply(record);
                 CommandResult::Done
             }
@@ -109,7 +110,8 @@
         self.ledger.peek(key, fingerprint)
     }
 
-    /// Queued jobs, agents that may hold work of them, and the catalog of queues.
+    /// Queued jobs, agents that may hold work of them, the catalog of queues, and the failure
+    /// domains that are evacuated.
     pub fn jobs(&self) -> &JobStore {
         &self.jobs
     }
--- a/crates/decisions/src/control/job_store.rs
+++ b/crates/decisions/src/control/job_store.rs
@@ -6,14 +6,15 @@
 //! - a job that ended never changes again;
 //! - a task that is done stays done, even if another run of it fails later;
 //! - the last rule of a queue is known for as long as there are jobs of it: an accepted job goes
-//!   on when its queue is taken out of the catalog.
+//!   on when its queue is taken out of the catalog;
+//! - a failure domain stays evacuated until that is revoked, whether or not it has servers.
 
 use std::sync::Arc;
 
 use indexmap::{IndexMap, IndexSet};
 use model::{
-    Command, EndKind, EndedRun, JobId, JobPhase, JobRecord, LogRecord, NodeId, QueueCatalog,
-    QueueId, QueueRule, QueuedJob, ScheduleState, TaskName, Term,
+    Command, DomainId, EndKind, EndedRun, JobId, JobPhase, JobRecord, LogRecord, NodeId,
+    QueueCatalog, QueueId, QueueRule, QueuedJob, ScheduleState, TaskName, Term,
 };
 use serde::{Deserialize, Serialize};
 
@@ -45,12 +46,15 @@
     },
     /// A catalog came into force.
     Catalog,
+    /// A failure domain is evacuated, or not any more.
+    Evacuation,
     /// An agent was registered to receive work, or deregistered because it holds
     /// none.
     Registered,
 }
 
-/// Jobs, the agents that may hold work of them, and the catalog of queues.
+/// Jobs, the agents that may hold work of them, the catalog of queues, and the failure domains
+/// that are evacuated.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct JobStore {
     jobs: IndexMap<JobId, JobRecord>,
@@ -59,6 +63,9 @@
     /// Rules of queues that are not in the catalog any more, and have jobs.
     #[serde(default, skip_serializing_if = "IndexMap::is_empty")]
     retired: IndexMap<QueueId, QueueRule>,
+    /// Failure domains on whose backend servers nothing more is started.
+    #[serde(default, skip_serializing_if = "IndexSet::is_empty")]
+    evacuated: IndexSet<DomainId>,
 }
 
 impl From<ScheduleState> for JobStore {
@@ -67,8 +74,8 @@
         if let Some(current) = &state.catalog {
             catalog.set(current);
         }
-        let ScheduleState { jobs, registered, retired, .. } = state;
-        JobStore { jobs, registered, catalog, retired }
+        let ScheduleState { jobs, registered, retired, evacuated, .. } = state;
+        JobStore { jobs, registered, catalog, retired, evacuated }
     }
 }
 
@@ -80,6 +87,7 @@
             registered: self.registered.clone(),
             catalog: self.catalog.current(),
             retired: self.retired.clone(),
+            evacuated: self.evacuated.clone(),
         }
     }
 
@@ -110,6 +118,11 @@
         &self.registered
     }
 
+    /// Failure domains on whose backend servers nothing more is started.
+    pub fn evacuated(&self) -> &IndexSet<DomainId> {
+        &self.evacuated
+    }
+
     /// Looks up a job, ended or not.
     pub fn job(&self, id: &JobId) -> Option<&JobRecord> {
         self.jobs.get(id)
@@ -154,10 +167,21 @@
                 self.drop_unused_rules();
                 JobChange::None
             }
+            Command::SetEvacuation { domain, is_evacuated } => {
+                self.set_evacuation(domain, *is_evacuated)
+            }
             _ => JobChange::None,
         }
     }
 
+    fn set_evacuation(&mut self, domain: &DomainId, is_evacuated: bool) -> JobChange {
+        let changed = match is_evacuated {
+            true => self.evacuated.insert(domain.clone()),
+            false => self.evacuated.shift_remove(domain),
+        };
+        if changed { JobChange::Evacuation } else { JobChange::None }
+    }
+
     /// Puts a catalog in force if its version is higher than the current one.
     pub fn set_catalog(&mut self, catalog: &Arc<QueueCatalog>) {
         self.replace_catalog(catalog);
--- a/crates/decisions/src/schedule/agent_orders.rs
+++ b/crates/decisions/src/schedule/agent_orders.rs
@@ -76,6 +76,7 @@
             claims: state.take_claim_orders(self.limits.incarnation),
             entries: hosts_changed.then(|| self.hosts.entries()).flatten(),
             controls: hosts_changed.then(|| self.hosts.controls()).flatten(),
+            evacuated: hosts_changed.then(|| self.hosts.evacuated()),
         };
         self.steps.push(ScheduleStep::Orders { link: id, orders });
     }
--- a/crates/decisions/src/schedule/host_lists.rs
+++ b/crates/decisions/src/schedule/host_lists.rs
@@ -1,20 +1,22 @@
 //! Owns the lists of hosts that control sends to agents: the entries that schedule
-//! best-effort jobs, as known from their periodic queries, and the control group. Agents
-//! connect to each entry, and to the leader of the group.
+//! best-effort jobs, as known from their periodic queries, the control group, and the failure
+//! domains that are evacuated. Agents connect to each entry, and to the leader of the group.
+//! An entry's scheduler has no lists, and sends none.
 
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
-use model::{EntryHost, LeaderHint};
+use indexmap::{IndexMap, IndexSet};
+use model::{DomainId, EntryHost, LeaderHint};
 
 /// Time since its last query after which an entry is dropped from the list.
 const ENTRY_CONTACT_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Entries by last contact, the control group, and the version of both.
+/// Entries by last contact, the control group, the evacuated domains, and the version of all.
 #[derive(Debug, Clone, Default)]
 pub(super) struct HostLists {
     last_contact: IndexMap<EntryHost, Instant>,
     controls: LeaderHint,
+    evacuated: IndexSet<DomainId>,
     version: u64,
 }
 
@@ -38,6 +40,14 @@
         changed
     }
 
+    /// Sets the failure domains that are evacuated.
+    pub(super) fn set_evacuated(&mut self, evacuated: &IndexSet<DomainId>) {
+        if self.evacuated != *evacuated {
+            self.evacuated = evacuated.clone();
+            self.version += 1;
+        }
+    }
+
     /// Version of the lists; rises with each change of one.
     pub(super) fn version(&self) -> u64 {
         self.version
@@ -50,6 +60,12 @@
         (!entries.is_empty()).then_some(entries)
     }
 
+    /// The evacuated domains. Also sent if there are none: an agent may know of one whose
+    /// evacuation has ended meanwhile.
+    pub(super) fn evacuated(&self) -> Vec<DomainId> {
+        self.evacuated.iter().cloned().collect()
+    }
+
     /// The control group; `None` at an entry, which knows none.
     pub(super) fn controls(&self) -> Option<LeaderHint> {
         (!self.controls.members.is_empty()).then(|| self.controls.clone())
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -194,6 +194,7 @@
     /// Handles the installation of a snapshot of the replicated state.
     pub fn on_restored(&mut self, state: ScheduleState) {
         self.store = JobStore::from(state);
+        self.hosts.set_evacuated(self.store.evacuated());
         self.share_catalog();
     }
 
@@ -261,6 +262,14 @@
         servers.map(AgentState::slowness).max_by(f64::total_cmp)
     }
 
+    /// Number of known agents whose backend server is in an evacuated failure domain, as far
+    /// as this scheduler knows: an entry's knows none.
+    pub fn evacuated_agents(&self) -> usize {
+        let evacuated = self.store.evacuated();
+        let servers = self.agents.values().filter_map(|state| state.server.as_ref());
+        servers.filter(|server| evacuated.contains(&server.domain)).count()
+    }
+
     /// How much longer runs seem to this scheduler than to their agents.
     pub fn report_delay(&self) -> Duration {
         self.report_delay.estimate()
@@ -280,8 +289,13 @@
     pub fn on_applied(&mut self, now: Instant, records: &[LogRecord]) {
         for record in records {
             let change = self.store.apply(record);
-            if change == JobChange::Catalog {
-                self.share_catalog();
+            match change {
+                JobChange::Catalog => self.share_catalog(),
+                JobChange::Evacuation => {
+                    self.hosts.set_evacuated(self.store.evacuated());
+                    self.agent_checks.require(now);
+                }
+                _ => {}
             }
             if self.term.is_some() {
                 self.on_change(now, change);
@@ -292,7 +306,7 @@
     /// Updates the scheduling state after a change of stored or best-effort jobs.
     pub(super) fn on_change(&mut self, now: Instant, change: JobChange) {
         match change {
-            JobChange::None | JobChange::Catalog => {}
+            JobChange::None | JobChange::Catalog | JobChange::Evacuation => {}
             JobChange::Registered => {
                 self.placement_due = true;
                 self.reregister_agents();
--- a/crates/model/src/command.rs
+++ b/crates/model/src/command.rs
@@ -12,8 +12,8 @@
 
 use crate::cluster::MemberRecord;
 use crate::ids::{
-    ClaimEpoch, ConfigVersion, Fingerprint, Incarnation, JobId, LogIndex, MembersVersion, NodeId,
-    RequestId, ServiceId, TeamId, WorkerId,
+    ClaimEpoch, ConfigVersion, DomainId, Fingerprint, Incarnation, JobId, LogIndex, MembersVersion,
+    NodeId, RequestId, ServiceId, TeamId, WorkerId,
 };
 use crate::operator_config::OperatorConfig;
 use crate::queue_catalog::QueueCatalog;
@@ -144,6 +144,14 @@
         /// The time, in milliseconds since 1970.
         before_ms: u64,
     },
+    /// Requests that nothing more be started on the backend servers of a failure domain, or
+    /// revokes that request. Repeating it changes nothing.
+    SetEvacuation {
+        /// The failure domain; none of its servers need be known.
+        domain: DomainId,
+        /// Whether the domain is evacuated from now on.
+        is_evacuated: bool,
+    },
     /// Replaces the group of control hosts by one that differs in one host.
     ChangeGroup {
         /// The complete new group.
@@ -164,6 +172,7 @@
                 | Command::RegisterAgent { .. }
                 | Command::DeregisterAgent { .. }
                 | Command::ForgetJobs { .. }
+                | Command::SetEvacuation { .. }
         )
     }
 }
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -509,6 +509,10 @@
     /// The group of control hosts; present when control sends a changed one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub controls: Option<LeaderHint>,
+    /// All failure domains that are evacuated; present when control sends a changed list, and
+    /// in its first message of a session. `None` leaves the agent with what it knew.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuated: Option<Vec<DomainId>>,
 }
 
 /// An entry's query for a catalog newer than its own. It also registers the
@@ -573,6 +577,8 @@
     pub catalog: Option<Arc<QueueCatalog>>,
     /// Rules of queues that are not in the catalog any more, and have jobs.
     pub retired: IndexMap<QueueId, QueueRule>,
+    /// Failure domains on whose backend servers nothing more is started.
+    pub evacuated: IndexSet<DomainId>,
 }
 
 /// Messages to the scheduling duty.
--- a/crates/services/src/load_meter.rs
+++ b/crates/services/src/load_meter.rs
@@ -127,7 +127,8 @@
             .with("passed_on_grants", counts.passed_on_grants.claims)
             .with("passed_on_grant_ms", counts.passed_on_grants.mean_wait().as_millis())
             .with("max_passed_on_grant_ms", counts.passed_on_grants.longest.as_millis())
-            .with("confirm_requests", counts.confirm_requests);
+            .with("confirm_requests", counts.confirm_requests)
+            .with("evacuated_agents", scheduler.evacuated_agents());
         *self = LoadMeter::new(now);
         Some(line)
     }
--- a/crates/services/src/server_runs.rs
+++ b/crates/services/src/server_runs.rs
@@ -8,7 +8,7 @@
 use decisions::agent::{RunLimits, RunStep, RunTable};
 use kernel::{DutyHandler, KernelError, Registry, Reservation, RingReceiver, RingSender, run_duty};
 use model::{
-    CallId, EventLine, EventLog, Incarnation, NodeId, ScheduleEvent, ScheduleLinkMessage,
+    CallId, DomainId, EventLine, EventLog, Incarnation, NodeId, ScheduleEvent, ScheduleLinkMessage,
     SchedulerKey, ServerFrontMessage, ServerRunsMessage, ServiceName, SessionId,
 };
 
@@ -21,6 +21,8 @@
     pub agent: NodeId,
     /// Incarnation of the agent.
     pub incarnation: Incarnation,
+    /// Failure domain of the agent.
+    pub domain: DomainId,
     /// Lease duration, wait times and retry delay.
     pub limits: RunLimits,
 }
@@ -45,10 +47,10 @@
     settings: RunSettings,
 ) -> Result<(), KernelError> {
     let clock = context.clock.clone();
-    let RunSettings { agent, incarnation, limits } = settings;
+    let RunSettings { agent, incarnation, domain, limits } = settings;
     let state = ServerRuns {
         log: context.event_log(registry)?,
-        table: RunTable::new(clock.now(), agent, incarnation, limits),
+        table: RunTable::new(clock.now(), agent, incarnation, limits).in_domain(domain),
         own_ring: registry.find(ServiceName::ServerRuns)?,
         front: registry.find(ServiceName::ServerFront)?,
         link: registry.find(ServiceName::ScheduleLink)?,
--- a/tests/agent_fixture.rs
+++ b/tests/agent_fixture.rs
@@ -124,6 +124,7 @@
             claims: None,
             entries: None,
             controls: None,
+            evacuated: None,
         };
         let steps = self.table.on_orders(self.now, &entry(), 1, self.now, orders);
         self.apply_steps(steps);
--- a/tests/end_acks.rs
+++ b/tests/end_acks.rs
@@ -26,6 +26,7 @@
         claims: None,
         entries: None,
         controls: None,
+        evacuated: None,
     }
 }
 
--- a/tests/entry_links.rs
+++ b/tests/entry_links.rs
@@ -25,7 +25,7 @@
 
 /// A message of an entry to an agent.
 pub(crate) enum ToAgent {
-    Orders(AgentOrders),
+    Orders(Box<AgentOrders>),
     /// The session is over.
     Closed,
 }
@@ -132,7 +132,7 @@
         let (agent, session) = owner_of(link);
         let node = &mut self.entries[entry];
         node.counts.sent += 1;
-        node.outgoing.push((agent, session, ToAgent::Orders(orders)));
+        node.outgoing.push((agent, session, ToAgent::Orders(Box::new(orders))));
     }
 
     /// Closes a connection of an entry's scheduler.
@@ -161,7 +161,7 @@
                 let sent_at = open.acked_at();
                 let table = &mut node.table;
                 let mut steps = table.on_reports_acked(self.now, &key, session, reports);
-                steps.extend(table.on_orders(self.now, &key, session, sent_at, orders));
+                steps.extend(table.on_orders(self.now, &key, session, sent_at, *orders));
                 self.apply_run_steps(agent, steps);
             }
             ToAgent::Closed => self.close_session(agent, entry),
--- a/tests/grant_margin.rs
+++ b/tests/grant_margin.rs
@@ -73,6 +73,7 @@
             claims: None,
             entries: None,
             controls: None,
+            evacuated: None,
         };
         let now = self.agent.now;
         let steps = self.agent.table.on_orders(now, scheduler, session, sent_at, orders);
--- a/tests/late_orders.rs
+++ b/tests/late_orders.rs
@@ -19,6 +19,7 @@
         claims: None,
         entries: None,
         controls: None,
+        evacuated: None,
     };
     let steps = agent.table.on_orders(agent.now, &entry(), 1, acked_at, orders);
     agent.apply_steps(steps);
--- a/tests/odd_messages.rs
+++ b/tests/odd_messages.rs
@@ -217,6 +217,7 @@
                 claims: None,
                 entries: None,
                 controls: None,
+                evacuated: None,
             };
             let steps = agent.table.on_orders(agent.now, &entry(), 1, agent.now, orders);
             agent.apply_steps(steps);
--- a/tests/operator_redirects.rs
+++ b/tests/operator_redirects.rs
@@ -4,13 +4,13 @@
 
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use kernel::{Kernel, PopResult, Registry, RingReceiver, SharedClock, SystemClock};
 use model::{
-    ControlReply, ControlReplyBody, EventLog, LeaderHint, LogLine, LogMessage, ProcessCounters,
-    ServiceName,
+    Command, ControlReply, ControlReplyBody, EventLog, LeaderHint, LogLine, LogMessage,
+    ProcessCounters, ServiceName,
 };
 use platform::OperatorFront;
 
@@ -19,18 +19,34 @@
 /// Bound on the wait for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
 
-fn control_host(number: u8) -> SocketAddr {
+pub(crate) fn control_host(number: u8) -> SocketAddr {
     SocketAddr::from((Ipv4Addr::new(10, 1, 0, number), 7000))
 }
 
-/// The status line and headers with which host 1 answers a read while it names `leader`.
-fn answer_to_read(leader: Option<SocketAddr>) -> String {
+/// The answer of host 1 to a request, and the commands that it proposed for it.
+pub(crate) struct FrontAnswer {
+    /// Status line, headers and body.
+    pub(crate) text: String,
+    pub(crate) commands: Vec<Command>,
+}
+
+/// Sends a request without a body to host 1, whose replicated log gives this reply. `request` is
+/// its method and path.
+pub(crate) fn ask_front(request: &str, body: ControlReplyBody) -> FrontAnswer {
     let mut kernel: Kernel<ServiceName> = Kernel::default();
-    let hint = LeaderHint { leader, term: 2, ..LeaderHint::default() };
+    let proposed: Arc<Mutex<Vec<Command>>> = Arc::default();
+    let seen = Arc::clone(&proposed);
     let run_log = move |ring: RingReceiver<LogMessage>, _| {
         while let PopResult::Message(message) = ring.pop(None) {
-            let LogMessage::Query { call, reply, .. } = message else { continue };
-            reply.push(ControlReply { call, body: ControlReplyBody::NotLeader(hint.clone()) });
+            let (call, reply) = match message {
+                LogMessage::Query { call, reply, .. } => (call, reply),
+                LogMessage::Propose { call, commands, reply } => {
+                    seen.lock().expect("lock is not poisoned").extend(commands);
+                    (call, reply)
+                }
+                _ => continue,
+            };
+            reply.push(ControlReply { call, body: body.clone() });
         }
     };
     kernel.register(ServiceName::ReplicatedLog, RING_SLOTS, run_log).expect("the name is free");
@@ -51,12 +67,23 @@
     kernel.start().expect("the duties start");
     let mut stream = TcpStream::connect(address).expect("the front listens");
     stream.set_read_timeout(Some(ANSWER_TIMEOUT)).expect("the timeout can be set");
-    let request = "GET /cactuswing/config HTTP/1.1\r\nHost: control\r\nConnection: close\r\n\r\n";
+    let request = format!("{request} HTTP/1.1\r\nHost: control\r\nConnection: close\r\n\r\n");
     stream.write_all(request.as_bytes()).expect("the request is sent");
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).expect("the answer ends");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("the answer ends");
     kernel.stop();
-    answer
+    let commands = proposed.lock().expect("lock is not poisoned").clone();
+    FrontAnswer { text, commands }
+}
+
+/// The reply of a log whose host names this leader.
+pub(crate) fn not_leader(leader: Option<SocketAddr>) -> ControlReplyBody {
+    ControlReplyBody::NotLeader(LeaderHint { leader, term: 2, ..LeaderHint::default() })
+}
+
+/// The answer to a read while host 1 names `leader`.
+fn answer_to_read(leader: Option<SocketAddr>) -> String {
+    ask_front("GET /cactuswing/config", not_leader(leader)).text
 }
 
 #[test]
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -31,6 +31,8 @@
 const ENTRY_GRANT: Duration = Duration::from_millis(1_000);
 /// The same for runs of the control scheduler.
 const CONTROL_GRANT: Duration = Duration::from_millis(4_000);
+/// Usual failure domain of a backend server.
+pub(crate) const DOMAIN: &str = "north";
 const SERVER_CPU_MILLI: u64 = 4_000;
 /// Tasks of one core that a backend server runs at a time.
 const SERVER_SLOTS: usize = 4;
@@ -168,6 +170,8 @@
     servers: Vec<ServerModel>,
     /// Backend servers of [`OTHER_SERVICE`].
     other_servers: BTreeSet<usize>,
+    /// Failure domains of backend servers that are not in [`DOMAIN`].
+    domains: BTreeMap<usize, &'static str>,
     /// Backend servers that are gone for good.
     lost_servers: BTreeSet<usize>,
     /// Agents that stand still, and what waits for them.
@@ -191,6 +195,8 @@
     pub(crate) replies: BTreeMap<u64, CallStatus>,
     /// Number of starts of each task.
     pub(crate) starts: BTreeMap<TaskName, usize>,
+    /// Number of starts at each backend server, over all of its lives.
+    server_starts: BTreeMap<usize, usize>,
     /// Time of the latest start of each task.
     latest_starts: BTreeMap<TaskName, Instant>,
     /// Time of the first successful end of each task that counts.
@@ -216,6 +222,7 @@
             agents: Vec::new(),
             servers: Vec::new(),
             other_servers: BTreeSet::new(),
+            domains: BTreeMap::new(),
             lost_servers: BTreeSet::new(),
             frozen_agents: BTreeMap::new(),
             frozen_entries: BTreeMap::new(),
@@ -230,6 +237,7 @@
             last_generation: 0,
             replies: BTreeMap::new(),
             starts: BTreeMap::new(),
+            server_starts: BTreeMap::new(),
             latest_starts: BTreeMap::new(),
             counted_done: BTreeMap::new(),
             done: BTreeSet::new(),
@@ -430,6 +438,13 @@
         self.run_fault_free(10);
     }
 
+    /// Moves a backend server to another failure domain.
+    pub(crate) fn set_domain(&mut self, agent: usize, domain: &'static str) {
+        self.domains.insert(agent, domain);
+        self.heartbeat(agent);
+        self.run_fault_free(1);
+    }
+
     /// Makes an agent stand still. Its calls stay in transit.
     pub(crate) fn freeze_agent(&mut self, agent: usize) {
         self.frozen_agents.entry(agent).or_default();
@@ -528,7 +543,7 @@
             view: ServerView {
                 life: life_id(&server.instance().into(), server.generation),
                 service: service.into(),
-                domain: "north".into(),
+                domain: self.domains.get(&agent).copied().unwrap_or(DOMAIN).into(),
                 capacity: ResourceAmount {
                     cpu_milli: SERVER_CPU_MILLI,
                     memory_mb: 1_000,
@@ -829,6 +844,7 @@
         if self.servers[server].runs.len() > before
             && let ServerRequest::Start { run, .. } = &call.request
         {
+            *self.server_starts.entry(server).or_insert(0) += 1;
             self.check_start(&run.task);
         }
         self.check_counted(server);
@@ -1015,6 +1031,21 @@
         self.servers.iter().map(|server| server.runs.len()).sum()
     }
 
+    /// The number of starts at a backend server, over all of its lives.
+    pub(crate) fn starts_at(&self, server: usize) -> usize {
+        self.server_starts.get(&server).copied().unwrap_or_default()
+    }
+
+    /// The number of running tasks on a backend server.
+    pub(crate) fn running_at(&self, server: usize) -> usize {
+        self.servers[server].runs.len()
+    }
+
+    /// The number of evacuated agents that the control scheduler counts.
+    pub(crate) fn evacuated_agents(&self) -> usize {
+        self.schedulers[0].scheduler.evacuated_agents()
+    }
+
     /// The number of backend servers with running tasks.
     pub(crate) fn servers_in_use(&self) -> usize {
         self.servers.iter().filter(|server| !server.runs.is_empty()).count()
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -30,6 +30,8 @@
 mod early_end;
 mod end_acks;
 mod entry_share;
+mod evacuated_domains;
+mod evacuation_calls;
 mod expired_grants;
 mod fair_sharing;
 mod full_disk;
