Entries learn the evacuated domains from control's leader

Cause: an agent that is cut off from control when its domain is evacuated went on starting best-effort jobs of entries that control could reach.

Change: an entry's watch for catalogs carries the version of its list of evacuated domains, and the leader answers with a newer one before the catalog. Each scheduler, control's too, counts the servers of a listed domain as draining, apart from what their agents report. An agent's report names the domain of its settings where its server's heartbeats name none.

--- a/crates/decisions/src/agent/evacuation.rs
+++ b/crates/decisions/src/agent/evacuation.rs
@@ -36,6 +36,7 @@
     pub(super) fn report_of(&self, life: Option<&ServerLife>) -> ServerReport {
         let Some(life) = life else { return ServerReport::Absent };
         let mut view = life.view.clone();
+        view.domain = self.domain_of(&view).clone();
         view.draining |= self.covers(&view);
         ServerReport::Present(view)
     }
--- a/crates/decisions/src/control/job_store.rs
+++ b/crates/decisions/src/control/job_store.rs
@@ -13,8 +13,8 @@
 
 use indexmap::{IndexMap, IndexSet};
 use model::{
-    Command, DomainId, EndKind, EndedRun, JobId, JobPhase, JobRecord, LogRecord, NodeId,
-    QueueCatalog, QueueId, QueueRule, QueuedJob, ScheduleState, TaskName, Term,
+    Command, DomainId, EndKind, EndedRun, EvacuationList, JobId, JobPhase, JobRecord, LogIndex,
+    LogRecord, NodeId, QueueCatalog, QueueId, QueueRule, QueuedJob, ScheduleState, TaskName, Term,
 };
 use serde::{Deserialize, Serialize};
 
@@ -66,6 +66,13 @@
     /// Failure domains on whose backend servers nothing more is started.
     #[serde(default, skip_serializing_if = "IndexSet::is_empty")]
     evacuated: IndexSet<DomainId>,
+    /// Log position of the record that changed `evacuated` last; 0 before the first.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    evacuation_version: LogIndex,
+}
+
+fn is_zero(version: &LogIndex) -> bool {
+    *version == 0
 }
 
 impl From<ScheduleState> for JobStore {
@@ -74,8 +81,8 @@
         if let Some(current) = &state.catalog {
             catalog.set(current);
         }
-        let ScheduleState { jobs, registered, retired, evacuated, .. } = state;
-        JobStore { jobs, registered, catalog, retired, evacuated }
+        let ScheduleState { jobs, registered, retired, evacuated, evacuation_version, .. } = state;
+        JobStore { jobs, registered, catalog, retired, evacuated, evacuation_version }
     }
 }
 
@@ -88,6 +95,7 @@
             catalog: self.catalog.current(),
             retired: self.retired.clone(),
             evacuated: self.evacuated.clone(),
+            evacuation_version: self.evacuation_version,
         }
     }
 
@@ -123,6 +131,17 @@
         &self.evacuated
     }
 
+    /// Log position of the record that changed these domains last; 0 before the first.
+    pub fn evacuation_version(&self) -> LogIndex {
+        self.evacuation_version
+    }
+
+    /// Replaces the evacuated domains by a list that control sent.
+    pub fn replace_evacuated(&mut self, list: &EvacuationList) {
+        self.evacuated = list.domains.iter().cloned().collect();
+        self.evacuation_version = list.version;
+    }
+
     /// Looks up a job, ended or not.
     pub fn job(&self, id: &JobId) -> Option<&JobRecord> {
         self.jobs.get(id)
@@ -168,18 +187,27 @@
                 JobChange::None
             }
             Command::SetEvacuation { domain, is_evacuated } => {
-                self.set_evacuation(domain, *is_evacuated)
+                self.set_evacuation(record.index, domain, *is_evacuated)
             }
             _ => JobChange::None,
         }
     }
 
-    fn set_evacuation(&mut self, domain: &DomainId, is_evacuated: bool) -> JobChange {
+    fn set_evacuation(
+        &mut self,
+        index: LogIndex,
+        domain: &DomainId,
+        is_evacuated: bool,
+    ) -> JobChange {
         let changed = match is_evacuated {
             true => self.evacuated.insert(domain.clone()),
             false => self.evacuated.shift_remove(domain),
         };
-        if changed { JobChange::Evacuation } else { JobChange::None }
+        if !changed {
+            return JobChange::None;
+        }
+        self.evacuation_version = index;
+        JobChange::Evacuation
     }
 
     /// Puts a catalog in force if its version is higher than the current one.
--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -10,7 +10,7 @@
 use model::{
     AgentHeartbeat, AgentMessage, AgentOrder, AgentReport, Command, EndKind, EndNumber, EndedRun,
     EventLine, LinkId, MAX_INCARNATION, MAX_SESSION, NodeId, NumberedMessage, ResourceAmount,
-    RunUpdate, ServerReport, StartRefusal, TaskName, TaskRun,
+    RunUpdate, ServerReport, ServerView, StartRefusal, TaskName, TaskRun,
 };
 
 use super::agent_link::AgentLink;
@@ -145,6 +145,12 @@
             ServerReport::Absent => None,
             ServerReport::Present(server) => Some(server),
         };
+        let evacuated = self.store.evacuated();
+        let is_evacuated = server.is_some_and(|server| evacuated.contains(&server.domain));
+        state.reports_draining = server.is_some_and(|server| server.draining);
+        let draining = state.reports_draining || is_evacuated;
+        let server = server.map(|server| ServerView { draining, ..server.clone() });
+        let server = server.as_ref();
         if state.server.as_ref() == server {
             return;
         }
--- a/crates/decisions/src/schedule/agent_state.rs
+++ b/crates/decisions/src/schedule/agent_state.rs
@@ -35,7 +35,10 @@
     pub(super) incarnation: Incarnation,
     pub(super) session: SessionId,
     pub(super) last_contact: Instant,
+    /// The agent's backend server. It counts as draining also while its domain is evacuated.
     pub(super) server: Option<ServerView>,
+    /// Whether the agent itself reports the server as draining.
+    pub(super) reports_draining: bool,
     /// Resources taken by this scheduler's runs.
     pub(super) usage: ResourceAmount,
     /// Resources taken by other schedulers' runs, as last reported.
@@ -70,6 +73,7 @@
             session,
             last_contact: now,
             server: None,
+            reports_draining: false,
             usage: ResourceAmount::default(),
             other_usage: ResourceAmount::default(),
             sent_hosts_version: 0,
--- a/crates/decisions/src/schedule/mod.rs
+++ b/crates/decisions/src/schedule/mod.rs
@@ -20,6 +20,7 @@
 mod agent_reports;
 mod agent_search;
 mod agent_state;
+mod evacuation;
 mod given_up_agents;
 mod host_lists;
 mod job_admission;
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -194,7 +194,7 @@
     /// Handles the installation of a snapshot of the replicated state.
     pub fn on_restored(&mut self, state: ScheduleState) {
         self.store = JobStore::from(state);
-        self.hosts.set_evacuated(self.store.evacuated());
+        self.follow_evacuation();
         self.share_catalog();
     }
 
@@ -262,14 +262,6 @@
         servers.map(AgentState::slowness).max_by(f64::total_cmp)
     }
 
-    /// Number of known agents whose backend server is in an evacuated failure domain, as far
-    /// as this scheduler knows: an entry's knows none.
-    pub fn evacuated_agents(&self) -> usize {
-        let evacuated = self.store.evacuated();
-        let servers = self.agents.values().filter_map(|state| state.server.as_ref());
-        servers.filter(|server| evacuated.contains(&server.domain)).count()
-    }
-
     /// How much longer runs seem to this scheduler than to their agents.
     pub fn report_delay(&self) -> Duration {
         self.report_delay.estimate()
@@ -292,7 +284,7 @@
             match change {
                 JobChange::Catalog => self.share_catalog(),
                 JobChange::Evacuation => {
-                    self.hosts.set_evacuated(self.store.evacuated());
+                    self.follow_evacuation();
                     self.agent_checks.require(now);
                 }
                 _ => {}
--- a/crates/edges/src/job_calls.rs
+++ b/crates/edges/src/job_calls.rs
@@ -13,9 +13,9 @@
 use jsonrpsee::ws_client::WsClient;
 use kernel::{Registry, Reservation, RingReceiver, RingSender, SharedClock};
 use model::{
-    CallId, CatalogQuery, CommandResult, ControlReplyBody, EntryHost, EventLine, EventLog, JobCall,
-    JobCallMessage, JobReply, LeaderHint, QueueCatalog, QueueFrontMessage, RefusalCause,
-    SchedulingMessage, ServiceName,
+    CallId, CatalogQuery, CommandResult, ControlReplyBody, EntryHost, EvacuationList, EventLine,
+    EventLog, JobCall, JobCallMessage, JobReply, LeaderHint, QueueCatalog, QueueFrontMessage,
+    RefusalCause, SchedulingMessage, ServiceName, is_reachable_index,
 };
 use tokio::sync::watch;
 
@@ -62,7 +62,12 @@
     block_on(async move {
         let (connection_sender, connection) = watch::channel(None);
         let (clock, name) = (calls.clock.clone(), calls.entry.name.clone());
-        let query = CatalogQuery { version: 0, entry: calls.entry, group_version: Some((0, 0)) };
+        let query = CatalogQuery {
+            version: 0,
+            entry: calls.entry,
+            group_version: Some((0, 0)),
+            evacuation_version: Some(0),
+        };
         let watcher = CatalogWatcher {
             finder: LeaderFinder::new(clock.clone(), calls.controls, &name, Some(log.clone())),
             clock,
@@ -125,7 +130,7 @@
         mut sent_at: Instant,
         mut body: ControlReplyBody,
     ) {
-        if let ControlReplyBody::Catalog(_) = &body {
+        if let ControlReplyBody::Catalog(_) | ControlReplyBody::Evacuation(_) = &body {
             self.finder.confirm(host, &LeaderHint::default());
         }
         self.connection.send_replace(Some(Arc::clone(client)));
@@ -137,6 +142,9 @@
                     self.query.group_version = Some(hint.group_version());
                     self.finder.confirm(host, &hint);
                 }
+                ControlReplyBody::Evacuation(list) if self.is_reachable(&list) => {
+                    self.update_evacuation(list);
+                }
                 ControlReplyBody::NotLeader(hint) => return self.finder.deny(host, &hint),
                 _ => return self.finder.lose(host),
             }
@@ -171,7 +179,24 @@
         self.log.info(EventLine::new("catalog_in_force").with("version", version));
     }
 
-    /// Logs that a catalog was not forwarded; the next watch returns it again.
+    /// Whether a correct leader can have sent this list: an odd version would hide later ones.
+    fn is_reachable(&self, list: &EvacuationList) -> bool {
+        is_reachable_index(self.query.evacuation_version.unwrap_or_default(), list.version)
+    }
+
+    /// Forwards a list of evacuated domains, unless it is not newer than the one that is known.
+    fn update_evacuation(&mut self, list: EvacuationList) {
+        let version = Some(list.version);
+        if version <= self.query.evacuation_version {
+            return;
+        }
+        if self.scheduling.push(SchedulingMessage::Evacuation { list }).is_err() {
+            return self.log_full_ring(ServiceName::JobScheduling);
+        }
+        self.query.evacuation_version = version;
+    }
+
+    /// Logs that a catalog or list was not forwarded; the next watch returns it again.
     fn log_full_ring(&self, ring: ServiceName) {
         self.log.warn(EventLine::new("ring_full").with("ring", ring));
     }
@@ -187,9 +212,11 @@
     let sent_at = clock.now();
     match tokio::time::timeout(ANSWER_TIMEOUT, client.catalog(query.clone())).await {
         Ok(Ok(ControlReplyBody::NotLeader(hint))) => HostAnswer::Follows(hint),
-        Ok(Ok(body @ (ControlReplyBody::Catalog(_) | ControlReplyBody::Group(_)))) => {
-            HostAnswer::Leads((client, sent_at, body))
-        }
+        Ok(Ok(
+            body @ (ControlReplyBody::Catalog(_)
+            | ControlReplyBody::Group(_)
+            | ControlReplyBody::Evacuation(_)),
+        )) => HostAnswer::Leads((client, sent_at, body)),
         _ => HostAnswer::Silent,
     }
 }
--- a/crates/model/src/control_messages.rs
+++ b/crates/model/src/control_messages.rs
@@ -23,7 +23,7 @@
 use crate::leader_hint::LeaderHint;
 use crate::queue_catalog::QueueCatalog;
 use crate::replica::ReplicaEnvelope;
-use crate::schedule_messages::JobReply;
+use crate::schedule_messages::{EvacuationList, JobReply};
 use crate::settings::ControlPeer;
 use crate::work::JobKey;
 
@@ -166,6 +166,9 @@
     Replica(Option<Box<ReplicaEnvelope>>),
     /// This host leads, and its group has changed since the caller last learnt it.
     Group(LeaderHint),
+    /// This host leads, and the evacuated failure domains have changed since the caller last
+    /// learnt them.
+    Evacuation(EvacuationList),
     /// This host is not the leader; nothing was changed.
     NotLeader(LeaderHint),
     /// Outcome unknown: leadership was lost before the commands were committed;
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -527,6 +527,19 @@
     /// queries of earlier versions, which know no such answer.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub group_version: Option<(Term, LogIndex)>,
+    /// Version of the entry's list of evacuated domains, which a newer one answers; `None` in
+    /// queries of earlier versions, which know no such answer.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuation_version: Option<LogIndex>,
+}
+
+/// The failure domains on whose backend servers nothing more is started.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationList {
+    /// Log position of the record that changed the list last; 0 before the first.
+    pub version: LogIndex,
+    /// All evacuated domains.
+    pub domains: Vec<DomainId>,
 }
 
 /// Ring slot reserved for the reply to a call about a job.
@@ -579,6 +592,8 @@
     pub retired: IndexMap<QueueId, QueueRule>,
     /// Failure domains on whose backend servers nothing more is started.
     pub evacuated: IndexSet<DomainId>,
+    /// Log position of the record that changed `evacuated` last; 0 before the first.
+    pub evacuation_version: LogIndex,
 }
 
 /// Messages to the scheduling duty.
@@ -631,6 +646,11 @@
         /// The catalog now in force.
         catalog: Arc<QueueCatalog>,
     },
+    /// Control's newer list of evacuated failure domains; sent to an entry's scheduler only.
+    Evacuation {
+        /// The list.
+        list: EvacuationList,
+    },
     /// Log records were committed.
     Applied {
         /// The committed records, in log order.
--- a/crates/services/src/job_scheduling.rs
+++ b/crates/services/src/job_scheduling.rs
@@ -31,6 +31,8 @@
     version: ConfigVersion,
     /// Age of the entry's list of control hosts, if it takes a newer one.
     group_version: Option<(Term, LogIndex)>,
+    /// Version of the entry's list of evacuated domains, if it takes a newer one.
+    evacuation_version: Option<LogIndex>,
     deadline: Instant,
     reply: Reservation<ControlReply>,
 }
@@ -136,13 +138,21 @@
             SchedulingMessage::CatalogWatch { call, query, reply } => {
                 self.scheduler.on_entry(now, &query.entry);
                 let deadline = now + CATALOG_WATCH_TIMEOUT;
-                let CatalogQuery { version, group_version, .. } = query;
-                let watcher = CatalogWatcher { call, version, group_version, deadline, reply };
+                let CatalogQuery { version, group_version, evacuation_version, .. } = query;
+                let watcher = CatalogWatcher {
+                    call,
+                    version,
+                    group_version,
+                    evacuation_version,
+                    deadline,
+                    reply,
+                };
                 self.catalog_watchers.push(watcher);
             }
             SchedulingMessage::Applied { records } => {
                 self.scheduler.on_applied(now, &records);
             }
+            SchedulingMessage::Evacuation { list } => self.scheduler.on_evacuation(&list),
             SchedulingMessage::Restored { state } => self.scheduler.on_restored(*state),
             SchedulingMessage::Leading { term, hint } => {
                 self.hint = hint.clone();
@@ -228,9 +238,9 @@
         }
     }
 
-    /// Answers each watch as soon as a newer catalog or group is in force, and without one
-    /// at its deadline. Only the leader reports catalogs: another host may hold
-    /// a stale one.
+    /// Answers each watch as soon as a newer catalog, group or list of evacuated domains is in
+    /// force, and without one at its deadline. Only the leader reports them: another host may
+    /// hold a stale one.
     fn answer_catalog_watchers(&mut self, now: Instant) {
         if self.catalog_watchers.is_empty() {
             return;
@@ -240,8 +250,13 @@
         let latest_version = catalog.as_ref().map_or(0, |catalog| catalog.version);
         for watcher in std::mem::take(&mut self.catalog_watchers) {
             let is_newer = |known: (Term, LogIndex)| self.hint.group_version() > known;
+            let known = watcher.evacuation_version;
+            let evacuation = known.and_then(|known| self.scheduler.evacuation_since(known));
+            // Before the catalog, without which the entry places nothing.
             let body = if !is_leader {
                 self.not_leader()
+            } else if let Some(list) = evacuation {
+                ControlReplyBody::Evacuation(list)
             } else if latest_version > watcher.version {
                 ControlReplyBody::Catalog(catalog.clone())
             } else if watcher.group_version.is_some_and(is_newer) {
--- a/tests/evacuated_domains.rs
+++ b/tests/evacuated_domains.rs
@@ -7,8 +7,8 @@
 use decisions::agent::RunStep;
 use decisions::control::ControlState;
 use model::{
-    AgentOrder, AgentOrders, Command, EventLine, JobPhase, LineLevel, LogRecord, ResourceAmount,
-    RunUpdate, SchedulerKey, ServerReport, StartRefusal,
+    AgentOrder, AgentOrders, CatalogQuery, Command, EventLine, JobPhase, LineLevel, LogRecord,
+    ResourceAmount, RunUpdate, SchedulerKey, ServerReport, StartRefusal,
 };
 
 use crate::agent_fixture::{AgentFixture, entry, heartbeat, run, run_of};
@@ -176,6 +176,60 @@
     assert!(model.starts_at(cut) > 0);
 }
 
+// Guards against an agent that starts an entry's tasks since control can't tell it to stop: an
+// entry that control reaches places nothing there.
+#[test]
+fn entries_spare_cut_agent() {
+    let mut model = zoned_model();
+    let cut = 0;
+    model.step_cut(cut);
+    model.commit_command(set_evacuation(DOMAIN, true));
+    model.tell_entries();
+    for round in 0..JOB_ROUNDS * 2 {
+        if round % 10 == 0 {
+            submit_everywhere(&mut model, 100 + round * 10);
+        }
+        model.step_cut(cut);
+    }
+    assert_eq!(starts_in_north(&model), 0);
+    assert!(starts_in_south(&model) > 0);
+    model.commit_command(set_evacuation(DOMAIN, false));
+    model.tell_entries();
+    for round in 0..JOB_ROUNDS * 2 {
+        if round % 10 == 0 {
+            submit_everywhere(&mut model, 10_000 + round * 10);
+        }
+        model.step_cut(cut);
+    }
+    assert!(model.starts_at(cut) > 0, "the entries have learned the end");
+}
+
+// A server that drains stays closed at schedulers that know the list when the evacuation ends.
+#[test]
+fn schedulers_keep_drain() {
+    let mut model = zoned_model();
+    evacuate(&mut model, DOMAIN);
+    model.tell_entries();
+    model.drain_server(0);
+    revoke(&mut model, DOMAIN);
+    model.tell_entries();
+    for round in 1..6 {
+        submit_everywhere(&mut model, round * 10);
+        model.run_fault_free(JOB_ROUNDS);
+    }
+    assert_eq!(model.starts_at(0), 0);
+    assert!(model.starts_at(1) > 0);
+}
+
+// Guards against a roll in which a control host answers an entry of the previous version with a
+// list that it can't decode.
+#[test]
+fn earlier_queries_told_nothing() {
+    let text = r#"{"version":4,"entry":{"name":"e","address":"10.0.0.9:7000"}}"#;
+    let query: CatalogQuery = serde_json::from_str(text).expect("an earlier query");
+    assert_eq!(query.evacuation_version, None);
+}
+
 fn record(index: u64, command: Command) -> LogRecord {
     LogRecord { index, term: 1, at_ms: 0, command }
 }
@@ -199,6 +253,7 @@
     let evacuated: Vec<&str> = restored.jobs().evacuated().iter().map(|name| &**name).collect();
     assert_eq!(evacuated, [DOMAIN, SOUTH]);
     assert_eq!(restored.jobs().state().evacuated.len(), 2);
+    assert_eq!(restored.jobs().evacuation_version(), 2, "a repeated call changes nothing");
     state.apply(&record(5, set_evacuation(DOMAIN, false)));
     let evacuated: Vec<&str> = state.jobs().evacuated().iter().map(|name| &**name).collect();
     assert_eq!(evacuated, [SOUTH]);
--- a/tests/evacuation_calls.rs
+++ b/tests/evacuation_calls.rs
@@ -156,6 +156,19 @@
         controls.chain((0..AGENTS).map(RoleHost::Agent)).chain([RoleHost::Entry(0)])
     }
 
+    /// Waits until the log of the entry shows this text.
+    fn await_line(&self, text: &str) {
+        let log = self.group.folder().join("entry-0.log");
+        for _attempt in 0..MAX_ATTEMPTS {
+            let lines = std::fs::read_to_string(&log).unwrap_or_default();
+            if lines.contains(text) {
+                return;
+            }
+            std::thread::sleep(PAUSE);
+        }
+        panic!("the entry has not logged {text}");
+    }
+
     /// Kills all processes, and starts them again.
     fn lose_power(&mut self) {
         for host in ZonedGroup::hosts() {
@@ -177,6 +190,7 @@
     for host in 0..CONTROLS {
         zoned.call_control(host, "POST", PATH, b"");
     }
+    zoned.await_line("domains=d0 ");
     zoned.lose_power();
     zoned.submit_until(3, true);
     zoned.submit_until(3, false);
@@ -185,6 +199,7 @@
     assert!(!zoned.servers[1].runs().is_empty() && !zoned.servers[2].runs().is_empty());
     zoned.call_control(1, "DELETE", PATH, b"");
     zoned.call_control(2, "DELETE", PATH, b"");
+    zoned.await_line("domains=\"\" ");
     for _attempt in 0..MAX_ATTEMPTS {
         if !zoned.servers[0].runs().is_empty() {
             return;
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -172,6 +172,8 @@
     other_servers: BTreeSet<usize>,
     /// Failure domains of backend servers that are not in [`DOMAIN`].
     domains: BTreeMap<usize, &'static str>,
+    /// Backend servers that drain.
+    draining_servers: BTreeSet<usize>,
     /// Backend servers that are gone for good.
     lost_servers: BTreeSet<usize>,
     /// Agents that stand still, and what waits for them.
@@ -223,6 +225,7 @@
             servers: Vec::new(),
             other_servers: BTreeSet::new(),
             domains: BTreeMap::new(),
+            draining_servers: BTreeSet::new(),
             lost_servers: BTreeSet::new(),
             frozen_agents: BTreeMap::new(),
             frozen_entries: BTreeMap::new(),
@@ -445,6 +448,24 @@
         self.run_fault_free(1);
     }
 
+    /// Makes a backend server drain.
+    pub(crate) fn drain_server(&mut self, server: usize) {
+        self.draining_servers.insert(server);
+        self.heartbeat(server);
+        self.run_fault_free(1);
+    }
+
+    /// Tells the entries which domains are evacuated, as their watch at control does.
+    pub(crate) fn tell_entries(&mut self) {
+        let list = self.schedulers[0].scheduler.evacuation_since(0);
+        for number in 1..self.schedulers.len() {
+            if let Some(list) = &list {
+                self.schedulers[number].scheduler.on_evacuation(list);
+            }
+            self.settle_scheduler(number);
+        }
+    }
+
     /// Makes an agent stand still. Its calls stay in transit.
     pub(crate) fn freeze_agent(&mut self, agent: usize) {
         self.frozen_agents.entry(agent).or_default();
@@ -550,7 +571,7 @@
                     accelerators: 0,
                 },
                 labels: vec!["rack-1".into()],
-                draining: false,
+                draining: self.draining_servers.contains(&agent),
             },
             address: ([127, 0, 0, 1], 9_000).into(),
             instance: server.instance().into(),
