--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -209,6 +209,7 @@
     /// Handles the installation of a snapshot of the replicated state.
     pub fn on_restored(&mut self, state: ScheduleState) {
         self.store = JobStore::from(state);
+        self.follow_evacuation();
         self.share_catalog();
     }
 
@@ -308,8 +309,13 @@
     pub fn on_applied(&mut self, now: Instant, records: &[LogRecord]) {
         for record in records {
             let change = self.store.apply(record);
-            if change == JobChange::Catalog {
-                self.share_catalog();
+            match change {
+                JobChange::Catalog => self.share_catalog(),
+                JobChange::Evacuation => {
+                    self.follow_evacuation();
+                    self.agent_checks.require(now);
+                }
+                _ => {}
             }
             if self.term.is_some() {
                 self.on_change(now, change);
@@ -320,7 +326,7 @@
     /// Updates the scheduling state after a change of stored or best-effort jobs.
     pub(super) fn on_change(&mut self, now: Instant, change: JobChange) {
         match change {
-            JobChange::None | JobChange::Catalog => {}
+            JobChange::None | JobChange::Catalog | JobChange::Evacuation => {}
             JobChange::Registered => {
                 self.placement_due = true;
                 self.reregister_agents();
