Order queues by guaranteed shares and priority while capacity is short

Cause: placement ignored the priority of a queue. Under 1.5 times the capacity short jobs of priority 0 were late or refused as often as others. Change: QueueShares (schedule/queue_shares.rs) ranks the waiting groups of a service whose capacity is short: queues below a tenth of the recently placed work, then priority, then a share for the largest tenth of a queue's jobs. Admission counts only the work that is placed before a job. Tasks of lower precedence take nothing of what is reserved of fast servers. Setting `precedence` of entry and control; without it nothing changes.

--- a/crates/cactuswing/src/replay/local_cluster.rs
+++ b/crates/cactuswing/src/replay/local_cluster.rs
@@ -286,6 +286,7 @@
         lease_ms: shape.lease_ms,
         retention_ms: 600_000,
         snapshot_records: 50_000,
+        precedence: None,
         log: shape.log.clone(),
     }
 }
--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -151,6 +151,7 @@
         reply_wait: REPLY_WAIT,
         ack_delay: ACK_DELAY,
         remote_factor: settings.remote_factor,
+        precedence: settings.precedence,
     }
 }
 
--- a/crates/cactuswing/src/roles/queue_entry.rs
+++ b/crates/cactuswing/src/roles/queue_entry.rs
@@ -54,6 +54,7 @@
         reply_wait: REPLY_WAIT,
         ack_delay: REPLY_WAIT,
         remote_factor: front.remote_factor,
+        precedence: front.precedence,
     };
     let schedule_context = context.clone();
     kernel.register(ServiceName::JobScheduling, DUTY_RING_SLOTS, move |ring, registry| {
--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -350,6 +350,7 @@
             }
         }
         if self.remove_placement(agent, run) {
+            self.return_share(now, &run.task);
             self.requeue_task(&run.task);
         }
     }
--- a/crates/decisions/src/schedule/agent_search.rs
+++ b/crates/decisions/src/schedule/agent_search.rs
@@ -5,7 +5,7 @@
 use model::{JobStep, NodeId, QueueRule, QueuedJob, ServiceId, StepIndex};
 
 use super::agent_state::AgentState;
-use super::placement_round::{AgentClass, AgentDemand, Candidate, PlacementRound};
+use super::placement_round::{AgentClass, AgentDemand, Candidate, PlacementRound, SparedCapacity};
 use super::scheduler::Scheduler;
 use super::server_sizes::has_label;
 use super::step_spread::StepSpread;
@@ -25,9 +25,13 @@
 impl AgentSearch<'_> {
     /// Whether an agent has free capacity that the tasks may take.
     fn has_room(&self, candidate: &Candidate) -> bool {
-        let is_kept = self.demand.spares_fast
-            && self.urgency.is_kept(candidate.run_time, candidate.utilization());
-        candidate.free.fits(&self.demand.size) && !is_kept
+        let (run_time, utilization) = (candidate.run_time, candidate.utilization());
+        let is_spared = match self.demand.spared {
+            SparedCapacity::Nothing => false,
+            SparedCapacity::Kept => self.urgency.is_kept(run_time, utilization),
+            SparedCapacity::Reserved => self.urgency.is_reserved(run_time, utilization),
+        };
+        candidate.free.fits(&self.demand.size) && !is_spared
     }
 }
 
@@ -54,8 +58,16 @@
         let (class, urgency) = self.step_urgency(now, job, step, round)?;
         let max_run_time = urgency.max_run_time();
         let fast_wanted = self.fast_wanted_at.is_some_and(|at| now < at + FAST_DEMAND_MEMORY);
-        let spares_fast = fast_wanted && !urgency.needs_fast();
-        let demand = AgentDemand { class, size: job_step.size, max_run_time, spares_fast };
+        let spared = if urgency.needs_fast() {
+            SparedCapacity::Nothing
+        } else if round.is_fast_reserved(&class.service) {
+            SparedCapacity::Reserved
+        } else if fast_wanted {
+            SparedCapacity::Kept
+        } else {
+            SparedCapacity::Nothing
+        };
+        let demand = AgentDemand { class, size: job_step.size, max_run_time, spared };
         let search = AgentSearch { index: step, step: job_step, urgency, demand };
         (!round.is_unmet(&search.demand)).then_some(search)
     }
--- a/crates/decisions/src/schedule/job_admission.rs
+++ b/crates/decisions/src/schedule/job_admission.rs
@@ -260,7 +260,7 @@
     /// capacity in use, and at least the capacity of one task of the job: a scheduler that
     /// has no run just now is placing its next one.
     fn expected_wait(&self, service: &ServiceId, job: &QueuedJob) -> Duration {
-        let left_work = self.ready.left_work(service);
+        let left_work = self.work_ahead(service, &job.queue);
         if left_work == 0 {
             return Duration::ZERO;
         }
--- a/crates/decisions/src/schedule/live_job.rs
+++ b/crates/decisions/src/schedule/live_job.rs
@@ -8,6 +8,7 @@
     CallId, JobStep, LifeId, NodeId, QueuedJob, ResourceAmount, RunNumber, TaskName, later, scaled,
 };
 
+use super::queue_shares::WorkClass;
 use super::task_urgency::MIN_RUN_TIME_SHARE;
 
 /// Multiple of its objective beyond which a job has no value left.
@@ -60,6 +61,8 @@
     /// Whether a run of the job is known to have begun. A start that was ordered may have been
     /// refused.
     pub(super) begun: bool,
+    /// Whose share its tasks are of.
+    pub(super) class: WorkClass,
     /// Steps whose dependencies are done and whose tasks were queued.
     pub(super) released_steps: IndexSet<u32>,
     /// Number of the latest run of each task that was placed or adopted.
--- a/crates/decisions/src/schedule/placement_round.rs
+++ b/crates/decisions/src/schedule/placement_round.rs
@@ -35,8 +35,19 @@
     pub(super) class: AgentClass,
     pub(super) size: ResourceAmount,
     pub(super) max_run_time: f64,
-    /// Whether the step leaves what is kept of fast servers to others.
-    pub(super) spares_fast: bool,
+    /// What the step leaves of fast servers to others.
+    pub(super) spared: SparedCapacity,
+}
+
+/// What a task leaves of the fast servers to tasks that accept only these; more comes
+/// later.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum SparedCapacity {
+    Nothing,
+    /// The last part, which is kept free.
+    Kept,
+    /// All that is reserved: such a task of higher precedence waits.
+    Reserved,
 }
 
 /// A search that found no agent.
@@ -46,13 +57,13 @@
     /// Lower bound on the run time on an agent with enough free capacity; infinity
     /// if there was none.
     fastest: f64,
-    spares_fast: bool,
+    spared: SparedCapacity,
 }
 
 impl VainSearch {
     /// Whether a search for this demand is in vain too.
     fn covers(&self, demand: &AgentDemand) -> bool {
-        let no_wider = demand.spares_fast || !self.spares_fast;
+        let no_wider = demand.spared >= self.spared;
         no_wider && demand.size.fits(&self.size) && demand.max_run_time < self.fastest
     }
 }
@@ -109,6 +120,9 @@
 #[derive(Debug, Default)]
 pub(super) struct PlacementRound {
     views: Vec<ClassView>,
+    /// Services for which a task that accepts only fast servers was left waiting, with
+    /// precedence over all that follow.
+    fast_reserved: Vec<ServiceId>,
 }
 
 impl PlacementRound {
@@ -150,12 +164,23 @@
     pub(super) fn add_search(&mut self, demand: &AgentDemand, fastest: f64) {
         let view = self.views.iter_mut().find(|view| view.class == demand.class);
         if let Some(view) = view {
-            let (size, spares_fast) = (demand.size, demand.spares_fast);
-            view.searched.push(VainSearch { size, fastest, spares_fast });
+            let (size, spared) = (demand.size, demand.spared);
+            view.searched.push(VainSearch { size, fastest, spared });
             view.max_free = max_free(&view.candidates);
         }
     }
 
+    /// Reserves for a waiting task what is reserved of the fast servers of a service.
+    pub(super) fn reserve_fast(&mut self, service: Option<ServiceId>) {
+        let service = service.filter(|service| !self.is_fast_reserved(service));
+        self.fast_reserved.extend(service);
+    }
+
+    /// Whether the tasks that follow take nothing of what is reserved of fast servers.
+    pub(super) fn is_fast_reserved(&self, service: &ServiceId) -> bool {
+        self.fast_reserved.contains(service)
+    }
+
     /// Takes the capacity of a placed task from its agent.
     pub(super) fn take_capacity(&mut self, agent: &NodeId, size: &ResourceAmount) {
         let candidates = self.views.iter_mut().flat_map(|view| &mut view.candidates);
--- a/crates/decisions/src/schedule/ready_queue.rs
+++ b/crates/decisions/src/schedule/ready_queue.rs
@@ -8,7 +8,9 @@
 use std::time::Instant;
 
 use indexmap::IndexMap;
-use model::{JobId, QueuedJob, ServiceId, StepIndex, TaskIndex};
+use model::{JobId, QueueId, QueuedJob, ServiceId, StepIndex, TaskIndex};
+
+use super::queue_shares::WorkClass;
 
 /// Ready tasks of one step.
 #[derive(Debug, Clone, PartialEq)]
@@ -20,6 +22,8 @@
     highest: TaskIndex,
     /// Processor time that one task needs, in core-milliseconds.
     pub(super) work: u64,
+    /// Whose share the tasks are of.
+    pub(super) class: WorkClass,
     /// Service whose capacity the latest placement round left tasks waiting for.
     service: Option<ServiceId>,
     /// Number of these tasks.
@@ -39,9 +43,9 @@
     keys: IndexMap<(JobId, StepIndex), GroupKey>,
     counter: u64,
     /// Processor time of the tasks that the latest placement round left waiting for
-    /// capacity of each service, in core-milliseconds; wide enough for any number of
-    /// tasks.
-    left_work: IndexMap<ServiceId, u128>,
+    /// capacity of each service, by queue, in core-milliseconds; wide enough for any
+    /// number of tasks.
+    left_work: IndexMap<ServiceId, IndexMap<QueueId, u128>>,
 }
 
 impl ReadyQueue {
@@ -54,6 +58,7 @@
         task: TaskIndex,
         latest_start: Instant,
         work: u64,
+        class: &WorkClass,
     ) {
         let step_key = (job.clone(), step);
         let key = *self.keys.entry(step_key).or_insert_with(|| {
@@ -66,6 +71,7 @@
             tasks: VecDeque::new(),
             highest: task,
             work,
+            class: class.clone(),
             service: None,
             left: 0,
             at_stake: false,
@@ -151,7 +157,8 @@
             group.service = service_of(group);
             group.left = group.tasks.len();
             if let Some(service) = &group.service {
-                let work = self.left_work.entry(service.clone()).or_default();
+                let queues = self.left_work.entry(service.clone()).or_default();
+                let work = queues.entry(group.class.queue.clone()).or_default();
                 *work += work_of(group, group.left);
             }
         }
@@ -161,7 +168,21 @@
     /// core-milliseconds, without those that no round has tried to place yet and those
     /// that no backend server can hold.
     pub(super) fn left_work(&self, service: &ServiceId) -> u128 {
-        self.left_work.get(service).copied().unwrap_or_default()
+        self.left_by_queue(service).map(|(_, work)| work).sum()
+    }
+
+    /// The same for each queue of the service.
+    pub(super) fn left_by_queue(
+        &self,
+        service: &ServiceId,
+    ) -> impl Iterator<Item = (&QueueId, u128)> {
+        let queues = self.left_work.get(service).into_iter().flatten();
+        queues.map(|(queue, work)| (queue, *work))
+    }
+
+    /// Processor time of the waiting tasks of a group, in core-milliseconds.
+    pub(super) fn waiting_work(group: &ReadyGroup) -> u128 {
+        work_of(group, group.tasks.len())
     }
 
     /// Number of groups, one for each step with waiting tasks.
@@ -175,8 +196,13 @@
 }
 
 /// Takes some tasks of a group off the work that waits for its service.
-fn take_work(left_work: &mut IndexMap<ServiceId, u128>, group: &ReadyGroup, tasks: usize) {
-    let work = group.service.as_ref().and_then(|service| left_work.get_mut(service));
+fn take_work(
+    left_work: &mut IndexMap<ServiceId, IndexMap<QueueId, u128>>,
+    group: &ReadyGroup,
+    tasks: usize,
+) {
+    let queues = group.service.as_ref().and_then(|service| left_work.get_mut(service));
+    let work = queues.and_then(|queues| queues.get_mut(&group.class.queue));
     if let Some(work) = work {
         *work -= work_of(group, tasks);
     }
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -7,8 +7,8 @@
 use indexmap::{IndexMap, IndexSet};
 use model::{
     AgentOrders, CallId, Command, EntryHost, EventLine, Incarnation, JobCall, JobId, JobPhase,
-    JobRecord, JobReply, JobStep, LeaderHint, LinkId, LogRecord, NodeId, QueueCatalog, QueueId,
-    ScheduleState, TaskName, Term, later, scaled,
+    JobRecord, JobReply, JobStep, LeaderHint, LinkId, LogRecord, NodeId, Precedence, QueueCatalog,
+    QueueId, ScheduleState, TaskName, Term, later, scaled,
 };
 
 use super::agent_checks::AgentChecks;
@@ -18,6 +18,7 @@
 use super::live_job::{JobWaiter, LiveJob, Placement};
 use super::load_counts::LoadCounts;
 use super::proposed_ends::ProposedEnds;
+use super::queue_shares::{QueueCounts, QueueShares};
 use super::ready_queue::ReadyQueue;
 use super::report_delay::ReportDelay;
 use super::server_sizes::ServerShape;
@@ -49,6 +50,8 @@
     pub ack_delay: Duration,
     /// Factor on the run time of a task outside the rack of its data.
     pub remote_factor: f64,
+    /// How queues are ordered while capacity is short; by latest start alone if absent.
+    pub precedence: Option<Precedence>,
 }
 
 /// Time in which a start that a backend server does not accept is reported as refused.
@@ -128,6 +131,8 @@
     pub(super) live: IndexMap<JobId, LiveJob>,
     pub(super) placements: IndexMap<TaskName, Placement>,
     pub(super) ready: ReadyQueue,
+    /// Shares of the queues; `None` without the setting.
+    pub(super) shares: Option<QueueShares>,
     /// Whether anything changed since the last placement round that a placement
     /// depends on: waiting tasks, free capacity, or the agents that accept work.
     pub(super) placement_due: bool,
@@ -173,6 +178,7 @@
             live: IndexMap::new(),
             placements: IndexMap::new(),
             ready: ReadyQueue::default(),
+            shares: limits.precedence.map(|Precedence::Priority| QueueShares::new(now)),
             next_turn: 0,
             placement_due: false,
             proposed_ends: ProposedEnds::default(),
@@ -230,6 +236,9 @@
     fn share_catalog(&mut self) {
         if let Some(catalog) = self.store.catalog() {
             self.volatile_store.set_catalog(&catalog);
+            if let Some(shares) = &mut self.shares {
+                shares.on_catalog(&catalog);
+            }
         }
         self.placement_due = true;
     }
@@ -249,6 +258,11 @@
         std::mem::take(&mut self.counts)
     }
 
+    /// Returns the counts of the queues that were short of capacity since the last call.
+    pub fn take_queue_counts(&mut self) -> Vec<QueueCounts> {
+        self.shares.as_mut().map(QueueShares::take_counts).unwrap_or_default()
+    }
+
     /// Number of jobs that have not ended.
     pub fn live_jobs(&self) -> usize {
         self.live.len()
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -11,8 +11,9 @@
 
 use super::agent_search::{AgentChoice, AgentSearch};
 use super::live_job::{LiveJob, Placement};
+use super::placement_order::OrderedGroup;
 use super::placement_round::PlacementRound;
-use super::ready_queue::GroupKey;
+use super::queue_shares::ShareRank;
 use super::scheduler::{ScheduleStep, Scheduler};
 use super::server_sizes::ServerSizes;
 use super::step_spread::StepSpread;
@@ -52,13 +53,17 @@
         let rule = self.rule_of(&job);
         let objective = rule.map_or(critical_path, |rule| rule.objective(critical_path));
         let terms = self.term.unwrap_or_default().saturating_sub(record.accepted_term);
+        let has_done = !record.done.is_empty();
+        let rule = rule.cloned();
+        let class = self.admit_work(now, &job, rule.as_ref());
         let live = LiveJob {
+            class,
             job,
             deadline: later(now, objective),
             since: now,
             critical_path,
-            started: !record.done.is_empty(),
-            begun: !record.done.is_empty(),
+            started: has_done,
+            begun: has_done,
             released_steps: IndexSet::new(),
             last_runs: IndexMap::new(),
             first_run: terms * RUNS_PER_TERM + 1,
@@ -86,12 +91,13 @@
             live.released_steps.insert(step);
             let work = core_millis(&job.steps[step as usize]);
             let latest_start = live.latest_start(&job.steps[step as usize]);
+            let class = live.class.clone();
             self.counts.late_queued += u64::from(latest_start < live.since);
             for task in job.tasks_of(step) {
                 let is_placed =
                     self.placements.contains_key(&task) || self.proposed_ends.contains(&task);
                 if !record.is_done(&task) && !is_placed {
-                    self.ready.push(id, step, task.index, latest_start, work);
+                    self.ready.push(id, step, task.index, latest_start, work, &class);
                     self.placement_due = true;
                 }
             }
@@ -115,7 +121,8 @@
         let is_placed = self.placements.contains_key(task) || self.proposed_ends.contains(task);
         if !done && live.released_steps.contains(&task.step) && !is_placed {
             let latest_start = live.latest_start(step);
-            self.ready.push(&task.job, task.step, task.index, latest_start, core_millis(step));
+            let work = core_millis(step);
+            self.ready.push(&task.job, task.step, task.index, latest_start, work, &live.class);
             self.placement_due = true;
             self.mark_at_stake(&task.job);
             self.note_expiry(&task.job);
@@ -198,11 +205,12 @@
     fn place_groups(
         &mut self,
         now: Instant,
-        keys: &[GroupKey],
+        groups: &[OrderedGroup],
         round: &mut PlacementRound,
     ) -> usize {
         let mut vain_groups = 0;
-        for (position, key) in keys.iter().enumerate() {
+        for (position, ordered) in groups.iter().enumerate() {
+            let key = &ordered.key;
             if vain_groups >= MAX_VAIN_GROUPS {
                 return position;
             }
@@ -214,11 +222,14 @@
                 continue;
             }
             let before = self.search_effort(round);
-            self.place_group(now, *key, &job, step, round);
+            self.place_group(now, ordered, &job, step, round);
             let is_left = self.ready.group(*key).is_some();
+            if is_left && ordered.reserves_fast() {
+                round.reserve_fast(self.service_of(&job));
+            }
             vain_groups += usize::from(is_left && self.search_effort(round) > before);
         }
-        keys.len()
+        groups.len()
     }
 
     /// Number of passes over agents so far, up to a constant.
@@ -227,18 +238,18 @@
     }
 
     /// Chooses the skipped groups whose turn it is, oldest first.
-    fn take_turns(&mut self, skipped: &[GroupKey]) -> Vec<GroupKey> {
+    fn take_turns(&mut self, skipped: &[OrderedGroup]) -> Vec<OrderedGroup> {
         if skipped.is_empty() {
             return Vec::new();
         }
         let next = self.next_turn;
-        let turn = |(_, number): &GroupKey| (*number < next, *number);
+        let turn = |group: &OrderedGroup| (group.number() < next, group.number());
         let mut chosen = skipped.to_vec();
         let count = MAX_RETRIED_GROUPS.min(chosen.len());
         chosen.select_nth_unstable_by_key(count - 1, turn);
         chosen.truncate(count);
         chosen.sort_unstable_by_key(turn);
-        self.next_turn = chosen.last().map_or(0, |(_, number)| number + 1);
+        self.next_turn = chosen.last().map_or(0, |group| group.number() + 1);
         chosen
     }
 
@@ -246,11 +257,12 @@
     fn place_group(
         &mut self,
         now: Instant,
-        key: GroupKey,
+        group: &OrderedGroup,
         job: &QueuedJob,
         step: StepIndex,
         round: &mut PlacementRound,
     ) {
+        let key = group.key;
         let Some(search) = self.agent_search(now, job, step, round) else { return };
         let mut spread = StepSpread::default();
         let mut last: Option<(NodeId, f64)> = None;
@@ -278,13 +290,14 @@
                 continue;
             }
             let run = self.place(now, job, task, &agent);
+            self.use_share(now, job, search.step, group.rank);
             self.count_start(&search, round, &agent);
             round.take_capacity(&agent, &search.demand.size);
             spread.add(agent.clone(), cost, run);
             last = Some((agent, cost));
         }
         self.mark_at_stake(&job.id);
-        self.order_starts(now, job, &search, spread);
+        self.order_starts(now, job, &search, group.rank, spread);
     }
 
     /// Counts a start that wastes capacity, as far as is known now.
@@ -325,6 +338,7 @@
         now: Instant,
         job: &QueuedJob,
         search: &AgentSearch<'_>,
+        rank: Option<ShareRank>,
         spread: StepSpread,
     ) {
         for (agent, runs) in spread.into_starts() {
@@ -337,7 +351,7 @@
             let Some(life) = state.life().cloned() else { continue };
             let names: Vec<String> =
                 runs.iter().map(|run| format!("{}#{}", run.task.index, run.run)).collect();
-            let line = EventLine::new("tasks_placed")
+            let mut line = EventLine::new("tasks_placed")
                 .with("job", &job.id)
                 .with("step", search.index)
                 .with("tasks", names.join(","))
@@ -348,6 +362,12 @@
                 .with("waited_ms", waited.as_millis())
                 .with("run_ms", scaled(search.step.estimate(), state.slowness()).as_millis())
                 .with("caller_ms", caller.map_or_else(|| "none".into(), |ms| ms.to_string()));
+            if let Some(rank) = rank {
+                line = line
+                    .with("queue", &job.queue)
+                    .with("priority", rank.priority())
+                    .with("decided_by", rank.cause());
+            }
             self.steps.push(ScheduleStep::Log(line));
             let size = search.step.size;
             let spec = job.spec.clone();
@@ -357,6 +377,6 @@
 }
 
 /// Processor time of one task, in core-milliseconds.
-fn core_millis(step: &JobStep) -> u64 {
+pub(super) fn core_millis(step: &JobStep) -> u64 {
     step.size.cpu_milli.saturating_mul(step.estimate_ms) / 1_000
 }
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -33,6 +33,14 @@
     }
 }
 
+/// How work is ordered while capacity is short.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Precedence {
+    /// By guaranteed shares, then by the priority of the queue.
+    Priority,
+}
+
 /// Settings of an entry.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -129,6 +137,10 @@
     /// to be in force everywhere.
     #[serde(default = "default_catalog_age")]
     pub max_catalog_age_ms: u64,
+    /// How best-effort jobs are ordered while capacity is short; by latest start alone
+    /// when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub precedence: Option<Precedence>,
 }
 
 fn default_catalog_age() -> u64 {
@@ -319,6 +331,10 @@
     /// Number of log records between snapshots.
     #[serde(default = "default_snapshot_records")]
     pub snapshot_records: u64,
+    /// How stored jobs are ordered while capacity is short; by latest start alone when
+    /// absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub precedence: Option<Precedence>,
     /// Log output.
     #[serde(default)]
     pub log: LogSettings,
@@ -396,6 +412,7 @@
     &[optional("level", ValueSchema::OneOf(LEVELS)), optional("file", ValueSchema::Text)];
 const DURATION_MS: ValueSchema = ValueSchema::Integer(1, MAX_DURATION_MS);
 const RETENTION_MS: ValueSchema = ValueSchema::Integer(1_000, 24 * MAX_DURATION_MS);
+const PRECEDENCES: &[&str] = &["priority"];
 const PORT: ValueSchema = ValueSchema::Integer(1, 65_535);
 const FRONT_FIELDS: &[FieldRule] = &[
     required("listen", ValueSchema::Address),
@@ -404,6 +421,7 @@
     optional("run_lease_ms", DURATION_MS),
     optional("remote_factor", ValueSchema::Number(1.0, 100.0)),
     optional("max_catalog_age_ms", DURATION_MS),
+    optional("precedence", ValueSchema::OneOf(PRECEDENCES)),
 ];
 const SERVER_FIELDS: &[FieldRule] =
     &[required("address", ValueSchema::Address), required("lease_ms", DURATION_MS)];
@@ -465,6 +483,7 @@
     optional("lease_ms", ValueSchema::Integer(500, 15_000)),
     optional("retention_ms", RETENTION_MS),
     optional("snapshot_records", ValueSchema::Integer(16, 10_000_000)),
+    optional("precedence", ValueSchema::OneOf(PRECEDENCES)),
     optional("log", ValueSchema::Object(LOG_FIELDS)),
 ]);
 
--- a/crates/services/src/job_scheduling.rs
+++ b/crates/services/src/job_scheduling.rs
@@ -110,7 +110,7 @@
     let steps = state.scheduler.settle(now);
     state.execute_steps(steps);
     state.answer_catalog_watchers(now);
-    if let Some(line) = state.meter.take_line(now, &mut state.scheduler) {
+    for line in state.meter.take_lines(now, &mut state.scheduler) {
         state.log.summary(line);
     }
 }
--- a/crates/services/src/load_meter.rs
+++ b/crates/services/src/load_meter.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use decisions::schedule::Scheduler;
+use decisions::schedule::{QueueCounts, Scheduler};
 use model::{AgentMessage, AgentOrders, AgentReport, EventLine, RunUpdate, SchedulingMessage};
 
 /// Minimum interval between two lines; without messages none is written.
@@ -86,15 +86,12 @@
         self.sent_orders += u64::from(!orders.orders.is_empty());
     }
 
-    /// The line that is due, if one is; starts the next interval.
-    pub(crate) fn take_line(
-        &mut self,
-        now: Instant,
-        scheduler: &mut Scheduler,
-    ) -> Option<EventLine> {
+    /// The lines that are due, if any: one for the scheduler, and one for each queue that
+    /// was short of capacity. Starts the next interval.
+    pub(crate) fn take_lines(&mut self, now: Instant, scheduler: &mut Scheduler) -> Vec<EventLine> {
         let interval = now.saturating_duration_since(self.interval_start);
         if interval < LINE_INTERVAL {
-            return None;
+            return Vec::new();
         }
         let counts = scheduler.take_counts();
         let line = EventLine::new("schedule_load")
@@ -129,6 +126,21 @@
             .with("max_passed_on_grant_ms", counts.passed_on_grants.longest.as_millis())
             .with("confirm_requests", counts.confirm_requests);
         *self = LoadMeter::new(now);
-        Some(line)
+        let queues = scheduler.take_queue_counts();
+        let queue_lines = queues.iter().map(|counts| queue_line(interval, counts));
+        std::iter::once(line).chain(queue_lines).collect()
     }
 }
+
+fn queue_line(interval: Duration, counts: &QueueCounts) -> EventLine {
+    EventLine::new("queue_load")
+        .with("interval_ms", interval.as_millis())
+        .with("queue", &counts.queue)
+        .with("priority", counts.priority)
+        .with("placed", counts.placed)
+        .with("by_share", counts.by_share)
+        .with("by_size", counts.by_size)
+        .with("large", counts.large)
+        .with("waiting_core_ms", counts.waiting)
+        .with("share_milli", counts.share_milli)
+}
--- a/tests/caller_jobs.rs
+++ b/tests/caller_jobs.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use model::{JobId, JobPhase, JobReply, JobStep, QueuedJob, ResourceAmount};
+use model::{JobId, JobPhase, JobReply, JobStep, QueueId, QueuedJob, ResourceAmount};
 use rand::RngExt;
 use rand::rngs::StdRng;
 
@@ -83,6 +83,11 @@
         CallerJob { kind, job: Arc::new(job), run_ms }
     }
 
+    /// Submits the job to this queue instead.
+    pub(crate) fn move_to(&mut self, queue: QueueId) {
+        self.job = Arc::new(QueuedJob { queue, ..QueuedJob::clone(&self.job) });
+    }
+
     /// Sum of the run times of its tasks, in milliseconds.
     pub(crate) fn work_ms(&self) -> u64 {
         self.run_ms.iter().sum()
--- a/tests/overload_model.rs
+++ b/tests/overload_model.rs
@@ -9,17 +9,19 @@
 use std::time::{Duration, Instant};
 
 use decisions::agent::heartbeat_interval;
-use decisions::schedule::{JobDecision, LoadCounts, ScheduleStep, Scheduler, SchedulerKind};
+use decisions::schedule::{
+    JobDecision, LoadCounts, ScheduleLimits, ScheduleStep, Scheduler, SchedulerKind,
+};
 use model::{
     AgentHeartbeat, AgentMessage, AgentOrder, AgentOrders, AgentReport, ClaimUpdate, EndKind,
-    JobCall, JobReply, MAX_UNACKED_REPORTS, NumberedMessage, QueuedJob, ResourceAmount, RunUpdate,
-    ServerReport, ServerView, TaskRun,
+    JobCall, JobReply, MAX_UNACKED_REPORTS, NumberedMessage, Precedence, QueueCatalog, QueueId,
+    QueueRule, QueuedJob, ResourceAmount, RunUpdate, ServerReport, ServerView, TaskRun,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
 use crate::caller_jobs::{CALLER_WAIT, CallerJob, JobOutcome, LONG_KIND, number_of};
-use crate::schedule_model::{SERVICE, catalog, schedule_limits};
+use crate::schedule_model::{QUEUE, SERVICE, catalog, schedule_limits};
 
 /// Time that a host with an eighth of a core takes for a caller's job, besides
 /// its placement.
@@ -35,6 +37,8 @@
 
 /// Shares of the kinds of job, in percent.
 const KIND_SHARES: [u64; 3] = [24, 5, 71];
+/// Priorities of their queues, where they have some: the shortest tasks first.
+const KIND_PRIORITIES: [u32; 3] = [0, 2, 1];
 /// Standard deviation of the logarithm of the error of estimates, where jobs vary.
 const ESTIMATE_SPREAD: f64 = 0.4;
 
@@ -105,6 +109,8 @@
     links: BTreeMap<u64, usize>,
     /// Submitted jobs, by number.
     jobs: Vec<JobEntry>,
+    /// Whether the jobs of each kind have a queue of their own.
+    has_queues: bool,
     /// Source of the differences between jobs of a kind; without one there are none.
     spread: Option<StdRng>,
     /// Job number of each open call.
@@ -117,10 +123,27 @@
 
 impl OverloadModel {
     pub(crate) fn new(agents: usize) -> OverloadModel {
+        OverloadModel::of_catalog(agents, None, &catalog(1))
+    }
+
+    /// A model in which the jobs of each kind have a queue, of the kind's priority.
+    pub(crate) fn with_queues(agents: usize, precedence: Option<Precedence>) -> OverloadModel {
+        let catalog = kind_catalog(1, KIND_PRIORITIES);
+        let mut model = OverloadModel::of_catalog(agents, precedence, &catalog);
+        model.has_queues = true;
+        model
+    }
+
+    fn of_catalog(
+        agents: usize,
+        precedence: Option<Precedence>,
+        catalog: &Arc<QueueCatalog>,
+    ) -> OverloadModel {
         let start = Instant::now();
         let kind = SchedulerKind::Entry;
-        let mut scheduler = Scheduler::new(start, kind, schedule_limits(kind));
-        scheduler.on_catalog(&catalog(1));
+        let limits = ScheduleLimits { precedence, ..schedule_limits(kind) };
+        let mut scheduler = Scheduler::new(start, kind, limits);
+        scheduler.on_catalog(catalog);
         let mut model = OverloadModel {
             start,
             now: start,
@@ -137,6 +160,7 @@
             next_id: 0,
             links: BTreeMap::new(),
             jobs: Vec::new(),
+            has_queues: false,
             spread: None,
             calls: BTreeMap::new(),
             max_lag: Duration::ZERO,
@@ -164,7 +188,10 @@
         let mut time = self.start + from;
         while time < self.start + to {
             let number = self.jobs.len();
-            let entry = job_entry(number, time, self.spread.as_mut());
+            let mut entry = job_entry(number, time, self.spread.as_mut());
+            if self.has_queues {
+                entry.caller_job.move_to(kind_queue(entry.caller_job.kind));
+            }
             self.jobs.push(entry);
             self.at(time, Event::Submit(number));
             time += interval;
@@ -208,6 +235,20 @@
         served_share(&jobs)
     }
 
+    /// Share of the jobs of this kind that completed within their objective.
+    pub(crate) fn in_time_kind(&self, kind: usize) -> f64 {
+        let jobs = self.jobs.iter().filter(|job| job.caller_job.kind == kind);
+        let (all, in_time) = jobs.fold((0, 0), |(all, in_time), job| {
+            (all + 1, in_time + u32::from(job.outcome == Some(JobOutcome::InTime)))
+        });
+        f64::from(in_time) / f64::from(all.max(1))
+    }
+
+    /// Puts a catalog in force in which the queues of the kinds have these priorities.
+    pub(crate) fn set_priorities(&mut self, version: u64, priorities: [u32; 3]) {
+        self.scheduler.on_catalog(&kind_catalog(version, priorities));
+    }
+
     /// Work of the scheduler so far.
     pub(crate) fn counts(&self) -> LoadCounts {
         self.counts
@@ -478,6 +519,23 @@
     }
 }
 
+/// Queue of a kind of job.
+fn kind_queue(kind: usize) -> QueueId {
+    format!("kind-{kind}").into()
+}
+
+/// A catalog with a queue of one service for each kind of job.
+fn kind_catalog(version: u64, priorities: [u32; 3]) -> Arc<QueueCatalog> {
+    let mut catalog = QueueCatalog::clone(&catalog(version));
+    let rule = catalog.queues.shift_remove(QUEUE).expect("the queue is there");
+    for (kind, priority) in priorities.into_iter().enumerate() {
+        let path_prefix = format!("/kind-{kind}/").into();
+        let rule = QueueRule { path_prefix, priority, ..rule.clone() };
+        catalog.queues.insert(kind_queue(kind), rule);
+    }
+    Arc::new(catalog)
+}
+
 fn server_view(agent: usize) -> ServerView {
     ServerView {
         life: format!("i-{agent}/1").into(),
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -66,6 +66,7 @@
         reply_wait: Duration::from_millis(200),
         ack_delay: Duration::from_millis(150),
         remote_factor: 1.5,
+        precedence: None,
     }
 }
 
--- a/tests/settings_errors.rs
+++ b/tests/settings_errors.rs
@@ -2,7 +2,7 @@
 //! its place in the document.
 
 use model::{
-    ValidationError, read_agent_settings, read_control_settings, read_entry_settings,
+    Precedence, ValidationError, read_agent_settings, read_control_settings, read_entry_settings,
     read_operator_config,
 };
 
@@ -70,3 +70,29 @@
     let errors = read_operator_config(text).expect_err("unknown services");
     assert_eq!(error_places(&errors), ["$.services.a.depends_on[0]", "$.services.a.depends_on[1]"]);
 }
+
+// Guards against a misspelt order of queues that is silently taken for none.
+#[test]
+fn precedence_validated() {
+    let entry = |precedence: &str| {
+        format!(
+            r#"{{ "name": "a", "domain": "d", "listen": "127.0.0.1:1", "controls": ["127.0.0.1:2"],
+            "front": {{ "listen": "127.0.0.1:3", "ready": "127.0.0.1:4"{precedence} }} }}"#
+        )
+    };
+    let front = |precedence: &str| read_entry_settings(&entry(precedence)).map(|entry| entry.front);
+    let absent = front("").expect("no order").expect("a front");
+    assert_eq!(absent.precedence, None);
+    let present = front(r#", "precedence": "priority""#).expect("an order").expect("a front");
+    assert_eq!(present.precedence, Some(Precedence::Priority));
+    for wrong in [r#""urgent""#, "0", "null"] {
+        let errors = front(&format!(r#", "precedence": {wrong}"#)).expect_err(wrong);
+        assert_eq!(error_places(&errors), ["$.front.precedence"]);
+    }
+    let control = r#"{ "name": "a", "domain": "d", "listen": "127.0.0.1:1", "data_folder": "x",
+        "group": [{ "name": "a", "address": "127.0.0.1:1" }], "precedence": "urgent" }"#;
+    let errors = read_control_settings(control).expect_err("an unknown order");
+    assert_eq!(error_places(&errors), ["$.precedence"]);
+    let settings = read_control_settings(&control.replace("urgent", "priority"));
+    assert_eq!(settings.expect("an order").precedence, Some(Precedence::Priority));
+}
