--- a/crates/decisions/src/schedule/queue_shares.rs
+++ b/crates/decisions/src/schedule/queue_shares.rs
@@ -101,7 +101,8 @@
     pub by_size: u64,
     /// Tasks of large jobs that were placed.
     pub large: u64,
-    /// Work that the latest placement round found waiting, in core-milliseconds.
+    /// Work that the latest placement round found waiting, in core-milliseconds; 0 once
+    /// there is free capacity.
     pub waiting: u128,
     /// Share of its service's recently placed work, in thousandths.
     pub share_milli: u64,
@@ -372,7 +373,7 @@
                 by_share: counts.by_share,
                 by_size: counts.by_size,
                 large: counts.large,
-                waiting: state.waiting,
+                waiting: if state.is_contended { state.waiting } else { 0 },
                 share_milli: (share * 1_000.0).round() as u64,
             });
         }
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -260,7 +260,10 @@
 
     /// Returns the counts of the queues that were short of capacity since the last call.
     pub fn take_queue_counts(&mut self) -> Vec<QueueCounts> {
-        self.shares.as_mut().map(QueueShares::take_counts).unwrap_or_default()
+        let Some(shares) = &mut self.shares else { return Vec::new() };
+        // No round has run since if nothing waits any more.
+        shares.set_contention(|service| self.ready.left_work(service) > 0);
+        shares.take_counts()
     }
 
     /// Number of jobs that have not ended.
--- a/tests/fast_reserve.rs
+++ b/tests/fast_reserve.rs
@@ -28,6 +28,8 @@
 const WAIT_MS: u64 = 1_475;
 const LONG_MS: u64 = 1_200;
 const SHORT_MS: u64 = 60;
+/// Id of the long job and of its call.
+const LONG_CALL: u64 = 2;
 /// Time after which an entry that has just started asks for claims.
 const CONNECT_TIME: Duration = Duration::from_millis(400);
 
@@ -196,7 +198,7 @@
 fn short_start(precedence: Option<Precedence>, queues: [&str; 2]) -> (EntryFixture, Option<u64>) {
     let mut fixture = EntryFixture::new(precedence);
     fixture.learn_fast();
-    let long = job(2, queues[0], LONG_MS, 4_000);
+    let long = job(LONG_CALL, queues[0], LONG_MS, 4_000);
     let short = job(3, queues[1], SHORT_MS, 1_000);
     fixture.submit(&long);
     fixture.submit(&short);
@@ -221,7 +223,7 @@
 fn share_uses_reserve() {
     let mut fixture = EntryFixture::new(Some(Precedence::Priority));
     fixture.learn_fast();
-    let long = job(2, QUEUE, LONG_MS, 4_000);
+    let long = job(LONG_CALL, QUEUE, LONG_MS, 4_000);
     let short = job(3, THIRD_QUEUE, SHORT_MS, 1_000);
     fixture.submit(&long);
     fixture.submit(&short);
@@ -255,4 +257,9 @@
     let counts = contended.scheduler.take_queue_counts();
     let short = counts.iter().find(|counts| counts.queue == QUEUE).expect("a line for the queue");
     assert_eq!((short.priority, short.placed), (0, 2), "the sample and the short task");
+    contended.scheduler.on_abandoned(contended.now, LONG_CALL);
+    contended.settle();
+    let last = contended.scheduler.take_queue_counts();
+    assert!(!last.is_empty() && last.iter().all(|counts| counts.waiting == 0), "{last:?}");
+    assert_eq!(contended.scheduler.take_queue_counts(), [], "the contention is over");
 }
--- a/tests/queue_shares.rs
+++ b/tests/queue_shares.rs
@@ -307,6 +307,8 @@
 }
 
 const AGENTS: usize = 11;
+/// Seed of the sizes of jobs and of the errors of estimates.
+const SEED: u64 = 1;
 /// Run times of the backend servers, as percentages of those of the jobs.
 const SLOWNESS: [u64; 4] = [55, 120, 120, 120];
 /// Jobs a second that fill the backend servers, by [`OverloadModel`]'s kinds.
@@ -320,9 +322,9 @@
 }
 
 /// A load of 30 s by this factor of the capacity.
-fn loaded_model(factor: f64, precedence: Option<Precedence>) -> OverloadModel {
+fn loaded_model(factor: f64, precedence: Option<Precedence>, seed: u64) -> OverloadModel {
     let mut model = OverloadModel::with_queues(AGENTS, precedence);
-    model.vary_jobs(1);
+    model.vary_jobs(seed);
     for agent in 0..AGENTS {
         model.set_slowness(agent, secs(0), SLOWNESS[agent % SLOWNESS.len()]);
     }
@@ -347,9 +349,9 @@
 // the estimates.
 #[test]
 fn short_kind_in_time() {
-    let without = loaded_model(1.5, None);
+    let without = loaded_model(1.5, None, SEED);
     println!("by latest start: {}", described(&without));
-    let model = loaded_model(1.5, Some(Precedence::Priority));
+    let model = loaded_model(1.5, Some(Precedence::Priority), SEED);
     println!("by priority: {}", described(&model));
     assert!(model.served_kind(SHORT_KIND) >= 0.99, "{}", described(&model));
     assert!(model.in_time_kind(SHORT_KIND) >= 0.75, "{}", described(&model));
@@ -360,7 +362,7 @@
 // in an overload.
 #[test]
 fn long_kind_served() {
-    let model = loaded_model(1.5, Some(Precedence::Priority));
+    let model = loaded_model(1.5, Some(Precedence::Priority), SEED);
     let [tenth, _, all] = model.served_by_size();
     // A tenth of the capacity is at least a fifth of what the long jobs need here.
     assert!(all >= 0.2, "{}", described(&model));
@@ -370,8 +372,8 @@
 // Guards against a setting that changes anything while there is free capacity.
 #[test]
 fn calm_order_unchanged() {
-    let without = loaded_model(0.5, None);
-    let with = loaded_model(0.5, Some(Precedence::Priority));
+    let without = loaded_model(0.5, None, SEED);
+    let with = loaded_model(0.5, Some(Precedence::Priority), SEED);
     assert_eq!(described(&with), described(&without));
     assert_eq!(with.counts(), without.counts());
 }
