--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -155,6 +155,7 @@
         estimate_spread: 0.0,
         speed_reports: false,
         admission: AdmissionRule::Backlog,
+        precedence: settings.precedence,
     }
 }
 
--- a/crates/cactuswing/src/roles/queue_entry.rs
+++ b/crates/cactuswing/src/roles/queue_entry.rs
@@ -57,6 +57,7 @@
         estimate_spread: front.estimate_spread,
         speed_reports: front.speed_reports,
         admission: front.admission,
+        precedence: front.precedence,
     };
     let schedule_context = context.clone();
     kernel.register(ServiceName::JobScheduling, DUTY_RING_SLOTS, move |ring, registry| {
--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -379,6 +379,7 @@
             if let Some(live) = self.live.get_mut(&run.task.job) {
                 live.unrefused_runs = live.unrefused_runs.saturating_sub(1);
             }
+            self.return_share(now, &run.task);
             self.requeue_task(&run.task);
         }
     }
--- a/crates/decisions/src/schedule/job_admission.rs
+++ b/crates/decisions/src/schedule/job_admission.rs
@@ -301,7 +301,7 @@
     /// Expected queueing delay of a job of a service that is placed after all work that
     /// waits for the service.
     fn expected_wait(&self, service: &ServiceId, job: &QueuedJob) -> Duration {
-        let left_work = self.ready.left_work(service);
+        let left_work = self.work_before(service, &job.queue);
         if left_work == 0 {
             return Duration::ZERO;
         }
--- a/crates/decisions/src/schedule/live_job.rs
+++ b/crates/decisions/src/schedule/live_job.rs
@@ -8,6 +8,7 @@
     CallId, JobStep, LifeId, NodeId, QueuedJob, ResourceAmount, RunNumber, TaskName, later, scaled,
 };
 
+use super::queue_shares::WorkClass;
 use super::start_bounds::StartBounds;
 use super::task_urgency::MIN_RUN_TIME_SHARE;
 
@@ -73,6 +74,8 @@
     pub(super) begun: bool,
     /// Highest ratio of run time to estimate of its ended runs; 0 without any.
     pub(super) run_ratio: f64,
+    /// Whose share its tasks are of.
+    pub(super) class: WorkClass,
     /// Steps whose dependencies are done and whose tasks were queued.
     pub(super) released_steps: IndexSet<u32>,
     /// Number of the latest run of each task that was placed or adopted.
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -7,8 +7,8 @@
 use indexmap::{IndexMap, IndexSet};
 use model::{
     AdmissionRule, AgentOrders, CallId, Command, EntryHost, EventLine, Incarnation, JobCall, JobId,
-    JobPhase, JobRecord, JobReply, JobStep, LeaderHint, LinkId, LogRecord, NodeId, QueueCatalog,
-    QueueId, ScheduleState, TaskName, Term, later, scaled,
+    JobPhase, JobRecord, JobReply, JobStep, LeaderHint, LinkId, LogRecord, NodeId, Precedence,
+    QueueCatalog, QueueId, ScheduleState, TaskName, Term, later, scaled,
 };
 
 use super::agent_checks::AgentChecks;
@@ -18,6 +18,7 @@
 use super::live_job::{JobWaiter, LiveJob, Placement};
 use super::load_counts::LoadCounts;
 use super::proposed_ends::ProposedEnds;
+use super::queue_shares::{QueueCounts, QueueShares};
 use super::ready_queue::ReadyQueue;
 use super::report_delay::ReportDelay;
 use super::run_time_quantiles::RunTimeQuantiles;
@@ -58,6 +59,8 @@
     pub speed_reports: bool,
     /// Which best-effort jobs are refused.
     pub admission: AdmissionRule,
+    /// How queues are ordered while capacity is short; by latest start alone if absent.
+    pub precedence: Option<Precedence>,
 }
 
 /// Time in which a start that a backend server does not accept is reported as refused.
@@ -137,6 +140,8 @@
     pub(super) live: IndexMap<JobId, LiveJob>,
     pub(super) placements: IndexMap<TaskName, Placement>,
     pub(super) ready: ReadyQueue,
+    /// Shares of the queues; `None` without the setting.
+    pub(super) shares: Option<QueueShares>,
     /// Whether anything changed since the last placement round that a placement
     /// depends on: waiting tasks, free capacity, or the agents that accept work.
     pub(super) placement_due: bool,
@@ -186,6 +191,7 @@
             live: IndexMap::new(),
             placements: IndexMap::new(),
             ready: ReadyQueue::default(),
+            shares: limits.precedence.map(|Precedence::Priority| QueueShares::new(now)),
             next_turn: 0,
             placement_due: false,
             proposed_ends: ProposedEnds::default(),
@@ -246,6 +252,9 @@
     fn share_catalog(&mut self) {
         if let Some(catalog) = self.store.catalog() {
             self.volatile_store.set_catalog(&catalog);
+            if let Some(shares) = &mut self.shares {
+                shares.on_catalog(&catalog);
+            }
         }
         self.placement_due = true;
     }
@@ -265,6 +274,14 @@
         std::mem::take(&mut self.counts)
     }
 
+    /// Returns the counts of the queues that were short of capacity since the last call.
+    pub fn take_queue_counts(&mut self) -> Vec<QueueCounts> {
+        let Some(shares) = &mut self.shares else { return Vec::new() };
+        // No round has run since if nothing waits any more.
+        shares.set_contention(|service| self.ready.left_work(service) > 0);
+        shares.take_counts()
+    }
+
     /// Number of jobs that have not ended.
     pub fn live_jobs(&self) -> usize {
         self.live.len()
--- a/crates/decisions/src/schedule/start_forecast.rs
+++ b/crates/decisions/src/schedule/start_forecast.rs
@@ -5,10 +5,11 @@
 //! capacity. A forecast costs one pass over the agents and one over the waiting steps,
 //! however many jobs it is asked for.
 
+use std::cmp::Ordering;
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use model::{JobId, JobStep, QueuedJob, ServerView, ServiceId, span_of_secs};
+use model::{JobId, JobStep, QueueId, QueuedJob, ServerView, ServiceId, span_of_secs};
 
 use super::agent_state::AgentState;
 use super::scheduler::Scheduler;
@@ -116,21 +117,37 @@
     }
 
     /// Processor time that is placed ahead of each waiting job, in core-milliseconds: of the
-    /// steps that the latest placement round left waiting for capacity of its service.
+    /// steps that the latest placement round left waiting for capacity of its service. With
+    /// precedence, it is no more than what delays a queue at its guaranteed share.
     fn work_ahead(&self, now: Instant) -> IndexMap<&JobId, u128> {
         let mut sums: IndexMap<&ServiceId, u128> = IndexMap::new();
+        let mut queue_sums: IndexMap<&QueueId, u128> = IndexMap::new();
         let mut ahead = IndexMap::with_capacity(self.ready.len());
-        let (at_stake, others): (Vec<_>, Vec<_>) =
+        let (at_stake, mut others): (Vec<_>, Vec<_>) =
             self.ready.in_order(now).partition(|group| group.at_stake);
+        if let Some(shares) = &self.shares {
+            others.sort_by_key(|group| shares.priority(&group.class.queue));
+        }
         for group in at_stake.into_iter().chain(others) {
             let Some((service, work)) = group.left_work() else { continue };
             let sum = sums.entry(service).or_default();
-            ahead.entry(&group.job).or_insert(*sum);
+            let queue_sum = queue_sums.entry(&group.class.queue).or_default();
+            let work_ahead = match &self.shares {
+                Some(shares) => shares.limit_ahead(*sum, *queue_sum, self.waiting_queues(service)),
+                None => *sum,
+            };
+            ahead.entry(&group.job).or_insert(work_ahead);
             *sum += work;
+            *queue_sum += work;
         }
         ahead
     }
 
+    /// Number of queues with work that waits for capacity of a service.
+    fn waiting_queues(&self, service: &ServiceId) -> usize {
+        self.ready.left_by_queue(service).filter(|(_, work)| *work > 0).count()
+    }
+
     /// Expected wait of a job that is submitted now, and has to end within its objective by
     /// `latest_end`.
     pub(super) fn wait_of_new(
@@ -152,9 +169,18 @@
                 true => is_late && group.latest_start >= latest_start,
                 false => is_late || group.latest_start <= latest_start,
             };
+            let comes_first = match self.shares.as_ref() {
+                Some(shares) => match shares.compare_priority(&group.class.queue, &job.queue) {
+                    Ordering::Less => true,
+                    Ordering::Equal => comes_first,
+                    Ordering::Greater => false,
+                },
+                None => comes_first,
+            };
             let left = group.left_work().filter(|(ahead, _)| *ahead == service);
             work += left.filter(|_| group.at_stake || comes_first).map_or(0, |(_, work)| work);
         }
+        let work = work.min(self.work_before(service, &job.queue));
         self.service_speed(service).time_for(work, job)
     }
 }
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -72,6 +72,7 @@
         estimate_spread: 0.0,
         speed_reports: false,
         admission: AdmissionRule::Backlog,
+        precedence: None,
     }
 }
 
