Determine the contended services once in a round

Cause: each queue of the catalog asked for the work left of its service, a sum over queues. Change: the ready queue lists the services for whose capacity tasks wait. Result: queue_shares, fast_reserve, settings_errors, placement_rounds, removed_queues and waiting_jobs hold (33 tests).

--- a/crates/decisions/src/schedule/placement_order.rs
+++ b/crates/decisions/src/schedule/placement_order.rs
@@ -96,7 +96,7 @@
     ) -> Vec<Option<ShareRank>> {
         let Some(shares) = &mut self.shares else { return Vec::new() };
         let ready = &self.ready;
-        if !shares.set_contention(|service| ready.left_work(service) > 0) {
+        if !shares.set_contention(&ready.contended_services()) {
             return Vec::new();
         }
         let groups: Vec<Option<WaitingGroup<'_>>> = order
--- a/crates/decisions/src/schedule/queue_shares.rs
+++ b/crates/decisions/src/schedule/queue_shares.rs
@@ -274,14 +274,12 @@
     }
 
     /// Sets for which services work waits for capacity; `false` if for none.
-    pub fn set_contention(&mut self, mut is_contended: impl FnMut(&ServiceId) -> bool) -> bool {
-        let mut any = false;
+    pub fn set_contention(&mut self, services: &[&ServiceId]) -> bool {
         for state in self.queues.values_mut() {
-            state.is_contended = is_contended(&state.service);
+            state.is_contended = services.contains(&&state.service);
             state.was_contended |= state.is_contended;
-            any |= state.is_contended;
         }
-        any
+        !services.is_empty()
     }
 
     /// Ranks the waiting groups, which are given in the order that holds among equal ranks;
--- a/crates/decisions/src/schedule/ready_queue.rs
+++ b/crates/decisions/src/schedule/ready_queue.rs
@@ -171,7 +171,14 @@
         self.left_by_queue(service).map(|(_, work)| work).sum()
     }
 
-    /// The same for each queue of the service.
+    /// Services for whose capacity tasks wait.
+    pub(super) fn contended_services(&self) -> Vec<&ServiceId> {
+        let waits = |queues: &IndexMap<QueueId, u128>| queues.values().any(|work| *work > 0);
+        let services = self.left_work.iter().filter(|(_, queues)| waits(queues));
+        services.map(|(service, _)| service).collect()
+    }
+
+    /// The same as [`ReadyQueue::left_work`] for each queue of the service.
     pub(super) fn left_by_queue(
         &self,
         service: &ServiceId,
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -262,7 +262,7 @@
     pub fn take_queue_counts(&mut self) -> Vec<QueueCounts> {
         let Some(shares) = &mut self.shares else { return Vec::new() };
         // No round has run since if nothing waits any more.
-        shares.set_contention(|service| self.ready.left_work(service) > 0);
+        shares.set_contention(&self.ready.contended_services());
         shares.take_counts()
     }
 
--- a/tests/queue_shares.rs
+++ b/tests/queue_shares.rs
@@ -76,7 +76,7 @@
         self.capacity = (self.capacity + CAPACITY as i64).min(CAPACITY as i64);
         let tick = self.tick;
         self.waiting.retain(|(_, _, at)| at + patience > tick);
-        self.shares.set_contention(|_| true);
+        self.shares.set_contention(&[&SERVICE.into()]);
         let ranks = self.ranks();
         let mut order: Vec<usize> = (0..self.waiting.len()).collect();
         order.sort_by_key(|position| ranks[*position]);
@@ -223,11 +223,11 @@
     let mut model = ShareModel::new(&queues(1, &[(URGENT, 0), (PATIENT, 2)]));
     model.submit(PATIENT, JOB_WORK);
     model.submit(URGENT, JOB_WORK);
-    assert!(!model.shares.set_contention(|_| false));
+    assert!(!model.shares.set_contention(&[]));
     assert_eq!(model.ranks(), [None, None]);
-    assert!(model.shares.set_contention(|service| service == OTHER_SERVICE));
+    assert!(model.shares.set_contention(&[&OTHER_SERVICE.into()]));
     assert_eq!(model.ranks(), [None, None], "only another service is short of capacity");
-    assert!(model.shares.set_contention(|service| service == SERVICE));
+    assert!(model.shares.set_contention(&[&SERVICE.into()]));
     let ranks = model.ranks();
     assert!(ranks[1] < ranks[0], "{ranks:?}");
     assert_eq!(ranks[0].map(|rank| rank.cause()), Some(RankCause::Priority));
@@ -243,7 +243,7 @@
     model.shares.add_placed(model.now, &class, 1_000_000, None);
     model.submit(PATIENT, JOB_WORK);
     model.submit(URGENT, JOB_WORK);
-    model.shares.set_contention(|_| true);
+    model.shares.set_contention(&[&SERVICE.into()]);
     let causes: Vec<_> = model.ranks().into_iter().flatten().map(|rank| rank.cause()).collect();
     assert_eq!(causes, [RankCause::Priority, RankCause::Priority]);
 }
@@ -258,7 +258,7 @@
     model.shares.add_placed(model.now, &used, 10 * JOB_WORK, None);
     model.submit(URGENT, JOB_WORK);
     model.submit(PATIENT, JOB_WORK);
-    model.shares.set_contention(|_| true);
+    model.shares.set_contention(&[&SERVICE.into()]);
     let before = model.ranks();
     assert!(before[0] < before[1], "{before:?}");
     model.shares.on_catalog(&queues(2, &[(URGENT, 3), (PATIENT, 1)]));
