--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -380,7 +380,10 @@
             .with("jobs", report.jobs)
             .with("average", if life.uses_recent_speed() { "recent" } else { "long" });
         self.steps.push(RunStep::Log(line));
-        for session in self.schedulers.values_mut() {
+        // The first figure goes with other messages: at the start of a system that is one
+        // report of each agent to each scheduler.
+        let is_change = before.is_some();
+        for session in self.schedulers.values_mut().filter(|_| is_change) {
             session.require_speed_report(now);
         }
     }
