Model: nothing starts in a domain that has been evacuated for five seconds

Cause: the tests of evacuations looked at single orders of events only.

Change: `ScheduleModel` checks at each start that the domain of the backend server has not been evacuated for `EVACUATION_TIME`, and `faults_keep_evacuation` plays evacuations under the random faults of `schedule_faults`.

--- a/tests/evacuated_domains.rs
+++ b/tests/evacuated_domains.rs
@@ -10,9 +10,11 @@
     AgentOrder, AgentOrders, CatalogQuery, Command, EventLine, JobPhase, LineLevel, LogRecord,
     ResourceAmount, RunUpdate, SchedulerKey, ServerReport, StartRefusal,
 };
+use proptest::prelude::*;
 
 use crate::agent_fixture::{AgentFixture, entry, heartbeat, run, run_of};
 use crate::end_acks::{CONTROL_SESSION, orders};
+use crate::schedule_faults::{self, action, apply_action};
 use crate::schedule_model::{DOMAIN, ScheduleModel, job};
 
 /// The domain of the agents from [`FIRST_SOUTH`] on.
@@ -230,6 +232,52 @@
     assert_eq!(query.evacuation_version, None);
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: crate::support::case_count(60),
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_207),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Under lost and late messages and restarts of every process nothing starts in the domain
+    /// once the time of an evacuation is over, which the model checks at each start, and stored
+    /// jobs complete once it has ended.
+    #[test]
+    fn faults_keep_evacuation(
+        before in prop::collection::vec(action(), 1..100),
+        meanwhile in prop::collection::vec(action(), 1..200),
+    ) {
+        let mut model = ScheduleModel::new(schedule_faults::ENTRIES, schedule_faults::AGENTS);
+        model.set_domain(0, SOUTH);
+        let mut jobs = 0;
+        for action in &before {
+            apply_action(&mut model, &mut jobs, action);
+        }
+        model.commit_command(set_evacuation(DOMAIN, true));
+        for action in &meanwhile {
+            apply_action(&mut model, &mut jobs, action);
+        }
+        model.settle();
+        for _round in 0..4 {
+            for scheduler in 0..=schedule_faults::ENTRIES {
+                jobs += 1;
+                model.submit(scheduler, job(jobs, FULL, scheduler > 0));
+            }
+            model.run_fault_free(JOB_ROUNDS);
+        }
+        revoke(&mut model, DOMAIN);
+        model.settle();
+        prop_assert_eq!(model.running(), 0);
+        for number in 1..=jobs {
+            let stored = job(number, 1, false);
+            if model.is_stored(&stored) {
+                prop_assert_eq!(model.stored_phase(&stored), Some(JobPhase::Completed));
+            }
+        }
+    }
+}
+
 fn record(index: u64, command: Command) -> LogRecord {
     LogRecord { index, term: 1, at_ms: 0, command }
 }
--- a/tests/schedule_faults.rs
+++ b/tests/schedule_faults.rs
@@ -8,13 +8,13 @@
 
 use crate::schedule_model::{CallStatus, ScheduleModel, job};
 
-const ENTRIES: usize = 2;
-const AGENTS: usize = 3;
+pub(crate) const ENTRIES: usize = 2;
+pub(crate) const AGENTS: usize = 3;
 
 /// One step of a generated schedule. Agents, their backend servers and schedulers are
 /// given by their index; scheduler 0 is control, the others are entries.
 #[derive(Debug, Clone)]
-enum Action {
+pub(crate) enum Action {
     /// Milliseconds.
     Advance(u64),
     /// The agent and the position of its call.
@@ -43,7 +43,7 @@
     CrashServer(usize),
 }
 
-fn action() -> impl Strategy<Value = Action> {
+pub(crate) fn action() -> impl Strategy<Value = Action> {
     let agent = 0..AGENTS;
     let scheduler = 0..=ENTRIES;
     let call = 0_usize..4;
@@ -72,7 +72,7 @@
     ]
 }
 
-fn apply_action(model: &mut ScheduleModel, jobs: &mut usize, action: &Action) {
+pub(crate) fn apply_action(model: &mut ScheduleModel, jobs: &mut usize, action: &Action) {
     match action {
         Action::Advance(millis) => model.advance(Duration::from_millis(*millis)),
         Action::Deliver(agent, call) => model.deliver(*agent, *call, false),
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -4,7 +4,8 @@
 //! Invariants, checked at every start: no task runs twice at a time, and a task
 //! of a stored job doesn't start again once its end is recorded, unless a lease
 //! expired with its end unacknowledged. Checked at every call: no task of a stored job
-//! has started after a successful end that counts, then or later.
+//! has started after a successful end that counts, then or later. Checked at every start too:
+//! none is in a failure domain that has been evacuated for [`EVACUATION_TIME`].
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -31,6 +32,9 @@
 const ENTRY_GRANT: Duration = Duration::from_millis(1_000);
 /// The same for runs of the control scheduler.
 const CONTROL_GRANT: Duration = Duration::from_millis(4_000);
+/// Time from the commit of an evacuation after which nothing more may start in the domain
+/// (`evac_ms`).
+const EVACUATION_TIME: Duration = Duration::from_secs(5);
 /// Usual failure domain of a backend server.
 pub(crate) const DOMAIN: &str = "north";
 const SERVER_CPU_MILLI: u64 = 4_000;
@@ -172,6 +176,8 @@
     other_servers: BTreeSet<usize>,
     /// Failure domains of backend servers that are not in [`DOMAIN`].
     domains: BTreeMap<usize, &'static str>,
+    /// Evacuated failure domains, and when that was committed.
+    evacuated: BTreeMap<String, Instant>,
     /// Backend servers that drain.
     draining_servers: BTreeSet<usize>,
     /// Backend servers that are gone for good.
@@ -225,6 +231,7 @@
             servers: Vec::new(),
             other_servers: BTreeSet::new(),
             domains: BTreeMap::new(),
+            evacuated: BTreeMap::new(),
             draining_servers: BTreeSet::new(),
             lost_servers: BTreeSet::new(),
             frozen_agents: BTreeMap::new(),
@@ -298,6 +305,15 @@
             self.index += 1;
             let record = LogRecord { index: self.index, term: self.term, at_ms: 0, command };
             self.job_store.apply(&record);
+            match &record.command {
+                Command::SetEvacuation { domain, is_evacuated: true } => {
+                    self.evacuated.entry(domain.to_string()).or_insert(self.now);
+                }
+                Command::SetEvacuation { domain, is_evacuated: false } => {
+                    self.evacuated.remove(domain.as_str());
+                }
+                _ => {}
+            }
             self.events.push(format!("{:?} committed {:?}", self.now, record.command));
             records.push(record);
         }
@@ -866,6 +882,7 @@
             && let ServerRequest::Start { run, .. } = &call.request
         {
             *self.server_starts.entry(server).or_insert(0) += 1;
+            self.check_domain(server, &run.task);
             self.check_start(&run.task);
         }
         self.check_counted(server);
@@ -890,6 +907,17 @@
         }
     }
 
+    /// Checks that a task which has just started is not in an evacuated domain.
+    fn check_domain(&self, server: usize, task: &TaskName) {
+        let domain = self.domains.get(&server).copied().unwrap_or(DOMAIN);
+        let since = self.evacuated.get(domain);
+        assert!(
+            since.is_none_or(|since| self.now < *since + EVACUATION_TIME),
+            "{task} started at server{server} in the evacuated domain {domain}\n{}",
+            self.event_trace(&task.job)
+        );
+    }
+
     /// Checks that a task that has just started runs once at a time, and that a
     /// stored job's task doesn't start once its end is recorded.
     fn check_start(&mut self, task: &TaskName) {
