Limits of connections and bytes at all HTTP listeners

Cause: misbehaving clients could bring a process down. Bodies were read in whole before route or limit were checked and kept for as long as their clients stayed, small pieces kept whole buffers, nothing closed a connection that had stopped, and freed memory stayed with the allocator. header_timeout_ms, idle_timeout_ms and max_header_bytes of the configuration were decoded but not used.

Change: edges/http_listener.rs serves HTTP over hyper for callers, readiness, operators, backend servers and the older callers' and announcements' edges. A handler gets the head first and reads the body on demand, up to a limit, into a buffer whose growth the listener has granted. decisions/connections decides whom to close: overdue ones (head, body, rate, reply, idle), and the slowest and oldest incomplete ones when connections or bytes run out. One line a second (connections_limited) says what was refused and closed. New settings limits.memory_mb and limits.max_fds of each role, in the templates too. JSON shape is checked before it is decoded. The longest path of a job's waiting steps takes one pass, not one for each step. Free memory is returned to the system after a burst.

--- a/crates/cactuswing/src/replay/local_cluster.rs
+++ b/crates/cactuswing/src/replay/local_cluster.rs
@@ -10,7 +10,7 @@
 use kernel::{SharedClock, SystemClock};
 use model::{
     AgentSettings, Command, CommandResult, ControlPeer, ControlSettings, EntrySettings,
-    LogSettings, MessageKind, OperatorConfig,
+    LogSettings, MessageKind, OperatorConfig, ProcessLimits,
 };
 use snafu::{ResultExt, Snafu};
 use standin::{
@@ -286,6 +286,7 @@
         lease_ms: shape.lease_ms,
         retention_ms: 600_000,
         snapshot_records: 50_000,
+        limits: ProcessLimits::default(),
         log: shape.log.clone(),
     }
 }
@@ -305,6 +306,7 @@
         front: None,
         agent_limit: 256,
         seed: number as u64,
+        limits: ProcessLimits::default(),
         log: shape.log.clone(),
     }
 }
@@ -388,6 +390,7 @@
         announce_ttl_ms: 3_000,
         retention_ms: 600_000,
         drain_limit_ms: 30_000,
+        limits: ProcessLimits::default(),
         log: shape.log.clone(),
     }
 }
--- a/crates/cactuswing/src/roles/agent.rs
+++ b/crates/cactuswing/src/roles/agent.rs
@@ -65,6 +65,7 @@
         clock: clock.clone(),
         counters: context.counters.clone(),
         stop: stop.clone(),
+        limits: settings.limits,
         stopper: Arc::new(NoopStopper),
     };
     kernel.register(ServiceName::BackendEdge, DUTY_RING_SLOTS, move |ring, registry| {
--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -105,7 +105,12 @@
 
     if let Some(address) = settings.operators {
         let listener = edges::caller_edge::listen(address)?;
-        let front = platform::OperatorFront { host: settings.listen, port: address.port() };
+        let front = platform::OperatorFront {
+            host: settings.listen,
+            port: address.port(),
+            clock: clock.clone(),
+            limits: settings.limits,
+        };
         let front_context = context.clone();
         kernel.register::<ControlReply, _>(
             ServiceName::OperatorFront,
--- a/crates/cactuswing/src/roles/entry.rs
+++ b/crates/cactuswing/src/roles/entry.rs
@@ -94,6 +94,7 @@
         counters: context.counters.clone(),
         stop: stop.clone(),
         body_limit: settings.body_limit_bytes,
+        limits: settings.limits,
         ready,
     };
     kernel.register(ServiceName::CallerEdge, settings.call_limit, move |ring, registry| {
--- a/crates/cactuswing/src/roles/queue_entry.rs
+++ b/crates/cactuswing/src/roles/queue_entry.rs
@@ -86,6 +86,7 @@
         gate: context.gate.clone(),
         drain_delay: Duration::from_millis(front.drain_delay_ms),
         max_catalog_age: Duration::from_millis(front.max_catalog_age_ms),
+        limits: settings.limits,
     };
     let front_context = context.clone();
     kernel.register(ServiceName::QueueFront, settings.call_limit, move |ring, registry| {
--- a/crates/cactuswing/src/roles/server_agent.rs
+++ b/crates/cactuswing/src/roles/server_agent.rs
@@ -55,7 +55,11 @@
         edges::schedule_link::run(&ring, &registry, link, log);
     })?;
 
-    let front = ServerFront { clock: clock.clone(), server_address: server.address };
+    let front = ServerFront {
+        clock: clock.clone(),
+        server_address: server.address,
+        limits: settings.limits,
+    };
     let front_context = context.clone();
     kernel.register(ServiceName::ServerFront, DUTY_RING_SLOTS, move |ring, registry| {
         let log = front_context.event_log(&registry).expect("the log writer is registered");
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `agent`: starts tasks at the backend servers of its worker;
 //! - `control`: a Raft group that keeps the replicated state and the leases of
 //!   entries and agents;
+//! - `connections`: which connections of clients a listener keeps, for every process;
 //! - `discovery`: finds the leader of control, for every process;
 //! - `schedule`: places the tasks of queued jobs; run by the leader of control
 //!   and by each entry.
@@ -19,6 +20,7 @@
 
 pub mod agent;
 mod claim_order;
+pub mod connections;
 pub mod control;
 pub mod discovery;
 pub mod entry;
--- a/crates/decisions/src/schedule/job_admission.rs
+++ b/crates/decisions/src/schedule/job_admission.rs
@@ -169,7 +169,9 @@
         if self.is_held(id) {
             return Some(live.critical_path);
         }
-        self.ready.steps_of(id, &live.job).map(|step| live.job.path_from(step)).max()
+        let mut waiting = self.ready.steps_of(id, &live.job).peekable();
+        waiting.peek()?;
+        Some(live.job.path_from(waiting))
     }
 
     /// Ends best-effort jobs that can't complete while their callers wait. A job of
--- a/crates/edges/src/announce_routes.rs
+++ b/crates/edges/src/announce_routes.rs
@@ -4,12 +4,14 @@
 use kernel::RingSender;
 use model::{Announcement, ErrorKind, Failure, LeaveNotice, Problem, StartMessage, is_name};
 use serde::de::DeserializeOwned;
-use warp::http::StatusCode;
+use warp::http::request::Parts;
+use warp::http::{Method, StatusCode};
 use warp::hyper::body::Bytes;
 use warp::reply::Response;
 use warp::{Filter, Reply};
 
 use crate::backend_edge::BackendEdge;
+use crate::http_listener::BodyRefusal;
 use crate::metrics;
 
 /// Maximum size of an announcement, in bytes.
@@ -43,6 +45,27 @@
     announce.or(leave).unify().or(health).unify().or(ready).unify().or(metrics).unify().boxed()
 }
 
+/// Maximum length of the body of a request; `None` where no route reads it.
+pub(crate) fn body_limit(parts: &Parts) -> Option<u64> {
+    let reads_body = matches!(parts.uri.path(), "/v1/announce" | "/v1/leave");
+    (parts.method == Method::POST && reads_body).then_some(MAX_ANNOUNCEMENT_BYTES as u64)
+}
+
+/// The response to a request whose body was not read.
+pub(crate) fn refuse_body(refusal: BodyRefusal) -> Response {
+    problem_response(&match refusal {
+        BodyRefusal::TooLong => too_long(),
+        BodyRefusal::NoRoom => {
+            Failure::new(ErrorKind::Overloaded, "the agent is overloaded; retry")
+        }
+        BodyRefusal::Incomplete => malformed("the body is incomplete"),
+    })
+}
+
+fn too_long() -> Failure {
+    Failure::new(ErrorKind::BodyTooLarge, "an announcement must not exceed 16 KiB")
+}
+
 fn forward(starts: &RingSender<StartMessage>, read: Result<StartMessage, Failure>) -> Response {
     let sent = read.and_then(|message| {
         starts
@@ -80,10 +103,7 @@
 
 fn read<T: DeserializeOwned>(body: &Bytes) -> Result<T, Failure> {
     if body.len() > MAX_ANNOUNCEMENT_BYTES {
-        return Err(Failure::new(
-            ErrorKind::BodyTooLarge,
-            "an announcement must not exceed 16 KiB",
-        ));
+        return Err(too_long());
     }
     serde_json::from_slice(body).map_err(|error| malformed(&error.to_string()))
 }
--- a/crates/edges/src/backend_edge.rs
+++ b/crates/edges/src/backend_edge.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use decisions::connections::ListenerKind;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Bytes;
 use hyper::{Request, Response, StatusCode};
@@ -18,14 +19,15 @@
 use hyper_util::rt::TokioExecutor;
 use kernel::{Registry, Reservation, RingReceiver, RingSender, SharedClock, StopSignal};
 use model::{
-    BackendMessage, Payload, ProcessCounters, RunEnd, ServiceId, ServiceName, StartMessage,
-    TaskKey, TaskOutcome,
+    BackendMessage, EventLog, Payload, ProcessCounters, ProcessLimits, RunEnd, ServiceId,
+    ServiceName, StartMessage, TaskKey, TaskOutcome,
 };
-use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::announce_routes::announce_routes;
+use crate::announce_routes::{announce_routes, body_limit, refuse_body};
 use crate::edge_runtime::{block_on, spawn_lasting};
+use crate::http_listener::{HttpListener, HttpServer};
+use crate::warp_routes::warp_handler;
 
 /// How long opening a connection to a backend server may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -45,6 +47,8 @@
     pub counters: ProcessCounters,
     /// Raised while the process drains; `/readyz` then fails.
     pub stop: StopSignal,
+    /// Limits of the process.
+    pub limits: ProcessLimits,
     /// Stops running tasks at the platform.
     pub stopper: std::sync::Arc<dyn TaskStopper>,
 }
@@ -77,7 +81,7 @@
 /// Runs the duty until its ring is closed.
 ///
 /// # Panics
-/// When the start service is not registered, or the listener is not usable.
+/// When the start service or the log writer is not registered, or the listener is not usable.
 pub fn run(
     ring: &RingReceiver<BackendMessage>,
     registry: &Registry<ServiceName>,
@@ -86,14 +90,18 @@
 ) {
     let starts: RingSender<StartMessage> =
         registry.find(ServiceName::TaskStarts).expect("task starts is registered");
+    let log = registry.find(ServiceName::LogWriter).expect("the log writer is registered");
+    let server = HttpServer::new(HttpListener {
+        name: "announcements",
+        clock: edge.clock.clone(),
+        log: EventLog::new(log, edge.clock.clone(), edge.counters.clone()),
+        kind: ListenerKind::Inner,
+        process: edge.limits,
+    });
     block_on(async move {
-        let listener = TcpListener::from_std(listener).expect("the listener is non-blocking");
-        let (stop, stopped) = oneshot::channel::<()>();
-        let routes = announce_routes(starts, edge.clone());
-        let server = warp::serve(routes).incoming(listener).graceful(async move {
-            let _closed = stopped.await;
-        });
-        spawn_lasting(server.run());
+        let (stop, stopped) = watch::channel(false);
+        let handler = warp_handler(announce_routes(starts, edge.clone()), body_limit, refuse_body);
+        spawn_lasting(server.serve(listener, handler, stopped));
         serve_runs(ring, &edge).await;
         drop(stop);
     });
--- a/crates/edges/src/caller_edge.rs
+++ b/crates/edges/src/caller_edge.rs
@@ -3,17 +3,19 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use decisions::connections::ListenerKind;
 use kernel::{Registry, RingReceiver, RingSender, SharedClock, StopSignal};
 use model::{
-    CallerAnswer, CallerReply, CallerRequest, ErrorKind, Failure, JobMessage, MessageKind,
-    ProcessCounters, ServiceName,
+    CallerAnswer, CallerReply, CallerRequest, ErrorKind, EventLog, Failure, JobMessage,
+    MessageKind, ProcessCounters, ProcessLimits, ServiceName,
 };
-use tokio::net::TcpListener;
-use tokio::sync::oneshot;
+use tokio::sync::watch;
 
-use crate::caller_routes::routes;
+use crate::caller_routes::{body_limit, refuse_body, routes};
 use crate::edge_runtime::{block_on, spawn_lasting};
+use crate::http_listener::{HttpListener, HttpServer};
 use crate::pending_calls::PendingCalls;
+use crate::warp_routes::warp_handler;
 
 /// Configuration of the callers' edge.
 #[derive(Clone)]
@@ -26,6 +28,8 @@
     pub stop: StopSignal,
     /// Maximum size of a request body in bytes.
     pub body_limit: u64,
+    /// Limits of the process.
+    pub limits: ProcessLimits,
     /// Whether a configuration is in force; shown by `/readyz`.
     pub ready: Arc<std::sync::atomic::AtomicBool>,
 }
@@ -80,7 +84,7 @@
 /// Runs the duty until its ring is closed.
 ///
 /// # Panics
-/// When job tracking is not registered, or the listener is not usable.
+/// When job tracking or the log writer is not registered, or the listener is not usable.
 pub fn run(
     ring: &RingReceiver<CallerReply>,
     registry: &Registry<ServiceName>,
@@ -89,14 +93,25 @@
 ) {
     let replies = registry.find(ServiceName::CallerEdge).expect("the caller edge is registered");
     let jobs = registry.find(ServiceName::JobTracking).expect("job tracking is registered");
+    let log = registry.find(ServiceName::LogWriter).expect("the log writer is registered");
+    let server = HttpServer::new(HttpListener {
+        name: "callers",
+        clock: edge.clock.clone(),
+        log: EventLog::new(log, edge.clock.clone(), edge.counters.clone()),
+        kind: ListenerKind::Clients,
+        process: edge.limits,
+    });
     let context = CallerContext { edge, calls: PendingCalls::default(), replies, jobs };
     block_on(async move {
-        let listener = TcpListener::from_std(listener).expect("the listener is non-blocking");
-        let (stop, stopped) = oneshot::channel::<()>();
-        let server = warp::serve(routes(context.clone())).incoming(listener).graceful(async move {
-            let _closed = stopped.await;
-        });
-        let server = spawn_lasting(server.run());
+        let (stop, stopped) = watch::channel(false);
+        let limit = context.edge.body_limit;
+        let refusal_context = context.clone();
+        let handler = warp_handler(
+            routes(context.clone()),
+            move |parts| body_limit(parts, limit),
+            move |refusal| refuse_body(&refusal_context, refusal),
+        );
+        let server = spawn_lasting(server.serve(listener, handler, stopped));
         while let Some(reply) = ring.next().await {
             context.calls.complete(reply.call, reply.answer);
         }
--- a/crates/edges/src/caller_routes.rs
+++ b/crates/edges/src/caller_routes.rs
@@ -12,12 +12,14 @@
     Problem, SingleRequest, is_name,
 };
 use serde::{Deserialize, Serialize};
-use warp::http::{HeaderMap, StatusCode};
+use warp::http::request::Parts;
+use warp::http::{HeaderMap, Method, StatusCode};
 use warp::hyper::body::Bytes;
 use warp::reply::Response;
 use warp::{Filter, Rejection, Reply};
 
 use crate::caller_edge::CallerContext;
+use crate::http_listener::BodyRefusal;
 use crate::metrics;
 
 const TEAM_HEADER: &str = "cactuswing-team";
@@ -45,9 +47,7 @@
 type ContextFilter = warp::filters::BoxedFilter<(CallerContext,)>;
 
 /// All routes of an entry; requests that match none get a problem response.
-pub(crate) fn routes(
-    context: CallerContext,
-) -> impl Filter<Extract = (impl Reply + use<>,), Error = std::convert::Infallible> + Clone {
+pub(crate) fn routes(context: CallerContext) -> warp::filters::BoxedFilter<(Response,)> {
     let with_context: ContextFilter = warp::any().map(move || context.clone()).boxed();
     request_route(with_context.clone())
         .or(job_route(with_context.clone()))
@@ -57,6 +57,33 @@
         .or(status_routes(with_context))
         .unify()
         .recover(reject_unmatched)
+        .unify()
+        .map(Reply::into_response)
+        .boxed()
+}
+
+/// Maximum length of the body of a request; `None` where no route reads it.
+pub(crate) fn body_limit(parts: &Parts, limit: u64) -> Option<u64> {
+    let path = parts.uri.path();
+    let reads_body = path == "/v1/jobs"
+        || path.strip_prefix("/v1/services/").is_some_and(|rest| rest.ends_with("/requests"));
+    (parts.method == Method::POST && reads_body).then_some(limit)
+}
+
+/// The response to a request whose body was not read.
+pub(crate) fn refuse_body(context: &CallerContext, refusal: BodyRefusal) -> Response {
+    let failure = match refusal {
+        BodyRefusal::TooLong => {
+            let detail = format!("the body exceeds the limit of {} bytes", context.edge.body_limit);
+            Failure::new(ErrorKind::BodyTooLarge, detail)
+        }
+        BodyRefusal::NoRoom => Failure::new(
+            ErrorKind::Overloaded,
+            "this entry holds as many request bodies as its memory allows; retry",
+        ),
+        BodyRefusal::Incomplete => malformed("the body is incomplete"),
+    };
+    reject(context, &failure)
 }
 
 fn request_route(context: ContextFilter) -> warp::filters::BoxedFilter<(Response,)> {
--- a/crates/edges/src/lib.rs
+++ b/crates/edges/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod disk;
 pub mod duty_time;
 pub mod group_join;
+pub mod http_listener;
 pub mod job_calls;
 pub mod journal;
 pub mod journal_writer;
@@ -38,8 +39,10 @@
 mod peer_connection;
 mod peer_listener;
 mod pending_calls;
+mod returned_memory;
 mod sent_messages;
 mod view_merge;
+mod warp_routes;
 
 pub use edge_error::EdgeError;
 pub use edge_runtime::{block_on, spawn_lasting};
--- a/crates/model/src/queue_catalog.rs
+++ b/crates/model/src/queue_catalog.rs
@@ -65,6 +65,32 @@
     pub services: IndexMap<ServiceId, ServiceRule>,
     /// Largest body of a client's request, in bytes.
     pub body_limit_bytes: u64,
+    /// Limits of clients' requests that the operator has set.
+    #[serde(default, skip_serializing_if = "RequestLimits::is_unset")]
+    pub request_limits: RequestLimits,
     /// The operator's original document, unchanged.
     pub document: String,
 }
+
+/// Limits of clients' requests beside the one of their bodies; `None` where the operator has
+/// set none.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct RequestLimits {
+    /// Largest head of a request, in bytes.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub max_header_bytes: Option<u64>,
+    /// Time in which the head of a request has to arrive, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub header_timeout_ms: Option<u64>,
+    /// Time for which a connection without a request is kept, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub idle_timeout_ms: Option<u64>,
+}
+
+impl RequestLimits {
+    /// Whether the operator has set none of them.
+    pub fn is_unset(&self) -> bool {
+        *self == RequestLimits::default()
+    }
+}
--- a/crates/model/src/queue_jobs.rs
+++ b/crates/model/src/queue_jobs.rs
@@ -132,17 +132,20 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
-    /// Estimated run time of the longest chain of dependent steps that begins with
-    /// this one.
-    pub fn path_from(&self, first: StepIndex) -> Duration {
+    /// Estimated run time of the longest chain of dependent steps that begins with one of
+    /// these. Reads each step and dependency once, as a job may have thousands of steps.
+    pub fn path_from(&self, firsts: impl Iterator<Item = StepIndex>) -> Duration {
+        let mut is_first = vec![false; self.steps.len()];
+        for first in firsts {
+            if let Some(is_first) = is_first.get_mut(first as usize) {
+                *is_first = true;
+            }
+        }
         let mut ends: Vec<Option<Duration>> = vec![None; self.steps.len()];
         for (index, step) in self.steps.iter().enumerate() {
             let dependency_ends =
                 step.depends_on.iter().filter_map(|dependency| *ends.get(*dependency as usize)?);
-            let start = match index as StepIndex == first {
-                true => Some(Duration::ZERO),
-                false => dependency_ends.max(),
-            };
+            let start = dependency_ends.max().or(is_first[index].then_some(Duration::ZERO));
             ends[index] = start.map(|start| span_sum(start, step.estimate()));
         }
         ends.into_iter().flatten().max().unwrap_or_default()
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -33,6 +33,23 @@
     }
 }
 
+/// The limits that the host sets to a process. Its budgets of connections and buffers are
+/// shares of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ProcessLimits {
+    /// Memory that the process may use, in MB.
+    pub memory_mb: u64,
+    /// File descriptors that the process may have open.
+    pub max_fds: u64,
+}
+
+impl Default for ProcessLimits {
+    fn default() -> ProcessLimits {
+        ProcessLimits { memory_mb: 512, max_fds: 16_384 }
+    }
+}
+
 /// Settings of an entry.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -74,6 +91,9 @@
     /// policies).
     #[serde(default)]
     pub seed: u64,
+    /// Limits of the process.
+    #[serde(default)]
+    pub limits: ProcessLimits,
     /// Log output.
     #[serde(default)]
     pub log: LogSettings,
@@ -203,6 +223,9 @@
     /// Longest duration of a drain, in milliseconds.
     #[serde(default = "default_drain_limit")]
     pub drain_limit_ms: u64,
+    /// Limits of the process.
+    #[serde(default)]
+    pub limits: ProcessLimits,
     /// Log output.
     #[serde(default)]
     pub log: LogSettings,
@@ -319,6 +342,9 @@
     /// Number of log records between snapshots.
     #[serde(default = "default_snapshot_records")]
     pub snapshot_records: u64,
+    /// Limits of the process.
+    #[serde(default)]
+    pub limits: ProcessLimits,
     /// Log output.
     #[serde(default)]
     pub log: LogSettings,
@@ -394,6 +420,10 @@
 const LEVELS: &[&str] = &["error", "warn", "info", "debug", "trace"];
 const LOG_FIELDS: &[FieldRule] =
     &[optional("level", ValueSchema::OneOf(LEVELS)), optional("file", ValueSchema::Text)];
+const LIMIT_FIELDS: &[FieldRule] = &[
+    optional("memory_mb", ValueSchema::Integer(16, 16_000_000)),
+    optional("max_fds", ValueSchema::Integer(64, 100_000_000)),
+];
 const DURATION_MS: ValueSchema = ValueSchema::Integer(1, MAX_DURATION_MS);
 const RETENTION_MS: ValueSchema = ValueSchema::Integer(1_000, 24 * MAX_DURATION_MS);
 const PORT: ValueSchema = ValueSchema::Integer(1, 65_535);
@@ -425,6 +455,7 @@
     optional("front", ValueSchema::Object(FRONT_FIELDS)),
     optional("agent_limit", ValueSchema::Integer(1, 10_000)),
     optional("seed", ValueSchema::Integer(0, u64::MAX)),
+    optional("limits", ValueSchema::Object(LIMIT_FIELDS)),
     optional("log", ValueSchema::Object(LOG_FIELDS)),
 ]);
 
@@ -445,6 +476,7 @@
     optional("announce_ttl_ms", DURATION_MS),
     optional("retention_ms", RETENTION_MS),
     optional("drain_limit_ms", DURATION_MS),
+    optional("limits", ValueSchema::Object(LIMIT_FIELDS)),
     optional("log", ValueSchema::Object(LOG_FIELDS)),
 ]);
 
@@ -465,6 +497,7 @@
     optional("lease_ms", ValueSchema::Integer(500, 15_000)),
     optional("retention_ms", RETENTION_MS),
     optional("snapshot_records", ValueSchema::Integer(16, 10_000_000)),
+    optional("limits", ValueSchema::Object(LIMIT_FIELDS)),
     optional("log", ValueSchema::Object(LOG_FIELDS)),
 ]);
 
--- /dev/null
+++ b/tests/client_crowds.rs
@@ -0,0 +1,357 @@
+//! Crowds of misbehaving clients against the deployed processes, with small limits: bodies
+//! that stop short of their end, bodies without end, requests that stop halfway, replies
+//! that nobody reads, jobs of very many parts. Guards against processes that such clients
+//! bring down: each stays alive, within its memory and its descriptors, and answers an
+//! ordinary request while the crowd still stays connected. One test at a time.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use model::ProcessLimits;
+use serde_json::json;
+use standin::{LeaseServer, raw_call};
+
+use crate::deployed_group::{DeployedGroup, RoleHost, SERVICE, redirect_target};
+
+/// Connections of a crowd; their bodies together exceed the memory limit, and they the
+/// descriptors.
+const CROWD: usize = 300;
+const LIMITS: ProcessLimits = ProcessLimits { memory_mb: 64, max_fds: 256 };
+/// The body limit of the configuration, and what a stopping client sends of it.
+const BODY_BYTES: usize = 262_144;
+const SENT_BYTES: usize = 262_000;
+/// Time for a client's connection or for one of its writes.
+const CLIENT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for what a healthy system does within a few seconds.
+const PATIENT_LIMIT: Duration = Duration::from_secs(30);
+/// Time in which the processes read what a crowd has sent; no assertion depends on it.
+const READ_TIME: Duration = Duration::from_secs(2);
+const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+const HOST: &str = "crowds.example";
+const CPU_MILLI: u64 = 16_000;
+
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+/// One control host, agent and entry, with small limits.
+struct LimitedSystem {
+    group: DeployedGroup,
+    server: LeaseServer,
+    next_job: u64,
+    _turn: MutexGuard<'static, ()>,
+}
+
+const CONTROL: RoleHost = RoleHost::Control(0);
+const ENTRY: RoleHost = RoleHost::Entry(0);
+const AGENT: RoleHost = RoleHost::Agent(0);
+
+fn wait_until(mut is_met: impl FnMut() -> bool) -> bool {
+    let limit = Instant::now() + PATIENT_LIMIT;
+    while Instant::now() < limit {
+        if is_met() {
+            return true;
+        }
+        std::thread::sleep(RETRY_INTERVAL);
+    }
+    false
+}
+
+fn config_text() -> String {
+    json!({
+        "version": 1,
+        "routes": [{
+            "name": "r", "host": HOST, "path_prefix": "/x/", "kind": "unsafe",
+            "timeout_ms": 4_000, "goal_ms": 60, "priority": 0, "service": SERVICE,
+            "max_attempts": 4, "stretch": 1.6
+        }],
+        "services": [{ "name": SERVICE, "enforce_capacity": true }],
+        "limits": {
+            "max_header_bytes": 16_384, "max_body_bytes": BODY_BYTES,
+            "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000
+        }
+    })
+    .to_string()
+}
+
+impl LimitedSystem {
+    /// Starts the system and waits until it has run a job.
+    fn start() -> LimitedSystem {
+        let turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+        let group = DeployedGroup::start_limited(1, 1, 1, LIMITS);
+        let shape = group.server_shape(0, "i-0001".to_owned(), CPU_MILLI);
+        let server = LeaseServer::start(shape).expect("the address is free");
+        let mut system = LimitedSystem { group, server, next_job: 1, _turn: turn };
+        system.set_config();
+        assert!(wait_until(|| system.group.is_ready()), "the entry becomes ready");
+        system.expect_job();
+        system
+    }
+
+    /// Waits until an operator's change of the configuration is acknowledged.
+    fn set_config(&self) {
+        let mut control = self.group.control_address(CONTROL);
+        let is_set = wait_until(|| {
+            let (path, body) = ("/cactuswing/config", config_text());
+            let sent = raw_call(control, "PUT", path, &[], body.as_bytes(), PATIENT_LIMIT);
+            let Ok(response) = sent else { return false };
+            control = redirect_target(&response).unwrap_or(control);
+            response.status == 200
+        });
+        assert!(is_set, "a change of the configuration is acknowledged");
+    }
+
+    /// Waits until an ordinary job has run and its caller has the answer.
+    fn expect_job(&mut self) {
+        let front = self.group.front(0);
+        let steps = json!([{ "count": 1, "cpu": 100, "mem_mb": 1, "estimate_ms": 20 }]);
+        let job = json!({ "spec": "a", "steps": steps, "best_effort": true }).to_string();
+        let next_job = &mut self.next_job;
+        let is_done = wait_until(|| {
+            *next_job += 1;
+            let path = format!("/x/{next_job:016x}");
+            let headers = [("Host", HOST)];
+            let sent = raw_call(front, "POST", &path, &headers, job.as_bytes(), PATIENT_LIMIT);
+            sent.is_ok_and(|response| response.status == 200)
+        });
+        assert!(is_done, "an ordinary job runs");
+    }
+
+    /// A line of a process's status, in kB.
+    fn memory_kb(&mut self, host: RoleHost, line: &str) -> u64 {
+        let id = self.group.process_id(host).expect("the process is alive");
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("it is readable");
+        let value = status.lines().find_map(|text| text.strip_prefix(line));
+        let value = value.and_then(|text| text.split_whitespace().next());
+        value.and_then(|text| text.parse().ok()).expect("a number of kB")
+    }
+
+    fn open_descriptors(&mut self, host: RoleHost) -> u64 {
+        let id = self.group.process_id(host).expect("the process is alive");
+        std::fs::read_dir(format!("/proc/{id}/fd")).expect("it is readable").count() as u64
+    }
+
+    /// Checks that each process is alive and has stayed within its limits.
+    fn expect_within_limits(&mut self) {
+        let mut excesses = Vec::new();
+        for host in [CONTROL, AGENT, ENTRY] {
+            let (peak_kb, now_kb) =
+                (self.memory_kb(host, "VmHWM:"), self.memory_kb(host, "VmRSS:"));
+            let descriptors = self.open_descriptors(host);
+            println!("{host:?}: peak {peak_kb} kB, now {now_kb} kB, {descriptors} descriptors");
+            if peak_kb >= LIMITS.memory_mb * 1_024 {
+                excesses.push(format!("{host:?}: peak of {peak_kb} kB"));
+            }
+            if descriptors >= LIMITS.max_fds {
+                excesses.push(format!("{host:?}: {descriptors} descriptors"));
+            }
+        }
+        assert_eq!(excesses, Vec::<String>::new());
+    }
+
+    /// Checks all that must hold while a crowd stays connected.
+    fn expect_unharmed(&mut self) {
+        // The processes may still read what the crowd has sent.
+        std::thread::sleep(READ_TIME);
+        self.expect_within_limits();
+        self.expect_job();
+        self.expect_within_limits();
+    }
+}
+
+impl Drop for LimitedSystem {
+    fn drop(&mut self) {
+        // Otherwise its address would not be free for the next system.
+        self.server.crash();
+    }
+}
+
+/// Sends these bytes on a new connection, which stays open; the system may refuse it.
+fn send(address: SocketAddr, parts: &[&[u8]]) -> Option<TcpStream> {
+    let mut stream = TcpStream::connect_timeout(&address, CLIENT_TIMEOUT).ok()?;
+    stream.set_write_timeout(Some(CLIENT_TIMEOUT)).ok()?;
+    for part in parts {
+        if stream.write_all(part).is_err() {
+            break;
+        }
+    }
+    Some(stream)
+}
+
+/// Opens a crowd of connections that send the same bytes.
+fn send_all(address: SocketAddr, count: usize, parts: &[&[u8]]) -> Vec<TcpStream> {
+    (0..count).filter_map(|_| send(address, parts)).collect()
+}
+
+fn head(method: &str, path: &str, length: &str) -> String {
+    format!("{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n{length}\r\n\r\n")
+}
+
+/// The head of a request that announces a body of the legal size.
+fn legal_head(method: &str, path: &str) -> String {
+    head(method, path, &format!("Content-Length: {BODY_BYTES}"))
+}
+
+/// A start of a chunked body in chunks of this size, `SENT_BYTES` in all.
+fn small_chunks(chunk_bytes: usize) -> Vec<u8> {
+    let chunk = format!("{chunk_bytes:x}\r\n{}\r\n", "x".repeat(chunk_bytes));
+    chunk.repeat(SENT_BYTES / chunk_bytes).into_bytes()
+}
+
+const JOB_PATH: &str = "/x/00000000000000aa";
+const NO_ROUTE: &str = "/none/00000000000000aa";
+
+// Bodies of legal size that stop just short of their end were kept in memory for as long as
+// their clients stayed, on any path.
+#[test]
+fn stopped_bodies() {
+    let mut system = LimitedSystem::start();
+    let front = system.group.front(0);
+    let body = vec![b' '; SENT_BYTES];
+    let mut crowd = Vec::new();
+    for path in [JOB_PATH, NO_ROUTE] {
+        let head = legal_head("POST", path);
+        crowd.extend(send_all(front, CROWD / 2, &[head.as_bytes(), &body]));
+    }
+    system.expect_unharmed();
+    drop(crowd);
+    system.expect_unharmed();
+}
+
+// Memory that a crowd has filled was kept by the allocator after it had left.
+#[test]
+fn memory_returned() {
+    let mut system = LimitedSystem::start();
+    let before_kb = system.memory_kb(ENTRY, "VmRSS:");
+    let front = system.group.front(0);
+    let (head, body) = (legal_head("POST", JOB_PATH), vec![b' '; SENT_BYTES]);
+    drop(send_all(front, CROWD, &[head.as_bytes(), &body]));
+    let is_returned = wait_until(|| {
+        let now_kb = system.memory_kb(ENTRY, "VmRSS:");
+        now_kb < before_kb + RETURNED_KB
+    });
+    let now_kb = system.memory_kb(ENTRY, "VmRSS:");
+    println!("before {before_kb} kB, after {now_kb} kB");
+    assert!(is_returned, "{before_kb} kB before the crowd, {now_kb} kB after it");
+}
+
+/// Memory that a process may hold more of after a crowd than before.
+const RETURNED_KB: u64 = 8_192;
+
+// The same in chunks of a few bytes, each of which takes more memory than it has bytes.
+#[test]
+fn chunked_bodies() {
+    let mut system = LimitedSystem::start();
+    let front = system.group.front(0);
+    let (head, chunks) = (head("POST", JOB_PATH, "Transfer-Encoding: chunked"), small_chunks(16));
+    let _crowd = send_all(front, CROWD, &[head.as_bytes(), &chunks]);
+    system.expect_unharmed();
+}
+
+// A body far above the limit was read in whole before it was refused.
+#[test]
+fn endless_bodies() {
+    const ANNOUNCED: usize = 300 * 1024 * 1024;
+    const PIECE: usize = 1024 * 1024;
+    let mut system = LimitedSystem::start();
+    let front = system.group.front(0);
+    let piece = vec![b' '; PIECE];
+    let chunk = [format!("{PIECE:x}\r\n").as_bytes(), &piece, b"\r\n"].concat();
+    let announced = head("POST", JOB_PATH, &format!("Content-Length: {ANNOUNCED}"));
+    let chunked = head("POST", JOB_PATH, "Transfer-Encoding: chunked");
+    let mut crowd = Vec::new();
+    for (head, part) in [(announced, &piece), (chunked, &chunk)] {
+        let mut parts = vec![head.as_bytes()];
+        parts.extend((0..100).map(|_| part.as_slice()));
+        crowd.extend(send(front, &parts));
+    }
+    system.expect_unharmed();
+}
+
+// Connections that stop within a request line were kept until their clients left.
+#[test]
+fn half_requests() {
+    let mut system = LimitedSystem::start();
+    let (front, ready) = (system.group.front(0), system.group.ready_address(0));
+    let mut crowd = send_all(front, CROWD, &[b"GET /x/ HT"]);
+    crowd.extend(send_all(ready, CROWD, &[b"GET /cactuswing/readi"]));
+    system.expect_unharmed();
+    assert!(wait_until(|| system.group.is_ready()), "readiness is answered");
+}
+
+// Many requests on one connection whose replies nobody reads.
+#[test]
+fn unread_replies() {
+    let mut system = LimitedSystem::start();
+    let request = head("GET", "/x/", "Accept: */*");
+    let requests = request.repeat(20_000).into_bytes();
+    let _crowd = send_all(system.group.front(0), 30, &[&requests]);
+    system.expect_unharmed();
+}
+
+// Bodies of legal size with very many short parts, and jobs of very many tasks: each is
+// much larger in memory than on the wire.
+#[test]
+fn many_parts() {
+    let mut system = LimitedSystem::start();
+    let front = system.group.front(0);
+    let fill = |start: &str, part: &str, end: &str| {
+        let parts = (BODY_BYTES - start.len() - end.len()) / part.len() - 1;
+        format!("{start}{}{end}", part.repeat(parts))
+    };
+    let odd = [
+        fill("{\"best_effort\":true,\"steps\":[{}", ",{}", "]}"),
+        fill("{\"steps\":[{\"count\":1}],\"a\":0", ",\"a\":0", "}"),
+        fill("{\"steps\":[{\"count\":1}],\"a\":[0", ",0", "]}"),
+        fill("{\"steps\":[{\"count\":1},{\"depends_on\":[0", ",0", "]}]}"),
+        fill("{\"steps\":", "[", ""),
+        fill("{\"a\":", "[", ""),
+    ];
+    for body in &odd {
+        let headers = [("Host", HOST)];
+        let sent = raw_call(front, "POST", JOB_PATH, &headers, body.as_bytes(), PATIENT_LIMIT);
+        let status = sent.map(|response| response.status);
+        assert!(matches!(status, Ok(400)), "{status:?} for {}", &body[..40]);
+    }
+    let mut crowd = Vec::new();
+    for number in 0..CROWD {
+        let job = json!({ "best_effort": true, "steps": [
+            { "count": 100_000, "cpu": 1, "mem_mb": 1, "estimate_ms": 1_000 }
+        ] });
+        let job = job.to_string();
+        let path = format!("/x/{:016x}", 0xbeef_0000 + number);
+        let head = head("POST", &path, &format!("Content-Length: {}", job.len()));
+        crowd.extend(send(front, &[head.as_bytes(), job.as_bytes()]));
+    }
+    system.expect_unharmed();
+}
+
+// The addresses of operators and of backend servers took bodies of any size.
+#[test]
+fn inner_addresses() {
+    let mut system = LimitedSystem::start();
+    let body = vec![b' '; SENT_BYTES];
+    let mut crowd = Vec::new();
+    let targets = [(CONTROL, "/cactuswing/config"), (AGENT, "/cactuswing/instances/i-0002")];
+    for (host, path) in targets {
+        let address = system.group.control_address(host);
+        let head = legal_head("PUT", path);
+        crowd.extend(send_all(address, CROWD, &[head.as_bytes(), &body]));
+    }
+    system.expect_unharmed();
+    system.set_config();
+}
+
+// A client that reads its reply byte by byte, or not at all, keeps one connection, and is
+// told the truth: an announced length above the limit is refused before it is read.
+#[test]
+fn long_length_refused() {
+    let mut system = LimitedSystem::start();
+    let head = head("POST", JOB_PATH, "Content-Length: 300000000");
+    let mut stream = send(system.group.front(0), &[head.as_bytes()]).expect("it connects");
+    stream.set_read_timeout(Some(CLIENT_TIMEOUT * 20)).expect("a time is set");
+    let mut reply = [0; 12];
+    stream.read_exact(&mut reply).expect("the reply comes without the body");
+    assert_eq!(&reply, b"HTTP/1.1 413");
+    system.expect_unharmed();
+}
--- a/tests/deployed_group.rs
+++ b/tests/deployed_group.rs
@@ -8,6 +8,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+use model::ProcessLimits;
 use rustix::process::{Pid, Signal, kill_process};
 use standin::{LeaseShape, RawResponse, raw_call};
 
@@ -60,6 +61,9 @@
     }
 }
 
+/// Limits of each process where a test sets none: more than it needs.
+const USUAL_LIMITS: ProcessLimits = ProcessLimits { memory_mb: 512, max_fds: 16_384 };
+
 struct DeployedProcess {
     host: RoleHost,
     child: Option<Child>,
@@ -71,6 +75,7 @@
     control_count: usize,
     entry_count: usize,
     network: [u8; 2],
+    limits: ProcessLimits,
     _claim: TcpListener,
     folder: PathBuf,
     /// Whether the folder with logs and data stays.
@@ -99,6 +104,16 @@
 impl DeployedGroup {
     /// Starts all processes for the first time.
     pub(crate) fn start(controls: usize, entries: usize, agents: usize) -> DeployedGroup {
+        DeployedGroup::start_limited(controls, entries, agents, USUAL_LIMITS)
+    }
+
+    /// Starts all processes for the first time, each with these limits.
+    pub(crate) fn start_limited(
+        controls: usize,
+        entries: usize,
+        agents: usize,
+        limits: ProcessLimits,
+    ) -> DeployedGroup {
         let (network, claim) = claim_network();
         let folder = folder_of(network);
         std::fs::create_dir_all(&folder).expect("temporary folder is created");
@@ -112,6 +127,7 @@
             control_count: controls,
             entry_count: entries,
             network,
+            limits,
             _claim: claim,
             folder,
             keeps_folder: false,
@@ -137,6 +153,19 @@
         (self.ip(RoleHost::Entry(entry)), FRONT_PORT).into()
     }
 
+    /// Where an entry serves its readiness.
+    pub(crate) fn ready_address(&self, entry: usize) -> SocketAddr {
+        (self.ip(RoleHost::Entry(entry)), READY_PORT).into()
+    }
+
+    /// The id of a process; `None` if it has been killed or has ended.
+    pub(crate) fn process_id(&mut self, host: RoleHost) -> Option<u32> {
+        match self.has_ended(host) {
+            true => None,
+            false => self.process(host).child.as_ref().map(Child::id),
+        }
+    }
+
     pub(crate) fn folder(&self) -> &std::path::Path {
         &self.folder
     }
@@ -178,6 +207,8 @@
             ("{{bounds.hold_max_ms}}", "1000".to_owned()),
             ("{{bounds.remote_factor}}", "1.5".to_owned()),
             ("{{bounds.config_ms}}", "2000".to_owned()),
+            ("{{limits.memory_mb}}", self.limits.memory_mb.to_string()),
+            ("{{limits.max_fds}}", self.limits.max_fds.to_string()),
         ];
         let settings =
             values.iter().fold(template, |text, (name, value)| text.replace(name, value));
@@ -244,7 +275,7 @@
     /// Whether all entries say that they are ready.
     pub(crate) fn is_ready(&self) -> bool {
         (0..self.entry_count).all(|entry| {
-            let address = (self.ip(RoleHost::Entry(entry)), READY_PORT).into();
+            let address = self.ready_address(entry);
             let host = [("Host", "ready")];
             let path = "/cactuswing/readiness";
             let probe = raw_call(address, "GET", path, &host, b"", PROBE_TIMEOUT);
--- a/tests/odd_jobs.rs
+++ b/tests/odd_jobs.rs
@@ -96,6 +96,35 @@
     assert!(read_job(&"r-1".into(), JOB_ID, ignored.as_bytes()).is_ok());
 }
 
+// Very many short parts: each takes far more memory and time decoded than on the wire.
+#[test]
+fn many_parts_refused() {
+    let fields = "\"a\":0,".repeat(64);
+    let items = "0,".repeat(10_000);
+    let nested = format!("[{}0],", "0,".repeat(20)).repeat(9_999);
+    for (body, named) in [
+        (format!("{{{fields}\"steps\":[{{\"count\":1}}]}}"), "fields"),
+        (format!("{{\"steps\":[{{{fields}\"count\":1}}]}}"), "fields"),
+        (format!("{{\"novel\":[{items}0],\"steps\":[{{\"count\":1}}]}}"), "items"),
+        (format!("{{\"steps\":[{}{{}}]}}", "{},".repeat(10_000)), "items"),
+        (format!("{{\"novel\":[{nested}0]}}"), "values"),
+        ("{\"steps\":[{\"count\":1},{\"depends_on\":[0,0]}]}".to_owned(), "dependencies"),
+    ] {
+        let error = read_job(&"r-1".into(), JOB_ID, body.as_bytes()).expect_err("too many parts");
+        assert!(error.to_string().contains(named), "{named}: {error}");
+    }
+}
+
+// Separators within strings are no parts, and a job of the most steps is decoded.
+#[test]
+fn ordinary_shapes_accepted() {
+    let spec = "{\\\",".repeat(600);
+    let steps = vec!["{\"count\":1,\"cpu\":1}"; 5_000].join(",");
+    let body = format!("{{\"spec\":\"{spec}\",\"steps\":[{steps}]}}");
+    let read = read_job(&"r-1".into(), JOB_ID, body.as_bytes());
+    assert_eq!(read.map(|job| job.steps.len()).map_err(|error| error.to_string()), Ok(5_000));
+}
+
 /// Submits an odd job and then a usual one to the same scheduler.
 fn submit_both(scheduler: usize, steps: Vec<JobStep>) -> (ScheduleModel, CallStatus) {
     let best_effort = scheduler > 0;
--- a/tests/operator_redirects.rs
+++ b/tests/operator_redirects.rs
@@ -10,7 +10,7 @@
 use kernel::{Kernel, PopResult, Registry, RingReceiver, SharedClock, SystemClock};
 use model::{
     ControlReply, ControlReplyBody, EventLog, LeaderHint, LogLine, LogMessage, ProcessCounters,
-    ServiceName,
+    ProcessLimits, ServiceName,
 };
 use platform::OperatorFront;
 
@@ -44,7 +44,12 @@
         let lines = registry.find(ServiceName::LogWriter).expect("the log writer is registered");
         let clock: SharedClock = Arc::new(SystemClock);
         let log = EventLog::new(lines, clock, ProcessCounters::default());
-        let front = OperatorFront { host: control_host(1), port: 8000 };
+        let front = OperatorFront {
+            host: control_host(1),
+            port: 8000,
+            clock: Arc::new(SystemClock),
+            limits: ProcessLimits::default(),
+        };
         front.run(&ring, &registry, log, listener);
     };
     kernel.register(ServiceName::OperatorFront, RING_SLOTS, run_front).expect("the name is free");
--- a/tests/queued_calls.rs
+++ b/tests/queued_calls.rs
@@ -8,8 +8,8 @@
 use assert_matches::assert_matches;
 use kernel::{Kernel, PopResult, SharedClock, SystemClock, bounded};
 use model::{
-    EventLog, LogLine, ProcessCounters, ServerAnswer, ServerCall, ServerFrontMessage,
-    ServerRequest, ServerRunsMessage, ServiceName, TaskName, TaskRun,
+    EventLog, LogLine, ProcessCounters, ProcessLimits, ServerAnswer, ServerCall,
+    ServerFrontMessage, ServerRequest, ServerRunsMessage, ServiceName, TaskName, TaskRun,
 };
 use platform::ServerFront;
 
@@ -64,7 +64,8 @@
     listener.set_nonblocking(true).expect("a socket option");
     let (answers, answered) = bounded::<ServerRunsMessage>(64);
     let mut kernel: Kernel<ServiceName> = Kernel::default();
-    let front = ServerFront { clock, server_address };
+    let limits = ProcessLimits::default();
+    let front = ServerFront { clock, server_address, limits };
     kernel
         .register::<ServerFrontMessage, _>(ServiceName::ServerFront, 64, move |ring, registry| {
             front.run(&ring, &registry, log, listener);
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -90,6 +90,7 @@
             .map(|service| (service.into(), ServiceRule { enforces_capacity: true }))
             .collect(),
         body_limit_bytes: 1_000,
+        request_limits: model::RequestLimits::default(),
         document: format!("{{\"version\":{version}}}"),
     })
 }
