--- a/crates/edges/src/http_listener.rs
+++ b/crates/edges/src/http_listener.rs
@@ -29,6 +29,7 @@
 use indexmap::IndexMap;
 use kernel::SharedClock;
 use model::{EventLine, EventLog, ProcessLimits};
+use rustix::net::sockopt;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc, watch};
@@ -46,6 +47,9 @@
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Maximum number of header fields of a request.
 const MAX_HEADER_FIELDS: usize = 100;
+/// Size of each of the two socket buffers of a connection. The system would let them grow to
+/// megabytes for a client that doesn't read, or that sends while its request is served.
+const SOCKET_BUFFER_BYTES: usize = 32 * 1024;
 /// Interval at which overdue connections are closed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// First capacity of the buffer for a body; it doubles up to what is announced.
@@ -217,6 +221,10 @@
         H: Fn(HttpRequest) -> F + Clone + 'static,
         F: Future<Output = Response> + 'static,
     {
+        // Accepted connections have the sizes of the listener. If they can't be set, the
+        // connections work all the same.
+        let _set = sockopt::set_socket_recv_buffer_size(&listener, SOCKET_BUFFER_BYTES);
+        let _set = sockopt::set_socket_send_buffer_size(&listener, SOCKET_BUFFER_BYTES);
         let listener = TcpListener::from_std(listener).expect("the listener is non-blocking");
         let (open_sender, mut open) = mpsc::channel::<Infallible>(1);
         let mut stopped = stop.clone();
@@ -390,6 +398,11 @@
         }
     }
 
+    /// Most bytes that the listener ever holds.
+    pub fn max_bytes(&self) -> u64 {
+        self.shared.table().limits().max_held_bytes
+    }
+
     /// Whether a body was given up halfway: the rest of it still arrives.
     fn was_refused(&self, response: &Response) -> bool {
         response.extensions().get::<UnreadBody>().is_some()
