Connections by cause in the metrics; jobs that were read go before stopped bodies

Cause: while stopped bodies filled the budget of bytes, a job that was read in full got no room for its steps and tasks: it ranked below none (connection_budget::read_request_first). A chunked body that nobody asks for counted as short and was read on. Change: requests that were read in full go before all that still arrive; only a short announced length is read and dropped. cactuswing_closed_connections_total counts by cause; CloseCause is part of the model.

--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -110,6 +110,7 @@
             port: address.port(),
             clock: clock.clone(),
             limits: settings.limits,
+            counters: context.counters.clone(),
         };
         let front_context = context.clone();
         kernel.register::<ControlReply, _>(
--- a/crates/cactuswing/src/roles/server_agent.rs
+++ b/crates/cactuswing/src/roles/server_agent.rs
@@ -59,6 +59,7 @@
         clock: clock.clone(),
         server_address: server.address,
         limits: settings.limits,
+        counters: context.counters.clone(),
     };
     let front_context = context.clone();
     kernel.register(ServiceName::ServerFront, DUTY_RING_SLOTS, move |ring, registry| {
--- a/crates/decisions/src/connections/connection_table.rs
+++ b/crates/decisions/src/connections/connection_table.rs
@@ -11,7 +11,8 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use strum::{EnumCount, EnumIter, IntoEnumIterator, IntoStaticStr};
+use model::CloseCause;
+use strum::{EnumCount, IntoEnumIterator};
 
 use super::ListenerLimits;
 
@@ -41,28 +42,6 @@
     Lingering,
 }
 
-/// Why a connection was refused or closed, or a request refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, EnumCount, EnumIter, IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-pub enum CloseCause {
-    /// It was not accepted: all connections serve requests.
-    Refused,
-    /// It gave way to another one, or to the body of another one.
-    GaveWay,
-    /// The body of its request found no room.
-    NoRoom,
-    /// The head of its request took too long.
-    SlowHead,
-    /// The body of its request took too long.
-    SlowBody,
-    /// Its client did not read a reply.
-    SlowReader,
-    /// It was idle for too long.
-    Idle,
-    /// The body of its request is too long.
-    LongBody,
-}
-
 #[derive(Debug, Clone)]
 struct Connection {
     phase: ConnectionPhase,
@@ -300,11 +279,13 @@
             return self.refuse_body();
         }
         let own_rank = connection.close_rank(now);
+        let gives_way = |rank: Option<_>| own_rank.is_none() || rank < own_rank;
         let mut victims = Vec::new();
         while self.held + bytes > self.limits.max_held_bytes {
-            // A request gives way to none that is slower or older than itself.
+            // A request gives way to none that is slower or older than itself, and one that
+            // was read in full to none.
             let victim = self.first_to_close(now, |other, connection| {
-                other != id && connection.held > 0 && connection.close_rank(now) < own_rank
+                other != id && connection.held > 0 && gives_way(connection.close_rank(now))
             });
             let Some(victim) = victim else { return self.refuse_body() };
             self.close(victim, CloseCause::GaveWay);
--- a/crates/decisions/src/connections/mod.rs
+++ b/crates/decisions/src/connections/mod.rs
@@ -10,7 +10,5 @@
 mod connection_table;
 mod listener_limits;
 
-pub use connection_table::{
-    CloseCause, ConnectionId, ConnectionTable, OpenStep, ReserveStep, TableSummary,
-};
+pub use connection_table::{ConnectionId, ConnectionTable, OpenStep, ReserveStep, TableSummary};
 pub use listener_limits::{ListenerKind, ListenerLimits};
--- a/crates/edges/src/backend_edge.rs
+++ b/crates/edges/src/backend_edge.rs
@@ -95,6 +95,7 @@
         name: "announcements",
         clock: edge.clock.clone(),
         log: EventLog::new(log, edge.clock.clone(), edge.counters.clone()),
+        counters: edge.counters.clone(),
         kind: ListenerKind::Inner,
         process: edge.limits,
     });
--- a/crates/edges/src/caller_edge.rs
+++ b/crates/edges/src/caller_edge.rs
@@ -98,6 +98,7 @@
         name: "callers",
         clock: edge.clock.clone(),
         log: EventLog::new(log, edge.clock.clone(), edge.counters.clone()),
+        counters: edge.counters.clone(),
         kind: ListenerKind::Clients,
         process: edge.limits,
     });
--- a/crates/edges/src/http_listener.rs
+++ b/crates/edges/src/http_listener.rs
@@ -19,7 +19,7 @@
 use std::time::{Duration, Instant};
 
 use decisions::connections::{
-    CloseCause, ConnectionId, ConnectionTable, ListenerKind, ListenerLimits, OpenStep, ReserveStep,
+    ConnectionId, ConnectionTable, ListenerKind, ListenerLimits, OpenStep, ReserveStep,
 };
 use http_body_util::BodyExt;
 use hyper::body::{Body, Bytes, Incoming};
@@ -28,7 +28,7 @@
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use kernel::SharedClock;
-use model::{EventLine, EventLog, ProcessLimits};
+use model::{CloseCause, EventLine, EventLog, ProcessCounters, ProcessLimits};
 use rustix::net::sockopt;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
@@ -45,8 +45,6 @@
 const HIGHEST_HEADER_BYTES: u64 = 1024 * 1024;
 /// Least size of the buffer that the HTTP library reads into.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
-/// Maximum number of header fields of a request.
-const MAX_HEADER_FIELDS: usize = 100;
 /// Size of each of the two socket buffers of a connection. The system would let them grow to
 /// megabytes for a client that doesn't read, or that sends while its request is served.
 const SOCKET_BUFFER_BYTES: usize = 32 * 1024;
@@ -67,6 +65,8 @@
     pub clock: SharedClock,
     /// Takes a line for each interval in which something was refused or closed.
     pub log: EventLog,
+    /// Counters of the process.
+    pub counters: ProcessCounters,
     /// Kind of its clients.
     pub kind: ListenerKind,
     /// Limits of the process.
@@ -94,6 +94,7 @@
     name: &'static str,
     clock: SharedClock,
     log: EventLog,
+    counters: ProcessCounters,
     /// Limits that hold where the configuration sets none.
     defaults: ListenerLimits,
     table: Mutex<ConnectionTable>,
@@ -173,6 +174,7 @@
                 .with("max_open", summary.max_open)
                 .with("max_held_bytes", summary.max_held_bytes);
             for (cause, count) in summary.closed {
+                self.counters.count_closed(cause, count);
                 line = line.with(cause.into(), count);
             }
             self.log.warn(line);
@@ -186,12 +188,21 @@
 impl HttpServer {
     /// Creates the state of a listener without connections.
     pub fn new(listener: HttpListener) -> HttpServer {
-        let HttpListener { name, clock, log, kind, process } = listener;
+        let HttpListener { name, clock, log, counters, kind, process } = listener;
         let defaults = ListenerLimits::new(kind, process);
         let table = Mutex::new(ConnectionTable::new(clock.now(), defaults));
         let max_header_bytes = AtomicUsize::new(MAX_HEADER_BYTES);
         let closers = Mutex::default();
-        let shared = ListenerState { name, clock, log, defaults, table, closers, max_header_bytes };
+        let shared = ListenerState {
+            name,
+            clock,
+            log,
+            counters,
+            defaults,
+            table,
+            closers,
+            max_header_bytes,
+        };
         HttpServer { shared: Arc::new(shared) }
     }
 
@@ -325,7 +336,6 @@
     });
     let mut connection = http1::Builder::new()
         .header_read_timeout(None)
-        .max_headers(MAX_HEADER_FIELDS)
         .max_header_size(max_header_bytes)
         .max_buf_size(max_header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
@@ -366,10 +376,10 @@
     async move {
         let mut response = reply.await;
         let unread = lock(&incoming).take();
+        let is_short =
+            |body: &Incoming| body.size_hint().exact().is_some_and(|n| n <= DROPPED_BODY_BYTES);
         let is_unread = match unread {
-            Some(unread) if unread.size_hint().exact() <= Some(DROPPED_BODY_BYTES) => {
-                hold.drop_body(unread).await.is_err()
-            }
+            Some(unread) if is_short(&unread) => hold.drop_body(unread).await.is_err(),
             Some(_) => true,
             None => hold.was_refused(&response),
         };
--- a/crates/edges/src/metrics.rs
+++ b/crates/edges/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Encodes the counters of a process for the `/metrics` routes.
 
-use model::{ErrorKind, MessageKind, ProcessCounters};
+use model::{CloseCause, ErrorKind, MessageKind, ProcessCounters};
 use prometheus::{Encoder, GaugeVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 use strum::IntoEnumIterator;
 
@@ -28,6 +28,11 @@
     for kind in ErrorKind::iter() {
         failures.with_label_values(&[<&str>::from(kind)]).inc_by(counters.failures(kind));
     }
+    let name = "cactuswing_closed_connections_total";
+    let closed = counter(registry, name, "Refused and closed connections by cause", "cause")?;
+    for cause in CloseCause::iter() {
+        closed.with_label_values(&[<&str>::from(cause)]).inc_by(counters.closed(cause));
+    }
     let duty_time = GaugeVec::new(
         Opts::new("cactuswing_duty_seconds", "Processor time by duty so far, in seconds"),
         &["duty"],
--- a/crates/model/src/counters.rs
+++ b/crates/model/src/counters.rs
@@ -9,6 +9,7 @@
 
 use strum::IntoEnumIterator;
 
+use crate::close_cause::CloseCause;
 use crate::error::ErrorKind;
 use crate::message_kind::MessageKind;
 
@@ -24,6 +25,8 @@
     messages: Vec<AtomicU64>,
     /// Failed answers, indexed by [`ErrorKind`].
     failures: Vec<AtomicU64>,
+    /// Refused and closed connections, indexed by [`CloseCause`].
+    closed: Vec<AtomicU64>,
     completed: AtomicU64,
     waiting: AtomicU64,
     in_progress: AtomicU64,
@@ -36,6 +39,7 @@
         CounterCells {
             messages: MessageKind::iter().map(|_| AtomicU64::new(0)).collect(),
             failures: ErrorKind::iter().map(|_| AtomicU64::new(0)).collect(),
+            closed: CloseCause::iter().map(|_| AtomicU64::new(0)).collect(),
             completed: AtomicU64::new(0),
             waiting: AtomicU64::new(0),
             in_progress: AtomicU64::new(0),
@@ -77,6 +81,16 @@
         self.cells.failures[kind as usize].load(Ordering::Relaxed)
     }
 
+    /// Counts refused and closed connections of one cause.
+    pub fn count_closed(&self, cause: CloseCause, connections: u64) {
+        self.cells.closed[cause as usize].fetch_add(connections, Ordering::Relaxed);
+    }
+
+    /// Number of refused and closed connections of one cause.
+    pub fn closed(&self, cause: CloseCause) -> u64 {
+        self.cells.closed[cause as usize].load(Ordering::Relaxed)
+    }
+
     /// Counts a complete answer.
     pub fn count_completion(&self) {
         self.cells.completed.fetch_add(1, Ordering::Relaxed);
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -8,6 +8,7 @@
 //! - settings and operator configurations are used only after full validation.
 
 mod agent_messages;
+mod close_cause;
 mod cluster;
 mod command;
 mod config_delta;
@@ -36,6 +37,7 @@
 mod work;
 
 pub use agent_messages::*;
+pub use close_cause::*;
 pub use cluster::*;
 pub use command::*;
 pub use config_delta::*;
--- a/tests/client_crowds.rs
+++ b/tests/client_crowds.rs
@@ -45,6 +45,7 @@
 const CONTROL: RoleHost = RoleHost::Control(0);
 const ENTRY: RoleHost = RoleHost::Entry(0);
 const AGENT: RoleHost = RoleHost::Agent(0);
+const ENTRY_LOG: &str = "entry-0.log";
 
 fn wait_until(mut is_met: impl FnMut() -> bool) -> bool {
     let limit = Instant::now() + PATIENT_LIMIT;
@@ -131,6 +132,11 @@
         std::fs::read_dir(format!("/proc/{id}/fd")).expect("it is readable").count() as u64
     }
 
+    fn log_has(&self, name: &str, text: &str) -> bool {
+        let log = std::fs::read_to_string(self.group.folder().join(name));
+        log.is_ok_and(|log| log.contains(text))
+    }
+
     /// Checks that each process is alive and has stayed within its limits.
     fn expect_within_limits(&mut self) {
         let mut excesses = Vec::new();
@@ -277,6 +283,10 @@
     crowd.extend(send_all(ready, CROWD, &[b"GET /cactuswing/readi"]));
     system.expect_unharmed();
     assert!(wait_until(|| system.group.is_ready()), "readiness is answered");
+    for listener in ["callers", "readiness"] {
+        let line = format!("connections_limited listener={listener}");
+        assert!(wait_until(|| system.log_has(ENTRY_LOG, &line)), "{line}");
+    }
 }
 
 // Many requests on one connection whose replies nobody reads.
--- a/tests/connection_budget.rs
+++ b/tests/connection_budget.rs
@@ -5,9 +5,9 @@
 use std::time::{Duration, Instant};
 
 use decisions::connections::{
-    CloseCause, ConnectionId, ConnectionTable, ListenerKind, ListenerLimits, OpenStep, ReserveStep,
+    ConnectionId, ConnectionTable, ListenerKind, ListenerLimits, OpenStep, ReserveStep,
 };
-use model::ProcessLimits;
+use model::{CloseCause, ProcessLimits};
 
 const KB: u64 = 1_024;
 
@@ -115,6 +115,19 @@
     assert_eq!((table.held_bytes(), table.open_count()), (0, 0));
 }
 
+// Stopped bodies that fill the budget must not keep a job out that was read in full.
+#[test]
+fn read_request_first() {
+    let start = Instant::now();
+    let mut table = ConnectionTable::new(start, limits(100, 200 * KB));
+    let id = stopped_body(&mut table, start, KB);
+    table.on_body_end(start, id);
+    let stopped = stopped_body(&mut table, start, 199 * KB);
+    let step = table.reserve(start, id, 10 * KB);
+    assert_eq!(step, ReserveStep::Grant(vec![stopped]));
+    assert_eq!(table.held_bytes(), 11 * KB);
+}
+
 // A stopped request that goes on must not push out one that arrives at its usual speed.
 #[test]
 fn slow_pushes_none() {
--- a/tests/operator_redirects.rs
+++ b/tests/operator_redirects.rs
@@ -49,6 +49,7 @@
             port: 8000,
             clock: Arc::new(SystemClock),
             limits: ProcessLimits::default(),
+            counters: ProcessCounters::default(),
         };
         front.run(&ring, &registry, log, listener);
     };
--- a/tests/queued_calls.rs
+++ b/tests/queued_calls.rs
@@ -65,7 +65,7 @@
     let (answers, answered) = bounded::<ServerRunsMessage>(64);
     let mut kernel: Kernel<ServiceName> = Kernel::default();
     let limits = ProcessLimits::default();
-    let front = ServerFront { clock, server_address, limits };
+    let front = ServerFront { clock, server_address, limits, counters: ProcessCounters::default() };
     kernel
         .register::<ServerFrontMessage, _>(ServiceName::ServerFront, 64, move |ring, registry| {
             front.run(&ring, &registry, log, listener);
