--- a/crates/cactuswing/src/cli.rs
+++ b/crates/cactuswing/src/cli.rs
@@ -255,13 +255,26 @@
 
 /// A command that runs one role with the settings in a file.
 fn role_command(name: &'static str, about: &'static str) -> Command {
-    Command::new(name).about(about).arg(
-        Arg::new("settings")
-            .long("settings")
-            .required(true)
-            .value_name("FILE")
-            .help("Settings as JSON; `cactuswing example` prints one to start from"),
-    )
+    Command::new(name)
+        .about(about)
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .required(true)
+                .value_name("FILE")
+                .help("Settings as JSON; `cactuswing example` prints one to start from"),
+        )
+        .arg(limit_arg("memory-mb", 16, "Memory of the process in MB; goes before the settings"))
+        .arg(limit_arg("max-fds", 64, "Descriptors of the process; goes before the settings"))
+}
+
+/// A limit of the host on the process; `least` is the least value that it can work with.
+fn limit_arg(name: &'static str, least: u64, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("NUMBER")
+        .value_parser(value_parser!(u64).range(least..))
+        .help(help)
 }
 
 fn host_count_arg() -> Arg {
--- a/crates/cactuswing/src/commands/serve.rs
+++ b/crates/cactuswing/src/commands/serve.rs
@@ -9,7 +9,8 @@
 use clap::ArgMatches;
 use kernel::{DutyFailure, RingReceiver, SharedClock, SystemClock, panic_message};
 use model::{
-    EventLine, LineLevel, LogSettings, ValidationError, read_agent_settings, read_control_settings,
+    AgentSettings, ControlSettings, EntrySettings, EventLine, LineLevel, LogSettings,
+    ProcessLimits, ValidationError, read_agent_settings, read_control_settings,
     read_entry_settings,
 };
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -23,23 +24,51 @@
 
 /// Runs an entry, which serves callers.
 pub fn run_entry(matches: &ArgMatches) -> ExitKind {
-    serve(matches, "entry", read_entry_settings, |settings, clock| {
+    serve(matches, "entry", read_entry_settings, |settings: &mut EntrySettings, limits, clock| {
+        limits.apply(&mut settings.limits);
         (settings.log.clone(), start_entry(settings, clock))
     })
 }
 
 /// Runs an agent, which starts tasks on the backend servers beside it.
 pub fn run_agent(matches: &ArgMatches) -> ExitKind {
-    serve(matches, "agent", read_agent_settings, |settings, clock| {
+    serve(matches, "agent", read_agent_settings, |settings: &mut AgentSettings, limits, clock| {
+        limits.apply(&mut settings.limits);
         (settings.log.clone(), start_agent(settings, clock))
     })
 }
 
 /// Runs a control host, which keeps the durable state.
 pub fn run_control(matches: &ArgMatches) -> ExitKind {
-    serve(matches, "control", read_control_settings, |settings, clock| {
-        (settings.log.clone(), start_control(settings, clock))
-    })
+    serve(
+        matches,
+        "control",
+        read_control_settings,
+        |settings: &mut ControlSettings, limits, clock| {
+            limits.apply(&mut settings.limits);
+            (settings.log.clone(), start_control(settings, clock))
+        },
+    )
+}
+
+/// Limits of the process on the command line, which go before those of the settings: whoever
+/// starts the process knows its host.
+#[derive(Debug, Clone, Copy)]
+struct LimitArguments {
+    memory_mb: Option<u64>,
+    max_fds: Option<u64>,
+}
+
+impl LimitArguments {
+    fn of(matches: &ArgMatches) -> LimitArguments {
+        let value = |name| matches.get_one::<u64>(name).copied();
+        LimitArguments { memory_mb: value("memory-mb"), max_fds: value("max-fds") }
+    }
+
+    fn apply(self, limits: &mut ProcessLimits) {
+        limits.memory_mb = self.memory_mb.unwrap_or(limits.memory_mb);
+        limits.max_fds = self.max_fds.unwrap_or(limits.max_fds);
+    }
 }
 
 /// Reads the settings, starts the role and runs it until a signal; a file without
@@ -48,7 +77,11 @@
     matches: &ArgMatches,
     role: &str,
     read: impl Fn(&str) -> Result<S, Vec<ValidationError>>,
-    start: impl Fn(&S, &SharedClock) -> (LogSettings, Result<RunningRole, RoleError>),
+    start: impl Fn(
+        &mut S,
+        LimitArguments,
+        &SharedClock,
+    ) -> (LogSettings, Result<RunningRole, RoleError>),
 ) -> ExitKind {
     let path = argument(matches, "settings");
     println!("event=starting role={role} version={} settings={path}", env!("CARGO_PKG_VERSION"));
@@ -56,12 +89,12 @@
         Ok(text) => text,
         Err(exit) => return exit,
     };
-    let settings = match read(&text) {
+    let mut settings = match read(&text) {
         Ok(settings) => settings,
         Err(errors) => return show_errors(path, &errors, false),
     };
     let clock: SharedClock = Arc::new(SystemClock);
-    let (log, started) = start(&settings, &clock);
+    let (log, started) = start(&mut settings, LimitArguments::of(matches), &clock);
     if let Err(error) = edges::log_writer::open_log(&log) {
         eprintln!("{error}");
         return ExitKind::BadInput;
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -41,6 +41,23 @@
     Priority,
 }
 
+/// The limits that the host sets to a process. Its budgets of connections and buffers are
+/// shares of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ProcessLimits {
+    /// Memory that the process may use, in MB.
+    pub memory_mb: u64,
+    /// File descriptors that the process may have open.
+    pub max_fds: u64,
+}
+
+impl Default for ProcessLimits {
+    fn default() -> ProcessLimits {
+        ProcessLimits { memory_mb: 512, max_fds: 16_384 }
+    }
+}
+
 /// Settings of an entry.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -82,6 +99,9 @@
     /// policies).
     #[serde(default)]
     pub seed: u64,
+    /// Limits of the process.
+    #[serde(default)]
+    pub limits: ProcessLimits,
     /// Log output.
     #[serde(default)]
     pub log: LogSettings,
@@ -245,6 +265,9 @@
     /// Longest duration of a drain, in milliseconds.
     #[serde(default = "default_drain_limit")]
     pub drain_limit_ms: u64,
+    /// Limits of the process.
+    #[serde(default)]
+    pub limits: ProcessLimits,
     /// Log output.
     #[serde(default)]
     pub log: LogSettings,
@@ -368,6 +391,9 @@
     /// absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub precedence: Option<Precedence>,
+    /// Limits of the process.
+    #[serde(default)]
+    pub limits: ProcessLimits,
     /// Log output.
     #[serde(default)]
     pub log: LogSettings,
@@ -443,6 +469,10 @@
 const LEVELS: &[&str] = &["error", "warn", "info", "debug", "trace"];
 const LOG_FIELDS: &[FieldRule] =
     &[optional("level", ValueSchema::OneOf(LEVELS)), optional("file", ValueSchema::Text)];
+const LIMIT_FIELDS: &[FieldRule] = &[
+    optional("memory_mb", ValueSchema::Integer(16, 16_000_000)),
+    optional("max_fds", ValueSchema::Integer(64, 100_000_000)),
+];
 const DURATION_MS: ValueSchema = ValueSchema::Integer(1, MAX_DURATION_MS);
 const RETENTION_MS: ValueSchema = ValueSchema::Integer(1_000, 24 * MAX_DURATION_MS);
 const PRECEDENCES: &[&str] = &["priority"];
@@ -484,6 +514,7 @@
     optional("front", ValueSchema::Object(FRONT_FIELDS)),
     optional("agent_limit", ValueSchema::Integer(1, 10_000)),
     optional("seed", ValueSchema::Integer(0, u64::MAX)),
+    optional("limits", ValueSchema::Object(LIMIT_FIELDS)),
     optional("log", ValueSchema::Object(LOG_FIELDS)),
 ]);
 
@@ -504,6 +535,7 @@
     optional("announce_ttl_ms", DURATION_MS),
     optional("retention_ms", RETENTION_MS),
     optional("drain_limit_ms", DURATION_MS),
+    optional("limits", ValueSchema::Object(LIMIT_FIELDS)),
     optional("log", ValueSchema::Object(LOG_FIELDS)),
 ]);
 
@@ -525,6 +557,7 @@
     optional("retention_ms", RETENTION_MS),
     optional("snapshot_records", ValueSchema::Integer(16, 10_000_000)),
     optional("precedence", ValueSchema::OneOf(PRECEDENCES)),
+    optional("limits", ValueSchema::Object(LIMIT_FIELDS)),
     optional("log", ValueSchema::Object(LOG_FIELDS)),
 ]);
 
--- a/tests/operator_redirects.rs
+++ b/tests/operator_redirects.rs
@@ -10,7 +10,7 @@
 use kernel::{Kernel, PopResult, Registry, RingReceiver, SharedClock, SystemClock};
 use model::{
     Command, ControlReply, ControlReplyBody, EventLog, LeaderHint, LogLine, LogMessage,
-    ProcessCounters, ServiceName,
+    ProcessCounters, ProcessLimits, ServiceName,
 };
 use platform::OperatorFront;
 
@@ -60,7 +60,13 @@
         let lines = registry.find(ServiceName::LogWriter).expect("the log writer is registered");
         let clock: SharedClock = Arc::new(SystemClock);
         let log = EventLog::new(lines, clock, ProcessCounters::default());
-        let front = OperatorFront { host: control_host(1), port: 8000 };
+        let front = OperatorFront {
+            host: control_host(1),
+            port: 8000,
+            clock: Arc::new(SystemClock),
+            limits: ProcessLimits::default(),
+            counters: ProcessCounters::default(),
+        };
         front.run(&ring, &registry, log, listener);
     };
     kernel.register(ServiceName::OperatorFront, RING_SLOTS, run_front).expect("the name is free");
