Test of a power loss frees the addresses of its backend servers

Cause: the servers of `power_loss_keeps_evacuation` listened on after the test, and `process_soak`, which got the same loopback network, could not start its own ("Address already in use", in two runs of the suite).

Change: the test ends its servers and waits until their addresses are free.

Result: both tests hold, one after the other, once.

--- a/tests/evacuation_calls.rs
+++ b/tests/evacuation_calls.rs
@@ -2,7 +2,7 @@
 //! refused, a redirect that loses the domain, a name that is committed although no domain can
 //! have it, and an acknowledged call that a loss of power undoes.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
 use model::{Command, CommandResult, ControlReplyBody};
@@ -180,6 +180,21 @@
     }
 }
 
+impl Drop for ZonedGroup {
+    /// Ends the backend servers and waits until their addresses are free: another deployment of
+    /// this program may use the same ones.
+    fn drop(&mut self) {
+        for server in &self.servers {
+            server.crash();
+            let is_free = || TcpListener::bind(server.shape().address).is_ok();
+            let mut attempts = 0..MAX_ATTEMPTS;
+            while !is_free() && attempts.next().is_some() {
+                std::thread::sleep(PAUSE);
+            }
+        }
+    }
+}
+
 #[test]
 fn power_loss_keeps_evacuation() {
     let mut zoned = ZonedGroup::start();
