Schedulers differ in what they make of a reported speed

Cause: all entries get the same figures, so they rank servers of one speed alike and place their next tasks on the same one.

Change: a scheduler multiplies a reported slowness by a factor of its own for each agent, within 10%, from its incarnation and the agent's name.

--- a/crates/decisions/src/schedule/agent_state.rs
+++ b/crates/decisions/src/schedule/agent_state.rs
@@ -61,6 +61,8 @@
     speed: SpeedEstimate,
     /// Speed that this process of the agent has reported for this life.
     reported_speed: Option<SpeedReport>,
+    /// Factor on the reported slowness.
+    slowness_factor: f64,
     consecutive_failures: u32,
     pending_ends: VecDeque<PendingEnd>,
     /// Number of the end up to which all ends are recorded.
@@ -87,6 +89,7 @@
             paused_until: None,
             speed: SpeedEstimate::new(now),
             reported_speed: None,
+            slowness_factor: 1.0,
             consecutive_failures: 0,
             pending_ends: VecDeque::new(),
             last_acked_end: 0,
@@ -103,27 +106,33 @@
     /// Ratio of run times on this backend server to the estimates, by the agent's figure
     /// and this scheduler's own runs.
     pub fn slowness(&self) -> f64 {
-        self.speed.slowness_with(self.used_speed())
+        self.speed.slowness_with(self.used_slowness())
     }
 
-    /// The agent's figure, if it is based on enough jobs.
-    pub(super) fn used_speed(&self) -> Option<SpeedReport> {
-        self.reported_speed.filter(|report| report.jobs >= MIN_REPORTED_JOBS)
+    /// Slowness by the agent's figure, if it is based on enough jobs.
+    pub(super) fn used_slowness(&self) -> Option<f64> {
+        let report = self.reported_speed.filter(|report| report.jobs >= MIN_REPORTED_JOBS)?;
+        Some(report.slowness() * self.slowness_factor)
     }
 
     /// Whether this scheduler's own runs show the server to be much slower than its agent
     /// reports.
     pub(super) fn is_slower_than_reported(&self) -> bool {
-        self.used_speed().is_some_and(|report| self.slowness() > report.slowness())
+        self.used_slowness().is_some_and(|reported| self.slowness() > reported)
     }
 
-    /// Takes a reported speed; returns the figure used before if it has changed by more
-    /// than a quarter.
-    pub(super) fn set_reported_speed(&mut self, report: SpeedReport) -> Option<f64> {
+    /// Takes a reported speed, with this scheduler's factor on it; returns the slowness used
+    /// before if it has changed by more than a quarter.
+    pub(super) fn set_reported_speed(
+        &mut self,
+        report: SpeedReport,
+        slowness_factor: f64,
+    ) -> Option<f64> {
         let before = self.slowness();
-        let was_used = self.used_speed().is_some();
+        let was_used = self.used_slowness().is_some();
         self.reported_speed = Some(report);
-        let ratio = self.used_speed()?.slowness() / before;
+        self.slowness_factor = slowness_factor;
+        let ratio = self.used_slowness()? / before;
         let changed = !(1.0 / NOTABLE_FACTOR..=NOTABLE_FACTOR).contains(&ratio);
         (changed || !was_used).then_some(before)
     }
--- a/crates/decisions/src/schedule/mod.rs
+++ b/crates/decisions/src/schedule/mod.rs
@@ -34,6 +34,7 @@
 mod scheduler;
 mod server_sizes;
 mod speed_estimate;
+mod speed_preference;
 mod step_spread;
 mod takeover;
 mod task_placement;
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -272,7 +272,7 @@
     /// Number of agents whose reported speed is used, and of those among them that this
     /// scheduler's own runs show to be much slower.
     pub fn reported_speeds(&self) -> (usize, usize) {
-        let used = self.agents.values().filter(|state| state.used_speed().is_some());
+        let used = self.agents.values().filter(|state| state.used_slowness().is_some());
         let slower = self.agents.values().filter(|state| state.is_slower_than_reported());
         (used.count(), slower.count())
     }
--- a/crates/decisions/src/schedule/speed_estimate.rs
+++ b/crates/decisions/src/schedule/speed_estimate.rs
@@ -8,8 +8,6 @@
 
 use std::time::{Duration, Instant};
 
-use model::SpeedReport;
-
 /// Window of the current slowness, in runs; recent runs weigh most.
 const CURRENT_WINDOW_RUNS: u32 = 8;
 /// Window of the baseline slowness, in runs.
@@ -56,9 +54,9 @@
 
     /// Returns the ratio by the figure that the agent has reported, if there is one, raised
     /// where this estimate shows the server to be much slower at present.
-    pub fn slowness_with(&self, reported: Option<SpeedReport>) -> f64 {
+    pub fn slowness_with(&self, reported: Option<f64>) -> f64 {
         let Some(reported) = reported else { return self.current };
-        let reported = reported.slowness().clamp(MIN_SLOWNESS, MAX_SLOWNESS);
+        let reported = reported.clamp(MIN_SLOWNESS, MAX_SLOWNESS);
         reported.max(self.current / TOLERATED_FACTOR)
     }
 
