--- a/crates/decisions/src/schedule/mod.rs
+++ b/crates/decisions/src/schedule/mod.rs
@@ -39,6 +39,7 @@
 mod scheduler;
 mod server_sizes;
 mod speed_estimate;
+mod speed_preference;
 mod start_bounds;
 mod start_forecast;
 mod step_spread;
