--- a/crates/decisions/src/claim_order.rs
+++ b/crates/decisions/src/claim_order.rs
@@ -1,11 +1,11 @@
 //! The order in which agents are asked for the claim to a job, which all entries and agents
 //! compute alike.
 
-use model::{JobId, NodeId, fingerprint};
+use model::{JobId, NodeId};
 
-/// Rank of an agent in the order of a job; the highest is asked first. Similar names differ
-/// most in the low bits of their hash, so these are spread over all bits.
+use crate::spread_hash::spread_hash;
+
+/// Rank of an agent in the order of a job; the highest is asked first.
 pub(crate) fn claim_rank(job: &JobId, agent: &NodeId) -> u64 {
-    let hash = fingerprint([job.as_bytes(), agent.as_bytes()]);
-    (hash ^ (hash >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+    spread_hash([job.as_bytes(), agent.as_bytes()])
 }
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -26,3 +26,4 @@
 pub mod entry;
 mod run_bounds;
 pub mod schedule;
+mod spread_hash;
