Admission by the expected start counts all waiting work against the objective

Cause: only work that is placed before a job counted at its submission, against three times its objective. More jobs are admitted, later ones with less slack come before them, and most start late. Change: at the submission all work that waits for the service counts, and the job has to start early enough for its objective, unless it misses that wherever it starts. The expected start of a waiting job is by the placement order as before. No load test was run.

--- a/crates/decisions/src/schedule/job_admission.rs
+++ b/crates/decisions/src/schedule/job_admission.rs
@@ -9,7 +9,7 @@
 
 use model::{
     AdmissionRule, CallId, Command, EventLine, JobId, JobPhase, JobReply, QueuedJob, RefusalCause,
-    ServiceId, later, scaled, span_sum,
+    ServiceId, scaled, span_sum,
 };
 
 use super::agent_state::AgentState;
@@ -135,7 +135,7 @@
     }
 
     /// Returns the refusal of a job that is more likely to end after its limit than before,
-    /// or whose expected start is too late: for its result to have a value, or for its caller.
+    /// or whose expected start is too late: for its objective, or for its caller.
     fn refusal_by_start(
         &mut self,
         now: Instant,
@@ -148,14 +148,17 @@
         let ratio = self.median_ratio(now, job);
         let slowness = self.slowness_for(service, job);
         let run = scaled(job.critical_path(), slowness * ratio.unwrap_or(1.0));
-        let latest_end = later(now, objective.min(caller_wait));
-        let wait = self.wait_of_new(now, service, job, latest_end);
+        // Work of jobs that come later may be placed first, so all that waits counts.
+        let wait = self.expected_wait(service, job);
+        // A job that misses its objective anyway is worth a late start.
+        let end = if run > objective { limit } else { limit.min(objective) };
         // A job without a start is held for no longer than half of its caller's wait.
-        let latest_start = limit.saturating_sub(run).min(caller_wait / 2);
+        let latest_start = end.saturating_sub(run).min(caller_wait / 2);
         let cause = if ratio.is_some() && run > limit {
             self.counts.refusals.too_long += 1;
             RefusalCause::TooLong
         } else if wait > latest_start {
+            // Without backlog the wait is zero, and an attempt delays no other job.
             self.counts.refusals.queue_full += 1;
             RefusalCause::QueueFull
         } else {
@@ -172,7 +175,7 @@
             .with("latest_start_ms", latest_start.as_millis())
             .with("term", self.term.unwrap_or_default());
         self.steps.push(ScheduleStep::Log(line));
-        let retry_after_ms = self.expected_wait(service, job).max(wait).as_millis() as u64;
+        let retry_after_ms = wait.as_millis() as u64;
         Some(JobReply::Refused { cause, retry_after_ms })
     }
 
--- a/crates/decisions/src/schedule/ready_queue.rs
+++ b/crates/decisions/src/schedule/ready_queue.rs
@@ -16,7 +16,6 @@
     pub(super) job: JobId,
     pub(super) step: StepIndex,
     pub(super) tasks: VecDeque<TaskIndex>,
-    pub(super) latest_start: Instant,
     /// Highest task that was ever added; a higher one is new.
     highest: TaskIndex,
     /// Processor time that one task needs, in core-milliseconds.
@@ -73,7 +72,6 @@
             job: job.clone(),
             step,
             tasks: VecDeque::new(),
-            latest_start,
             highest: task,
             work,
             service: None,
--- a/crates/decisions/src/schedule/start_forecast.rs
+++ b/crates/decisions/src/schedule/start_forecast.rs
@@ -130,33 +130,6 @@
         }
         ahead
     }
-
-    /// Expected wait of a job that is submitted now, and has to end within its objective by
-    /// `latest_end`.
-    pub(super) fn wait_of_new(
-        &self,
-        now: Instant,
-        service: &ServiceId,
-        job: &QueuedJob,
-        latest_end: Instant,
-    ) -> Duration {
-        if self.ready.left_work(service) == 0 {
-            return Duration::ZERO;
-        }
-        let latest_start = latest_end.checked_sub(job.critical_path()).unwrap_or(latest_end);
-        let is_late = latest_start < now;
-        let mut work = 0;
-        for group in self.ready.in_order(now) {
-            let comes_first = match group.latest_start < now {
-                // Late groups are placed last, the least late first.
-                true => is_late && group.latest_start >= latest_start,
-                false => is_late || group.latest_start <= latest_start,
-            };
-            let left = group.left_work().filter(|(ahead, _)| *ahead == service);
-            work += left.filter(|_| group.at_stake || comes_first).map_or(0, |(_, work)| work);
-        }
-        self.service_speed(service).time_for(work, job)
-    }
 }
 
 /// The step of a job whose tasks take the most processor capacity.
