--- a/crates/decisions/src/schedule/queue_shares.rs
+++ b/crates/decisions/src/schedule/queue_shares.rs
@@ -8,7 +8,7 @@
 //!
 //! Invariant: the tallies of a queue are never negative.
 
-use std::cmp::{Ordering, Reverse};
+use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
@@ -330,11 +330,6 @@
         self.queues.get(queue).map_or(u32::MAX, |state| state.priority)
     }
 
-    /// Compares the priorities of two queues; the one that comes first is less.
-    pub fn compare_priority(&self, queue: &QueueId, other: &QueueId) -> Ordering {
-        self.priority(queue).cmp(&self.priority(other))
-    }
-
     /// Limits the work ahead of a job to what delays its queue, which has `queue_ahead` of
     /// work before the job, at the share that each of the waiting queues is guaranteed.
     pub fn limit_ahead(&self, ahead: u128, queue_ahead: u128, waiting_queues: usize) -> u128 {
--- a/crates/decisions/src/schedule/ready_queue.rs
+++ b/crates/decisions/src/schedule/ready_queue.rs
@@ -18,7 +18,6 @@
     pub(super) job: JobId,
     pub(super) step: StepIndex,
     pub(super) tasks: VecDeque<TaskIndex>,
-    pub(super) latest_start: Instant,
     /// Highest task that was ever added; a higher one is new.
     highest: TaskIndex,
     /// Processor time that one task needs, in core-milliseconds.
@@ -78,7 +77,6 @@
             job: job.clone(),
             step,
             tasks: VecDeque::new(),
-            latest_start,
             highest: task,
             work,
             class: class.clone(),
