--- a/crates/cactuswing/src/replay/local_cluster.rs
+++ b/crates/cactuswing/src/replay/local_cluster.rs
@@ -287,6 +287,7 @@
         retention_ms: 600_000,
         snapshot_records: 50_000,
         precedence: None,
+        guaranteed_share: model::DEFAULT_GUARANTEED_SHARE,
         limits: ProcessLimits::default(),
         log: shape.log.clone(),
     }
--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -162,6 +162,7 @@
         speed_reports: false,
         admission: AdmissionRule::Backlog,
         precedence: settings.precedence,
+        guaranteed_share: settings.guaranteed_share,
     }
 }
 
--- a/crates/cactuswing/src/roles/queue_entry.rs
+++ b/crates/cactuswing/src/roles/queue_entry.rs
@@ -58,6 +58,7 @@
         speed_reports: front.speed_reports,
         admission: front.admission,
         precedence: front.precedence,
+        guaranteed_share: front.guaranteed_share,
     };
     let schedule_context = context.clone();
     kernel.register(ServiceName::JobScheduling, DUTY_RING_SLOTS, move |ring, registry| {
--- a/crates/decisions/src/schedule/queue_shares.rs
+++ b/crates/decisions/src/schedule/queue_shares.rs
@@ -12,13 +12,10 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use model::{QueueCatalog, QueueId, QueueRule, ServiceId};
+use model::{DEFAULT_GUARANTEED_SHARE, QueueCatalog, QueueId, QueueRule, ServiceId};
 
 use super::job_sizes::JobSizes;
 
-/// Share of a service's recently placed work that each queue with waiting work is
-/// guaranteed, if there are few enough of them.
-const GUARANTEED_SHARE: f64 = 0.1;
 /// Time in which a tally decays to 1/e.
 const DECAY_TIME: Duration = Duration::from_secs(3);
 /// Interval of the decay, so that it costs nothing in most calls.
@@ -200,13 +197,23 @@
 #[derive(Debug, Clone)]
 pub struct QueueShares {
     queues: IndexMap<QueueId, QueueState>,
+    /// Share of a service's recently placed work that each queue with waiting work is
+    /// guaranteed, if there are few enough of them.
+    guarantee: f64,
     decayed_at: Instant,
 }
 
 impl QueueShares {
     /// Creates the state without queues.
     pub fn new(now: Instant) -> QueueShares {
-        QueueShares { queues: IndexMap::new(), decayed_at: now }
+        let guarantee = DEFAULT_GUARANTEED_SHARE;
+        QueueShares { queues: IndexMap::new(), guarantee, decayed_at: now }
+    }
+
+    /// Sets the share that each queue with waiting work is guaranteed, from 0 to 1.
+    #[must_use]
+    pub fn with_guarantee(self, guarantee: f64) -> QueueShares {
+        QueueShares { guarantee, ..self }
     }
 
     /// Takes over the priorities of a catalog. What is known of its queues stays; a queue
@@ -333,7 +340,7 @@
     /// Limits the work ahead of a job to what delays its queue, which has `queue_ahead` of
     /// work before the job, at the share that each of the waiting queues is guaranteed.
     pub fn limit_ahead(&self, ahead: u128, queue_ahead: u128, waiting_queues: usize) -> u128 {
-        ahead.min((queue_ahead as f64 / guaranteed_share(waiting_queues)) as u128)
+        ahead.min((queue_ahead as f64 / self.guaranteed_share(waiting_queues)) as u128)
     }
 
     /// Work that is placed before a new job of a queue, in core-milliseconds, of the work
@@ -359,7 +366,7 @@
         if own.is_none() {
             return ahead;
         }
-        let within_share = own_left as f64 / guaranteed_share(waiting_queues);
+        let within_share = own_left as f64 / self.guaranteed_share(waiting_queues);
         ahead.min(within_share as u128)
     }
 
@@ -408,6 +415,11 @@
         totals
     }
 
+    /// Share of the capacity that each of this many queues with waiting work is guaranteed.
+    fn guaranteed_share(&self, queues: usize) -> f64 {
+        self.guarantee.min(1.0 / queues.max(1) as f64)
+    }
+
     /// What each queue, by position, lacks of its shares now.
     fn budgets(&self) -> Vec<ShareBudget> {
         let totals = self.placed_by_service();
@@ -420,7 +432,8 @@
                 return ShareBudget::default();
             }
             let total = totals.get(&state.service).copied().unwrap_or_default();
-            let share = guaranteed_share(waiting_queues.get(&state.service).copied().unwrap_or(1));
+            let share =
+                self.guaranteed_share(waiting_queues.get(&state.service).copied().unwrap_or(1));
             let demand = state.placed() + state.waiting as f64;
             let deficit = (total * share).min(demand) - state.placed();
             ShareBudget { deficit, queue: deficit, large: state.size_deficit() }
@@ -446,8 +459,3 @@
         });
     }
 }
-
-/// Share of the capacity that each of this many queues with waiting work is guaranteed.
-fn guaranteed_share(queues: usize) -> f64 {
-    GUARANTEED_SHARE.min(1.0 / queues.max(1) as f64)
-}
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -61,6 +61,8 @@
     pub admission: AdmissionRule,
     /// How queues are ordered while capacity is short; by latest start alone if absent.
     pub precedence: Option<Precedence>,
+    /// Share of the capacity that precedence guarantees each queue with waiting work.
+    pub guaranteed_share: f64,
 }
 
 /// Time in which a start that a backend server does not accept is reported as refused.
@@ -191,7 +193,9 @@
             live: IndexMap::new(),
             placements: IndexMap::new(),
             ready: ReadyQueue::default(),
-            shares: limits.precedence.map(|Precedence::Priority| QueueShares::new(now)),
+            shares: limits.precedence.map(|Precedence::Priority| {
+                QueueShares::new(now).with_guarantee(limits.guaranteed_share)
+            }),
             next_turn: 0,
             placement_due: false,
             proposed_ends: ProposedEnds::default(),
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -14,6 +14,8 @@
 const MAX_DURATION_MS: u64 = 3_600_000;
 const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
 const MAX_QUEUE_LENGTH: u64 = 1_000_000;
+/// Share of the capacity that precedence guarantees a queue unless the settings say otherwise.
+pub const DEFAULT_GUARANTEED_SHARE: f64 = 0.1;
 
 /// Destination and minimum level of log lines.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -173,6 +175,10 @@
     /// when absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub precedence: Option<Precedence>,
+    /// Share of the capacity that `precedence` guarantees each queue with waiting work, from 0
+    /// to 1.
+    #[serde(default = "default_guaranteed_share")]
+    pub guaranteed_share: f64,
 }
 
 /// Which best-effort jobs an entry refuses.
@@ -193,6 +199,10 @@
     }
 }
 
+fn default_guaranteed_share() -> f64 {
+    DEFAULT_GUARANTEED_SHARE
+}
+
 fn default_catalog_age() -> u64 {
     2_000
 }
@@ -391,6 +401,10 @@
     /// absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub precedence: Option<Precedence>,
+    /// Share of the capacity that `precedence` guarantees each queue with waiting work, from 0
+    /// to 1.
+    #[serde(default = "default_guaranteed_share")]
+    pub guaranteed_share: f64,
     /// Limits of the process.
     #[serde(default)]
     pub limits: ProcessLimits,
@@ -490,6 +504,7 @@
     optional("speed_reports", ValueSchema::Boolean),
     optional("admission", ValueSchema::OneOf(ADMISSION_RULES)),
     optional("precedence", ValueSchema::OneOf(PRECEDENCES)),
+    optional("guaranteed_share", ValueSchema::Number(0.0, 1.0)),
 ];
 const SERVER_FIELDS: &[FieldRule] = &[
     required("address", ValueSchema::Address),
@@ -557,6 +572,7 @@
     optional("retention_ms", RETENTION_MS),
     optional("snapshot_records", ValueSchema::Integer(16, 10_000_000)),
     optional("precedence", ValueSchema::OneOf(PRECEDENCES)),
+    optional("guaranteed_share", ValueSchema::Number(0.0, 1.0)),
     optional("limits", ValueSchema::Object(LIMIT_FIELDS)),
     optional("log", ValueSchema::Object(LOG_FIELDS)),
 ]);
--- a/tests/queue_shares.rs
+++ b/tests/queue_shares.rs
@@ -158,6 +158,23 @@
     assert!((0.09..=0.15).contains(&share), "{share:.3} of the capacity, a tenth guaranteed");
 }
 
+// The same with a larger guarantee, for queues whose jobs are worth much although they are
+// not urgent.
+#[test]
+fn guarantee_is_set() {
+    let mut model = ShareModel::new(&queues(1, &[(URGENT, 0), (PATIENT, 2)]));
+    model.shares = model.shares.clone().with_guarantee(0.25);
+    for _ in 0..2_000 {
+        for _ in 0..12 {
+            model.submit(URGENT, JOB_WORK);
+            model.submit(PATIENT, JOB_WORK);
+        }
+        model.place(30);
+    }
+    let share = model.placed_share(PATIENT);
+    assert!((0.23..=0.35).contains(&share), "{share:.3} of the capacity, a quarter guaranteed");
+}
+
 // Guards against a queue that saves up a share while it has no work, and then holds up
 // the urgent one.
 #[test]
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -77,6 +77,7 @@
         speed_reports: false,
         admission: AdmissionRule::Backlog,
         precedence: None,
+        guaranteed_share: model::DEFAULT_GUARANTEED_SHARE,
     }
 }
 
--- a/tests/settings_errors.rs
+++ b/tests/settings_errors.rs
@@ -2,8 +2,8 @@
 //! its place in the document.
 
 use model::{
-    AdmissionRule, Precedence, ValidationError, read_agent_settings, read_control_settings,
-    read_entry_settings, read_operator_config,
+    AdmissionRule, DEFAULT_GUARANTEED_SHARE, Precedence, ValidationError, read_agent_settings,
+    read_control_settings, read_entry_settings, read_operator_config,
 };
 
 fn error_places(errors: &[ValidationError]) -> Vec<&str> {
@@ -121,6 +121,19 @@
     }
 }
 
+// Guards against a guarantee that is no share.
+#[test]
+fn guarantee_validated() {
+    let read = |field| read_entry_settings(&front_settings(field)).map(|entry| entry.front);
+    let share = |field| read(field).expect("valid settings").expect("a front").guaranteed_share;
+    assert_eq!(share(""), DEFAULT_GUARANTEED_SHARE);
+    assert_eq!(share(r#", "guaranteed_share": 0.25"#), 0.25);
+    for field in [r#", "guaranteed_share": 1.5"#, r#", "guaranteed_share": "a""#] {
+        let errors = read(field).expect_err("no share");
+        assert_eq!(error_places(&errors), ["$.front.guaranteed_share"]);
+    }
+}
+
 // Guards against a misspelt order of queues that is silently taken for none.
 #[test]
 fn precedence_validated() {
