--- a/crates/cactuswing/src/cli.rs
+++ b/crates/cactuswing/src/cli.rs
@@ -1,9 +1,11 @@
 //! Defines the command line and the exit code of each outcome.
 
 use std::ffi::OsString;
+use std::ops::RangeInclusive;
 use std::process::ExitCode;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use model::{MAX_FDS_RANGE, MEMORY_MB_RANGE};
 
 use crate::commands;
 
@@ -264,16 +266,16 @@
                 .value_name("FILE")
                 .help("Settings as JSON; `cactuswing example` prints one to start from"),
         )
-        .arg(limit_arg("memory-mb", 16, "Memory of the process in MB; goes before the settings"))
-        .arg(limit_arg("max-fds", 64, "Descriptors of the process; goes before the settings"))
+        .arg(limit_arg("memory-mb", MEMORY_MB_RANGE, "Memory in MB; overrides the settings"))
+        .arg(limit_arg("max-fds", MAX_FDS_RANGE, "File descriptors; overrides the settings"))
 }
 
-/// A limit of the host on the process; `least` is the least value that it can work with.
-fn limit_arg(name: &'static str, least: u64, help: &'static str) -> Arg {
+/// A limit of the host on the process.
+fn limit_arg(name: &'static str, range: RangeInclusive<u64>, help: &'static str) -> Arg {
     Arg::new(name)
         .long(name)
         .value_name("NUMBER")
-        .value_parser(value_parser!(u64).range(least..))
+        .value_parser(value_parser!(u64).range(range))
         .help(help)
 }
 
--- a/crates/cactuswing/src/commands/serve.rs
+++ b/crates/cactuswing/src/commands/serve.rs
@@ -51,7 +51,7 @@
     )
 }
 
-/// Limits of the process on the command line, which go before those of the settings: whoever
+/// Limits of the process on the command line, which override those of the settings: whoever
 /// starts the process knows its host.
 #[derive(Debug, Clone, Copy)]
 struct LimitArguments {
--- a/crates/decisions/src/agent/evacuation.rs
+++ b/crates/decisions/src/agent/evacuation.rs
@@ -65,9 +65,9 @@
     /// Reports a backend server whose domain is evacuated, or not any more, to each scheduler.
     pub(super) fn follow_evacuation(&mut self) {
         let Some(life) = &self.life else { return };
-        let domain = self.evacuation.domain_of(&life.view);
-        let is_evacuated = self.evacuation.evacuated.contains(domain);
-        let domain = is_evacuated.then(|| domain.clone());
+        let evacuation = &self.evacuation;
+        let is_evacuated = evacuation.covers(&life.view);
+        let domain = is_evacuated.then(|| evacuation.domain_of(&life.view).clone());
         if self.evacuation.notified == domain {
             return;
         }
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -105,7 +105,7 @@
 }
 
 impl RunState {
-    /// Time since the start, if it was sent and the run has an estimate.
+    /// Run time so far; `None` if the start was not sent or the run has no estimate.
     fn run_time(&self, now: Instant) -> Option<RunTime> {
         let ran = now.saturating_duration_since(self.since);
         let estimate = self.estimate.filter(|_| self.phase != RunPhase::Waiting)?;
--- a/crates/decisions/src/agent/server_speed.rs
+++ b/crates/decisions/src/agent/server_speed.rs
@@ -165,9 +165,11 @@
         }
     }
 
-    /// Time after its start at which a run with this estimate counts as overdue.
+    /// Time after its start at which a run with this estimate counts as overdue, by the jobs
+    /// that have ended: those that are overdue must not raise their own bound.
     pub fn overdue_after(&self, estimate: Duration) -> Duration {
-        estimate.mul_f64(self.figure().0.exp() * OVERDUE_FACTOR)
+        let ended_log = if self.recent.has_taken_over { self.recent.log } else { self.long_log };
+        estimate.mul_f64(ended_log.exp() * OVERDUE_FACTOR)
     }
 
     /// Adds a run that has done its task.
--- a/crates/decisions/src/connections/connection_table.rs
+++ b/crates/decisions/src/connections/connection_table.rs
@@ -25,6 +25,13 @@
 /// Interval of the summaries.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Memory after whose release it is worth returning it to the system.
+const BURST_BYTES: u64 = 2 * 1024 * 1024;
+/// Memory that an idle connection keeps, as an estimate for the end of a burst.
+const KEPT_CONNECTION_BYTES: u64 = 8 * 1024;
+/// Least time between two returns of memory: one stops all allocations for milliseconds.
+const RETURN_INTERVAL: Duration = Duration::from_secs(2);
+
 /// What a connection does at present.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ConnectionPhase {
@@ -72,6 +79,7 @@
     }
 
     /// Order in which connections are closed, the least first; `None` for one that is kept.
+    /// A reply counts as rate 0: what its client has read is not known.
     fn close_rank(&self, now: Instant) -> Option<(u8, u64, Reverse<Duration>)> {
         let age = self.age(now);
         let is_young = age < YOUNG_AGE;
@@ -157,13 +165,6 @@
     returned_at: Instant,
 }
 
-/// Memory after whose release it is worth returning it to the system.
-const BURST_BYTES: u64 = 2 * 1024 * 1024;
-/// Memory that a connection takes after its first request.
-const CONNECTION_BYTES: u64 = 8 * 1024;
-/// Least time between two returns of memory: one stops all allocations for milliseconds.
-const RETURN_INTERVAL: Duration = Duration::from_secs(2);
-
 impl ConnectionTable {
     /// Creates the table of a listener without connections.
     pub fn new(now: Instant, limits: ListenerLimits) -> ConnectionTable {
@@ -187,7 +188,7 @@
         &self.limits
     }
 
-    /// Changes the times that the configuration sets; a missing one becomes the default.
+    /// Changes the times that the configuration can set.
     pub fn set_timeouts(&mut self, header: Duration, idle: Duration) {
         self.limits.header_timeout = header;
         self.limits.idle_timeout = idle;
@@ -275,7 +276,10 @@
     /// Decides whether this many more bytes of the connection's request may be held.
     pub fn reserve(&mut self, now: Instant, id: ConnectionId, bytes: u64) -> ReserveStep {
         let Some(connection) = self.connections.get(&id) else { return ReserveStep::Refuse };
-        if connection.is_closing || bytes > self.limits.max_held_bytes {
+        if connection.is_closing {
+            return ReserveStep::Refuse;
+        }
+        if bytes > self.limits.max_held_bytes {
             return self.refuse_body();
         }
         let own_rank = connection.close_rank(now);
@@ -351,7 +355,7 @@
     }
 
     fn used_memory(&self) -> u64 {
-        self.held + self.connections.len() as u64 * CONNECTION_BYTES
+        self.held + self.connections.len() as u64 * KEPT_CONNECTION_BYTES
     }
 
     /// The summary of an interval in which something was refused or closed; `None` while the
--- a/crates/decisions/src/connections/listener_limits.rs
+++ b/crates/decisions/src/connections/listener_limits.rs
@@ -1,7 +1,7 @@
 //! Derives the limits of a listener from those of its process.
 //!
-//! Invariant: the shares of all listeners of a process leave at least a third of its memory
-//! and of its descriptors to its other work: connections between processes, jobs, logs.
+//! The shares of all listeners leave at least half of the memory, and, from 256 descriptors on,
+//! a third of these, to the process's other work. Socket buffers are not counted.
 
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
 
 /// Memory that an open connection takes at most beside the body of its request: read buffer,
 /// write buffer, task and socket.
-const CONNECTION_BYTES: u64 = 32 * 1024;
+const MAX_CONNECTION_BYTES: u64 = 32 * 1024;
 /// Connections that a listener takes at least, however small the process's limits are.
 const MIN_CONNECTIONS: usize = 16;
 /// Bytes that a listener holds at least: one body of the usual limit, and room to replace it.
@@ -72,7 +72,7 @@
         let memory_bytes = process.memory_mb * 1024 * 1024;
         // A quarter of the memory is for connections and a fifth for bodies; a half of the
         // descriptors is for connections.
-        let for_memory = memory_bytes / 4 / CONNECTION_BYTES;
+        let for_memory = memory_bytes / 4 / MAX_CONNECTION_BYTES;
         let connections = for_memory.min(process.max_fds / 2) as usize;
         let (max_connections, max_held_bytes) = match kind {
             ListenerKind::Clients => (connections, memory_bytes / 5),
--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -190,7 +190,7 @@
         if let Some(before) = state.set_reported_speed(speed, factor) {
             let line = EventLine::new("agent_speed")
                 .with("agent", &report.agent)
-                .with("slowness", format_args!("{:.3}", speed.slowness()))
+                .with("slowness", format_args!("{:.3}", state.slowness()))
                 .with("before", format_args!("{before:.3}"))
                 .with("jobs", speed.jobs);
             self.steps.push(ScheduleStep::Log(line));
@@ -266,7 +266,6 @@
         if let Some(live) = self.live.get_mut(&run.task.job) {
             live.started = true;
             live.begun = true;
-            live.unrefused_runs += 1;
             let last = live.last_runs.entry(run.task.clone()).or_insert(0);
             *last = (*last).max(run.run);
         }
--- a/crates/decisions/src/schedule/agent_state.rs
+++ b/crates/decisions/src/schedule/agent_state.rs
@@ -136,7 +136,8 @@
         let was_used = self.used_slowness().is_some();
         self.reported_speed = Some(report);
         self.slowness_factor = slowness_factor;
-        let ratio = self.used_slowness()? / before;
+        self.used_slowness()?;
+        let ratio = self.slowness() / before;
         let changed = !(1.0 / NOTABLE_FACTOR..=NOTABLE_FACTOR).contains(&ratio);
         (changed || !was_used).then_some(before)
     }
--- a/crates/decisions/src/schedule/job_admission.rs
+++ b/crates/decisions/src/schedule/job_admission.rs
@@ -148,7 +148,8 @@
         let ratio = self.median_ratio(now, job);
         let slowness = self.slowness_for(service, job);
         let run = scaled(job.critical_path(), slowness * ratio.unwrap_or(1.0));
-        // Work of jobs that come later may be placed first, so all that waits counts.
+        // Work of jobs that come later may be placed first, so all work of the queues that
+        // precede this one counts, in whatever order.
         let wait = self.expected_wait(service, job);
         // A job that misses its objective anyway is worth a late start.
         let end = if run > objective { limit } else { limit.min(objective) };
@@ -303,10 +304,10 @@
         servers.map(AgentState::slowness).min_by(f64::total_cmp).unwrap_or(1.0)
     }
 
-    /// Expected queueing delay of a job of a service that is placed after all work that
-    /// waits for the service.
+    /// Expected queueing delay of a new job of a queue: the time for the work that is placed
+    /// before it.
     fn expected_wait(&self, service: &ServiceId, job: &QueuedJob) -> Duration {
-        let left_work = self.work_before(service, &job.queue);
+        let left_work = self.work_before_new(service, &job.queue);
         if left_work == 0 {
             return Duration::ZERO;
         }
--- a/crates/decisions/src/schedule/job_expiry.rs
+++ b/crates/decisions/src/schedule/job_expiry.rs
@@ -130,7 +130,7 @@
             true => forecast.wait(&service, &live.job),
             false => Duration::ZERO,
         };
-        let grants_at = self.grant_time(now, id).filter(|at| bounds.end_before(*at));
+        let grants_at = self.grant_time(now, id).filter(|at| bounds.are_over_by(*at));
         let verdict = match grants_at {
             Some(_) => StartVerdict::Refuse(ExpiryCause::NoGrant),
             None => bounds.verdict(now, later(now, wait)),
--- a/crates/decisions/src/schedule/live_job.rs
+++ b/crates/decisions/src/schedule/live_job.rs
@@ -66,8 +66,7 @@
     pub(super) critical_path: Duration,
     /// Whether a task of the job is done or was placed.
     pub(super) started: bool,
-    /// Number of runs that were placed or adopted, and not reported as refused: a refused
-    /// start never ran. A run whose placement is given up stays counted.
+    /// Number of runs that were placed and not reported as refused: a refused start never ran. A run whose placement is given up stays counted.
     pub(super) unrefused_runs: u32,
     /// Whether a run of the job is known to have begun. A start that was ordered may have been
     /// refused.
@@ -127,7 +126,9 @@
             None if is_too_long => scaled(run, MIN_RUN_TIME_SHARE),
             _ => run,
         };
-        let before = |end: Instant, run| end.checked_sub(run).unwrap_or(end).max(self.since);
+        let before = |end: Instant, run| {
+            end.checked_sub(run).map_or(self.since, |start| start.max(self.since))
+        };
         let caller_wait = waiter.until.saturating_duration_since(waiter.since);
         Some(StartBounds {
             in_time: before(self.latest_end(), run),
@@ -153,7 +154,7 @@
             false => until.min(later(self.since, objective.saturating_mul(MAX_OBJECTIVE_FACTOR))),
         };
         let run = scaled(waiting, min_slowness * MIN_RUN_TIME_SHARE);
-        Some(until.checked_sub(run).unwrap_or(until).max(self.since))
+        Some(until.checked_sub(run).map_or(self.since, |start| start.max(self.since)))
     }
 }
 
--- a/crates/decisions/src/schedule/placement_order.rs
+++ b/crates/decisions/src/schedule/placement_order.rs
@@ -153,9 +153,9 @@
 
     /// Work that waits for capacity of a service and is placed before a new job of a
     /// queue, in core-milliseconds.
-    pub(super) fn work_before(&self, service: &ServiceId, queue: &QueueId) -> u128 {
+    pub(super) fn work_before_new(&self, service: &ServiceId, queue: &QueueId) -> u128 {
         match &self.shares {
-            Some(shares) => shares.work_ahead(queue, self.ready.left_by_queue(service)),
+            Some(shares) => shares.work_before_new(queue, self.ready.left_by_queue(service)),
             None => self.ready.left_work(service),
         }
     }
--- a/crates/decisions/src/schedule/queue_shares.rs
+++ b/crates/decisions/src/schedule/queue_shares.rs
@@ -83,18 +83,18 @@
     }
 }
 
-/// Work of one queue since the counts were last taken, under contention.
+/// Tasks of one queue since the counts were last taken, if it was under contention meanwhile.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QueueCounts {
     /// Name of the queue.
     pub queue: QueueId,
     /// Its priority.
     pub priority: u32,
-    /// Tasks that were placed, of any cause.
+    /// Tasks that were placed, for any cause.
     pub placed: u64,
-    /// Of these, tasks placed since the queue was below its guaranteed share.
+    /// Of these, tasks placed because the queue was below its guaranteed share.
     pub by_share: u64,
-    /// Of these, tasks placed since the queue's large jobs were below theirs.
+    /// Of these, tasks placed because the queue's large jobs were below theirs.
     pub by_size: u64,
     /// Tasks of large jobs that were placed.
     pub large: u64,
@@ -340,13 +340,18 @@
     /// Limits the work ahead of a job to what delays its queue, which has `queue_ahead` of
     /// work before the job, at the share that each of the waiting queues is guaranteed.
     pub fn limit_ahead(&self, ahead: u128, queue_ahead: u128, waiting_queues: usize) -> u128 {
-        ahead.min((queue_ahead as f64 / self.guaranteed_share(waiting_queues)) as u128)
+        let share = self.guaranteed_share(waiting_queues);
+        // Without a guarantee nothing limits what comes first.
+        if share <= 0.0 {
+            return ahead;
+        }
+        ahead.min((queue_ahead as f64 / share) as u128)
     }
 
     /// Work that is placed before a new job of a queue, in core-milliseconds, of the work
     /// that waits by queue for the same service: that of queues of the same or a higher
     /// priority, and no more than what delays the queue at its guaranteed share.
-    pub fn work_ahead<'left>(
+    pub fn work_before_new<'left>(
         &self,
         queue: &QueueId,
         left: impl Iterator<Item = (&'left QueueId, u128)>,
@@ -366,8 +371,7 @@
         if own.is_none() {
             return ahead;
         }
-        let within_share = own_left as f64 / self.guaranteed_share(waiting_queues);
-        ahead.min(within_share as u128)
+        self.limit_ahead(ahead, own_left, waiting_queues)
     }
 
     /// Returns the counts of the queues that were under contention since the last call.
--- a/crates/decisions/src/schedule/start_bounds.rs
+++ b/crates/decisions/src/schedule/start_bounds.rs
@@ -1,4 +1,4 @@
-//! Decides how long a best-effort job is kept of which nothing has run.
+//! Decides how long a best-effort job of which nothing has run is kept.
 //!
 //! Handles the load pattern *demand above capacity for some seconds*: a job that would
 //! wait until its result is worth little is refused while its caller can still turn to
@@ -53,8 +53,8 @@
 }
 
 impl StartBounds {
-    /// Whether a job that can't start before this time is refused at once.
-    pub fn end_before(&self, at: Instant) -> bool {
+    /// Whether a start at this time would be too late to be useful, or the job held too long.
+    pub fn are_over_by(&self, at: Instant) -> bool {
         self.useful.min(self.held) < at
     }
 
@@ -77,7 +77,8 @@
         StartVerdict::Wait { until: last.min(now + RECHECK_INTERVAL) }
     }
 
-    /// Time of the first check, for a job that was last checked at `checked_at` or not yet.
+    /// Time of the first check of a job: no sooner than [`RECHECK_INTERVAL`] after
+    /// `checked_at`, the latest check of all jobs, unless a bound passes.
     pub(super) fn first_check(&self, checked_at: Instant) -> Instant {
         let in_time = self.in_time.max(checked_at + RECHECK_INTERVAL);
         in_time.min(self.useful).min(self.held)
--- a/crates/decisions/src/schedule/start_forecast.rs
+++ b/crates/decisions/src/schedule/start_forecast.rs
@@ -56,7 +56,7 @@
     pub(super) fn new(now: Instant, scheduler: &'scheduler Scheduler) -> Self {
         let mut servers: Vec<(f64, &ServerView)> = scheduler.open_servers().collect();
         servers.sort_by(|(one, _), (other, _)| one.total_cmp(other));
-        let ahead = scheduler.work_ahead(now);
+        let ahead = scheduler.work_before_waiting(now);
         StartForecast { scheduler, servers, speeds: IndexMap::new(), ahead }
     }
 
@@ -69,10 +69,10 @@
     }
 
     /// Expected wait of a job of which nothing is placed. One that isn't queued yet, since
-    /// its claim is not granted, comes after all others.
+    /// its claim is not granted, comes after all work that precedes a new job of its queue.
     pub(super) fn wait(&mut self, service: &ServiceId, job: &QueuedJob) -> Duration {
-        let ready = &self.scheduler.ready;
-        let work = self.ahead.get(&job.id).copied().unwrap_or_else(|| ready.left_work(service));
+        let (ahead, scheduler) = (self.ahead.get(&job.id).copied(), self.scheduler);
+        let work = ahead.unwrap_or_else(|| scheduler.work_before_new(service, &job.queue));
         if work == 0 {
             return Duration::ZERO;
         }
@@ -117,8 +117,9 @@
 
     /// Processor time that is placed ahead of each waiting job, in core-milliseconds: of the
     /// steps that the latest placement round left waiting for capacity of its service. With
-    /// precedence, it is no more than what delays a queue at its guaranteed share.
-    fn work_ahead(&self, now: Instant) -> IndexMap<&JobId, u128> {
+    /// precedence, it is no more than what delays a queue at its guaranteed share; the order is
+    /// by priority alone, without deficits and the share of large jobs.
+    fn work_before_waiting(&self, now: Instant) -> IndexMap<&JobId, u128> {
         let mut sums: IndexMap<&ServiceId, u128> = IndexMap::new();
         let mut queue_sums: IndexMap<&QueueId, u128> = IndexMap::new();
         let mut ahead = IndexMap::with_capacity(self.ready.len());
--- a/crates/edges/src/job_calls.rs
+++ b/crates/edges/src/job_calls.rs
@@ -179,7 +179,7 @@
         self.log.info(EventLine::new("catalog_in_force").with("version", version));
     }
 
-    /// Whether a correct leader can have sent this list: an odd version would hide later ones.
+    /// Whether a correct leader can have sent this list: a version that is too high would hide later lists.
     fn is_reachable(&self, list: &EvacuationList) -> bool {
         is_reachable_index(self.query.evacuation_version.unwrap_or_default(), list.version)
     }
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -413,7 +413,7 @@
     /// Run time over the estimate, in thousandths; above 1,000 is slower.
     #[serde(rename = "slowness")]
     pub slowness_milli: u32,
-    /// Number of jobs that it is based on.
+    /// Number of jobs from which the speed was learned so far.
     pub jobs: u32,
 }
 
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -3,6 +3,7 @@
 //! Invariant: settings that were read are complete and within their ranges.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -14,6 +15,10 @@
 const MAX_DURATION_MS: u64 = 3_600_000;
 const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
 const MAX_QUEUE_LENGTH: u64 = 1_000_000;
+/// Memory that a process can work with, in MB.
+pub const MEMORY_MB_RANGE: RangeInclusive<u64> = 16..=16_000_000;
+/// Number of file descriptors that a process can work with.
+pub const MAX_FDS_RANGE: RangeInclusive<u64> = 64..=100_000_000;
 /// Share of the capacity that precedence guarantees a queue unless the settings say otherwise.
 pub const DEFAULT_GUARANTEED_SHARE: f64 = 0.1;
 
@@ -185,7 +190,7 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum AdmissionRule {
-    /// Those for which all work that waits leaves no time, and those that have waited until
+    /// Those for which the work ahead of them leaves no time, and those that have waited until
     /// they can't end while their result has a value.
     #[default]
     Backlog,
@@ -484,8 +489,8 @@
 const LOG_FIELDS: &[FieldRule] =
     &[optional("level", ValueSchema::OneOf(LEVELS)), optional("file", ValueSchema::Text)];
 const LIMIT_FIELDS: &[FieldRule] = &[
-    optional("memory_mb", ValueSchema::Integer(16, 16_000_000)),
-    optional("max_fds", ValueSchema::Integer(64, 100_000_000)),
+    optional("memory_mb", ValueSchema::Integer(*MEMORY_MB_RANGE.start(), *MEMORY_MB_RANGE.end())),
+    optional("max_fds", ValueSchema::Integer(*MAX_FDS_RANGE.start(), *MAX_FDS_RANGE.end())),
 ];
 const DURATION_MS: ValueSchema = ValueSchema::Integer(1, MAX_DURATION_MS);
 const RETENTION_MS: ValueSchema = ValueSchema::Integer(1_000, 24 * MAX_DURATION_MS);
--- a/tests/queue_shares.rs
+++ b/tests/queue_shares.rs
@@ -314,7 +314,7 @@
     let ahead = |queue: &str, left: &[(&str, u128)]| {
         let left: Vec<(QueueId, u128)> =
             left.iter().map(|(queue, work)| ((*queue).into(), *work)).collect();
-        model.shares.work_ahead(&queue.into(), left.iter().map(|(queue, work)| (queue, *work)))
+        model.shares.work_before_new(&queue.into(), left.iter().map(|(queue, work)| (queue, *work)))
     };
     let left = [(URGENT, 500), (PATIENT, 3_000)];
     assert_eq!(ahead(URGENT, &left), 500);
