The soak keeps a crowd of stopped requests at each entry

Change: 20 connections to each entry announce a body of 262,144 bytes and stop one byte short of it, from the start of a run.

--- a/tests/process_soak.rs
+++ b/tests/process_soak.rs
@@ -1,5 +1,6 @@
 //! The queued-job path as real processes, on real sockets and disks: callers, operators and
-//! backend servers as the platform has them, and faults in series that overlap. Judged by the
+//! backend servers as the platform has them, misbehaving clients beside them, and faults in
+//! series that overlap. Judged by the
 //! platform's rules. `CACTUSWING_SOAK_SECONDS` sets the length of each run,
 //! `CACTUSWING_SOAK_SEEDS` the seeds (`3` or `3..9`), `CACTUSWING_BINARY` the program;
 //! `CACTUSWING_SOAK_FAULTS=all` adds the disruptions that KNOWN-RED.txt lists, `dense` kills
@@ -7,6 +8,8 @@
 //! `CACTUSWING_SOAK_CALLERS` sets the number of best-effort callers, whose jobs are then
 //! smaller and longer, so that an agent has many at once.
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -17,7 +20,7 @@
 use standin::{LeaseFault, LeaseRun, LeaseServer};
 
 use crate::deployed_group::{DeployedGroup, RoleHost};
-use crate::soak_callers::{ActorContext, SoakCaller};
+use crate::soak_callers::{ActorContext, HOST, MAIN_PREFIX, SoakCaller};
 use crate::soak_history::SharedHistory;
 use crate::soak_operators::{PlannedConfig, SoakOperator};
 
@@ -40,6 +43,11 @@
 /// `finish_s`, after which jobs are asked for.
 const FINISH_TIME: Duration = Duration::from_secs(14);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Misbehaving clients of each entry, and the bodies that they announce.
+const CROWD_SIZE: usize = 20;
+const CROWD_BODY_BYTES: usize = 262_144;
+const CROWD_JOB: &str = "00000000000000aa";
+const CROWD_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// One run of the soak.
 #[derive(Debug, Clone, Copy)]
@@ -95,6 +103,8 @@
     repairs: Vec<(Instant, RoleHost, Repair)>,
     context: ActorContext,
     lives: usize,
+    /// Connections of misbehaving clients, whose requests stop halfway.
+    crowd: Vec<TcpStream>,
 }
 
 impl SoakRun {
@@ -123,6 +133,29 @@
             repairs: Vec::new(),
             context,
             lives: 0,
+            crowd: Vec::new(),
+        }
+    }
+
+    /// Opens connections to each entry whose requests stop short of the end of their body.
+    fn open_crowd(&mut self) {
+        let body = vec![b' '; CROWD_BODY_BYTES - 1];
+        let head = format!(
+            "POST {MAIN_PREFIX}{CROWD_JOB} HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: \
+             {CROWD_BODY_BYTES}\r\n\r\n"
+        );
+        for entry in 0..ENTRIES {
+            let front = self.group.front(entry);
+            for _client in 0..CROWD_SIZE {
+                // An entry that is down, or full, refuses: the crowd is smaller then.
+                let Ok(mut stream) = TcpStream::connect_timeout(&front, CROWD_TIMEOUT) else {
+                    continue;
+                };
+                let _set = stream.set_write_timeout(Some(CROWD_TIMEOUT));
+                let _sent =
+                    stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&body));
+                self.crowd.push(stream);
+            }
         }
     }
 
@@ -324,6 +357,7 @@
 
     /// Faults, one after another, until the time is over; then all is repaired.
     fn run_faults(&mut self) {
+        self.open_crowd();
         let end = Instant::now() + self.plan.length;
         let mut next = Instant::now();
         while Instant::now() < end || !self.repairs.is_empty() || !self.crashed.is_empty() {
