Schedulers use the mean run time of a reported speed

Cause: agents report the geometric mean of run time over estimate, while deadlines and a scheduler's own samples are means. Long tasks started on slow servers that looked faster than they were, and outlasted their callers. Change: a scheduler raises a reported figure by exp(estimate_spread^2 / 2). The line connections_limited is not written for idle timeouts alone, which clients within the limits meet.

--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -18,6 +18,7 @@
 use super::live_job::Placement;
 use super::scheduler::{ScheduleStep, Scheduler, SchedulerKind};
 use super::server_sizes::ServerShape;
+use super::speed_estimate::mean_factor;
 use super::speed_preference::slowness_factor;
 
 /// How long a backend server gets no work after it refused a start for lack of
@@ -186,7 +187,8 @@
             return;
         }
         self.counts.speed_reports += 1;
-        let factor = slowness_factor(self.limits.incarnation, &report.agent);
+        let factor = slowness_factor(self.limits.incarnation, &report.agent)
+            * mean_factor(self.limits.estimate_spread);
         if let Some(before) = state.set_reported_speed(speed, factor) {
             let line = EventLine::new("agent_speed")
                 .with("agent", &report.agent)
--- a/crates/decisions/src/schedule/speed_estimate.rs
+++ b/crates/decisions/src/schedule/speed_estimate.rs
@@ -97,3 +97,11 @@
     let sample = ran.as_secs_f64() / estimate.as_secs_f64();
     (!estimate.is_zero()).then(|| sample.clamp(MIN_SLOWNESS, MAX_SLOWNESS))
 }
+
+/// Ratio of the mean of run time over estimate to its geometric mean, which agents report, for
+/// a normal distribution of the logarithm with this standard deviation. This scheduler's own
+/// samples give means, and deadlines are weighed by means: with geometric means as they were
+/// reported, long tasks started on slow servers that they outlasted.
+pub(super) fn mean_factor(estimate_spread: f64) -> f64 {
+    (estimate_spread * estimate_spread / 2.0).exp()
+}
--- a/crates/edges/src/http_listener.rs
+++ b/crates/edges/src/http_listener.rs
@@ -174,11 +174,16 @@
                 .with("open", summary.open)
                 .with("max_open", summary.max_open)
                 .with("max_held_bytes", summary.max_held_bytes);
+            let mut is_limited = false;
             for (cause, count) in summary.closed {
                 self.counters.count_closed(cause, count);
                 line = line.with(cause.into(), count);
+                is_limited |= cause != CloseCause::Idle;
+            }
+            // The idle timeout also ends connections of clients that stay within the limits.
+            if is_limited {
+                self.log.warn(line);
             }
-            self.log.warn(line);
         }
         if is_burst_over {
             crate::returned_memory::return_free_memory();
--- a/tests/speed_reports.rs
+++ b/tests/speed_reports.rs
@@ -236,6 +236,21 @@
     assert_eq!(entry.scheduler.reported_speeds(), (1, 0));
 }
 
+/// Guards against long tasks on slow servers that they outlast: agents report geometric means,
+/// which are lower than the mean run times that deadlines are weighed against.
+#[test]
+fn mean_time_used() {
+    let usual = schedule_limits(SchedulerKind::Entry);
+    let max_slowness = |estimate_spread: f64| {
+        let limits = ScheduleLimits { estimate_spread, speed_reports: true, ..usual.clone() };
+        let mut entry = EntryFixture::with_limits(limits);
+        entry.report_speed(1, 3_000, 64);
+        entry.scheduler.max_slowness().expect("three servers")
+    };
+    let ratio = max_slowness(0.45) / max_slowness(0.0);
+    assert!((1.10..=1.11).contains(&ratio), "{ratio}");
+}
+
 /// The task goes to the server that agents report as the fastest.
 #[test]
 fn fastest_agent_chosen() {
