--- a/tests/speed_reports.rs
+++ b/tests/speed_reports.rs
@@ -242,7 +242,7 @@
 fn mean_time_used() {
     let usual = schedule_limits(SchedulerKind::Entry);
     let max_slowness = |estimate_spread: f64| {
-        let limits = ScheduleLimits { estimate_spread, speed_reports: true, ..usual.clone() };
+        let limits = ScheduleLimits { estimate_spread, speed_reports: true, ..usual };
         let mut entry = EntryFixture::with_limits(limits);
         entry.report_speed(1, 3_000, 64);
         entry.scheduler.max_slowness().expect("three servers")
