Tasks leave racks in high demand to those whose data is there

Cause: when six in ten short jobs name one rack, others fill it, and the tasks that name it end late elsewhere. Change: with rack_reserve each scheduler estimates the demand for racks; one term of the cost of a server spares those in high demand, and tasks that name a rack wait for it unless a remote start is in time or the wait would cost more.

--- a/crates/cactuswing/src/replay/local_cluster.rs
+++ b/crates/cactuswing/src/replay/local_cluster.rs
@@ -288,6 +288,7 @@
         snapshot_records: 50_000,
         precedence: None,
         guaranteed_share: model::DEFAULT_GUARANTEED_SHARE,
+        rack_reserve: false,
         limits: ProcessLimits::default(),
         log: shape.log.clone(),
     }
--- a/crates/decisions/src/schedule/agent_search.rs
+++ b/crates/decisions/src/schedule/agent_search.rs
@@ -67,7 +67,8 @@
         } else {
             SparedCapacity::Nothing
         };
-        let demand = AgentDemand { class, size: job_step.size, max_run_time, spared };
+        let remote = self.remote_rule(now, job, job_step, &urgency);
+        let demand = AgentDemand { class, size: job_step.size, max_run_time, spared, remote };
         let search = AgentSearch { index: step, step: job_step, urgency, demand };
         (!round.is_unmet(&search.demand)).then_some(search)
     }
@@ -97,6 +98,7 @@
     /// Agents of a class that accept work.
     fn candidates(&mut self, now: Instant, class: &AgentClass, step: &JobStep) -> Vec<Candidate> {
         self.counts.agents_priced += self.agents.len() as u64;
+        let racks = self.rack_view(class, step);
         let eligible = self.agents.iter().filter(|(agent, state)| {
             state.accepts_work(now) && is_eligible(state, class) && self.is_registered(agent)
         });
@@ -105,6 +107,7 @@
             run_time: self.relative_run_time(state, step),
             free: state.free_capacity(),
             cpu_milli: state.server.as_ref().map_or(0, |server| server.capacity.cpu_milli),
+            rack_fit: racks.fit(state.server.as_ref()),
         });
         candidates.collect()
     }
@@ -123,16 +126,19 @@
         let mut fastest = f64::INFINITY;
         let mut best: Option<(&NodeId, f64)> = None;
         for candidate in candidates.iter().filter(|one| search.has_room(one)) {
-            let Candidate { agent, run_time, .. } = candidate;
+            let Candidate { agent, run_time, rack_fit, .. } = candidate;
             if !self.is_below_limit(job, search, agent) {
                 continue;
             }
-            fastest = fastest.min(*run_time);
-            if *run_time > search.demand.max_run_time {
+            let accepted_run_time = rack_fit.accepted_run_time(search.demand.remote, *run_time);
+            let Some(accepted_run_time) = accepted_run_time else { continue };
+            fastest = fastest.min(accepted_run_time);
+            if accepted_run_time > search.demand.max_run_time {
                 continue;
             }
             let utilization = candidate.utilization();
-            let cost = search.urgency.cost(*run_time, utilization);
+            let cost = search.urgency.cost(*run_time, utilization)
+                + rack_fit.cost(&search.urgency, *run_time);
             // An agent chosen for the step keeps its first cost, unless the rest of
             // its capacity is reserved for more urgent tasks.
             let reserved = search.urgency.is_reserved(*run_time, utilization);
--- a/crates/decisions/src/schedule/load_counts.rs
+++ b/crates/decisions/src/schedule/load_counts.rs
@@ -84,6 +84,10 @@
     /// Runs of flexible tasks that were placed on busy fast servers, whose remaining
     /// capacity is meant for more urgent ones.
     pub unreserved: u64,
+    /// Runs that were placed in a rack in high demand that their steps don't name.
+    pub spared_starts: u64,
+    /// Runs that were placed outside the rack that their steps name, while it had servers.
+    pub remote_starts: u64,
     /// Steps that counted as late at the time they were queued.
     pub late_queued: u64,
     /// Claims that the agent which comes first for their job has granted.
--- a/crates/decisions/src/schedule/placement_round.rs
+++ b/crates/decisions/src/schedule/placement_round.rs
@@ -7,6 +7,7 @@
 
 use model::{JobStep, LabelId, NodeId, RackId, ResourceAmount, ServiceId};
 
+use super::rack_demand::{RackFit, RemoteRule};
 use super::task_urgency::RunTimeRange;
 
 /// Agents that a step may run on.
@@ -37,6 +38,8 @@
     pub(super) max_run_time: f64,
     /// What the step leaves of fast servers to others.
     pub(super) spared: SparedCapacity,
+    /// What it accepts outside the rack of its data.
+    pub(super) remote: RemoteRule,
 }
 
 /// What a task leaves of the fast servers to tasks that accept only these; more comes
@@ -58,12 +61,13 @@
     /// if there was none.
     fastest: f64,
     spared: SparedCapacity,
+    remote: RemoteRule,
 }
 
 impl VainSearch {
     /// Whether a search for this demand is in vain too.
     fn covers(&self, demand: &AgentDemand) -> bool {
-        let no_wider = demand.spared >= self.spared;
+        let no_wider = demand.spared >= self.spared && demand.remote >= self.remote;
         no_wider && demand.size.fits(&self.size) && demand.max_run_time < self.fastest
     }
 }
@@ -77,6 +81,8 @@
     pub(super) free: ResourceAmount,
     /// Total processor capacity, in thousandths of a core.
     pub(super) cpu_milli: u64,
+    /// How its rack suits the step.
+    pub(super) rack_fit: RackFit,
 }
 
 impl Candidate {
@@ -99,7 +105,7 @@
 
 impl ClassView {
     fn new(class: AgentClass, candidates: Vec<Candidate>) -> ClassView {
-        let range = candidates.iter().map(|candidate| candidate.run_time).collect();
+        let range = run_time_range(&candidates);
         let max_free = max_free(&candidates);
         ClassView { class, range, candidates, max_free, searched: Vec::new() }
     }
@@ -110,6 +116,14 @@
     }
 }
 
+/// Run times on the agents in the named rack. If none of them accepts work for the moment,
+/// they are expected to be as fast as the others.
+fn run_time_range(candidates: &[Candidate]) -> RunTimeRange {
+    let has_local = candidates.iter().any(|candidate| !candidate.rack_fit.is_remote());
+    let compared = candidates.iter().filter(|one| !has_local || !one.rack_fit.is_remote());
+    compared.map(|candidate| candidate.rack_fit.local_run_time(candidate.run_time)).collect()
+}
+
 /// Largest free capacity of a candidate, in each dimension.
 fn max_free(candidates: &[Candidate]) -> ResourceAmount {
     candidates.iter().fold(ResourceAmount::default(), |max, candidate| max.max(&candidate.free))
@@ -164,8 +178,8 @@
     pub(super) fn add_search(&mut self, demand: &AgentDemand, fastest: f64) {
         let view = self.views.iter_mut().find(|view| view.class == demand.class);
         if let Some(view) = view {
-            let (size, spared) = (demand.size, demand.spared);
-            view.searched.push(VainSearch { size, fastest, spared });
+            let AgentDemand { size, spared, remote, .. } = *demand;
+            view.searched.push(VainSearch { size, fastest, spared, remote });
             view.max_free = max_free(&view.candidates);
         }
     }
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -19,6 +19,7 @@
 use super::load_counts::LoadCounts;
 use super::proposed_ends::ProposedEnds;
 use super::queue_shares::{QueueCounts, QueueShares};
+use super::rack_demand::RackDemand;
 use super::ready_queue::ReadyQueue;
 use super::report_delay::ReportDelay;
 use super::run_time_quantiles::RunTimeQuantiles;
@@ -63,6 +64,8 @@
     pub precedence: Option<Precedence>,
     /// Share of the capacity that precedence guarantees each queue with waiting work.
     pub guaranteed_share: f64,
+    /// Whether tasks leave racks in high demand to those whose data is there.
+    pub rack_reserve: bool,
 }
 
 /// Time in which a start that a backend server does not accept is reported as refused.
@@ -144,6 +147,8 @@
     pub(super) ready: ReadyQueue,
     /// Shares of the queues; `None` without the setting.
     pub(super) shares: Option<QueueShares>,
+    /// Demand for racks; `None` without the setting.
+    pub(super) rack_demand: Option<RackDemand>,
     /// Whether anything changed since the last placement round that a placement
     /// depends on: waiting tasks, free capacity, or the agents that accept work.
     pub(super) placement_due: bool,
@@ -196,6 +201,7 @@
             shares: limits.precedence.map(|Precedence::Priority| {
                 QueueShares::new(now).with_guarantee(limits.guaranteed_share)
             }),
+            rack_demand: limits.rack_reserve.then(|| RackDemand::new(now)),
             next_turn: 0,
             placement_due: false,
             proposed_ends: ProposedEnds::default(),
@@ -500,6 +506,7 @@
             self.check_agents(now);
             self.release_claims();
             self.check_claims(now);
+            self.judge_racks(now);
             self.place_ready(now);
             self.send_orders();
         }
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -56,6 +56,7 @@
         let has_done = !record.done.is_empty();
         let rule = rule.cloned();
         let class = self.admit_work(now, &job, rule.as_ref());
+        self.add_rack_demand(now, &job, rule.as_ref());
         let live = LiveJob {
             class,
             job,
@@ -314,6 +315,8 @@
         self.counts.too_late += u64::from(too_late);
         let unreserved = search.urgency.is_reserved(run_time, utilization);
         self.counts.unreserved += u64::from(unreserved);
+        self.counts.spared_starts += u64::from(candidate.rack_fit.is_spared);
+        self.counts.remote_starts += u64::from(candidate.rack_fit.is_remote());
     }
 
     /// Records the placement of a task and returns its run.
--- a/crates/decisions/src/schedule/task_urgency.rs
+++ b/crates/decisions/src/schedule/task_urgency.rs
@@ -79,6 +79,9 @@
 }
 
 impl TaskUrgency {
+    /// Margin on estimated run times against the deadline.
+    pub(super) const MARGIN: f64 = RUN_TIME_MARGIN;
+
     /// Creates the urgency of a task from the time left until its deadline and
     /// until its caller stops waiting, and the run times on eligible servers.
     pub fn new(remaining: f64, caller_remaining: f64, range: RunTimeRange) -> TaskUrgency {
@@ -94,15 +97,34 @@
     /// Cost of placing the task on a server; the lowest is best. `utilization` is
     /// the share of the server's capacity in use.
     pub fn cost(&self, run_time: f64, utilization: f64) -> f64 {
-        if run_time * RUN_TIME_MARGIN > self.remaining {
+        if self.is_late(run_time) {
             return LATE_COST * run_time;
         }
-        let slack = (self.remaining - 1.0).max(MIN_SLACK);
-        let run_cost = run_time * (1.0 + UTILIZATION_WEIGHT * slack * utilization);
+        let run_cost = run_time * (1.0 + UTILIZATION_WEIGHT * self.slack() * utilization);
         let cost = run_cost + OUTLAST_COST * self.outlast_probability(run_time);
         if self.is_reserved(run_time, utilization) { RESERVED_COST + cost } else { cost }
     }
 
+    /// Part of the cost of a server on which the task ends in time that stems from its
+    /// utilization.
+    pub(super) fn utilization_cost(&self, run_time: f64, utilization: f64) -> f64 {
+        run_time * UTILIZATION_WEIGHT * self.slack() * utilization
+    }
+
+    fn slack(&self) -> f64 {
+        (self.remaining - 1.0).max(MIN_SLACK)
+    }
+
+    /// Whether a run of this run time that starts now is expected to end after the deadline.
+    pub(super) fn is_late(&self, run_time: f64) -> bool {
+        run_time * RUN_TIME_MARGIN > self.remaining
+    }
+
+    /// Run time on the fastest server.
+    pub(super) fn fastest(&self) -> f64 {
+        self.range.fastest
+    }
+
     /// Whether a server's free capacity is reserved for more urgent tasks.
     pub fn is_reserved(&self, run_time: f64, utilization: f64) -> bool {
         !self.needs_fast() && self.is_fast(run_time) && utilization > RESERVE_THRESHOLD
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -184,6 +184,9 @@
     /// to 1.
     #[serde(default = "default_guaranteed_share")]
     pub guaranteed_share: f64,
+    /// Whether tasks leave racks in high demand to those whose data is there.
+    #[serde(default)]
+    pub rack_reserve: bool,
 }
 
 /// Which best-effort jobs an entry refuses.
@@ -410,6 +413,9 @@
     /// to 1.
     #[serde(default = "default_guaranteed_share")]
     pub guaranteed_share: f64,
+    /// Whether tasks leave racks in high demand to those whose data is there.
+    #[serde(default)]
+    pub rack_reserve: bool,
     /// Limits of the process.
     #[serde(default)]
     pub limits: ProcessLimits,
@@ -510,6 +516,7 @@
     optional("admission", ValueSchema::OneOf(ADMISSION_RULES)),
     optional("precedence", ValueSchema::OneOf(PRECEDENCES)),
     optional("guaranteed_share", ValueSchema::Number(0.0, 1.0)),
+    optional("rack_reserve", ValueSchema::Boolean),
 ];
 const SERVER_FIELDS: &[FieldRule] = &[
     required("address", ValueSchema::Address),
@@ -578,6 +585,7 @@
     optional("snapshot_records", ValueSchema::Integer(16, 10_000_000)),
     optional("precedence", ValueSchema::OneOf(PRECEDENCES)),
     optional("guaranteed_share", ValueSchema::Number(0.0, 1.0)),
+    optional("rack_reserve", ValueSchema::Boolean),
     optional("limits", ValueSchema::Object(LIMIT_FIELDS)),
     optional("log", ValueSchema::Object(LOG_FIELDS)),
 ]);
--- a/crates/services/src/load_meter.rs
+++ b/crates/services/src/load_meter.rs
@@ -134,6 +134,13 @@
         } else {
             line
         };
+        let line = match scheduler.high_racks() {
+            Some(high_racks) => line
+                .with("high_racks", high_racks)
+                .with("spared_starts", counts.spared_starts)
+                .with("remote_starts", counts.remote_starts),
+            None => line,
+        };
         *self = LoadMeter::new(now);
         let queues = scheduler.take_queue_counts();
         let queue_lines = queues.iter().map(|counts| queue_line(interval, counts));
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -78,6 +78,7 @@
         admission: AdmissionRule::Backlog,
         precedence: None,
         guaranteed_share: model::DEFAULT_GUARANTEED_SHARE,
+        rack_reserve: false,
     }
 }
 
--- a/tests/settings_errors.rs
+++ b/tests/settings_errors.rs
@@ -75,6 +75,30 @@
     assert_eq!(error_places(&errors), ["$.server.speed_reports"]);
 }
 
+// Guards against a setting that is on by default, or taken from a value of another type.
+#[test]
+fn rack_reserve_checked() {
+    let entry = |field: &str| {
+        read_entry_settings(&front_settings(field))
+            .map(|settings| settings.front.expect("a front").rack_reserve)
+    };
+    let control = |field: &str| {
+        let text = format!(
+            r#"{{ "name": "a", "domain": "d", "listen": "127.0.0.1:1", "data_folder": "x",
+            "seeds": ["127.0.0.1:2"]{field} }}"#
+        );
+        read_control_settings(&text).map(|settings| settings.rack_reserve)
+    };
+    let on = r#", "rack_reserve": true"#;
+    assert_eq!([entry(""), control("")], [Ok(false), Ok(false)]);
+    assert_eq!([entry(on), control(on)], [Ok(true), Ok(true)]);
+    let wrong = r#", "rack_reserve": "on""#;
+    let errors = entry(wrong).expect_err("not a boolean");
+    assert_eq!(error_places(&errors), ["$.front.rack_reserve"]);
+    let errors = control(wrong).expect_err("not a boolean");
+    assert_eq!(error_places(&errors), ["$.rack_reserve"]);
+}
+
 #[test]
 fn duplicate_member_reported() {
     let text = r#"{ "name": "a", "domain": "d", "listen": "127.0.0.1:1", "data_folder": "x",
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -86,6 +86,7 @@
 mod queue_routes;
 mod queue_shares;
 mod queued_calls;
+mod rack_demand;
 mod reborn_servers;
 mod refused_starts;
 mod removed_queues;
