--- a/tests/rack_demand.rs
+++ b/tests/rack_demand.rs
@@ -565,6 +565,7 @@
     let unnamed: Vec<usize> = (0..4).map(|_| model.submit(0, (4, 60), None, 100)).collect();
     model.run(10);
     assert!(model.jobs[named].starts.is_empty());
+    assert_eq!(model.jobs[named].ended, None);
     assert!(unnamed.iter().all(|number| model.jobs[*number].starts.len() == 4));
 }
 
