--- a/crates/decisions/src/schedule/rack_demand.rs
+++ b/crates/decisions/src/schedule/rack_demand.rs
@@ -23,9 +23,8 @@
 const DECAY_TIME: Duration = Duration::from_secs(1);
 /// Interval at which racks are judged.
 const JUDGE_INTERVAL: Duration = Duration::from_millis(100);
-/// Share of a rack's capacity at which it enters high demand, and at which it leaves it.
-/// A surge of six in ten short jobs takes 0.37 to 0.53, the same jobs spread over all
-/// racks 0.09 to 0.12.
+/// Share of a rack's capacity at which it enters high demand, and at which it leaves it: well
+/// above what jobs take that name all racks alike, and below what a surge for one takes.
 const HIGH_SHARE: f64 = 0.2;
 const LOW_SHARE: f64 = 0.1;
 /// Recent jobs of this scheduler that name a rack, below which it does not enter high
