Agents send a start again when its answer is late

Cause: a start that the backend server left unanswered cost its task about 165 ms: the time-out of the call, a stop that bars the run, and another placement. A refusal after that bars the run as a missing answer does.

--- a/crates/decisions/src/agent/mod.rs
+++ b/crates/decisions/src/agent/mod.rs
@@ -23,6 +23,7 @@
 mod server_life;
 mod server_speed;
 mod start_queue;
+mod start_resends;
 mod start_table;
 
 pub use heartbeat_interval::heartbeat_interval;
--- a/crates/decisions/src/agent/run_calls.rs
+++ b/crates/decisions/src/agent/run_calls.rs
@@ -94,19 +94,24 @@
         let Some(life) = &mut self.life else { return };
         let Some(state) = life.runs.get_mut(run) else { return };
         match answer {
-            ServerAnswer::Refused(refusal) => {
+            ServerAnswer::Refused(refusal) if !state.is_resent => {
+                life.start_resends.remove(run);
                 let refused = life.refuse(run, *refusal);
                 self.notify(now, refused.into_iter().collect());
             }
-            ServerAnswer::NotSent => {
+            ServerAnswer::NotSent if !state.is_resent => {
+                life.start_resends.remove(run);
                 let refused = life.refuse(run, StartRefusal::Unhealthy);
                 self.notify(now, refused.into_iter().collect());
             }
             // A stop was ordered before this answer arrived.
             _ if state.phase != RunPhase::Starting => {}
-            ServerAnswer::NoAnswer => {
-                let line = EventLine::new("start_in_doubt").with("run", run);
+            ServerAnswer::NoAnswer | ServerAnswer::Refused(_) | ServerAnswer::NotSent => {
+                let line = EventLine::new("start_in_doubt")
+                    .with("run", run)
+                    .with("resent", state.is_resent);
                 self.steps.push(RunStep::Log(line));
+                life.start_resends.remove(run);
                 state.phase = RunPhase::Stopping { retry_at: None };
                 self.call(now, ServerRequest::Stop { run: run.clone() });
             }
@@ -114,10 +119,14 @@
                 state.phase = RunPhase::Running { since_renewal: life.renewals_sent };
                 let waited = state.since.saturating_duration_since(state.ordered_at);
                 let called = now.saturating_duration_since(state.since);
+                if self.limits.resend_starts {
+                    life.start_resends.on_started(run, called);
+                }
                 let line = EventLine::new("run_started")
                     .with("run", run)
                     .with("waited_ms", waited.as_millis())
-                    .with("call_ms", called.as_millis());
+                    .with("call_ms", called.as_millis())
+                    .with("resent", state.is_resent);
                 self.steps.push(RunStep::Log(line));
             }
         }
--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -8,9 +8,9 @@
 //! - a run that is being stopped takes capacity until its end is listed;
 //! - a start that waits for free capacity takes none, and never reaches the backend
 //!   server once it is reported as refused;
-//! - a start without an answer is followed by a stop that bars it, and is
-//!   reported as not started only when a later list shows neither the run nor
-//!   its end;
+//! - a start without an answer, or one that was sent again and then refused, is followed
+//!   by a stop that bars it, and is reported as not started only when a later list shows
+//!   neither the run nor its end;
 //! - no run starts unless the grant of its scheduler is valid, and a run is stopped when
 //!   it expires;
 //! - no run counts as lapsed for a time in which this agent did not run: its host may have
@@ -53,6 +53,8 @@
     pub claim_wait: Duration,
     /// Whether the speed of the backend server is learned and reported.
     pub speed_reports: bool,
+    /// Whether a start is sent again when its answer is late.
+    pub resend_starts: bool,
 }
 
 /// An effect for the agent's run service to carry out.
@@ -367,6 +369,7 @@
         self.follow_evacuation();
         self.stop_ungranted_runs(now);
         self.retry_stops(now);
+        self.resend_starts(now);
         self.start_waiting(now);
         self.renew_if_due(now);
         self.update_speed(now);
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -21,6 +21,7 @@
 
 use super::server_speed::{RunTime, ServerSpeed};
 use super::start_queue::StartQueue;
+use super::start_resends::StartResends;
 use crate::run_bounds::MAX_CLOCK_DRIFT_RATIO;
 
 /// Maximum number of ends in one list; a full list may be incomplete.
@@ -102,6 +103,9 @@
     pub(super) ordered_at: Instant,
     /// Time at which the start was sent, or else the same.
     pub(super) since: Instant,
+    /// Whether the start was sent more than once: then the refusal of one does not say that
+    /// another was not, or will not be, carried out.
+    pub(super) is_resent: bool,
 }
 
 impl RunState {
@@ -161,6 +165,8 @@
     pub(super) listed: bool,
     pub(super) runs: IndexMap<TaskRun, RunState>,
     pub(super) start_queue: StartQueue,
+    /// Starts without an answer, which may be sent again.
+    pub(super) start_resends: StartResends,
     unacked: Vec<UnackedEnd>,
     /// Highest number of an end that was taken from a list.
     last_end: EndNumber,
@@ -204,6 +210,7 @@
             listed: false,
             runs: IndexMap::new(),
             start_queue: StartQueue::default(),
+            start_resends: StartResends::default(),
             unacked: Vec::new(),
             last_end: 0,
             outstanding_renewals: Vec::new(),
@@ -418,6 +425,7 @@
                 owner: None,
                 ordered_at: now,
                 since: now,
+                is_resent: false,
             });
         }
         if complete && !is_full {
@@ -549,7 +557,8 @@
             _ => None,
         });
         let queries = [self.query_lists_at, self.renew_early_at];
-        let ends = [self.lapses_at(), self.start_queue.next_deadline()];
+        let starts = [self.start_queue.next_deadline(), self.start_resends.next_deadline()];
+        let ends = starts.into_iter().chain([self.lapses_at()]);
         let speed = [self.overdue_at, self.speed.as_ref().and_then(ServerSpeed::next_decay)];
         let fixed = [renewal].into_iter().chain(queries).chain(ends).chain(speed);
         fixed.flatten().chain(retries).min()
--- a/crates/decisions/src/agent/start_queue.rs
+++ b/crates/decisions/src/agent/start_queue.rs
@@ -76,7 +76,15 @@
             }
             let RunDemand { size, estimate } = demand;
             let phase = RunPhase::Waiting;
-            let state = RunState { phase, size, estimate, owner, ordered_at: now, since: now };
+            let state = RunState {
+                phase,
+                size,
+                estimate,
+                owner,
+                ordered_at: now,
+                since: now,
+                is_resent: false,
+            };
             life.runs.insert(run.clone(), state);
             let (spec, until) = (Arc::clone(spec), now + MAX_START_WAIT);
             life.start_queue.starts.push_back(WaitingStart { run, spec, until });
@@ -94,6 +102,7 @@
             return;
         };
         let is_silent = life.is_silent(now);
+        let resends_starts = self.limits.resend_starts;
         let is_evacuated = self.evacuation.covers(&life.view);
         let schedulers = &self.schedulers;
         let is_granted = |owner: &SchedulerKey| {
@@ -109,6 +118,9 @@
                 && life.is_owned_by(&start.run, is_granted)
                 && life.begin(now, &start.run)
             {
+                if resends_starts {
+                    life.start_resends.on_sent(now, &start.run, &start.spec);
+                }
                 requests.push(ServerRequest::Start { run: start.run, spec: start.spec });
             } else if start.until <= now {
                 let refusal = if is_silent { StartRefusal::Unhealthy } else { StartRefusal::Room };
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -312,6 +312,9 @@
     /// Whether the agent learns the server's speed and reports it.
     #[serde(default)]
     pub speed_reports: bool,
+    /// Whether the agent sends a start again when its answer is late.
+    #[serde(default)]
+    pub resend_starts: bool,
 }
 
 impl AgentSettings {
@@ -515,6 +518,7 @@
     required("address", ValueSchema::Address),
     required("lease_ms", DURATION_MS),
     optional("speed_reports", ValueSchema::Boolean),
+    optional("resend_starts", ValueSchema::Boolean),
 ];
 const ADDRESSES: ValueSchema = ValueSchema::List(&ValueSchema::Address);
 const PEER_FIELDS: &[FieldRule] =
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -62,6 +62,7 @@
         retry_delay: Duration::from_millis(100),
         claim_wait: Duration::from_millis(300),
         speed_reports: false,
+        resend_starts: false,
     }
 }
 
--- a/tests/settings_errors.rs
+++ b/tests/settings_errors.rs
@@ -75,6 +75,22 @@
     assert_eq!(error_places(&errors), ["$.server.speed_reports"]);
 }
 
+#[test]
+fn resend_starts_checked() {
+    let agent = |server: &str| {
+        let text = format!(
+            r#"{{ "worker": "w", "domain": "d", "rack": "r", "listen": "127.0.0.1:1",
+            "announce_listen": "127.0.0.1:2", "controls": ["127.0.0.1:4"], "cores": 1,
+            "memory_mb": 1, "server": {{ "address": "127.0.0.1:3", "lease_ms": 1000 {server} }} }}"#
+        );
+        read_agent_settings(&text).map(|settings| settings.server.expect("a server").resend_starts)
+    };
+    assert_eq!(agent(""), Ok(false));
+    assert_eq!(agent(r#", "resend_starts": true"#), Ok(true));
+    let errors = agent(r#", "resend_starts": 2"#).expect_err("not a boolean");
+    assert_eq!(error_places(&errors), ["$.server.resend_starts"]);
+}
+
 #[test]
 fn duplicate_member_reported() {
     let text = r#"{ "name": "a", "domain": "d", "listen": "127.0.0.1:1", "data_folder": "x",
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -92,6 +92,7 @@
 mod replaced_host;
 mod request_path;
 mod resent_at_once;
+mod resent_starts;
 mod ring_bounds;
 mod rough_estimates;
 mod run_quantiles;
