Operators can ask control for the backend servers of queues

Cause: a check of a configuration has to tell which services no backend server runs, and no query told them. Change: ControlQuery::Servers is answered by the leader's scheduler with the number and the highest capacity of the servers it knows, by service.

--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -8,7 +8,8 @@
 use model::{
     AdmissionRule, AgentOrders, CallId, Command, EntryHost, EventLine, Incarnation, JobCall, JobId,
     JobPhase, JobRecord, JobReply, JobStep, LeaderHint, LinkId, LogRecord, NodeId, Precedence,
-    QueueCatalog, QueueId, ScheduleState, TaskName, Term, later, scaled,
+    QueueCatalog, QueueId, ResourceAmount, ScheduleState, ServiceId, ServiceServers, TaskName,
+    Term, later, scaled,
 };
 
 use super::agent_checks::AgentChecks;
@@ -291,6 +292,20 @@
         self.live.len()
     }
 
+    /// The backend servers of agents that are connected, by service.
+    pub fn known_servers(&self) -> Vec<ServiceServers> {
+        let mut services: IndexMap<&ServiceId, (usize, ResourceAmount)> = IndexMap::new();
+        for server in self.agents.values().filter_map(|state| state.server.as_ref()) {
+            let (servers, highest) = services.entry(&server.service).or_default();
+            *servers += 1;
+            *highest = highest.highest(&server.capacity);
+        }
+        let summary = |(service, (servers, highest)): (&ServiceId, (usize, ResourceAmount))| {
+            ServiceServers { service: service.clone(), servers, highest }
+        };
+        services.into_iter().map(summary).collect()
+    }
+
     /// Highest slowness of a backend server, as it is estimated now; `None` without
     /// one.
     pub fn max_slowness(&self) -> Option<f64> {
--- a/crates/model/src/control_messages.rs
+++ b/crates/model/src/control_messages.rs
@@ -23,7 +23,7 @@
 use crate::leader_hint::LeaderHint;
 use crate::queue_catalog::QueueCatalog;
 use crate::replica::ReplicaEnvelope;
-use crate::schedule_messages::{EvacuationList, JobReply};
+use crate::schedule_messages::{EvacuationList, JobReply, ServiceServers};
 use crate::settings::ControlPeer;
 use crate::work::JobKey;
 
@@ -68,6 +68,8 @@
     Config,
     /// The catalog of queues in force.
     Catalog,
+    /// The backend servers of queues that the leader knows, by service.
+    Servers,
     /// The accepted configuration versions.
     History,
     /// The figures of one month.
@@ -87,6 +89,8 @@
     Config(Option<ConfigInForce>),
     /// Answers `Catalog`; `None` before the first catalog.
     Catalog(Option<Arc<QueueCatalog>>),
+    /// Answers `Servers`.
+    Servers(Vec<ServiceServers>),
     /// Answers `History`, one line for each version.
     History(Vec<HistoryLine>),
     /// Answers `Figures`.
--- a/crates/model/src/queue_jobs.rs
+++ b/crates/model/src/queue_jobs.rs
@@ -28,6 +28,15 @@
 }
 
 impl ResourceAmount {
+    /// The higher of two amounts in each dimension.
+    pub fn highest(&self, other: &ResourceAmount) -> ResourceAmount {
+        ResourceAmount {
+            cpu_milli: self.cpu_milli.max(other.cpu_milli),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// Whether `need` fits in this amount in every dimension.
     pub fn fits(&self, need: &ResourceAmount) -> bool {
         need.cpu_milli <= self.cpu_milli
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -168,6 +168,24 @@
     pub draining: bool,
 }
 
+/// The backend servers of one service that a scheduler knows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceServers {
+    /// The service.
+    pub service: ServiceId,
+    /// Number of its backend servers, those that accept no new work included.
+    pub servers: usize,
+    /// The highest capacity among them, in each dimension of its own.
+    pub highest: ResourceAmount,
+}
+
+impl ServiceServers {
+    /// Whether one of the backend servers has any capacity.
+    pub fn has_capacity(&self) -> bool {
+        self.servers > 0 && self.highest != ResourceAmount::default()
+    }
+}
+
 /// Why an agent or its backend server refused to start a run.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, Display, IntoStaticStr,
@@ -682,6 +700,13 @@
         /// The list.
         list: EvacuationList,
     },
+    /// An operator's query for the known backend servers; sent to control's scheduler only.
+    Servers {
+        /// Echoed in the reply.
+        call: CallId,
+        /// Ring slot reserved for the reply.
+        reply: Reservation<ControlReply>,
+    },
     /// Log records were committed.
     Applied {
         /// The committed records, in log order.
--- a/crates/services/src/job_scheduling.rs
+++ b/crates/services/src/job_scheduling.rs
@@ -14,8 +14,8 @@
     SharedClock, run_batched_duty,
 };
 use model::{
-    CallId, CatalogQuery, Command, ConfigVersion, ControlReply, ControlReplyBody, EventLine,
-    EventLog, JobCall, JobReply, JobReplySlot, LeaderHint, LinkId, LogIndex, LogMessage,
+    CallId, CatalogQuery, Command, ConfigVersion, ControlAnswer, ControlReply, ControlReplyBody,
+    EventLine, EventLog, JobCall, JobReply, JobReplySlot, LeaderHint, LinkId, LogIndex, LogMessage,
     QueueFrontMessage, ScheduleEdgeMessage, SchedulerMessage, SchedulingMessage, ServiceName, Term,
 };
 
@@ -149,6 +149,10 @@
                 };
                 self.catalog_watchers.push(watcher);
             }
+            SchedulingMessage::Servers { call, reply } => {
+                let answer = ControlAnswer::Servers(self.scheduler.known_servers());
+                send_reply(reply, call, ControlReplyBody::Answer(Box::new(answer)));
+            }
             SchedulingMessage::Applied { records } => {
                 self.scheduler.on_applied(now, &records);
             }
--- a/crates/services/src/replicated_log.rs
+++ b/crates/services/src/replicated_log.rs
@@ -359,8 +359,14 @@
         if self.replica.established_term(now).is_none() {
             return self.answer_not_leader(call, reply);
         }
-        if *query == ControlQuery::Status {
-            return self.notify_membership(MembershipMessage::Reports { call, reply });
+        match query {
+            ControlQuery::Status => {
+                return self.notify_membership(MembershipMessage::Reports { call, reply });
+            }
+            ControlQuery::Servers => {
+                return self.notify_scheduling(SchedulingMessage::Servers { call, reply });
+            }
+            _ => {}
         }
         let answer = self.answer_query(query);
         send_reply(reply, call, ControlReplyBody::Answer(Box::new(answer)));
@@ -373,6 +379,8 @@
                 ControlAnswer::Config(self.state.config().map(|config| (*config).clone()))
             }
             ControlQuery::Catalog => ControlAnswer::Catalog(self.state.jobs().catalog()),
+            // The scheduler answers it.
+            ControlQuery::Servers => ControlAnswer::Servers(Vec::new()),
             ControlQuery::History => ControlAnswer::History(self.state.history()),
             ControlQuery::Figures { month } => ControlAnswer::Figures(self.state.month(month)),
         }
