Faults of a configuration of queues are decided apart from its decoding

Cause: the adapter checked a configuration while it decoded it and stopped at the first fault, so that nothing else could list all of them, or warn of what control accepts. Change: decisions/config_check lists faults, warnings and differences with their locations, and warnings about an operators' text.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -7,6 +7,8 @@
 //! - `agent`: starts tasks at the backend servers of its worker;
 //! - `control`: a Raft group that keeps the replicated state and the leases of
 //!   entries and agents;
+//! - `config_check`: what is wrong with a configuration, for control and for the operators'
+//!   command line;
 //! - `connections`: which connections of clients a listener keeps, for every process;
 //! - `discovery`: finds the leader of control, for every process;
 //! - `schedule`: places the tasks of queued jobs; run by the leader of control
@@ -20,6 +22,7 @@
 
 pub mod agent;
 mod claim_order;
+pub mod config_check;
 pub mod connections;
 pub mod control;
 pub mod discovery;
--- a/crates/edges/src/http_listener.rs
+++ b/crates/edges/src/http_listener.rs
@@ -40,10 +40,10 @@
 use crate::peer_connection::accept;
 
 /// Largest head of a request, in bytes, unless the configuration sets another.
-const MAX_HEADER_BYTES: usize = 16 * 1024;
+pub const MAX_HEADER_BYTES: usize = 16 * 1024;
 /// Highest value that the configuration can set: the read buffer is part of the memory that a
 /// connection is counted with.
-const HIGHEST_HEADER_BYTES: u64 = 24 * 1024;
+pub const HIGHEST_HEADER_BYTES: u64 = 24 * 1024;
 /// Least size of the buffer that the HTTP library reads into.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Size of each of the two socket buffers of a connection. The system would let them grow to
--- a/crates/model/src/queue_catalog.rs
+++ b/crates/model/src/queue_catalog.rs
@@ -72,6 +72,38 @@
     pub document: String,
 }
 
+/// A configuration of queues as it was decoded, before it is checked: names may repeat, and a
+/// queue may refer to a service that is not defined.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CatalogDraft {
+    /// Version of the catalog.
+    pub version: ConfigVersion,
+    /// Queues, in the order of the document.
+    pub queues: Vec<(QueueId, QueueRule)>,
+    /// Services, in the order of the document.
+    pub services: Vec<(ServiceId, ServiceRule)>,
+    /// Largest body of a client's request, in bytes.
+    pub body_limit_bytes: u64,
+    /// Limits of clients' requests that the operator has set.
+    pub request_limits: RequestLimits,
+    /// The operator's original document, unchanged.
+    pub document: String,
+}
+
+impl From<CatalogDraft> for QueueCatalog {
+    /// Of entries with the same name the last one is kept.
+    fn from(draft: CatalogDraft) -> QueueCatalog {
+        QueueCatalog {
+            version: draft.version,
+            queues: draft.queues.into_iter().collect(),
+            services: draft.services.into_iter().collect(),
+            body_limit_bytes: draft.body_limit_bytes,
+            request_limits: draft.request_limits,
+            document: draft.document,
+        }
+    }
+}
+
 /// Limits of clients' requests beside the one of their bodies; `None` where the operator has
 /// set none.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
