cactuswing check covers the configuration of queues

Cause: operators could check only their text before sending it, and learnt of a fault in queues from control's refusal, and of a queue that nothing reaches from its callers. The control host of the fixture of queue_path can have another data folder and election timeout.

--- a/crates/cactuswing/src/cli.rs
+++ b/crates/cactuswing/src/cli.rs
@@ -56,7 +56,7 @@
         Some(("agent", matches)) => commands::serve::run_agent(matches),
         Some(("control", matches)) => commands::serve::run_control(matches),
         Some(("example", matches)) => commands::example::run(matches),
-        Some(("check", matches)) => commands::text::check(matches),
+        Some(("check", matches)) => commands::check::run(matches),
         Some(("plan", matches)) => commands::text::plan(matches),
         Some(("apply", matches)) => commands::text::apply(matches),
         Some(("show", matches)) => commands::text::show(matches),
@@ -103,8 +103,25 @@
         )
         .subcommand(
             Command::new("check")
-                .about("Check an operators' text and print every error with its location")
-                .arg(text_arg())
+                .about(
+                    "Check an operators' text or a configuration of queues: errors, warnings, \
+                     differences from the version in force",
+                )
+                .arg(
+                    Arg::new("text")
+                        .required(true)
+                        .value_name("FILE")
+                        .help("Operators' text or configuration of queues, a JSON file"),
+                )
+                .arg(
+                    Arg::new("against").long("against").value_name("ADDRESS|FILE").help(
+                        "Compare with the version in force at a control host, or with a file",
+                    ),
+                )
+                .arg(
+                    limit_arg("memory-mb", MEMORY_MB_RANGE, "Memory of the entries in MB")
+                        .default_value("512"),
+                )
                 .arg(json_arg()),
         )
         .subcommand(
--- a/crates/cactuswing/src/commands/mod.rs
+++ b/crates/cactuswing/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands: one module for each group of related ones. A command prints its
 //! result and returns the exit code.
 
+pub mod check;
 pub mod example;
 pub mod inspect;
 pub mod load;
@@ -65,6 +66,15 @@
 ) -> Result<T, ExitKind> {
     let addresses: Vec<SocketAddr> =
         matches.get_many("control").map(|given| given.copied().collect()).unwrap_or_default();
+    with_hosts(addresses, body)
+}
+
+/// Runs `body` with a client of the control group at these addresses; prints the
+/// error if it fails.
+fn with_hosts<T>(
+    addresses: Vec<SocketAddr>,
+    body: impl AsyncFnOnce(&mut ControlClient) -> Result<T, ControlFailure>,
+) -> Result<T, ExitKind> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|error| {
         eprintln!("can't start the async runtime: {error}");
--- a/crates/cactuswing/src/commands/text.rs
+++ b/crates/cactuswing/src/commands/text.rs
@@ -1,11 +1,11 @@
-//! `check`, `plan`, `apply`, `show`, `drain`: commands on the operators' text,
+//! `plan`, `apply`, `show`, `drain`: commands on the operators' text,
 //! the configuration that control keeps in versions.
 
 use clap::ArgMatches;
 use compact_str::CompactString;
 use model::{
     Command, CommandResult, ConfigDelta, ConfigInForce, ControlAnswer, ControlQuery, HistoryLine,
-    OperatorConfig, read_operator_config, sorted,
+    OperatorConfig, ValidationError, read_operator_config, sorted,
 };
 use serde::Serialize;
 
@@ -17,41 +17,26 @@
 /// between reading and applying it.
 const MAX_DRAIN_ATTEMPTS: usize = 10;
 
-/// Validates a text and prints every error in it.
-pub fn check(matches: &ArgMatches) -> ExitKind {
-    match read_text(matches) {
-        Ok(text) => {
-            let (services, teams) = (text.services.len(), text.teams.len());
-            if wants_json(matches) {
-                print_json(&Vec::<String>::new());
-            } else {
-                println!(
-                    "{}: {services} services, {teams} teams, no errors",
-                    argument(matches, "text")
-                );
-            }
-            ExitKind::Done
-        }
-        Err(exit) => exit,
-    }
-}
-
 fn read_text(matches: &ArgMatches) -> Result<OperatorConfig, ExitKind> {
     let path = argument(matches, "text");
     let text = read_file(path)?;
-    let text = read_operator_config(&text)
-        .map_err(|errors| show_errors(path, &errors, wants_json(matches)))?;
+    parse_text(&text).map_err(|errors| show_errors(path, &errors, wants_json(matches)))
+}
+
+/// Reads and validates an operators' text, its time zone included.
+///
+/// # Errors
+/// Every error of the first kind found: schema, dependencies, time zone.
+pub(super) fn parse_text(text: &str) -> Result<OperatorConfig, Vec<ValidationError>> {
+    let text = read_operator_config(text)?;
     if services::is_time_zone(&text.time_zone) {
         return Ok(text);
     }
-    let error = model::ValidationError {
-        path: "$.time_zone".to_owned(),
-        expected: format!(
-            "expected an IANA time zone, such as Europe/Stockholm, found \"{}\"",
-            text.time_zone
-        ),
-    };
-    Err(show_errors(path, &[error], wants_json(matches)))
+    let expected = format!(
+        "expected an IANA time zone, such as Europe/Stockholm, found \"{}\"",
+        text.time_zone
+    );
+    Err(vec![ValidationError { path: "$.time_zone".to_owned(), expected }])
 }
 
 /// The output of `plan`.
@@ -98,7 +83,7 @@
     }
 }
 
-async fn current_config(
+pub(super) async fn current_config(
     client: &mut ControlClient,
 ) -> Result<Option<ConfigInForce>, ControlFailure> {
     match client.query(ControlQuery::Config).await? {
--- a/tests/queue_path.rs
+++ b/tests/queue_path.rs
@@ -2,6 +2,7 @@
 //! process, with a stub backend server and calls over loopback.
 
 use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -90,9 +91,15 @@
 
 /// Ports of the control host. They are fixed, as each test has a loopback
 /// address of its own.
-const RPC_PORT: u16 = 7201;
+pub(crate) const RPC_PORT: u16 = 7201;
 const OPERATOR_PORT: u16 = 7202;
 
+/// What differs between the control hosts of tests.
+pub(crate) struct ControlSetup {
+    pub(crate) data_folder: PathBuf,
+    pub(crate) election_ms: u64,
+}
+
 /// A loopback address that differs between tests, by their number, and
 /// between concurrent runs, by the process id.
 fn unique_address(number: u8) -> IpAddr {
@@ -115,16 +122,27 @@
         number: u8,
         runs: StubRuns,
         drain_limit_ms: u64,
+    ) -> QueueSystem {
+        let data_folder = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
+        let control = ControlSetup { data_folder, election_ms: 100 };
+        QueueSystem::start_control(control, number, runs, drain_limit_ms)
+    }
+
+    /// Starts the system with a control host that is set up like this.
+    pub(crate) fn start_control(
+        control: ControlSetup,
+        number: u8,
+        runs: StubRuns,
+        drain_limit_ms: u64,
     ) -> QueueSystem {
         let clock: SharedClock = Arc::new(SystemClock);
-        let folder = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
         let host = unique_address(number);
         let (rpc, operators) = (RPC_PORT, SocketAddr::new(host, OPERATOR_PORT));
         let seeds = json!([operators]);
         let control = json!({
             "name": "control-1", "domain": "north", "listen": SocketAddr::new(host, rpc),
-            "data_folder": folder, "seeds": seeds, "seed_port": rpc,
-            "operators": operators, "election_ms": 100
+            "data_folder": control.data_folder, "seeds": seeds, "seed_port": rpc,
+            "operators": operators, "election_ms": control.election_ms
         });
         let control = read_control_settings(&control.to_string()).expect("valid settings");
         let control = start_control(&control, &clock).expect("control starts");
@@ -191,7 +209,7 @@
         Caller::new().call(method, self.entry.address, path, &headers, text).await.ok()
     }
 
-    fn stop(self) {
+    pub(crate) fn stop(self) {
         self.entry.stop();
         self.agent.stop();
         self.control.stop();
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -24,6 +24,7 @@
 mod burst_admission;
 mod catalog_versions;
 mod client_crowds;
+mod config_check;
 mod config_versions;
 mod connection_budget;
 mod cut_agents;
