--- a/crates/decisions/src/config_check/queue_reach.rs
+++ b/crates/decisions/src/config_check/queue_reach.rs
@@ -71,8 +71,8 @@
     name.chars().all(|letter| letter.is_ascii_alphanumeric() || "-._".contains(letter))
 }
 
-/// Whether the path of a request can contain the character. Other than here, a character that
-/// a client has to encode can't be told from one that it may send.
+/// Whether the path of a request can contain the character. Characters that clients should
+/// encode count as possible where an entry takes them as they are.
 fn is_path_char(letter: char) -> bool {
     !matches!(letter, ' ' | '#' | '?') && !letter.is_ascii_control()
 }
