Messages carry kinds of tasks

Cause: agents have to know the queue of a run, and entries what agents learn of pairs of queues. Change: optional fields, empty so far: queue in start orders, pairs and other_kinds in reports, watched_kinds in orders. Orders are boxed in the scheduler's steps, since the linter refuses a variant of that size; their receiver boxed them anyway. Result: the linter passes on the workspace.

--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -301,7 +301,7 @@
         }
         for order in orders.orders {
             match order {
-                AgentOrder::Start { life, runs, spec, size, estimate_ms } => {
+                AgentOrder::Start { life, runs, spec, size, estimate_ms, queue: _ } => {
                     let estimate = estimate_ms.map(Duration::from_millis);
                     let demand = RunDemand { size, estimate };
                     self.queue_starts(now, scheduler, &life, runs, &Arc::from(spec), demand);
@@ -423,6 +423,8 @@
                 claims: session.take_claim_updates(),
                 other_usage,
                 speed,
+                pairs: Vec::new(),
+                other_kinds: None,
             };
             self.steps.push(RunStep::Report(scheduler.clone(), report));
         }
--- a/crates/decisions/src/schedule/agent_orders.rs
+++ b/crates/decisions/src/schedule/agent_orders.rs
@@ -77,7 +77,8 @@
             entries: hosts_changed.then(|| self.hosts.entries()).flatten(),
             controls: hosts_changed.then(|| self.hosts.controls()).flatten(),
             evacuated: hosts_changed.then(|| self.hosts.evacuated()),
+            watched_kinds: None,
         };
-        self.steps.push(ScheduleStep::Orders { link: id, orders });
+        self.steps.push(ScheduleStep::Orders { link: id, orders: Box::new(orders) });
     }
 }
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -88,7 +88,7 @@
         /// The agent's connection.
         link: LinkId,
         /// Orders, grant and acknowledgements for the agent.
-        orders: AgentOrders,
+        orders: Box<AgentOrders>,
     },
     /// Answers the caller of a best-effort job with its outcome.
     JobEnd {
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -380,7 +380,7 @@
             let size = search.step.size;
             let spec = job.spec.clone();
             let estimate_ms = self.limits.speed_reports.then_some(search.step.estimate_ms);
-            let start = AgentOrder::Start { life, runs, spec, size, estimate_ms };
+            let start = AgentOrder::Start { life, runs, spec, size, estimate_ms, queue: None };
             self.push_order(&agent, start);
         }
     }
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -405,6 +405,38 @@
     /// Speed of the backend server, if it has changed since it was last reported.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub speed: Option<SpeedReport>,
+    /// Comparisons of kinds of tasks that have changed since they were last reported.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub pairs: Vec<PairReport>,
+    /// Those of the watched kinds of which other schedulers have runs there, if that has
+    /// changed since it was last reported.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub other_kinds: Option<Vec<QueueId>>,
+}
+
+/// Comparison of the run times of one kind of tasks, by queue, with and without runs of
+/// another kind on the same backend server. Sums decay, so the counts are not those of all
+/// runs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PairReport {
+    /// The kind whose run times are compared.
+    pub first: QueueId,
+    /// The kind that was present or absent; may be the same.
+    pub second: QueueId,
+    /// Number of jobs with the second kind present.
+    pub beside: u32,
+    /// Number of jobs without it.
+    pub alone: u32,
+    /// Weight of the difference, in thousandths: its variance is `variance` over this.
+    #[serde(rename = "weight")]
+    pub weight_milli: u32,
+    /// Mean logarithm of run time over estimate with the second kind present less that
+    /// without, in thousandths.
+    #[serde(rename = "excess")]
+    pub excess_milli: i32,
+    /// Variance of the logarithm among jobs of one sort, in thousandths.
+    #[serde(rename = "variance")]
+    pub variance_milli: u32,
 }
 
 /// Speed of a backend server as its agent has learned it from the runs of all schedulers.
@@ -494,6 +526,10 @@
         /// schedulers that use no speeds learned by agents.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         estimate_ms: Option<u64>,
+        /// Queue of the job, its kind; absent in the orders of schedulers that use no
+        /// comparisons of kinds.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        queue: Option<QueueId>,
     },
     /// Stops a run, or bars it from starting if it has not started.
     Stop {
@@ -544,6 +580,9 @@
     /// in its first message of a session. `None` leaves the agent with what it knew.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub evacuated: Option<Vec<DomainId>>,
+    /// Kinds of tasks whose presence the agent reports; present when the list has changed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub watched_kinds: Option<Vec<QueueId>>,
 }
 
 /// An entry's query for a catalog newer than its own. It also registers the
--- a/crates/services/src/job_scheduling.rs
+++ b/crates/services/src/job_scheduling.rs
@@ -206,7 +206,7 @@
                 ScheduleStep::Propose(commands) => self.propose_without_reply(commands),
                 ScheduleStep::Orders { link, orders } => {
                     self.meter.count_sent(&orders);
-                    self.send_to_agent(link, SchedulerMessage::Orders(Box::new(orders)));
+                    self.send_to_agent(link, SchedulerMessage::Orders(orders));
                 }
                 ScheduleStep::JobEnd { call, reply: body } => {
                     if let Some(slot) = self.waiting_callers.swap_remove(&call) {
--- a/tests/agent_fixture.rs
+++ b/tests/agent_fixture.rs
@@ -135,6 +135,7 @@
             entries: None,
             controls: None,
             evacuated: None,
+            watched_kinds: None,
         };
         let steps = self.table.on_orders(self.now, &entry(), 1, self.now, orders);
         self.apply_steps(steps);
@@ -153,6 +154,7 @@
             spec,
             size,
             estimate_ms: None,
+            queue: None,
         }]);
     }
 
--- a/tests/cut_agents.rs
+++ b/tests/cut_agents.rs
@@ -110,7 +110,14 @@
     let (life, spec) = ("i-1/7".into(), "work".to_owned());
     let start = orders(
         None,
-        vec![AgentOrder::Start { life, runs: vec![run()], spec, size, estimate_ms: None }],
+        vec![AgentOrder::Start {
+            life,
+            runs: vec![run()],
+            spec,
+            size,
+            estimate_ms: None,
+            queue: None,
+        }],
     );
     let now = agent.now;
     let steps = agent.table.on_orders(now, &SchedulerKey::Control, CONTROL_SESSION, now, start);
--- a/tests/end_acks.rs
+++ b/tests/end_acks.rs
@@ -27,6 +27,7 @@
         entries: None,
         controls: None,
         evacuated: None,
+        watched_kinds: None,
     }
 }
 
@@ -55,7 +56,8 @@
     agent.apply_steps(steps);
     let size = ResourceAmount { cpu_milli: 100, memory_mb: 1, accelerators: 0 };
     let (life, spec) = ("i-1/7".into(), "work".to_owned());
-    let start = AgentOrder::Start { life, runs: vec![run()], spec, size, estimate_ms: None };
+    let start =
+        AgentOrder::Start { life, runs: vec![run()], spec, size, estimate_ms: None, queue: None };
     acked_after(&mut agent, &SchedulerKey::Control, orders(None, vec![start]));
     agent.take_call(is_start).expect("the run is started");
     agent.list_end(ListedEnd { number: 1, run: run(), kind: EndKind::Done });
--- a/tests/entry_model.rs
+++ b/tests/entry_model.rs
@@ -501,7 +501,7 @@
         let mut finished = Vec::new();
         for step in steps {
             match step {
-                ScheduleStep::Orders { link, orders } => self.send_orders(entry, link, orders),
+                ScheduleStep::Orders { link, orders } => self.send_orders(entry, link, *orders),
                 ScheduleStep::CloseLink { link } => self.close_link(entry, link),
                 ScheduleStep::JobEnd { call, reply } => finished.push((call, reply)),
                 ScheduleStep::Propose(_) | ScheduleStep::Log(_) => {}
--- a/tests/evacuated_domains.rs
+++ b/tests/evacuated_domains.rs
@@ -354,7 +354,7 @@
 fn start(cpu_milli: u64) -> AgentOrder {
     let size = ResourceAmount { cpu_milli, memory_mb: 1, accelerators: 0 };
     let (life, spec) = ("i-1/7".into(), "work".to_owned());
-    AgentOrder::Start { life, runs: vec![run()], spec, size, estimate_ms: None }
+    AgentOrder::Start { life, runs: vec![run()], spec, size, estimate_ms: None, queue: None }
 }
 
 fn refused_as_gone() -> RunUpdate {
--- a/tests/fast_reserve.rs
+++ b/tests/fast_reserve.rs
@@ -113,6 +113,8 @@
             claims: Vec::new(),
             other_usage: cpu(used),
             speed: None,
+            pairs: Vec::new(),
+            other_kinds: None,
         };
         change(&mut report);
         let number = self.sent.entry(agent).or_default();
--- a/tests/grant_margin.rs
+++ b/tests/grant_margin.rs
@@ -74,6 +74,7 @@
             entries: None,
             controls: None,
             evacuated: None,
+            watched_kinds: None,
         };
         let now = self.agent.now;
         let steps = self.agent.table.on_orders(now, scheduler, session, sent_at, orders);
@@ -142,6 +143,7 @@
         spec: "work".to_owned(),
         size,
         estimate_ms: None,
+        queue: None,
     }
 }
 
--- a/tests/late_orders.rs
+++ b/tests/late_orders.rs
@@ -20,6 +20,7 @@
         entries: None,
         controls: None,
         evacuated: None,
+        watched_kinds: None,
     };
     let steps = agent.table.on_orders(agent.now, &entry(), 1, acked_at, orders);
     agent.apply_steps(steps);
@@ -33,6 +34,7 @@
         spec: "work".to_owned(),
         size,
         estimate_ms: None,
+        queue: None,
     }
 }
 
--- a/tests/odd_heartbeats.rs
+++ b/tests/odd_heartbeats.rs
@@ -420,7 +420,7 @@
     fn apply_schedule_steps(&mut self, steps: Vec<ScheduleStep>) {
         for step in steps {
             match step {
-                ScheduleStep::Orders { orders, .. } => self.take_orders(orders),
+                ScheduleStep::Orders { orders, .. } => self.take_orders(*orders),
                 ScheduleStep::CloseLink { .. } => panic!("a report was not accepted"),
                 _ => {}
             }
--- a/tests/odd_messages.rs
+++ b/tests/odd_messages.rs
@@ -77,6 +77,8 @@
         claims: Vec::new(),
         other_usage: ResourceAmount::default(),
         speed: None,
+        pairs: Vec::new(),
+        other_kinds: None,
     }
 }
 
@@ -216,6 +218,7 @@
                 spec: "work".to_owned(),
                 size,
                 estimate_ms: Some(grant_ms),
+                queue: None,
             };
             let orders = vec![start, AgentOrder::Keep { run: run.clone() }, AgentOrder::Stop { run }];
             let (term, received) = (0, 1);
@@ -230,6 +233,7 @@
                 entries: None,
                 controls: None,
                 evacuated: None,
+                watched_kinds: None,
             };
             let steps = agent.table.on_orders(agent.now, &entry(), 1, agent.now, orders);
             agent.apply_steps(steps);
--- a/tests/odd_terms.rs
+++ b/tests/odd_terms.rs
@@ -108,7 +108,14 @@
     let (life, spec) = ("i-1/7".into(), "work".to_owned());
     agent.order_in_term(
         term,
-        vec![AgentOrder::Start { life, runs: vec![run()], spec, size, estimate_ms: None }],
+        vec![AgentOrder::Start {
+            life,
+            runs: vec![run()],
+            spec,
+            size,
+            estimate_ms: None,
+            queue: None,
+        }],
     );
     assert!(agent.take_start().is_some(), "the agent carries out an order of this term");
 }
@@ -180,6 +187,8 @@
             claims: Vec::new(),
             other_usage: ResourceAmount::default(),
             speed: None,
+            pairs: Vec::new(),
+            other_kinds: None,
         };
         let message = AgentMessage::Report(Box::new(report));
         scheduler.on_agent_message(now, link, &NumberedMessage { number: 1, message });
--- a/tests/overload_model.rs
+++ b/tests/overload_model.rs
@@ -376,6 +376,8 @@
             claims: std::mem::take(&mut state.claim_updates),
             other_usage: ResourceAmount::default(),
             speed: None,
+            pairs: Vec::new(),
+            other_kinds: None,
         };
         self.send_message(agent, AgentMessage::Report(Box::new(report)));
     }
@@ -500,7 +502,7 @@
                 ScheduleStep::Orders { link, orders } => {
                     let Some(agent) = self.links.get(&link).copied() else { continue };
                     let id = self.new_id();
-                    self.orders_in_transit.insert(id, (link, orders));
+                    self.orders_in_transit.insert(id, (link, *orders));
                     self.at(self.busy_until + LINK_DELAY, Event::Orders(agent, id));
                 }
                 ScheduleStep::JobEnd { call, reply } => self.finish_call(call, &reply),
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -717,7 +717,7 @@
             match step {
                 ScheduleStep::Propose(commands) => self.propose(commands),
                 ScheduleStep::Orders { link, orders } => {
-                    self.in_transit.push_back(SentMessage::Orders(number, link, orders));
+                    self.in_transit.push_back(SentMessage::Orders(number, link, *orders));
                 }
                 ScheduleStep::CloseLink { link } => {
                     let open = self.schedulers[number].links.get(&link);
--- a/tests/speed_reports.rs
+++ b/tests/speed_reports.rs
@@ -28,7 +28,7 @@
     let run = TaskRun { task, run: 1 };
     let size = ResourceAmount { cpu_milli: 1_000, memory_mb: 1, accelerators: 0 };
     let (life, runs, spec) = ("i-1/7".into(), vec![run.clone()], "work".to_owned());
-    agent.order(vec![AgentOrder::Start { life, runs, spec, size, estimate_ms }]);
+    agent.order(vec![AgentOrder::Start { life, runs, spec, size, estimate_ms, queue: None }]);
     let call = agent.take_call(is_start).expect("a start is sent");
     agent.answer(&call, ServerAnswer::Done);
     agent.advance(Duration::from_millis(ran_ms));
@@ -116,7 +116,7 @@
         let size = ResourceAmount { cpu_milli: 100, memory_mb: 1, accelerators: 0 };
         let (life, spec) = ("i-1/7".into(), "work".to_owned());
         let (runs, estimate_ms) = (vec![TaskRun { task, run: 1 }], Some(ESTIMATE_MS));
-        agent.order(vec![AgentOrder::Start { life, runs, spec, size, estimate_ms }]);
+        agent.order(vec![AgentOrder::Start { life, runs, spec, size, estimate_ms, queue: None }]);
         let call = agent.take_call(is_start).expect("a start is sent");
         agent.answer(&call, ServerAnswer::Done);
     }
@@ -144,6 +144,8 @@
         claims: Vec::new(),
         other_usage: ResourceAmount::default(),
         speed: None,
+        pairs: Vec::new(),
+        other_kinds: None,
     }
 }
 
@@ -217,7 +219,7 @@
     fn settle(&mut self) -> Vec<(LinkId, model::AgentOrders)> {
         let steps = self.scheduler.settle(self.now).into_iter();
         let orders = steps.filter_map(|step| match step {
-            ScheduleStep::Orders { link, orders } => Some((link, orders)),
+            ScheduleStep::Orders { link, orders } => Some((link, *orders)),
             _ => None,
         });
         orders.collect()
@@ -327,7 +329,7 @@
 
     let size = ResourceAmount::default();
     let (life, runs, spec) = ("i-1/7".into(), Vec::new(), "work".to_owned());
-    let start = AgentOrder::Start { life, runs, spec, size, estimate_ms: None };
+    let start = AgentOrder::Start { life, runs, spec, size, estimate_ms: None, queue: None };
     let text = serde_json::to_string(&start).expect("serializable");
     assert!(!text.contains("estimate"), "{text}");
     assert_eq!(serde_json::from_str::<AgentOrder>(&text).expect("an order"), start);
--- a/tests/suspended_hosts.rs
+++ b/tests/suspended_hosts.rs
@@ -35,6 +35,7 @@
         spec,
         size,
         estimate_ms: None,
+        queue: None,
     };
     order(&mut agent, acked_at, vec![start]);
     assert_eq!(agent.take_start(), None);
