Interfering kinds of tasks are learned and placed apart

Change: agents compare a kind's jobs with and without each other kind within blocks (agent/kind_samples.rs, pair_sums.rs). Entries pool the sums, learn and forget pairs (schedule/kind_interference.rs), and add what a pair costs to the cost of placement (schedule/kind_presence.rs). Setting interference, off by default; log lines, schedule_load and metrics.

--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -163,6 +163,7 @@
         admission: AdmissionRule::Backlog,
         precedence: settings.precedence,
         guaranteed_share: settings.guaranteed_share,
+        interference: false,
     }
 }
 
--- a/crates/cactuswing/src/roles/queue_entry.rs
+++ b/crates/cactuswing/src/roles/queue_entry.rs
@@ -59,6 +59,7 @@
         admission: front.admission,
         precedence: front.precedence,
         guaranteed_share: front.guaranteed_share,
+        interference: front.interference,
     };
     let schedule_context = context.clone();
     kernel.register(ServiceName::JobScheduling, DUTY_RING_SLOTS, move |ring, registry| {
--- a/crates/cactuswing/src/roles/server_agent.rs
+++ b/crates/cactuswing/src/roles/server_agent.rs
@@ -79,6 +79,7 @@
             retry_delay: RETRY_INTERVAL,
             claim_wait: CLAIM_WAIT,
             speed_reports: server.speed_reports,
+            interference: server.interference,
         },
     };
     let run_context = context.clone();
--- a/crates/decisions/src/agent/mod.rs
+++ b/crates/decisions/src/agent/mod.rs
@@ -14,6 +14,7 @@
 mod evacuation;
 mod heartbeat_interval;
 mod instance_pool;
+mod kind_samples;
 mod pause_watch;
 mod run_calls;
 mod run_lease;
@@ -27,6 +28,7 @@
 
 pub use heartbeat_interval::heartbeat_interval;
 pub use instance_pool::{InstancePool, PoolChange};
+pub use kind_samples::{KindSamples, PresenceMark};
 pub use run_table::{RunLimits, RunStep, RunTable};
 pub use server_speed::{RunTime, ServerSpeed};
 pub use start_table::{StartLimits, StartStep, StartTable};
--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -24,7 +24,7 @@
 use indexmap::IndexMap;
 use model::{
     AgentOrder, AgentOrders, AgentReport, ClaimUpdate, EndKind, EntryHost, EventLine, FenceNumber,
-    Incarnation, NodeId, RunUpdate, SchedulerKey, ServerCall, ServerRequest, SessionId,
+    Incarnation, NodeId, QueueId, RunUpdate, SchedulerKey, ServerCall, ServerRequest, SessionId,
     StartRefusal, TaskRun, is_reachable_term,
 };
 
@@ -53,6 +53,8 @@
     pub claim_wait: Duration,
     /// Whether the speed of the backend server is learned and reported.
     pub speed_reports: bool,
+    /// Whether interference between kinds of tasks is learned and reported.
+    pub interference: bool,
 }
 
 /// An effect for the agent's run service to carry out.
@@ -295,15 +297,16 @@
         let known_for = contact_timeout(grant, self.limits.lease);
         let contact = EntryContact { grant, known_until, known_for };
         self.claims.on_contact(scheduler, contact);
+        self.take_watched_kinds(scheduler, orders.watched_kinds);
         if let Some(claims) = orders.claims {
             let notices = self.claims.on_orders(now, scheduler, contact, *claims);
             self.notify_claims(now, notices);
         }
         for order in orders.orders {
             match order {
-                AgentOrder::Start { life, runs, spec, size, estimate_ms, queue: _ } => {
+                AgentOrder::Start { life, runs, spec, size, estimate_ms, queue } => {
                     let estimate = estimate_ms.map(Duration::from_millis);
-                    let demand = RunDemand { size, estimate };
+                    let demand = RunDemand { size, estimate, queue };
                     self.queue_starts(now, scheduler, &life, runs, &Arc::from(spec), demand);
                 }
                 AgentOrder::Stop { run } => self.stop(now, run),
@@ -370,11 +373,26 @@
         self.start_waiting(now);
         self.renew_if_due(now);
         self.update_speed(now);
+        if let Some(life) = &mut self.life {
+            life.update_kinds(now);
+        }
         self.report_if_due(now);
         self.notify_activity();
         std::mem::take(&mut self.steps)
     }
 
+    /// Takes the kinds of tasks whose presence a scheduler has asked for.
+    fn take_watched_kinds(&mut self, scheduler: &SchedulerKey, kinds: Option<Vec<QueueId>>) {
+        let Some(kinds) = kinds.filter(|_| self.limits.interference) else { return };
+        let Some(session) = self.schedulers.get_mut(scheduler) else { return };
+        let names: Vec<&str> = kinds.iter().map(|kind| kind.as_str()).collect();
+        let line = EventLine::new("watched_kinds")
+            .with("scheduler", scheduler)
+            .with("kinds", names.join(","));
+        self.steps.push(RunStep::Log(line));
+        session.watch_kinds(kinds);
+    }
+
     /// Updates the learned speed of the backend server.
     fn update_speed(&mut self, now: Instant) {
         let Some(life) = &mut self.life else { return };
@@ -411,6 +429,12 @@
             let Some(number) = session.session else { continue };
             let server = session.server_report(server());
             let speed = session.speed_report(&server, life.and_then(ServerLife::speed_report));
+            let kinds = life.and_then(ServerLife::kinds);
+            let kinds = kinds.filter(|_| *scheduler != SchedulerKey::Control);
+            let pairs = session.pair_reports(now, &server, kinds);
+            let other_kinds = session.other_kinds(|watched| {
+                life.map(|life| life.other_kinds(scheduler, watched)).unwrap_or_default()
+            });
             let listed = |owner| life.map(|life| life.runs_of(owner)).unwrap_or_default();
             let report = AgentReport {
                 agent: self.agent.clone(),
@@ -423,8 +447,8 @@
                 claims: session.take_claim_updates(),
                 other_usage,
                 speed,
-                pairs: Vec::new(),
-                other_kinds: None,
+                pairs,
+                other_kinds,
             };
             self.steps.push(RunStep::Report(scheduler.clone(), report));
         }
--- a/crates/decisions/src/agent/scheduler_session.rs
+++ b/crates/decisions/src/agent/scheduler_session.rs
@@ -8,12 +8,15 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use indexmap::IndexMap;
 use model::{
-    ClaimUpdate, EndKind, MAX_UNACKED_REPORTS, ResourceAmount, RunUpdate, ServerReport, SessionId,
-    SpeedReport, Term,
+    ClaimUpdate, EndKind, MAX_UNACKED_REPORTS, PairReport, QueueId, ResourceAmount, RunUpdate,
+    ServerReport, SessionId, SpeedReport, Term,
 };
 
+use super::kind_samples::KindSamples;
 use super::server_speed::differs;
+use crate::pair_sums::PairSums;
 
 /// How long an update that is not urgent may wait for others.
 const JOINED_UPDATE_DELAY: Duration = Duration::from_millis(20);
@@ -36,6 +39,17 @@
 /// Number of jobs above which a rise isn't reported.
 const MAX_REPORTED_JOBS: u32 = 64;
 
+/// Time between two reports of pairs of kinds.
+const PAIR_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Change of a pair that is reported: of its weight, as a share of what the scheduler has by
+/// its own decay, and of the difference of logarithms.
+const REPORTED_WEIGHT_SHARE: f64 = 0.25;
+const REPORTED_EXCESS: f64 = 0.1;
+
+/// Largest number of kinds that a scheduler may watch.
+const MAX_WATCHED_KINDS: usize = 64;
+
 /// When an update has to be reported.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum UpdateUrgency {
@@ -78,6 +92,12 @@
     reported_server: ServerReport,
     /// The latest speed of the backend server that was reported since.
     reported_speed: Option<SpeedReport>,
+    /// The sums of each pair of kinds that were reported since, and when any was.
+    reported_pairs: IndexMap<(QueueId, QueueId), PairSums>,
+    pairs_reported_at: Option<Instant>,
+    /// Kinds whose presence the scheduler wants to know, and those that it knows of.
+    watched_kinds: Vec<QueueId>,
+    reported_kinds: Vec<QueueId>,
     /// Minimum time between reports that carry only a changed usage by other
     /// schedulers.
     pub(super) usage_interval: Duration,
@@ -113,6 +133,8 @@
         self.updates_due = None;
         self.notified_active = None;
         self.reported_server = ServerReport::Unchanged;
+        self.watched_kinds.clear();
+        self.reported_kinds.clear();
     }
 
     /// Ends a session; the grant stays valid until it expires. Returns `false` if it is
@@ -238,6 +260,61 @@
         speed
     }
 
+    /// What the next report, which says this of the backend server, says of pairs of kinds:
+    /// those that differ from what the scheduler has, at most once in [`PAIR_INTERVAL`].
+    pub(super) fn pair_reports(
+        &mut self,
+        now: Instant,
+        server: &ServerReport,
+        kinds: Option<&KindSamples>,
+    ) -> Vec<PairReport> {
+        // The scheduler may have lost the sums with the session or the life.
+        if !server.is_unchanged() {
+            self.reported_pairs.clear();
+            self.pairs_reported_at = None;
+        }
+        let Some(kinds) = kinds else { return Vec::new() };
+        if self.pairs_reported_at.is_some_and(|at| now < at + PAIR_INTERVAL) {
+            return Vec::new();
+        }
+        let mut reports = Vec::new();
+        for (first, second, sums) in kinds.sums(now) {
+            let key = (first.clone(), second.clone());
+            let known = self.reported_pairs.get(&key).map(|known| known.decayed(now));
+            let is_known = known
+                .is_some_and(|known| !sums.differs(&known, REPORTED_WEIGHT_SHARE, REPORTED_EXCESS));
+            if let Some(report) = sums.report(first, second).filter(|_| !is_known) {
+                self.reported_pairs.insert(key, sums);
+                reports.push(report);
+            }
+        }
+        self.pairs_reported_at = Some(now);
+        reports
+    }
+
+    /// Takes the kinds whose presence the scheduler wants to know.
+    pub(super) fn watch_kinds(&mut self, mut kinds: Vec<QueueId>) {
+        kinds.truncate(MAX_WATCHED_KINDS);
+        self.watched_kinds = kinds;
+    }
+
+    /// What the next report says of the watched kinds that other schedulers run: nothing
+    /// unless that has changed.
+    pub(super) fn other_kinds(
+        &mut self,
+        find: impl FnOnce(&[QueueId]) -> Vec<QueueId>,
+    ) -> Option<Vec<QueueId>> {
+        if self.watched_kinds.is_empty() && self.reported_kinds.is_empty() {
+            return None;
+        }
+        let kinds = find(&self.watched_kinds);
+        if kinds == self.reported_kinds {
+            return None;
+        }
+        self.reported_kinds = kinds.clone();
+        Some(kinds)
+    }
+
     /// Requires that a notable change of the speed is reported soon.
     pub(super) fn require_speed_report(&mut self, now: Instant) {
         if self.session.is_some() {
--- a/crates/decisions/src/agent/server_heartbeats.rs
+++ b/crates/decisions/src/agent/server_heartbeats.rs
@@ -113,7 +113,7 @@
             .with("address", heartbeat.address)
             .with("cpu_milli", heartbeat.view.capacity.cpu_milli);
         self.steps.push(RunStep::Log(line));
-        self.life = Some(ServerLife::new(now, heartbeat, self.limits.speed_reports));
+        self.life = Some(ServerLife::new(now, heartbeat, &self.limits));
     }
 
     /// Keeps the heartbeat of another instance, and queries the current one's lists: if
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -15,10 +15,12 @@
 
 use indexmap::IndexMap;
 use model::{
-    EndKind, EndNumber, LifeId, ListedEnd, ResourceAmount, RunUpdate, SchedulerKey,
+    EndKind, EndNumber, LifeId, ListedEnd, QueueId, ResourceAmount, RunUpdate, SchedulerKey,
     ServerHeartbeat, ServerView, SpeedReport, StartRefusal, TaskRun,
 };
 
+use super::kind_samples::{KindSamples, PresenceMark};
+use super::run_table::RunLimits;
 use super::server_speed::{RunTime, ServerSpeed};
 use super::start_queue::StartQueue;
 use crate::run_bounds::MAX_CLOCK_DRIFT_RATIO;
@@ -79,12 +81,14 @@
 }
 
 /// What an order says of each of its runs.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(super) struct RunDemand {
     /// Resources that the run takes.
     pub(super) size: ResourceAmount,
     /// Estimated run time, if the order has one.
     pub(super) estimate: Option<Duration>,
+    /// Queue of the job, if the order has one.
+    pub(super) queue: Option<QueueId>,
 }
 
 /// A run that may be active.
@@ -95,6 +99,10 @@
     pub(super) size: ResourceAmount,
     /// Estimated run time, if its order has one and it was started in this life.
     pub(super) estimate: Option<Duration>,
+    /// Queue of the job, if its order has one.
+    queue: Option<QueueId>,
+    /// The kinds that were active so far when it started, if it is to be compared.
+    presence: Option<PresenceMark>,
     /// Scheduler that ordered the run; `None` if this agent was restarted since
     /// and no scheduler has claimed it.
     pub(super) owner: Option<SchedulerKey>,
@@ -105,6 +113,18 @@
 }
 
 impl RunState {
+    /// A run whose start was ordered now.
+    pub(super) fn waiting(
+        now: Instant,
+        owner: Option<SchedulerKey>,
+        demand: RunDemand,
+    ) -> RunState {
+        let RunDemand { size, estimate, queue } = demand;
+        let phase = RunPhase::Waiting;
+        let (ordered_at, since) = (now, now);
+        RunState { phase, size, estimate, queue, presence: None, owner, ordered_at, since }
+    }
+
     /// Run time so far; `None` if the start was not sent or the run has no estimate.
     fn run_time(&self, now: Instant) -> Option<RunTime> {
         let ran = now.saturating_duration_since(self.since);
@@ -186,10 +206,12 @@
     speed: Option<ServerSpeed>,
     /// Time at which a run counts as overdue for the speed.
     overdue_at: Option<Instant>,
+    /// Comparisons of the kinds of tasks that run there, if they are to be learned.
+    kinds: Option<KindSamples>,
 }
 
 impl ServerLife {
-    pub(super) fn new(now: Instant, heartbeat: &ServerHeartbeat, learns_speed: bool) -> ServerLife {
+    pub(super) fn new(now: Instant, heartbeat: &ServerHeartbeat, limits: &RunLimits) -> ServerLife {
         ServerLife {
             view: heartbeat.view.clone(),
             address: heartbeat.address,
@@ -215,8 +237,9 @@
             renewals_sent: 0,
             latest_listed_renewal: 0,
             lists_partial: false,
-            speed: learns_speed.then(|| ServerSpeed::new(now)),
+            speed: limits.speed_reports.then(|| ServerSpeed::new(now)),
             overdue_at: None,
+            kinds: limits.interference.then(|| KindSamples::new(now)),
         }
     }
 
@@ -397,6 +420,8 @@
             let run = self.runs.swap_remove(&end.run);
             let run_time = run.as_ref().and_then(|run| run.run_time(now));
             self.add_run_time(now, &end, run_time);
+            let presence = run.as_ref().and_then(|run| run.presence);
+            self.add_kind_sample(now, &end, presence.zip(run_time));
             let ran = run.as_ref().map(|run| now.saturating_duration_since(run.since));
             let owner = run.and_then(|run| run.owner);
             let update = update_of(&end, ran);
@@ -415,6 +440,8 @@
                 phase: RunPhase::Running { since_renewal: self.renewals_sent },
                 size: ResourceAmount::default(),
                 estimate: None,
+                queue: None,
+                presence: None,
                 owner: None,
                 ordered_at: now,
                 since: now,
@@ -460,6 +487,53 @@
         }
     }
 
+    /// Adds a completed run to the comparisons of kinds.
+    fn add_kind_sample(
+        &mut self,
+        now: Instant,
+        end: &ListedEnd,
+        sample: Option<(PresenceMark, RunTime)>,
+    ) {
+        if let (Some(kinds), Some((mark, run_time)), EndKind::Done) =
+            (&mut self.kinds, sample, end.kind)
+        {
+            kinds.add_completed(now, &end.run.task.job, &mark, run_time);
+        }
+    }
+
+    /// Updates the comparisons of kinds with the runs that are active.
+    pub(super) fn update_kinds(&mut self, now: Instant) {
+        let Some(kinds) = &mut self.kinds else { return };
+        let active = self.runs.iter().filter(|(_, state)| state.phase.may_be_active());
+        let active = active.filter_map(|(run, state)| Some((&run.task.job, state.queue.as_ref()?)));
+        kinds.update(now, active);
+        for state in self.runs.values_mut() {
+            let is_new = state.presence.is_none() && state.phase.is_active();
+            if let Some(queue) = state.queue.as_ref().filter(|_| is_new && state.estimate.is_some())
+            {
+                state.presence = kinds.mark(now, queue);
+            }
+        }
+    }
+
+    /// The comparisons of kinds, if they are to be learned.
+    pub(super) fn kinds(&self) -> Option<&KindSamples> {
+        self.kinds.as_ref()
+    }
+
+    /// Those of the watched kinds of which other schedulers have runs.
+    pub(super) fn other_kinds(
+        &self,
+        scheduler: &SchedulerKey,
+        watched: &[QueueId],
+    ) -> Vec<QueueId> {
+        let is_there = |kind: &&QueueId| {
+            let mut others = self.runs.values().filter(|run| run.owner.as_ref() != Some(scheduler));
+            others.any(|run| run.queue.as_ref() == Some(*kind))
+        };
+        watched.iter().filter(is_there).cloned().collect()
+    }
+
     /// Updates the speed with the runs that are active; returns the figure before and the
     /// present one after a notable change.
     pub(super) fn update_speed(
@@ -520,6 +594,7 @@
         self.runs = earlier.runs;
         for state in self.runs.values_mut() {
             state.estimate = None;
+            state.presence = None;
             state.phase = match state.phase {
                 RunPhase::Running { .. } => RunPhase::Running { since_renewal: 0 },
                 _ => RunPhase::Stopping { retry_at: Some(now) },
--- a/crates/decisions/src/agent/server_speed.rs
+++ b/crates/decisions/src/agent/server_speed.rs
@@ -65,7 +65,7 @@
 
 impl RunTime {
     /// Logarithm of run time over estimate; `None` without an estimate.
-    fn log_ratio(&self) -> Option<f64> {
+    pub(super) fn log_ratio(&self) -> Option<f64> {
         let ratio = self.ran.as_secs_f64() / self.estimate.as_secs_f64();
         (!self.estimate.is_zero()).then(|| ratio.clamp(MIN_RATIO, MAX_RATIO).ln())
     }
--- a/crates/decisions/src/agent/start_queue.rs
+++ b/crates/decisions/src/agent/start_queue.rs
@@ -74,9 +74,7 @@
                 }
                 None => {}
             }
-            let RunDemand { size, estimate } = demand;
-            let phase = RunPhase::Waiting;
-            let state = RunState { phase, size, estimate, owner, ordered_at: now, since: now };
+            let state = RunState::waiting(now, owner, demand.clone());
             life.runs.insert(run.clone(), state);
             let (spec, until) = (Arc::clone(spec), now + MAX_START_WAIT);
             life.start_queue.starts.push_back(WaitingStart { run, spec, until });
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod control;
 pub mod discovery;
 pub mod entry;
+mod pair_sums;
 mod run_bounds;
 pub mod schedule;
 mod spread_hash;
--- a/crates/decisions/src/schedule/agent_orders.rs
+++ b/crates/decisions/src/schedule/agent_orders.rs
@@ -19,12 +19,14 @@
 
 impl Scheduler {
     /// Time at which a message to an agent is due even without orders: at once if
-    /// a list of hosts has changed or many messages wait for their acknowledgement,
+    /// a list of hosts or of watched kinds has changed or many messages wait for their acknowledgement,
     /// after `ack_delay` if there are ends to acknowledge, and otherwise `reply_wait`
     /// after the first message that is not acknowledged.
     pub(super) fn message_due(&self, state: &AgentState) -> Option<Instant> {
         let link = state.link?;
-        if state.sent_hosts_version != self.hosts.version() {
+        if state.sent_hosts_version != self.hosts.version()
+            || state.sent_kinds_version != self.kinds_version()
+        {
             return Some(state.last_contact);
         }
         let reply_wait = match link.unacked() {
@@ -61,11 +63,15 @@
     fn send_to_agent(&mut self, agent: &NodeId) {
         let term = self.term.unwrap_or_default();
         let usage_interval_ms = self.usage_interval().as_millis() as u64;
+        let kinds_version = self.kinds_version();
         let Some(state) = self.agents.get_mut(agent) else { return };
         let Some(link) = &mut state.link else { return };
         let (id, received) = (link.id, link.ack_all());
         let hosts_changed = state.sent_hosts_version != self.hosts.version();
         state.sent_hosts_version = self.hosts.version();
+        let kinds_changed = state.sent_kinds_version != kinds_version;
+        state.sent_kinds_version = kinds_version;
+        let interference = self.interference.as_ref().filter(|_| kinds_changed);
         let orders = AgentOrders {
             term,
             received,
@@ -77,7 +83,7 @@
             entries: hosts_changed.then(|| self.hosts.entries()).flatten(),
             controls: hosts_changed.then(|| self.hosts.controls()).flatten(),
             evacuated: hosts_changed.then(|| self.hosts.evacuated()),
-            watched_kinds: None,
+            watched_kinds: interference.map(|known| known.watched_kinds()),
         };
         self.steps.push(ScheduleStep::Orders { link: id, orders: Box::new(orders) });
     }
--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -77,6 +77,7 @@
         }
         self.update_server_view(now, report);
         self.take_reported_speed(report);
+        self.take_reported_kinds(now, report);
         if let Some(runs) = &report.runs {
             self.reconcile_runs(now, report, runs);
         }
@@ -263,7 +264,9 @@
             return false;
         };
         let agent = report.agent.clone();
-        let placed = Placement::new(agent, life, run.run, size, now);
+        let queue = self.live.get(&run.task.job).map(|live| live.job.queue.clone());
+        let queue = queue.unwrap_or_default();
+        let placed = Placement::new(agent, life, run.run, size, now).of_queue(queue);
         self.placements.insert(run.task.clone(), placed);
         if let Some(live) = self.live.get_mut(&run.task.job) {
             live.started = true;
@@ -284,9 +287,13 @@
     fn recompute_usage(&mut self, agent: &NodeId) {
         let placed = self.placements.values();
         let on_agent = placed.filter(|placed| placed.agent == *agent && !placed.ended);
-        let usage = on_agent.fold(ResourceAmount::default(), |sum, placed| sum.with(&placed.size));
         if let Some(state) = self.agents.get_mut(agent) {
-            state.usage = usage;
+            state.usage = ResourceAmount::default();
+            state.kinds.clear_own();
+            for placed in on_agent {
+                state.usage = state.usage.with(&placed.size);
+                state.kinds.add(&placed.queue);
+            }
         }
         self.placement_due = true;
     }
@@ -407,6 +414,7 @@
             && !placed.ended
         {
             state.usage = state.usage.saturating_sub(&placed.size);
+            state.kinds.remove(&placed.queue);
             self.placement_due = true;
         }
     }
--- a/crates/decisions/src/schedule/agent_search.rs
+++ b/crates/decisions/src/schedule/agent_search.rs
@@ -137,6 +137,7 @@
             // its capacity is reserved for more urgent tasks.
             let reserved = search.urgency.is_reserved(*run_time, utilization);
             let cost = if reserved { cost } else { spread.cost(agent, cost) };
+            let cost = cost + run_time * self.interference_at(&job.queue, agent);
             if best.is_none_or(|(_, lowest)| cost < lowest) {
                 best = Some((agent, cost));
             }
@@ -162,6 +163,7 @@
         search.has_room(candidate)
             && self.is_below_limit(job, search, agent)
             && !search.urgency.is_reserved(candidate.run_time, candidate.utilization())
+            && !self.is_own_rival(&job.queue)
     }
 
     pub(super) fn service_of(&self, job: &QueuedJob) -> Option<ServiceId> {
--- a/crates/decisions/src/schedule/agent_state.rs
+++ b/crates/decisions/src/schedule/agent_state.rs
@@ -14,6 +14,7 @@
 
 use super::agent_link::AgentLink;
 use super::given_up_agents::GiveUpKnowledge;
+use super::kind_presence::KindPresence;
 use super::speed_estimate::SpeedEstimate;
 
 /// Consecutive failed runs after which a backend server is paused.
@@ -47,6 +48,10 @@
     pub(super) usage: ResourceAmount,
     /// Resources taken by other schedulers' runs, as last reported.
     pub(super) other_usage: ResourceAmount,
+    /// Kinds of tasks that run there.
+    pub(super) kinds: KindPresence,
+    /// Version of the list of watched kinds that was last sent to the agent.
+    pub(super) sent_kinds_version: u64,
     /// Version of the lists of hosts that were last sent to the agent.
     pub(super) sent_hosts_version: u64,
     /// The open connection, if there is one.
@@ -84,6 +89,8 @@
             reports_draining: false,
             usage: ResourceAmount::default(),
             other_usage: ResourceAmount::default(),
+            kinds: KindPresence::default(),
+            sent_kinds_version: 0,
             sent_hosts_version: 0,
             link: None,
             link_lost_at: Some(now),
@@ -162,6 +169,7 @@
         self.last_acked_end = 0;
         self.unsent_ack_since = None;
         self.usage = ResourceAmount::default();
+        self.kinds.clear_own();
         self.consecutive_failures = 0;
         self.paused_until = None;
         self.speed = SpeedEstimate::new(now);
@@ -187,6 +195,8 @@
         self.link_lost_at = Some(now);
         self.unsent_ack_since = (self.last_acked_end > 0).then_some(now);
         self.sent_hosts_version = 0;
+        self.sent_kinds_version = 0;
+        self.kinds.others.clear();
     }
 
     /// Records the run time of a successful run.
--- a/crates/decisions/src/schedule/live_job.rs
+++ b/crates/decisions/src/schedule/live_job.rs
@@ -5,7 +5,8 @@
 
 use indexmap::{IndexMap, IndexSet};
 use model::{
-    CallId, JobStep, LifeId, NodeId, QueuedJob, ResourceAmount, RunNumber, TaskName, later, scaled,
+    CallId, JobStep, LifeId, NodeId, QueueId, QueuedJob, ResourceAmount, RunNumber, TaskName,
+    later, scaled,
 };
 
 use super::queue_shares::WorkClass;
@@ -25,6 +26,8 @@
     pub(super) life: LifeId,
     pub(super) run: RunNumber,
     pub(super) size: ResourceAmount,
+    /// Queue of the job, the task's kind.
+    pub(super) queue: QueueId,
     /// Time of the placement, or of its adoption from an agent's report.
     pub(super) since: Instant,
     /// Slowness of the backend server when the run was placed.
@@ -44,8 +47,22 @@
         size: ResourceAmount,
         since: Instant,
     ) -> Placement {
-        let overdue_factor = FIRST_OVERDUE_FACTOR;
-        Placement { agent, life, run, size, since, slowness: 1.0, ended: false, overdue_factor }
+        Placement {
+            agent,
+            life,
+            run,
+            size,
+            queue: QueueId::default(),
+            since,
+            slowness: 1.0,
+            ended: false,
+            overdue_factor: FIRST_OVERDUE_FACTOR,
+        }
+    }
+
+    /// Sets the queue of the job.
+    pub(super) fn of_queue(self, queue: QueueId) -> Placement {
+        Placement { queue, ..self }
     }
 
     /// Ratio of a run time here to its estimate, on a backend server of slowness 1.
--- a/crates/decisions/src/schedule/load_counts.rs
+++ b/crates/decisions/src/schedule/load_counts.rs
@@ -94,6 +94,10 @@
     pub confirm_requests: u64,
     /// Reports with a speed that an agent has learned.
     pub speed_reports: u64,
+    /// Reports with pairs of kinds of tasks.
+    pub pair_reports: u64,
+    /// Runs that were placed beside kinds known to interfere with them.
+    pub interfering: u64,
     /// Jobs that were refused or ended before their callers had left.
     pub refusals: RefusalCounts,
 }
--- a/crates/decisions/src/schedule/mod.rs
+++ b/crates/decisions/src/schedule/mod.rs
@@ -27,6 +27,8 @@
 mod job_claims;
 mod job_expiry;
 mod job_sizes;
+mod kind_interference;
+mod kind_presence;
 mod live_job;
 mod load_counts;
 mod placement_order;
@@ -48,6 +50,8 @@
 mod task_urgency;
 
 pub use agent_state::AgentState;
+pub use kind_interference::{KindInterference, PairChange, PairOrigin};
+pub use kind_presence::pair_line;
 pub use load_counts::{GrantCounts, LoadCounts, RefusalCounts};
 pub use queue_shares::{QueueCounts, QueueShares, RankCause, ShareRank, WaitingGroup, WorkClass};
 pub use report_delay::ReportDelay;
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -15,6 +15,7 @@
 use super::agent_state::AgentState;
 use super::host_lists::HostLists;
 use super::job_claims::JobClaims;
+use super::kind_interference::KindInterference;
 use super::live_job::{JobWaiter, LiveJob, Placement};
 use super::load_counts::LoadCounts;
 use super::proposed_ends::ProposedEnds;
@@ -63,6 +64,9 @@
     pub precedence: Option<Precedence>,
     /// Share of the capacity that precedence guarantees each queue with waiting work.
     pub guaranteed_share: f64,
+    /// Whether start orders carry the queue, and what agents report of interference between
+    /// kinds of tasks is used.
+    pub interference: bool,
 }
 
 /// Time in which a start that a backend server does not accept is reported as refused.
@@ -168,6 +172,8 @@
     pub(super) report_delay: ReportDelay,
     /// How run times of best-effort jobs compare to their estimates.
     pub(super) run_times: RunTimeQuantiles,
+    /// Interference between kinds of tasks; `None` without the setting.
+    pub(super) interference: Option<KindInterference>,
     overdue_checked_at: Instant,
     /// Time of the next check for expired jobs: the earliest expiry at the last check,
     /// or that of a job admitted since.
@@ -209,6 +215,7 @@
             counts: LoadCounts::default(),
             report_delay: ReportDelay::default(),
             run_times: RunTimeQuantiles::default(),
+            interference: limits.interference.then(|| KindInterference::new(now)),
             overdue_checked_at: now,
             next_expiry: None,
             expiry_checked_at: now,
@@ -497,6 +504,7 @@
             self.doubt_after_pause(now);
             self.expire_takeover(now);
             self.expire_jobs(now);
+            self.check_interference(now);
             self.check_agents(now);
             self.release_claims();
             self.check_claims(now);
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -14,7 +14,7 @@
 use super::placement_order::OrderedGroup;
 use super::placement_round::PlacementRound;
 use super::queue_shares::ShareRank;
-use super::scheduler::{ScheduleStep, Scheduler};
+use super::scheduler::{ScheduleLimits, ScheduleStep, Scheduler};
 use super::server_sizes::ServerSizes;
 use super::step_spread::StepSpread;
 use crate::control::JobStore;
@@ -327,14 +327,17 @@
             live.started = true;
             live.unrefused_runs += 1;
         }
+        self.counts.interfering += u64::from(self.interference_at(&job.queue, agent) > 0.0);
         let mut life = Default::default();
         let mut slowness = 1.0;
         if let Some(state) = self.agents.get_mut(agent) {
             state.usage = state.usage.with(&size);
+            state.kinds.add(&job.queue);
             life = state.life().cloned().unwrap_or_default();
             slowness = state.slowness();
         }
-        let placed = Placement { slowness, ..Placement::new(agent.clone(), life, run, size, now) };
+        let placed = Placement::new(agent.clone(), life, run, size, now);
+        let placed = Placement { slowness, ..placed.of_queue(job.queue.clone()) };
         self.counts.placed += 1;
         self.placements.insert(task.clone(), placed);
         TaskRun { task, run }
@@ -379,8 +382,10 @@
             self.steps.push(ScheduleStep::Log(line));
             let size = search.step.size;
             let spec = job.spec.clone();
-            let estimate_ms = self.limits.speed_reports.then_some(search.step.estimate_ms);
-            let start = AgentOrder::Start { life, runs, spec, size, estimate_ms, queue: None };
+            let ScheduleLimits { speed_reports, interference, .. } = self.limits;
+            let estimate_ms = (speed_reports || interference).then_some(search.step.estimate_ms);
+            let queue = interference.then(|| job.queue.clone());
+            let start = AgentOrder::Start { life, runs, spec, size, estimate_ms, queue };
             self.push_order(&agent, start);
         }
     }
--- a/crates/edges/src/metrics.rs
+++ b/crates/edges/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Encodes the counters of a process for the `/metrics` routes.
 
-use model::{CloseCause, ErrorKind, MessageKind, ProcessCounters};
+use model::{CloseCause, ErrorKind, LearnedPair, MessageKind, ProcessCounters};
 use prometheus::{Encoder, GaugeVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 use strum::IntoEnumIterator;
 
@@ -41,6 +41,20 @@
     for (duty, seconds) in duty_seconds() {
         duty_time.with_label_values(&[&duty]).set(seconds);
     }
+    let pairs = counters.learned_pairs();
+    let pair_gauge = |name, help, value: fn(&LearnedPair) -> f64| {
+        let gauges = GaugeVec::new(Opts::new(name, help), &["first", "second"])?;
+        for pair in &pairs {
+            gauges.with_label_values(&[&pair.first, &pair.second]).set(value(pair));
+        }
+        registry.register(Box::new(gauges))
+    };
+    let name = "cactuswing_interference_factor";
+    pair_gauge(name, "Factor on run times by pair of queues", |pair| pair.factor)?;
+    let name = "cactuswing_interference_samples";
+    pair_gauge(name, "Jobs compared by pair of queues", |pair| pair.samples as f64)?;
+    let name = "cactuswing_interference_age_seconds";
+    pair_gauge(name, "Age of the latest report by pair of queues", |pair| pair.age.as_secs_f64())?;
     gauge(registry, "cactuswing_whole_answers", "Complete answers so far", counters.completed())?;
     gauge(registry, "cactuswing_waiting_tasks", "Waiting tasks", counters.waiting())?;
     gauge(registry, "cactuswing_in_progress", "Work in progress", counters.in_progress())?;
--- a/crates/model/src/counters.rs
+++ b/crates/model/src/counters.rs
@@ -4,15 +4,32 @@
 //! Invariant: cells are updated with relaxed atomics, so different counters may
 //! be read at slightly different moments.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use strum::IntoEnumIterator;
 
 use crate::close_cause::CloseCause;
 use crate::error::ErrorKind;
+use crate::ids::QueueId;
 use crate::message_kind::MessageKind;
 
+/// A pair of kinds of tasks of which the second is known to slow the first one down.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LearnedPair {
+    /// The kind that is slowed down, by its queue.
+    pub first: QueueId,
+    /// The kind beside it that slows it down; may be the same.
+    pub second: QueueId,
+    /// Factor on the run time.
+    pub factor: f64,
+    /// Number of jobs that were compared, of both sorts.
+    pub samples: u64,
+    /// Time since an agent last reported the pair.
+    pub age: Duration,
+}
+
 /// Counters of one process, shared by its duties.
 #[derive(Debug, Clone, Default)]
 pub struct ProcessCounters {
@@ -32,6 +49,7 @@
     in_progress: AtomicU64,
     dropped_lines: AtomicU64,
     slots: AtomicU64,
+    learned_pairs: Mutex<Vec<LearnedPair>>,
 }
 
 impl Default for CounterCells {
@@ -45,6 +63,7 @@
             in_progress: AtomicU64::new(0),
             dropped_lines: AtomicU64::new(0),
             slots: AtomicU64::new(0),
+            learned_pairs: Mutex::new(Vec::new()),
         }
     }
 }
@@ -71,6 +90,18 @@
         wasted.map(|kind| self.messages(kind)).sum()
     }
 
+    /// Sets the pairs of kinds of tasks that are known to interfere.
+    pub fn set_learned_pairs(&self, pairs: Vec<LearnedPair>) {
+        let cell = &self.cells.learned_pairs;
+        *cell.lock().unwrap_or_else(PoisonError::into_inner) = pairs;
+    }
+
+    /// Pairs of kinds of tasks that are known to interfere.
+    pub fn learned_pairs(&self) -> Vec<LearnedPair> {
+        let cell = &self.cells.learned_pairs;
+        cell.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Counts a failed answer by its error kind.
     pub fn count_failure(&self, kind: ErrorKind) {
         self.cells.failures[kind as usize].fetch_add(1, Ordering::Relaxed);
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -184,6 +184,10 @@
     /// to 1.
     #[serde(default = "default_guaranteed_share")]
     pub guaranteed_share: f64,
+    /// Whether agents are sent the queues of jobs, and what they learn of interference
+    /// between tasks is used.
+    #[serde(default)]
+    pub interference: bool,
 }
 
 /// Which best-effort jobs an entry refuses.
@@ -312,6 +316,9 @@
     /// Whether the agent learns the server's speed and reports it.
     #[serde(default)]
     pub speed_reports: bool,
+    /// Whether the agent learns which kinds of tasks slow each other down, and reports it.
+    #[serde(default)]
+    pub interference: bool,
 }
 
 impl AgentSettings {
@@ -510,11 +517,13 @@
     optional("admission", ValueSchema::OneOf(ADMISSION_RULES)),
     optional("precedence", ValueSchema::OneOf(PRECEDENCES)),
     optional("guaranteed_share", ValueSchema::Number(0.0, 1.0)),
+    optional("interference", ValueSchema::Boolean),
 ];
 const SERVER_FIELDS: &[FieldRule] = &[
     required("address", ValueSchema::Address),
     required("lease_ms", DURATION_MS),
     optional("speed_reports", ValueSchema::Boolean),
+    optional("interference", ValueSchema::Boolean),
 ];
 const ADDRESSES: ValueSchema = ValueSchema::List(&ValueSchema::Address);
 const PEER_FIELDS: &[FieldRule] =
--- a/crates/services/src/job_scheduling.rs
+++ b/crates/services/src/job_scheduling.rs
@@ -16,7 +16,8 @@
 use model::{
     CallId, CatalogQuery, Command, ConfigVersion, ControlReply, ControlReplyBody, EventLine,
     EventLog, JobCall, JobReply, JobReplySlot, LeaderHint, LinkId, LogIndex, LogMessage,
-    QueueFrontMessage, ScheduleEdgeMessage, SchedulerMessage, SchedulingMessage, ServiceName, Term,
+    ProcessCounters, QueueFrontMessage, ScheduleEdgeMessage, SchedulerMessage, SchedulingMessage,
+    ServiceName, Term,
 };
 
 use crate::context::ServiceContext;
@@ -58,6 +59,7 @@
     catalog_watchers: Vec<CatalogWatcher>,
     site: SchedulerSite,
     meter: LoadMeter,
+    counters: ProcessCounters,
 }
 
 /// Runs the service until its ring is closed.
@@ -88,6 +90,7 @@
         catalog_watchers: Vec::new(),
         site,
         meter: LoadMeter::new(clock.now()),
+        counters: context.counters.clone(),
     };
     let duty = BatchHandler { state, receive, on_deadline, settle, next_deadline };
     run_batched_duty(ring, &clock, duty);
@@ -112,7 +115,11 @@
     let steps = state.scheduler.settle(now);
     state.execute_steps(steps);
     state.answer_catalog_watchers(now);
-    for line in state.meter.take_lines(now, &mut state.scheduler) {
+    let lines = state.meter.take_lines(now, &mut state.scheduler);
+    if !lines.is_empty() && state.scheduler.uses_interference() {
+        state.counters.set_learned_pairs(state.scheduler.learned_pairs());
+    }
+    for line in lines {
         state.log.summary(line);
     }
 }
--- a/crates/services/src/load_meter.rs
+++ b/crates/services/src/load_meter.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use decisions::schedule::{QueueCounts, RefusalCounts, Scheduler};
+use decisions::schedule::{QueueCounts, RefusalCounts, Scheduler, pair_line};
 use model::{AgentMessage, AgentOrders, AgentReport, EventLine, RunUpdate, SchedulingMessage};
 
 /// Minimum interval between two lines; without messages none is written.
@@ -87,7 +87,7 @@
     }
 
     /// The lines that are due, if any: one for the scheduler, and one for each queue that
-    /// was short of capacity. Starts the next interval.
+    /// was short of capacity and for each learned pair of kinds. Starts the next interval.
     pub(crate) fn take_lines(&mut self, now: Instant, scheduler: &mut Scheduler) -> Vec<EventLine> {
         let interval = now.saturating_duration_since(self.interval_start);
         if interval < LINE_INTERVAL {
@@ -134,10 +134,20 @@
         } else {
             line
         };
+        let pairs = scheduler.learned_pairs();
+        let line = if scheduler.uses_interference() {
+            line.with("pair_reports", counts.pair_reports)
+                .with("learned_pairs", pairs.len())
+                .with("interfering", counts.interfering)
+        } else {
+            line
+        };
         *self = LoadMeter::new(now);
         let queues = scheduler.take_queue_counts();
         let queue_lines = queues.iter().map(|counts| queue_line(interval, counts));
-        std::iter::once(with_refusals(line, &counts.refusals)).chain(queue_lines).collect()
+        let pair_lines = pairs.iter().map(|pair| pair_line("learned_pair", pair));
+        let lines = std::iter::once(with_refusals(line, &counts.refusals));
+        lines.chain(queue_lines).chain(pair_lines).collect()
     }
 }
 
--- a/tests/agent_fixture.rs
+++ b/tests/agent_fixture.rs
@@ -5,9 +5,9 @@
 
 use decisions::agent::{RunLimits, RunStep, RunTable};
 use model::{
-    AgentOrder, AgentOrders, ListedEnd, ResourceAmount, RunUpdate, SchedulerKey, ServerAnswer,
-    ServerCall, ServerHeartbeat, ServerReport, ServerRequest, ServerView, SpeedReport, TaskName,
-    TaskRun, Term,
+    AgentOrder, AgentOrders, ListedEnd, PairReport, QueueId, ResourceAmount, RunUpdate,
+    SchedulerKey, ServerAnswer, ServerCall, ServerHeartbeat, ServerReport, ServerRequest,
+    ServerView, SpeedReport, TaskName, TaskRun, Term,
 };
 
 use crate::schedule_model::run_limits;
@@ -32,6 +32,9 @@
     pub(crate) server: ServerReport,
     /// Speeds of the backend server that the reports contain.
     pub(crate) speeds: Vec<SpeedReport>,
+    /// Pairs of kinds in each report that contains any, and the kinds of other schedulers.
+    pub(crate) pairs: Vec<Vec<PairReport>>,
+    pub(crate) other_kinds: Vec<Vec<QueueId>>,
 }
 
 pub(crate) fn entry() -> SchedulerKey {
@@ -85,6 +88,8 @@
             updates: Vec::new(),
             server: ServerReport::Absent,
             speeds: Vec::new(),
+            pairs: Vec::new(),
+            other_kinds: Vec::new(),
         };
         agent.heartbeat(1, false);
         agent.answer_renewal();
@@ -101,6 +106,8 @@
                 RunStep::Report(scheduler, report) => {
                     self.updates.extend(report.updates);
                     self.speeds.extend(report.speed);
+                    self.pairs.extend((!report.pairs.is_empty()).then_some(report.pairs));
+                    self.other_kinds.extend(report.other_kinds);
                     if report.server != ServerReport::Unchanged {
                         self.server = report.server;
                     }
--- a/tests/odd_messages.rs
+++ b/tests/odd_messages.rs
@@ -7,13 +7,13 @@
 use decisions::schedule::{JobDecision, ScheduleLimits, ScheduleStep, Scheduler, SchedulerKind};
 use model::{
     AgentHeartbeat, AgentMessage, AgentOrder, AgentOrders, AgentReport, ClaimUpdate, EndAck,
-    EndKind, JobCall, JobReply, LinkId, NumberedMessage, ResourceAmount, RunUpdate, ServerReport,
-    ServerView, SpeedReport, StartRefusal, TaskName, TaskRun,
+    EndKind, JobCall, JobReply, LinkId, NumberedMessage, PairReport, ResourceAmount, RunUpdate,
+    ServerReport, ServerView, SpeedReport, StartRefusal, TaskName, TaskRun,
 };
 use proptest::prelude::*;
 
 use crate::agent_fixture::{AgentFixture, entry, is_start, run_of};
-use crate::schedule_model::{SERVICE, catalog, job, run_limits, schedule_limits};
+use crate::schedule_model::{QUEUE, SERVICE, catalog, job, run_limits, schedule_limits};
 use crate::support::case_count;
 
 fn odd_number() -> impl Strategy<Value = u64> {
@@ -89,16 +89,37 @@
     prop::option::of(speed)
 }
 
+/// Pairs of kinds whose sums can't be true, and kinds that no queue has.
+fn odd_pairs() -> impl Strategy<Value = Vec<PairReport>> {
+    let kind = || prop_oneof![Just(QUEUE), Just("no-queue"), Just("")];
+    let number = || odd_number().prop_map(|number| number as u32);
+    let pair = (kind(), kind(), number(), number(), number(), number(), number());
+    let pair =
+        pair.prop_map(|(first, second, beside, alone, weight, excess, variance)| PairReport {
+            first: first.into(),
+            second: second.into(),
+            beside,
+            alone,
+            weight_milli: weight,
+            excess_milli: excess as i32,
+            variance_milli: variance,
+        });
+    prop::collection::vec(pair, 0..3)
+}
+
 fn odd_report() -> impl Strategy<Value = AgentReport> {
     let runs = || prop::collection::vec(odd_run(), 0..3);
     let updates = prop::collection::vec(odd_update(), 0..4);
     let agent = prop_oneof![Just("agent-1"), Just("agent-2"), Just("agent-3")];
     let session = (odd_number(), odd_number());
     let amounts = (odd_amount(), odd_amount());
-    (agent, session, amounts, prop::option::of(runs()), runs(), updates, odd_speed()).prop_map(
-        |(agent, session, (capacity, other_usage), runs, unowned, updates, speed)| {
+    let learned = (odd_speed(), odd_pairs());
+    (agent, session, amounts, prop::option::of(runs()), runs(), updates, learned).prop_map(
+        |(agent, session, (capacity, other_usage), runs, unowned, updates, (speed, pairs))| {
             let (incarnation, session) = session;
             let usual = AgentReport { incarnation, session, ..report(agent, capacity) };
+            let other_kinds = Some(pairs.iter().map(|pair| pair.second.clone()).collect());
+            let usual = AgentReport { pairs, other_kinds, ..usual };
             AgentReport { runs, unowned, updates, other_usage, speed, ..usual }
         },
     )
@@ -160,7 +181,7 @@
     ) {
         let mut now = Instant::now();
         let limits = schedule_limits(SchedulerKind::Entry);
-        let limits = ScheduleLimits { speed_reports: true, ..limits };
+        let limits = ScheduleLimits { speed_reports: true, interference: true, ..limits };
         let mut scheduler = Scheduler::new(now, SchedulerKind::Entry, limits);
         scheduler.on_catalog(&catalog(1));
         for (number, (odd, wait_ms, step_ms)) in reports.iter().enumerate() {
@@ -209,7 +230,9 @@
         orders in prop::collection::vec(
             (odd_number(), odd_number(), odd_number(), odd_amount(), odd_run()), 1..8),
     ) {
-        let mut agent = AgentFixture::with_limits(RunLimits { speed_reports: true, ..run_limits() });
+        let (speed_reports, interference) = (true, true);
+        let limits = RunLimits { speed_reports, interference, ..run_limits() };
+        let mut agent = AgentFixture::with_limits(limits);
         for (grant_ms, usage_interval_ms, upto, size, run) in orders {
             let ack = Some(EndAck { life: "i-1/7".into(), upto });
             let start = AgentOrder::Start {
@@ -218,7 +241,7 @@
                 spec: "work".to_owned(),
                 size,
                 estimate_ms: Some(grant_ms),
-                queue: None,
+                queue: Some("work".into()),
             };
             let orders = vec![start, AgentOrder::Keep { run: run.clone() }, AgentOrder::Stop { run }];
             let (term, received) = (0, 1);
@@ -233,7 +256,7 @@
                 entries: None,
                 controls: None,
                 evacuated: None,
-                watched_kinds: None,
+                watched_kinds: Some(vec!["work".into(), "".into()]),
             };
             let steps = agent.table.on_orders(agent.now, &entry(), 1, agent.now, orders);
             agent.apply_steps(steps);
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -62,6 +62,7 @@
         retry_delay: Duration::from_millis(100),
         claim_wait: Duration::from_millis(300),
         speed_reports: false,
+        interference: false,
     }
 }
 
@@ -75,6 +76,7 @@
         remote_factor: 1.5,
         estimate_spread: 0.0,
         speed_reports: false,
+        interference: false,
         admission: AdmissionRule::Backlog,
         precedence: None,
         guaranteed_share: model::DEFAULT_GUARANTEED_SHARE,
--- a/tests/settings_errors.rs
+++ b/tests/settings_errors.rs
@@ -75,6 +75,29 @@
     assert_eq!(error_places(&errors), ["$.server.speed_reports"]);
 }
 
+// Guards against a misspelt or mistyped value that silently leaves interference unlearned.
+#[test]
+fn interference_validated() {
+    let entry = |field| read_entry_settings(&front_settings(field)).map(|entry| entry.front);
+    let is_used = |field| entry(field).expect("valid settings").expect("a front").interference;
+    assert!(!is_used(""));
+    assert!(is_used(r#", "interference": true"#));
+    let errors = entry(r#", "interference": "true""#).expect_err("not a boolean");
+    assert_eq!(error_places(&errors), ["$.front.interference"]);
+    let agent = |server: &str| {
+        let text = format!(
+            r#"{{ "worker": "w", "domain": "d", "rack": "r", "listen": "127.0.0.1:1",
+            "announce_listen": "127.0.0.1:2", "controls": ["127.0.0.1:4"], "cores": 1,
+            "memory_mb": 1, "server": {{ "address": "127.0.0.1:3", "lease_ms": 1000 {server} }} }}"#
+        );
+        read_agent_settings(&text).map(|settings| settings.server.expect("a server").interference)
+    };
+    assert_eq!(agent(""), Ok(false));
+    assert_eq!(agent(r#", "interference": true"#), Ok(true));
+    let errors = agent(r#", "interference": 1"#).expect_err("not a boolean");
+    assert_eq!(error_places(&errors), ["$.server.interference"]);
+}
+
 #[test]
 fn duplicate_member_reported() {
     let text = r#"{ "name": "a", "domain": "d", "listen": "127.0.0.1:1", "data_folder": "x",
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -106,6 +106,7 @@
 mod start_queue;
 mod start_table;
 mod suspended_hosts;
+mod task_interference;
 mod task_urgency;
 mod unclaimed_runs;
 mod unconfirmed_catalog;
