--- a/crates/decisions/src/agent/kind_samples.rs
+++ b/crates/decisions/src/agent/kind_samples.rs
@@ -29,19 +29,28 @@
 /// Largest distance of a sample from the median of its block, as a factor: a job that takes
 /// several times as long counts as one of three times.
 const MAX_FACTOR: f64 = 3.0;
-/// Share of its run time during which a kind has to be active beside a job to count as
+/// Share of the observed time during which a kind has to be active beside a job to count as
 /// present.
 const PRESENT_SHARE: f64 = 0.5;
+/// Share of its estimated run time, from its start, in which a run is observed. Over the whole
+/// of their run times long runs would meet busy kinds more often than short ones, and these
+/// kinds would seem to make them long.
+const OBSERVED_SHARE: f64 = 0.5;
 /// Time from the first end of a job's run after which the job is counted even if it has more
 /// runs here.
 const MAX_JOB_TIME: Duration = Duration::from_secs(1);
 
-/// Time so far in which each kind was active, when a run started; that of the run's own kind
-/// counts only while others of it were active.
+/// The kinds beside a run. That of the run itself counts only while others of it are active.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PresenceMark {
     kind: usize,
     at: Instant,
+    /// Time from the start after which the observation ends.
+    window: Duration,
+    /// Time for which the run was observed, once that has ended.
+    observed: Option<Duration>,
+    /// Time in which each kind was active: until then, that up to the start, and afterwards
+    /// that in the observed time.
     active: [Duration; MAX_KINDS],
 }
 
@@ -59,8 +68,9 @@
     first_end_at: Instant,
     log_sum: f64,
     runs: u32,
-    /// Run time of these runs, and the part of it in which each kind was active.
-    ran: Duration,
+    /// Time for which these runs were observed, and the part of it in which each kind was
+    /// active.
+    observed: Duration,
     active: [Duration; MAX_KINDS],
 }
 
@@ -188,9 +198,28 @@
 
     /// The mark of a run that has started now; `None` if its kind is not compared. Follows
     /// [`KindSamples::update`] at the same time.
-    pub fn mark(&self, now: Instant, queue: &QueueId) -> Option<PresenceMark> {
+    pub fn mark(&self, now: Instant, queue: &QueueId, estimate: Duration) -> Option<PresenceMark> {
         let kind = self.find(queue)?;
-        Some(PresenceMark { kind, at: now, active: self.times_beside(kind) })
+        let (window, active) = (estimate.mul_f64(OBSERVED_SHARE), self.times_beside(kind));
+        Some(PresenceMark { kind, at: now, window, observed: None, active })
+    }
+
+    /// Ends the observation of a run if it was long enough. Follows [`KindSamples::update`] at
+    /// the same time.
+    pub fn observe(&self, now: Instant, mark: &mut PresenceMark) {
+        if mark.observed.is_none() && now >= mark.at + mark.window {
+            self.end_observation(now, mark);
+        }
+    }
+
+    fn end_observation(&self, now: Instant, mark: &mut PresenceMark) {
+        if mark.observed.is_some() {
+            return;
+        }
+        mark.observed = Some(now.saturating_duration_since(mark.at));
+        for (active, until) in mark.active.iter_mut().zip(self.times_beside(mark.kind)) {
+            *active = until.saturating_sub(*active);
+        }
     }
 
     /// Adds a run that has done its task, with the mark of its start.
@@ -198,28 +227,28 @@
         &mut self,
         now: Instant,
         job: &JobId,
-        mark: &PresenceMark,
+        mut mark: PresenceMark,
         run_time: RunTime,
     ) {
         self.advance(now);
         let Some(log) = run_time.log_ratio().filter(|_| mark.kind < self.kinds.len()) else {
             return;
         };
-        let times = self.times_beside(mark.kind);
+        self.end_observation(now, &mut mark);
         let unused = OpenJob {
             kind: mark.kind,
             first_end_at: now,
             log_sum: 0.0,
             runs: 0,
-            ran: Duration::ZERO,
+            observed: Duration::ZERO,
             active: [Duration::ZERO; MAX_KINDS],
         };
         let open = self.open_jobs.entry(job.clone()).or_insert(unused);
         open.log_sum += log;
         open.runs += 1;
-        open.ran += now.saturating_duration_since(mark.at);
-        for (sum, (until, from)) in open.active.iter_mut().zip(times.iter().zip(&mark.active)) {
-            *sum += until.saturating_sub(*from);
+        open.observed += mark.observed.unwrap_or_default();
+        for (sum, active) in open.active.iter_mut().zip(mark.active) {
+            *sum += active;
         }
     }
 
@@ -238,7 +267,9 @@
             if kind.block.is_empty() {
                 kind.block_since = now;
             }
-            let present = open.active.map(|time| time >= open.ran.mul_f64(PRESENT_SHARE));
+            let present = open
+                .active
+                .map(|time| !time.is_zero() && time >= open.observed.mul_f64(PRESENT_SHARE));
             kind.block.push(Sample { log: open.log_sum / f64::from(open.runs), present });
         }
     }
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -497,7 +497,7 @@
         if let (Some(kinds), Some((mark, run_time)), EndKind::Done) =
             (&mut self.kinds, sample, end.kind)
         {
-            kinds.add_completed(now, &end.run.task.job, &mark, run_time);
+            kinds.add_completed(now, &end.run.task.job, mark, run_time);
         }
     }
 
@@ -508,10 +508,12 @@
         let active = active.filter_map(|(run, state)| Some((&run.task.job, state.queue.as_ref()?)));
         kinds.update(now, active);
         for state in self.runs.values_mut() {
-            let is_new = state.presence.is_none() && state.phase.is_active();
-            if let Some(queue) = state.queue.as_ref().filter(|_| is_new && state.estimate.is_some())
+            if let Some(mark) = &mut state.presence {
+                kinds.observe(now, mark);
+            } else if state.phase.is_active()
+                && let (Some(queue), Some(estimate)) = (&state.queue, state.estimate)
             {
-                state.presence = kinds.mark(now, queue);
+                state.presence = kinds.mark(now, queue, estimate);
             }
         }
     }
