--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -164,6 +164,7 @@
         precedence: settings.precedence,
         guaranteed_share: settings.guaranteed_share,
         rack_reserve: settings.rack_reserve,
+        interference: false,
     }
 }
 
--- a/crates/cactuswing/src/roles/queue_entry.rs
+++ b/crates/cactuswing/src/roles/queue_entry.rs
@@ -60,6 +60,7 @@
         precedence: front.precedence,
         guaranteed_share: front.guaranteed_share,
         rack_reserve: front.rack_reserve,
+        interference: front.interference,
     };
     let schedule_context = context.clone();
     kernel.register(ServiceName::JobScheduling, DUTY_RING_SLOTS, move |ring, registry| {
--- a/crates/cactuswing/src/roles/server_agent.rs
+++ b/crates/cactuswing/src/roles/server_agent.rs
@@ -80,6 +80,7 @@
             claim_wait: CLAIM_WAIT,
             speed_reports: server.speed_reports,
             resend_starts: server.resend_starts,
+            interference: server.interference,
         },
     };
     let run_context = context.clone();
--- a/crates/decisions/src/schedule/scheduler.rs
+++ b/crates/decisions/src/schedule/scheduler.rs
@@ -16,6 +16,7 @@
 use super::agent_state::AgentState;
 use super::host_lists::HostLists;
 use super::job_claims::JobClaims;
+use super::kind_interference::KindInterference;
 use super::live_job::{JobWaiter, LiveJob, Placement};
 use super::load_counts::LoadCounts;
 use super::proposed_ends::ProposedEnds;
@@ -67,6 +68,9 @@
     pub guaranteed_share: f64,
     /// Whether tasks leave racks in high demand to those whose data is there.
     pub rack_reserve: bool,
+    /// Whether start orders carry the queue, and what agents report of interference between
+    /// kinds of tasks is used.
+    pub interference: bool,
 }
 
 /// Time in which a start that a backend server does not accept is reported as refused.
@@ -92,7 +96,7 @@
         /// The agent's connection.
         link: LinkId,
         /// Orders, grant and acknowledgements for the agent.
-        orders: AgentOrders,
+        orders: Box<AgentOrders>,
     },
     /// Answers the caller of a best-effort job with its outcome.
     JobEnd {
@@ -174,6 +178,8 @@
     pub(super) report_delay: ReportDelay,
     /// How run times of best-effort jobs compare to their estimates.
     pub(super) run_times: RunTimeQuantiles,
+    /// Interference between kinds of tasks; `None` without the setting.
+    pub(super) interference: Option<KindInterference>,
     overdue_checked_at: Instant,
     /// Time of the next check for expired jobs: the earliest expiry at the last check,
     /// or that of a job admitted since.
@@ -216,6 +222,7 @@
             counts: LoadCounts::default(),
             report_delay: ReportDelay::default(),
             run_times: RunTimeQuantiles::default(),
+            interference: limits.interference.then(|| KindInterference::new(now)),
             overdue_checked_at: now,
             next_expiry: None,
             expiry_checked_at: now,
@@ -518,6 +525,7 @@
             self.doubt_after_pause(now);
             self.expire_takeover(now);
             self.expire_jobs(now);
+            self.check_interference(now);
             self.check_agents(now);
             self.release_claims();
             self.check_claims(now);
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -187,6 +187,10 @@
     /// Whether tasks leave racks in high demand to those whose data is there.
     #[serde(default)]
     pub rack_reserve: bool,
+    /// Whether agents are sent the queues of jobs, and what they learn of interference
+    /// between tasks is used.
+    #[serde(default)]
+    pub interference: bool,
 }
 
 /// Which best-effort jobs an entry refuses.
@@ -318,6 +322,9 @@
     /// Whether the agent sends a start again when its answer is late.
     #[serde(default)]
     pub resend_starts: bool,
+    /// Whether the agent learns which kinds of tasks slow each other down, and reports it.
+    #[serde(default)]
+    pub interference: bool,
 }
 
 impl AgentSettings {
@@ -520,12 +527,14 @@
     optional("precedence", ValueSchema::OneOf(PRECEDENCES)),
     optional("guaranteed_share", ValueSchema::Number(0.0, 1.0)),
     optional("rack_reserve", ValueSchema::Boolean),
+    optional("interference", ValueSchema::Boolean),
 ];
 const SERVER_FIELDS: &[FieldRule] = &[
     required("address", ValueSchema::Address),
     required("lease_ms", DURATION_MS),
     optional("speed_reports", ValueSchema::Boolean),
     optional("resend_starts", ValueSchema::Boolean),
+    optional("interference", ValueSchema::Boolean),
 ];
 const ADDRESSES: ValueSchema = ValueSchema::List(&ValueSchema::Address);
 const PEER_FIELDS: &[FieldRule] =
--- a/tests/rack_demand.rs
+++ b/tests/rack_demand.rs
@@ -190,6 +190,8 @@
             claims: Vec::new(),
             other_usage: cpu(1_000 * others as u64),
             speed: None,
+            pairs: Vec::new(),
+            other_kinds: None,
         };
         change(&mut report);
         let entry = &mut self.entries[entry];
@@ -320,7 +322,7 @@
         for step in entry.scheduler.settle(self.now) {
             match step {
                 ScheduleStep::Orders { link, orders } => {
-                    entry.orders.push((link as usize, orders));
+                    entry.orders.push((link as usize, *orders));
                 }
                 ScheduleStep::JobEnd { call, reply } => {
                     self.jobs[call as usize].ended = Some((self.now, reply));
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -63,6 +63,7 @@
         claim_wait: Duration::from_millis(300),
         speed_reports: false,
         resend_starts: false,
+        interference: false,
     }
 }
 
@@ -76,6 +77,7 @@
         remote_factor: 1.5,
         estimate_spread: 0.0,
         speed_reports: false,
+        interference: false,
         admission: AdmissionRule::Backlog,
         precedence: None,
         guaranteed_share: model::DEFAULT_GUARANTEED_SHARE,
@@ -719,7 +721,7 @@
             match step {
                 ScheduleStep::Propose(commands) => self.propose(commands),
                 ScheduleStep::Orders { link, orders } => {
-                    self.in_transit.push_back(SentMessage::Orders(number, link, orders));
+                    self.in_transit.push_back(SentMessage::Orders(number, link, *orders));
                 }
                 ScheduleStep::CloseLink { link } => {
                     let open = self.schedulers[number].links.get(&link);
