Jobs of very many small tasks leave time for other jobs

Cause: tasks that need little capacity were placed by the thousand on one backend server (10,000 runs in one order). An agent handles each input in time proportional to its runs, and for each waiting start again to all runs; for minutes it granted no claims. A limit on tasks at one server was checked in tasks x agents x placements. Change: a step has at most 256 runs on one backend server and 2,048 in all, a scheduler 512 on one server, and an agent refuses starts beyond 1,024 runs. A round places 256 tasks of a step, and counts its runs by agent once. The agent computes its free capacity once for all waiting starts. A best-effort job has at most 10,000 tasks; a larger one is refused with 400 before anything of it runs. Stored jobs keep their limit of 100,000. Result: client_crowds::very_large_jobs fails on the code before ("an ordinary job runs", 30 s without an answer; agent at 100% of a core in server_runs) and passes now in 14 s; large_jobs::step_runs_limited and scheduler_runs_limited fail with the limits lifted (2,000 and 1,000 runs) and pass.

--- a/crates/decisions/src/agent/start_queue.rs
+++ b/crates/decisions/src/agent/start_queue.rs
@@ -8,7 +8,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use model::{LifeId, RunUpdate, SchedulerKey, ServerRequest, StartRefusal, TaskRun};
+use model::{
+    LifeId, ResourceAmount, RunUpdate, SchedulerKey, ServerRequest, StartRefusal, TaskRun,
+};
 
 use super::run_table::RunTable;
 use super::server_life::{OwnedUpdate, RunDemand, RunPhase, RunState, ServerLife};
@@ -17,6 +19,10 @@
 /// in which its scheduler can place it elsewhere.
 const MAX_START_WAIT: Duration = Duration::from_millis(50);
 
+/// Maximum number of runs, with those that wait to start, above which further starts are
+/// refused: each input is handled in time proportional to them.
+const MAX_RUNS: usize = 1_024;
+
 /// A start that waits for free capacity. Its run is in the life's list of runs.
 #[derive(Debug, Clone)]
 struct WaitingStart {
@@ -72,6 +78,11 @@
                     self.notify(now, vec![(owner, update)]);
                     continue;
                 }
+                None if life.runs.len() >= MAX_RUNS => {
+                    let update = RunUpdate::Refused { run, refusal: StartRefusal::Room };
+                    self.notify(now, vec![(owner, update)]);
+                    continue;
+                }
                 None => {}
             }
             let RunDemand { size, estimate } = demand;
@@ -100,6 +111,7 @@
             let session = schedulers.get(owner);
             session.is_some_and(|session| !session.remaining_grant(now).is_zero())
         };
+        let mut free = life.free_capacity();
         let mut refused = Vec::new();
         let mut requests = Vec::new();
         for start in std::mem::take(&mut life.start_queue.starts) {
@@ -107,7 +119,7 @@
                 refused.extend(life.refuse(&start.run, refusal));
             } else if may_start
                 && life.is_owned_by(&start.run, is_granted)
-                && life.begin(now, &start.run)
+                && life.begin(now, &start.run, &mut free)
             {
                 requests.push(ServerRequest::Start { run: start.run, spec: start.spec });
             } else if start.until <= now {
@@ -146,11 +158,11 @@
     }
 
     /// Takes the capacity of a waiting run; `false` if it is not free.
-    fn begin(&mut self, now: Instant, run: &TaskRun) -> bool {
-        let free = self.free_capacity();
+    fn begin(&mut self, now: Instant, run: &TaskRun, free: &mut ResourceAmount) -> bool {
         let Some(state) = self.runs.get_mut(run).filter(|state| free.fits(&state.size)) else {
             return false;
         };
+        *free = free.saturating_sub(&state.size);
         state.phase = RunPhase::Starting;
         state.since = now;
         true
--- a/crates/decisions/src/control/job_store.rs
+++ b/crates/decisions/src/control/job_store.rs
@@ -14,7 +14,7 @@
 use indexmap::{IndexMap, IndexSet};
 use model::{
     Command, DomainId, EndKind, EndedRun, EvacuationList, JobId, JobPhase, JobRecord, LogIndex,
-    LogRecord, NodeId, QueueCatalog, QueueId, QueueRule, QueuedJob, ScheduleState, TaskName, Term,
+    LogRecord, NodeId, QueueCatalog, QueueId, QueueRule, QueuedJob, ScheduleState, Term,
 };
 use serde::{Deserialize, Serialize};
 
@@ -332,12 +332,13 @@
         }
     }
 
-    /// Whether all tasks of all steps that `step` depends on are done.
+    /// Whether all tasks of all steps that `step` depends on are done. Looks at the last task of
+    /// a step first, which is usually placed last: this is asked at the end of each task.
     pub fn is_step_ready(record: &JobRecord, job: &QueuedJob, step: model::StepIndex) -> bool {
         let Some(own) = job.steps.get(step as usize) else { return false };
         own.depends_on.iter().all(|earlier| {
-            let tasks = job.tasks_of(*earlier);
-            tasks.into_iter().all(|task: TaskName| record.is_done(&task))
+            let count = job.steps.get(*earlier as usize).map_or(0, |step| step.count);
+            (0..count).rev().all(|index| record.done.contains(&(*earlier, index)))
         })
     }
 }
--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -284,9 +284,10 @@
     fn recompute_usage(&mut self, agent: &NodeId) {
         let placed = self.placements.values();
         let on_agent = placed.filter(|placed| placed.agent == *agent && !placed.ended);
-        let usage = on_agent.fold(ResourceAmount::default(), |sum, placed| sum.with(&placed.size));
+        let none = (ResourceAmount::default(), 0);
+        let sum = on_agent.fold(none, |(usage, runs), placed| (usage.with(&placed.size), runs + 1));
         if let Some(state) = self.agents.get_mut(agent) {
-            state.usage = usage;
+            (state.usage, state.own_runs) = sum;
         }
         self.placement_due = true;
     }
@@ -406,7 +407,7 @@
             && state.life() == Some(&placed.life)
             && !placed.ended
         {
-            state.usage = state.usage.saturating_sub(&placed.size);
+            state.remove_run(&placed.size);
             self.placement_due = true;
         }
     }
--- a/crates/decisions/src/schedule/agent_search.rs
+++ b/crates/decisions/src/schedule/agent_search.rs
@@ -2,7 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use model::{JobStep, NodeId, QueueRule, QueuedJob, ServiceId, StepIndex};
+use indexmap::IndexMap;
+use model::{JobStep, NodeId, QueueRule, QueuedJob, ServiceId, StepIndex, TaskName};
 
 use super::agent_state::AgentState;
 use super::placement_round::{AgentClass, AgentDemand, Candidate, PlacementRound, SparedCapacity};
@@ -14,12 +15,41 @@
 /// How long a part of fast servers stays kept after a task needed one.
 const FAST_DEMAND_MEMORY: Duration = Duration::from_secs(1);
 
+/// Maximum number of runs of one step on one backend server, so that a job of very many small
+/// tasks leaves other jobs a part of the runs that a scheduler may have there.
+const MAX_SERVER_RUNS: usize = 256;
+/// Maximum number of runs of one step at a time. A scheduler checks all its runs several times
+/// a second.
+const MAX_STEP_RUNS: usize = 2_048;
+
+/// Runs of a step, where their number is limited.
+pub(super) struct RunLimit {
+    max_per_server: usize,
+    /// Number of the runs by agent.
+    placed: IndexMap<NodeId, usize>,
+    total: usize,
+}
+
+impl RunLimit {
+    fn add(&mut self, agent: &NodeId) {
+        *self.placed.entry(agent.clone()).or_default() += 1;
+        self.total += 1;
+    }
+
+    fn allows(&self, agent: &NodeId) -> bool {
+        let placed = self.placed.get(agent).copied().unwrap_or(0);
+        placed < self.max_per_server && self.total < MAX_STEP_RUNS
+    }
+}
+
 /// A search for agents for the tasks of one step.
 pub(super) struct AgentSearch<'job> {
     pub(super) index: StepIndex,
     pub(super) step: &'job JobStep,
     pub(super) urgency: TaskUrgency,
     pub(super) demand: AgentDemand,
+    /// `None` for a step whose number of runs is not limited.
+    pub(super) limit: Option<RunLimit>,
 }
 
 impl AgentSearch<'_> {
@@ -31,7 +61,30 @@
             SparedCapacity::Kept => self.urgency.is_kept(run_time, utilization),
             SparedCapacity::Reserved => self.urgency.is_reserved(run_time, utilization),
         };
-        candidate.free.fits(&self.demand.size) && !is_spared
+        candidate.free.fits(&self.demand.size) && candidate.free_runs > 0 && !is_spared
+    }
+
+    /// Whether an agent that was just chosen for the step remains the best choice.
+    pub(super) fn takes_another(&self, round: &PlacementRound, agent: &NodeId) -> bool {
+        let candidates = round.candidates(&self.demand.class);
+        let Some(candidate) = candidates.iter().find(|candidate| candidate.agent == *agent) else {
+            return false;
+        };
+        self.has_room(candidate)
+            && self.is_below_limit(agent)
+            && !self.urgency.is_reserved(candidate.run_time, candidate.utilization())
+    }
+
+    /// Counts a run that was placed on an agent.
+    pub(super) fn add_run(&mut self, agent: &NodeId) {
+        if let Some(limit) = &mut self.limit {
+            limit.add(agent);
+        }
+    }
+
+    /// Whether one more task of the step may run on the agent.
+    fn is_below_limit(&self, agent: &NodeId) -> bool {
+        self.limit.as_ref().is_none_or(|limit| limit.allows(agent))
     }
 }
 
@@ -68,8 +121,11 @@
             SparedCapacity::Nothing
         };
         let demand = AgentDemand { class, size: job_step.size, max_run_time, spared };
-        let search = AgentSearch { index: step, step: job_step, urgency, demand };
-        (!round.is_unmet(&search.demand)).then_some(search)
+        if round.is_unmet(&demand) {
+            return None;
+        }
+        let limit = self.run_limit(job, step, job_step);
+        Some(AgentSearch { index: step, step: job_step, urgency, demand, limit })
     }
 
     /// Agents that the tasks of a step may run on, and their urgency there; `None` if
@@ -104,6 +160,7 @@
             agent: agent.clone(),
             run_time: self.relative_run_time(state, step),
             free: state.free_capacity(),
+            free_runs: state.free_runs(),
             cpu_milli: state.server.as_ref().map_or(0, |server| server.capacity.cpu_milli),
         });
         candidates.collect()
@@ -112,7 +169,6 @@
     /// Chooses the agent of the lowest cost that meets the demand.
     pub(super) fn choose_agent(
         &mut self,
-        job: &QueuedJob,
         search: &AgentSearch<'_>,
         round: &PlacementRound,
         spread: &StepSpread,
@@ -124,7 +180,7 @@
         let mut best: Option<(&NodeId, f64)> = None;
         for candidate in candidates.iter().filter(|one| search.has_room(one)) {
             let Candidate { agent, run_time, .. } = candidate;
-            if !self.is_below_limit(job, search, agent) {
+            if !search.is_below_limit(agent) {
                 continue;
             }
             fastest = fastest.min(*run_time);
@@ -147,23 +203,6 @@
         }
     }
 
-    /// Whether an agent that was just chosen for the step remains the best choice.
-    pub(super) fn takes_another(
-        &self,
-        job: &QueuedJob,
-        search: &AgentSearch<'_>,
-        round: &PlacementRound,
-        agent: &NodeId,
-    ) -> bool {
-        let candidates = round.candidates(&search.demand.class);
-        let Some(candidate) = candidates.iter().find(|candidate| candidate.agent == *agent) else {
-            return false;
-        };
-        search.has_room(candidate)
-            && self.is_below_limit(job, search, agent)
-            && !search.urgency.is_reserved(candidate.run_time, candidate.utilization())
-    }
-
     pub(super) fn service_of(&self, job: &QueuedJob) -> Option<ServiceId> {
         self.rule_of(job).map(|rule| rule.service.clone())
     }
@@ -173,28 +212,27 @@
         self.store.rule(&job.queue).or_else(|| self.volatile_store.rule(&job.queue))
     }
 
-    /// Whether the agent runs fewer tasks of the step than the step's limit for
-    /// one backend server; 0 is no limit.
-    fn is_below_limit(&self, job: &QueuedJob, search: &AgentSearch<'_>, agent: &NodeId) -> bool {
-        if search.step.max_per_server == 0 {
-            return true;
-        }
-        self.count_placed(job, search, agent) < search.step.max_per_server as usize
-    }
-
-    /// Number of tasks of the step on an agent. Counts over the step's tasks or over all
+    /// Limit on the runs of a step, with those that are placed; `None` for a step that has no
+    /// more tasks than may run on one backend server. Counts over the step's tasks or over all
     /// placements, whichever are fewer.
-    fn count_placed(&self, job: &QueuedJob, search: &AgentSearch<'_>, agent: &NodeId) -> usize {
-        if search.step.count as usize > self.placements.len() {
-            let placed = self.placements.iter().filter(|(task, placed)| {
-                task.job == job.id && task.step == search.index && placed.agent == *agent
-            });
-            return placed.count();
+    fn run_limit(&self, job: &QueuedJob, index: StepIndex, step: &JobStep) -> Option<RunLimit> {
+        let max_per_server = match step.max_per_server {
+            0 => MAX_SERVER_RUNS,
+            limit => MAX_SERVER_RUNS.min(limit as usize),
+        };
+        if step.count as usize <= max_per_server {
+            return None;
+        }
+        let mut limit = RunLimit { max_per_server, placed: IndexMap::new(), total: 0 };
+        if step.count as usize > self.placements.len() {
+            let is_of_step = |task: &TaskName| task.job == job.id && task.step == index;
+            let placed = self.placements.iter().filter(|(task, _)| is_of_step(task));
+            placed.for_each(|(_, placed)| limit.add(&placed.agent));
+        } else {
+            let placed = job.tasks_of(index).filter_map(|task| self.placements.get(&task));
+            placed.for_each(|placed| limit.add(&placed.agent));
         }
-        let on_agent = job
-            .tasks_of(search.index)
-            .filter(|task| self.placements.get(task).is_some_and(|placed| placed.agent == *agent));
-        on_agent.count()
+        Some(limit)
     }
 
     /// Computes the urgency of a task relative to servers of these run times.
--- a/crates/decisions/src/schedule/agent_state.rs
+++ b/crates/decisions/src/schedule/agent_state.rs
@@ -33,6 +33,11 @@
     recorded: bool,
 }
 
+/// Maximum number of a scheduler's runs on one backend server. An agent handles each input in
+/// time proportional to its runs, and tasks that need little capacity would let these grow to
+/// tens of thousands.
+const MAX_OWN_RUNS: usize = 512;
+
 /// Scheduler's view of one agent.
 #[derive(Debug, Clone)]
 pub struct AgentState {
@@ -45,6 +50,8 @@
     pub(super) reports_draining: bool,
     /// Resources taken by this scheduler's runs.
     pub(super) usage: ResourceAmount,
+    /// Number of these runs.
+    pub(super) own_runs: usize,
     /// Resources taken by other schedulers' runs, as last reported.
     pub(super) other_usage: ResourceAmount,
     /// Version of the lists of hosts that were last sent to the agent.
@@ -83,6 +90,7 @@
             server: None,
             reports_draining: false,
             usage: ResourceAmount::default(),
+            own_runs: 0,
             other_usage: ResourceAmount::default(),
             sent_hosts_version: 0,
             link: None,
@@ -156,12 +164,30 @@
             && self.server.as_ref().is_some_and(|server| !server.draining)
     }
 
+    /// Number of runs that this scheduler may add.
+    pub(super) fn free_runs(&self) -> usize {
+        MAX_OWN_RUNS.saturating_sub(self.own_runs)
+    }
+
+    /// Counts a run that was placed.
+    pub(super) fn add_run(&mut self, size: &ResourceAmount) {
+        self.usage = self.usage.with(size);
+        self.own_runs += 1;
+    }
+
+    /// Releases what a run has taken.
+    pub(super) fn remove_run(&mut self, size: &ResourceAmount) {
+        self.usage = self.usage.saturating_sub(size);
+        self.own_runs = self.own_runs.saturating_sub(1);
+    }
+
     /// Resets everything that belongs to the previous life of the backend server.
     pub(super) fn begin_life(&mut self, now: Instant) {
         self.pending_ends.clear();
         self.last_acked_end = 0;
         self.unsent_ack_since = None;
         self.usage = ResourceAmount::default();
+        self.own_runs = 0;
         self.consecutive_failures = 0;
         self.paused_until = None;
         self.speed = SpeedEstimate::new(now);
--- a/crates/decisions/src/schedule/placement_round.rs
+++ b/crates/decisions/src/schedule/placement_round.rs
@@ -75,6 +75,8 @@
     /// Expected run time, in multiples of the estimate.
     pub(super) run_time: f64,
     pub(super) free: ResourceAmount,
+    /// Number of runs that this scheduler may add.
+    pub(super) free_runs: usize,
     /// Total processor capacity, in thousandths of a core.
     pub(super) cpu_milli: u64,
 }
@@ -186,6 +188,7 @@
         let candidates = self.views.iter_mut().flat_map(|view| &mut view.candidates);
         for candidate in candidates.filter(|candidate| candidate.agent == *agent) {
             candidate.free = candidate.free.saturating_sub(size);
+            candidate.free_runs = candidate.free_runs.saturating_sub(1);
         }
     }
 }
--- a/crates/decisions/src/schedule/task_placement.rs
+++ b/crates/decisions/src/schedule/task_placement.rs
@@ -25,6 +25,9 @@
 /// Number of the skipped groups that a round tries all the same. They take turns, so that
 /// no group is hidden for good by others that can't run.
 const MAX_RETRIED_GROUPS: usize = 8;
+/// Number of tasks of one group that a round places; the others wait for the next round, so
+/// that inputs are handled between.
+const MAX_GROUP_STARTS: usize = 256;
 /// Size of the range of run numbers that each leadership term has for a task, so
 /// that the runs of different leaders have different numbers. A task that lasts has
 /// many runs in one term.
@@ -268,21 +271,25 @@
         round: &mut PlacementRound,
     ) {
         let key = group.key;
-        let Some(search) = self.agent_search(now, job, step, round) else { return };
+        let Some(mut search) = self.agent_search(now, job, step, round) else { return };
         let mut spread = StepSpread::default();
+        let mut starts = 0;
         let mut last: Option<(NodeId, f64)> = None;
         while self.ready.group(key).is_some() {
+            if starts >= MAX_GROUP_STARTS {
+                self.placement_due = true;
+                break;
+            }
             // The agent chosen last keeps its cost, the lowest, while it has room.
-            let again =
-                last.take().filter(|(agent, _)| self.takes_another(job, &search, round, agent));
+            let again = last.take().filter(|(agent, _)| search.takes_another(round, agent));
             let choice = match again {
                 Some((agent, cost)) => AgentChoice::Agent(agent, cost),
-                None => self.choose_agent(job, &search, round, &spread),
+                None => self.choose_agent(&search, round, &spread),
             };
             let (agent, cost) = match choice {
                 AgentChoice::Agent(agent, cost) => (agent, cost),
                 AgentChoice::Wait { fastest } => {
-                    if search.step.max_per_server == 0 {
+                    if search.limit.is_none() {
                         round.add_search(&search.demand, fastest);
                     }
                     break;
@@ -298,6 +305,8 @@
             self.use_share(now, job, search.step, group.rank);
             self.count_start(&search, round, &agent);
             round.take_capacity(&agent, &search.demand.size);
+            search.add_run(&agent);
+            starts += 1;
             spread.add(agent.clone(), cost, run);
             last = Some((agent, cost));
         }
@@ -330,7 +339,7 @@
         let mut life = Default::default();
         let mut slowness = 1.0;
         if let Some(state) = self.agents.get_mut(agent) {
-            state.usage = state.usage.with(&size);
+            state.add_run(&size);
             life = state.life().cloned().unwrap_or_default();
             slowness = state.slowness();
         }
--- a/crates/model/src/job_bounds.rs
+++ b/crates/model/src/job_bounds.rs
@@ -11,6 +11,9 @@
 
 /// Maximum number of tasks of a job, over all its steps.
 pub const MAX_JOB_TASKS: u64 = 100_000;
+/// Maximum number of tasks of a best-effort job. An entry queues all of them at once, which
+/// takes a second for 100,000 tasks on a tenth of a core.
+pub const MAX_BEST_EFFORT_TASKS: u64 = 10_000;
 /// Maximum number of steps of a job.
 pub const MAX_JOB_STEPS: u64 = 10_000;
 /// Maximum estimated run time of a task, in milliseconds: one year.
@@ -109,6 +112,9 @@
     /// The first number that exceeds its maximum; those of the whole job come first.
     pub fn check_bounds(&self) -> Result<(), BoundError> {
         self.check_size()?;
+        if self.best_effort {
+            check(BoundedField::Tasks, None, self.task_count(), MAX_BEST_EFFORT_TASKS)?;
+        }
         let mut steps = (0..).zip(&self.steps);
         steps.try_for_each(|(index, step)| check_step(index, step))
     }
--- a/tests/client_crowds.rs
+++ b/tests/client_crowds.rs
@@ -39,6 +39,7 @@
     group: DeployedGroup,
     server: LeaseServer,
     next_job: u64,
+    limits: ProcessLimits,
     _turn: MutexGuard<'static, ()>,
 }
 
@@ -78,11 +79,16 @@
 impl LimitedSystem {
     /// Starts the system and waits until it has run a job.
     fn start() -> LimitedSystem {
+        LimitedSystem::start_with(LIMITS)
+    }
+
+    /// The same with other limits.
+    fn start_with(limits: ProcessLimits) -> LimitedSystem {
         let turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
-        let group = DeployedGroup::start_limited(1, 1, 1, LIMITS);
+        let group = DeployedGroup::start_limited(1, 1, 1, limits);
         let shape = group.server_shape(0, "i-0001".to_owned(), CPU_MILLI);
         let server = LeaseServer::start(shape).expect("the address is free");
-        let mut system = LimitedSystem { group, server, next_job: 1, _turn: turn };
+        let mut system = LimitedSystem { group, server, next_job: 1, limits, _turn: turn };
         system.set_config();
         assert!(wait_until(|| system.group.is_ready()), "the entry becomes ready");
         system.expect_job();
@@ -145,10 +151,10 @@
                 (self.memory_kb(host, "VmHWM:"), self.memory_kb(host, "VmRSS:"));
             let descriptors = self.open_descriptors(host);
             println!("{host:?}: peak {peak_kb} kB, now {now_kb} kB, {descriptors} descriptors");
-            if peak_kb >= LIMITS.memory_mb * 1_024 {
+            if peak_kb >= self.limits.memory_mb * 1_024 {
                 excesses.push(format!("{host:?}: peak of {peak_kb} kB"));
             }
-            if descriptors >= LIMITS.max_fds {
+            if descriptors >= self.limits.max_fds {
                 excesses.push(format!("{host:?}: {descriptors} descriptors"));
             }
         }
@@ -336,6 +342,32 @@
     system.expect_unharmed();
 }
 
+// Jobs of very many small tasks, as many as are legal and as many as an entry takes: their
+// scheduling took so long that no ordinary job was answered meanwhile.
+#[test]
+fn very_large_jobs() {
+    let mut system = LimitedSystem::start_with(LARGE_LIMITS);
+    let front = system.group.front(0);
+    for (number, (count, best_effort, max_per_server)) in (0..).zip(LARGE_JOBS) {
+        let job = json!({ "spec": "ms=1000", "best_effort": best_effort, "steps": [{
+            "count": count, "cpu": 1, "mem_mb": 1, "estimate_ms": 1_000,
+            "max_per_server": max_per_server
+        }] });
+        let job = job.to_string();
+        let path = format!("/x/{:016x}", 0xface_0000_u64 + number);
+        let head = head("POST", &path, &format!("Content-Length: {}", job.len()));
+        let _open = send(front, &[head.as_bytes(), job.as_bytes()]).expect("it connects");
+        system.expect_unharmed();
+    }
+}
+
+/// Limits under which a job of the largest legal number of tasks is held in memory.
+const LARGE_LIMITS: ProcessLimits = ProcessLimits { memory_mb: 256, max_fds: 1_024 };
+/// Number of tasks of large jobs, whether they are not stored, and the limit on the tasks on
+/// one backend server.
+const LARGE_JOBS: [(u32, bool, u32); 4] =
+    [(10_000, true, 0), (10_000, true, 8_000), (100_000, true, 0), (100_000, false, 0)];
+
 // The addresses of operators and of backend servers took bodies of any size.
 #[test]
 fn inner_addresses() {
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -469,6 +469,11 @@
         self.apply_run_steps(agent, steps);
     }
 
+    /// Lets a backend server take any number of runs at a time.
+    pub(crate) fn lift_slots(&mut self, server: usize) {
+        self.servers[server].slots = usize::MAX;
+    }
+
     /// Makes a backend server refuse all starts as unhealthy, or accept them again.
     pub(crate) fn set_shedding(&mut self, server: usize, sheds: bool) {
         self.servers[server].sheds = sheds;
--- a/tests/server_model.rs
+++ b/tests/server_model.rs
@@ -13,7 +13,8 @@
 /// A backend server that does only what the platform's protocol guarantees.
 pub(crate) struct ServerModel {
     /// Number of runs that it executes at a time.
-    slots: usize,
+    /// Number of runs that it takes at a time.
+    pub(crate) slots: usize,
     started_at: Instant,
     instance: String,
     pub(crate) generation: u64,
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -53,6 +53,7 @@
 mod job_sizes;
 mod journal_recovery;
 mod kept_ends;
+mod large_jobs;
 mod large_records;
 mod large_snapshots;
 mod late_orders;
