Limits for the listeners between processes

Cause: agents' streams and RPC of control hosts, entries and agents had no limit on connections below 4,096, none on the bytes of incomplete messages, and RPC none on the time of a first message. Any client that reaches these addresses could take all descriptors or hundreds of MB. Change: a connection counts in a connection table (listener "peers") until a message on it was read in full and is valid; the table bounds number, bytes (with the announced length of frames) and time. A known connection leaves the table, so none is closed in favor of an unknown one; known ones have a limit of their own, at which the new one is refused. Control reads an agent's first message before it hands the stream over. RPC takes WebSocket only, without batches. What both kinds of listeners share is in edges/listener_state. Crowds that read replies one byte at a time, or not at all, also on the older interface, are added.

--- a/crates/cactuswing/src/roles/agent.rs
+++ b/crates/cactuswing/src/roles/agent.rs
@@ -17,7 +17,7 @@
 use super::server_agent::start_server_agent;
 use super::{
     DUTY_RING_SLOTS, RoleError, RunningRole, context, expect_assembled, local_address,
-    register_control_link, register_log_writer,
+    peer_settings, register_control_link, register_log_writer,
 };
 
 /// Time for entries to learn that an agent drains. An order that is sent to an
@@ -90,8 +90,10 @@
         },
     )?;
 
+    let (edge_context, edge_clock, process) = (context.clone(), clock.clone(), settings.limits);
     kernel.register(ServiceName::AgentEdge, DUTY_RING_SLOTS, move |ring, registry| {
-        edges::agent_edge::run(&ring, &registry, listener);
+        let peers = peer_settings(&edge_context, &edge_clock, &registry, process);
+        edges::agent_edge::run(&ring, &registry, listener, peers);
     })?;
 
     let registry = kernel.start()?;
--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use decisions::connections::max_known_peers;
 use decisions::control::{ControlState, StoredReplica};
 use decisions::schedule::{ScheduleLimits, SchedulerKind};
 use edges::control_link::incarnation_at;
@@ -17,7 +18,7 @@
 
 use super::{
     DUTY_RING_SLOTS, RoleError, RunningRole, context, expect_assembled, local_address,
-    register_log_writer,
+    peer_settings, register_log_writer,
 };
 
 /// Messages that may wait in the rings of the duties that serve nodes, replicas
@@ -79,9 +80,10 @@
     })?;
 
     let stream_context = context.clone();
+    let max_links = max_known_peers(settings.limits);
     kernel.register(ServiceName::ScheduleEdge, DUTY_RING_SLOTS, move |ring, registry| {
         let log = stream_context.event_log(&registry).expect("the log writer is registered");
-        edges::schedule_edge::run(&ring, &registry, log, None);
+        edges::schedule_edge::run(&ring, &registry, log, None, max_links);
     })?;
 
     let setup = log_setup(settings, clock, recovered)?;
@@ -90,9 +92,10 @@
         expect_assembled(services::replicated_log::run(&ring, &registry, log_context, setup));
     })?;
 
-    let edge_clock = clock.clone();
+    let (edge_clock, edge_context, process) = (clock.clone(), context.clone(), settings.limits);
     kernel.register(ServiceName::ControlEdge, CALL_RING_SLOTS, move |ring, registry| {
-        edges::control_edge::run(&ring, &registry, listener, edge_clock);
+        let peers = peer_settings(&edge_context, &edge_clock, &registry, process);
+        edges::control_edge::run(&ring, &registry, listener, peers);
     })?;
 
     if let Some(join) = group_join(settings, clock) {
--- a/crates/cactuswing/src/roles/mod.rs
+++ b/crates/cactuswing/src/roles/mod.rs
@@ -17,10 +17,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use decisions::connections::ListenerKind;
 use edges::EdgeError;
 use edges::control_link::ControlLink;
-use kernel::{DrainGate, DutyFailure, Kernel, KernelError, RingReceiver, SharedClock, StopSignal};
-use model::{LogLine, ProcessCounters, ServiceName};
+use edges::http_listener::ListenerSettings;
+use kernel::{
+    DrainGate, DutyFailure, Kernel, KernelError, Registry, RingReceiver, SharedClock, StopSignal,
+};
+use model::{LogLine, ProcessCounters, ProcessLimits, ServiceName};
 use services::ServiceContext;
 use snafu::Snafu;
 
@@ -142,6 +146,26 @@
     }
 }
 
+/// Settings of the listener for other processes.
+///
+/// # Panics
+/// When the log writer is not registered.
+fn peer_settings(
+    context: &ServiceContext,
+    clock: &SharedClock,
+    registry: &Registry<ServiceName>,
+    process: ProcessLimits,
+) -> ListenerSettings {
+    ListenerSettings {
+        name: "peers",
+        clock: clock.clone(),
+        log: context.event_log(registry).expect("the log writer is registered"),
+        counters: context.counters.clone(),
+        kind: ListenerKind::Peers,
+        process,
+    }
+}
+
 /// Registers the log writer. Every role registers it first, so that it stops
 /// last.
 fn register_log_writer(
--- a/crates/cactuswing/src/roles/queue_entry.rs
+++ b/crates/cactuswing/src/roles/queue_entry.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use decisions::connections::max_known_peers;
 use decisions::schedule::{ScheduleLimits, SchedulerKind};
 use edges::control_link::incarnation_at;
 use edges::job_calls::JobCalls;
@@ -12,7 +13,7 @@
 
 use super::{
     DUTY_RING_SLOTS, RoleError, RunningRole, context, expect_assembled, local_address,
-    register_log_writer,
+    peer_settings, register_log_writer,
 };
 
 /// How long an agent may keep an entry's runs going after it sent the latest message
@@ -71,10 +72,12 @@
             limits,
         ));
     })?;
-    let edge_context = context.clone();
+    let (edge_context, edge_clock, process) = (context.clone(), clock.clone(), settings.limits);
     kernel.register(ServiceName::ScheduleEdge, DUTY_RING_SLOTS, move |ring, registry| {
         let log = edge_context.event_log(&registry).expect("the log writer is registered");
-        edges::schedule_edge::run(&ring, &registry, log, Some(agents));
+        let peers = peer_settings(&edge_context, &edge_clock, &registry, process);
+        let listener = Some((agents, peers));
+        edges::schedule_edge::run(&ring, &registry, log, listener, max_known_peers(process));
     })?;
 
     let controls = settings.control_addresses();
--- a/crates/decisions/src/connections/connection_table.rs
+++ b/crates/decisions/src/connections/connection_table.rs
@@ -244,6 +244,16 @@
         self.enter(now, id, ConnectionPhase::Serving);
     }
 
+    /// Records that the next message of another process is awaited, which is not known yet.
+    pub fn on_head_start(&mut self, now: Instant, id: ConnectionId) {
+        self.enter(now, id, ConnectionPhase::Head);
+    }
+
+    /// Refuses a connection for which there is no room, although it was accepted.
+    pub fn refuse(&mut self, id: ConnectionId) {
+        self.close(id, CloseCause::Refused);
+    }
+
     /// Records that the body of the request is being read from here on.
     pub fn on_body_start(&mut self, now: Instant, id: ConnectionId) {
         self.enter(now, id, ConnectionPhase::Body);
--- a/crates/decisions/src/connections/listener_limits.rs
+++ b/crates/decisions/src/connections/listener_limits.rs
@@ -17,6 +17,16 @@
 /// Maximum number of connections to a listener that serves only probes.
 const PROBE_CONNECTIONS: usize = 64;
 
+/// Bytes of first messages that are held at least: a replica may begin with a part of a
+/// snapshot.
+const MIN_FIRST_BYTES: u64 = 8 * 1024 * 1024;
+/// Time in which another process has to send its first message: its host may be slow.
+const FIRST_MESSAGE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time in which another process has to send the first byte.
+const FIRST_BYTE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Connections of known processes that are served at least.
+const MIN_KNOWN_PEERS: usize = 128;
+
 /// Time in which a body has to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Bytes a second at which a body has to arrive, counted from its start, once
@@ -41,6 +51,8 @@
     Inner,
     /// Probes of readiness, without bodies.
     Probes,
+    /// Other processes of the system, until their first message was read and is valid.
+    Peers,
 }
 
 /// Limits of the connections to one listener.
@@ -78,13 +90,22 @@
             ListenerKind::Clients => (connections, memory_bytes / 5),
             ListenerKind::Inner => (connections / 2, memory_bytes / 5),
             ListenerKind::Probes => ((connections / 8).min(PROBE_CONNECTIONS), 0),
+            ListenerKind::Peers => (connections / 4, memory_bytes / 6),
+        };
+        let min_held = match kind {
+            ListenerKind::Clients | ListenerKind::Inner => MIN_BODY_BYTES,
+            ListenerKind::Probes => 0,
+            ListenerKind::Peers => MIN_FIRST_BYTES,
+        };
+        let (header_timeout, idle_timeout) = match kind {
+            ListenerKind::Peers => (FIRST_MESSAGE_TIMEOUT, FIRST_BYTE_TIMEOUT),
+            _ => (HEADER_TIMEOUT, IDLE_TIMEOUT),
         };
-        let min_held = if kind == ListenerKind::Probes { 0 } else { MIN_BODY_BYTES };
         ListenerLimits {
             max_connections: max_connections.max(MIN_CONNECTIONS),
             max_held_bytes: max_held_bytes.max(min_held),
-            header_timeout: HEADER_TIMEOUT,
-            idle_timeout: IDLE_TIMEOUT,
+            header_timeout,
+            idle_timeout,
             body_timeout: BODY_TIMEOUT,
             min_body_rate: MIN_BODY_RATE,
             rate_grace: RATE_GRACE,
@@ -93,3 +114,9 @@
         }
     }
 }
+
+/// Maximum number of connections of known processes, beside those that are limited as
+/// [`ListenerKind::Peers`].
+pub fn max_known_peers(process: ProcessLimits) -> usize {
+    (process.max_fds / 2).max(MIN_KNOWN_PEERS as u64) as usize
+}
--- a/crates/decisions/src/connections/mod.rs
+++ b/crates/decisions/src/connections/mod.rs
@@ -11,4 +11,4 @@
 mod listener_limits;
 
 pub use connection_table::{ConnectionId, ConnectionTable, OpenStep, ReserveStep, TableSummary};
-pub use listener_limits::{ListenerKind, ListenerLimits};
+pub use listener_limits::{ListenerKind, ListenerLimits, max_known_peers};
--- a/crates/edges/src/agent_edge.rs
+++ b/crates/edges/src/agent_edge.rs
@@ -10,8 +10,10 @@
     StartMessage, StartOrder, TaskQuery, TaskReport,
 };
 
-use crate::edge_runtime::block_on;
-use crate::peer_api::{AgentApiServer, not_accepted, start_server};
+use crate::edge_runtime::{block_on, spawn_lasting};
+use crate::listener_state::ListenerSettings;
+use crate::peer_api::{AgentApiServer, not_accepted};
+use crate::peer_listener::accept_peers;
 use crate::pending_calls::PendingCalls;
 
 /// Maximum number of connected entries.
@@ -115,21 +117,21 @@
     ring: &RingReceiver<AgentReply>,
     registry: &Registry<ServiceName>,
     listener: std::net::TcpListener,
+    settings: ListenerSettings,
 ) {
     let replies = registry.find(ServiceName::AgentEdge).expect("the agent edge is registered");
     let starts = registry.find(ServiceName::TaskStarts).expect("task starts is registered");
     let calls = PendingCalls::default();
     let handler = AgentHandler { calls: calls.clone(), replies, starts };
     block_on(async move {
-        let handle = start_server(listener, MAX_CONNECTIONS, handler.into_rpc());
+        let methods = handler.into_rpc().into();
+        spawn_lasting(accept_peers(listener, settings, methods, MAX_CONNECTIONS, None));
         while let Some(reply) = ring.next().await {
             calls.complete(reply.call, reply.answer);
         }
-        // The error means that the server has stopped already.
-        let _stopped = handle.stop();
-        let _ended = tokio::time::timeout(FLUSH_TIMEOUT, handle.stopped()).await;
+        tokio::time::sleep(FLUSH_TIME).await;
     });
 }
 
 /// Time for replies that are already written to reach their callers.
-const FLUSH_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(200);
+const FLUSH_TIME: std::time::Duration = std::time::Duration::from_millis(200);
--- a/crates/edges/src/agent_stream.rs
+++ b/crates/edges/src/agent_stream.rs
@@ -20,11 +20,14 @@
 use tokio_util::codec::{Encoder, FramedRead, LengthDelimitedCodec};
 
 use crate::peer_connection::{CONNECT_TIMEOUT, open_stream};
+use crate::peer_gate::PeerTicket;
 
 /// First byte of an agent's stream. A connection for JSON-RPC begins with a letter.
 pub(crate) const AGENT_PREAMBLE: u8 = 0xA1;
 /// Largest frame, in bytes.
 const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
+/// Size of the parts in which a first message is read.
+const FIRST_READ_BYTES: usize = 16 * 1024;
 /// How long the peer may take to accept a frame.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How long a new connection may take to send its first byte.
@@ -48,6 +51,9 @@
         /// The I/O error.
         source: std::io::Error,
     },
+    /// The first frame is too large, or too much is held of others.
+    #[snafu(display("no room for the first message"))]
+    NoRoom,
     /// A frame has no valid content.
     #[snafu(display("cannot decode a message: {source}"))]
     Malformed {
@@ -98,6 +104,28 @@
     tokio::time::timeout(PREAMBLE_TIMEOUT, stream.read_u8()).await.ok()?.ok()
 }
 
+/// Reads the first message of an agent's stream, after the preamble. Each of its bytes needs
+/// room among the connections that are not known.
+///
+/// # Errors
+/// The stream has ended, its content is invalid, or there is no room.
+pub(crate) async fn read_first_message(
+    stream: &mut TcpStream,
+    ticket: &PeerTicket,
+) -> Result<NumberedMessage, StreamError> {
+    let length = stream.read_u32().await.context(ConnectionSnafu)? as usize;
+    snafu::ensure!(length <= MAX_FRAME_BYTES, NoRoomSnafu);
+    let mut frame = Vec::new();
+    while frame.len() < length {
+        let part = FIRST_READ_BYTES.min(length - frame.len());
+        snafu::ensure!(ticket.on_bytes(part, part as u64), NoRoomSnafu);
+        let start = frame.len();
+        frame.resize(start + part, 0);
+        stream.read_exact(&mut frame[start..]).await.context(ConnectionSnafu)?;
+    }
+    decode(&frame)
+}
+
 impl StreamReader {
     /// Waits for the next message of a scheduler.
     ///
--- a/crates/edges/src/backend_edge.rs
+++ b/crates/edges/src/backend_edge.rs
@@ -26,7 +26,7 @@
 
 use crate::announce_routes::{announce_routes, body_limit, refuse_body};
 use crate::edge_runtime::{block_on, spawn_lasting};
-use crate::http_listener::{HttpListener, HttpServer};
+use crate::http_listener::{HttpServer, ListenerSettings};
 use crate::warp_routes::warp_handler;
 
 /// How long opening a connection to a backend server may take.
@@ -91,7 +91,7 @@
     let starts: RingSender<StartMessage> =
         registry.find(ServiceName::TaskStarts).expect("task starts is registered");
     let log = registry.find(ServiceName::LogWriter).expect("the log writer is registered");
-    let server = HttpServer::new(HttpListener {
+    let server = HttpServer::new(ListenerSettings {
         name: "announcements",
         clock: edge.clock.clone(),
         log: EventLog::new(log, edge.clock.clone(), edge.counters.clone()),
--- a/crates/edges/src/caller_edge.rs
+++ b/crates/edges/src/caller_edge.rs
@@ -13,7 +13,7 @@
 
 use crate::caller_routes::{body_limit, refuse_body, routes};
 use crate::edge_runtime::{block_on, spawn_lasting};
-use crate::http_listener::{HttpListener, HttpServer};
+use crate::http_listener::{HttpServer, ListenerSettings};
 use crate::pending_calls::PendingCalls;
 use crate::warp_routes::warp_handler;
 
@@ -94,7 +94,7 @@
     let replies = registry.find(ServiceName::CallerEdge).expect("the caller edge is registered");
     let jobs = registry.find(ServiceName::JobTracking).expect("job tracking is registered");
     let log = registry.find(ServiceName::LogWriter).expect("the log writer is registered");
-    let server = HttpServer::new(HttpListener {
+    let server = HttpServer::new(ListenerSettings {
         name: "callers",
         clock: edge.clock.clone(),
         log: EventLog::new(log, edge.clock.clone(), edge.counters.clone()),
--- a/crates/edges/src/control_edge.rs
+++ b/crates/edges/src/control_edge.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::edge_runtime::{block_on, spawn_lasting};
+use crate::listener_state::ListenerSettings;
 use crate::peer_api::{ControlApiServer, not_accepted};
 use crate::peer_listener::accept_peers;
 use crate::pending_calls::PendingCalls;
@@ -101,8 +102,9 @@
     ring: &RingReceiver<ControlReply>,
     registry: &Registry<ServiceName>,
     listener: std::net::TcpListener,
-    clock: SharedClock,
+    settings: ListenerSettings,
 ) {
+    let clock = settings.clock.clone();
     let calls = PendingCalls::default();
     let streams = registry.find(ServiceName::ScheduleEdge).expect("its streams are registered");
     let handler = ControlHandler {
@@ -115,7 +117,7 @@
     };
     block_on(async move {
         let methods = handler.into_rpc().into();
-        spawn_lasting(accept_peers(listener, methods, MAX_CONNECTIONS, streams));
+        spawn_lasting(accept_peers(listener, settings, methods, MAX_CONNECTIONS, Some(streams)));
         while let Some(reply) = ring.next().await {
             calls.complete(reply.call, reply.body);
         }
--- a/crates/edges/src/http_listener.rs
+++ b/crates/edges/src/http_listener.rs
@@ -14,29 +14,27 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use decisions::connections::{
-    ConnectionId, ConnectionTable, ListenerKind, ListenerLimits, OpenStep, ReserveStep,
-};
+use decisions::connections::ConnectionId;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use indexmap::IndexMap;
-use kernel::SharedClock;
-use model::{CloseCause, EventLine, EventLog, ProcessCounters, ProcessLimits};
+use model::CloseCause;
 use rustix::net::sockopt;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{mpsc, watch};
 use warp::http::header::{CONNECTION, HeaderValue};
 use warp::http::request::Parts;
 use warp::reply::Response;
 
+pub use crate::listener_state::ListenerSettings;
+use crate::listener_state::{ConnectionGuard, ListenerState, lock};
 use crate::peer_connection::accept;
 
 /// Largest head of a request, in bytes, unless the configuration sets another.
@@ -58,22 +56,6 @@
 /// Size of the reads that drop what arrives after a refusal.
 const LINGER_READ_BYTES: usize = 4 * 1024;
 
-/// Settings of a listener.
-pub struct HttpListener {
-    /// What it serves; its name in log lines.
-    pub name: &'static str,
-    /// Clock for the times of connections.
-    pub clock: SharedClock,
-    /// Takes a line for each interval in which something was refused or closed.
-    pub log: EventLog,
-    /// Counters of the process.
-    pub counters: ProcessCounters,
-    /// Kind of its clients.
-    pub kind: ListenerKind,
-    /// Limits of the process.
-    pub process: ProcessLimits,
-}
-
 /// Limits that the configuration sets; `None` where it sets none.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ConfiguredLimits {
@@ -89,19 +71,7 @@
 #[derive(Clone)]
 pub struct HttpServer {
     shared: Arc<ListenerState>,
-}
-
-struct ListenerState {
-    name: &'static str,
-    clock: SharedClock,
-    log: EventLog,
-    counters: ProcessCounters,
-    /// Limits that hold where the configuration sets none.
-    defaults: ListenerLimits,
-    table: Mutex<ConnectionTable>,
-    /// Tells each open connection to close.
-    closers: Mutex<IndexMap<ConnectionId, Arc<Notify>>>,
-    max_header_bytes: AtomicUsize,
+    max_header_bytes: Arc<AtomicUsize>,
 }
 
 /// A request whose body has not been read.
@@ -137,79 +107,11 @@
     Incomplete,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-impl ListenerState {
-    fn now(&self) -> Instant {
-        self.clock.now()
-    }
-
-    fn table(&self) -> MutexGuard<'_, ConnectionTable> {
-        lock(&self.table)
-    }
-
-    fn close(&self, ids: impl IntoIterator<Item = ConnectionId>) {
-        let closers = lock(&self.closers);
-        for id in ids {
-            if let Some(closer) = closers.get(&id) {
-                closer.notify_one();
-            }
-        }
-    }
-
-    /// Closes overdue connections, writes the summary and returns memory after a burst.
-    fn check(&self) {
-        let now = self.now();
-        let (overdue, summary, is_burst_over) = {
-            let mut table = self.table();
-            (table.overdue(now), table.take_summary(now), table.take_burst_end(now))
-        };
-        self.close(overdue);
-        if let Some(summary) = summary {
-            let mut line = EventLine::new("connections_limited")
-                .with("listener", self.name)
-                .with("interval_ms", summary.interval.as_millis())
-                .with("open", summary.open)
-                .with("max_open", summary.max_open)
-                .with("max_held_bytes", summary.max_held_bytes);
-            let mut is_limited = false;
-            for (cause, count) in summary.closed {
-                self.counters.count_closed(cause, count);
-                line = line.with(cause.into(), count);
-                is_limited |= cause != CloseCause::Idle;
-            }
-            // The idle timeout also ends connections of clients that stay within the limits.
-            if is_limited {
-                self.log.warn(line);
-            }
-        }
-        if is_burst_over {
-            crate::returned_memory::return_free_memory();
-        }
-    }
-}
-
 impl HttpServer {
     /// Creates the state of a listener without connections.
-    pub fn new(listener: HttpListener) -> HttpServer {
-        let HttpListener { name, clock, log, counters, kind, process } = listener;
-        let defaults = ListenerLimits::new(kind, process);
-        let table = Mutex::new(ConnectionTable::new(clock.now(), defaults));
-        let max_header_bytes = AtomicUsize::new(MAX_HEADER_BYTES);
-        let closers = Mutex::default();
-        let shared = ListenerState {
-            name,
-            clock,
-            log,
-            counters,
-            defaults,
-            table,
-            closers,
-            max_header_bytes,
-        };
-        HttpServer { shared: Arc::new(shared) }
+    pub fn new(listener: ListenerSettings) -> HttpServer {
+        let max_header_bytes = Arc::new(AtomicUsize::new(MAX_HEADER_BYTES));
+        HttpServer { shared: Arc::new(ListenerState::new(listener)), max_header_bytes }
     }
 
     /// Applies the limits of the configuration. The one on header bytes holds for new
@@ -221,7 +123,7 @@
         self.shared.table().set_timeouts(header, idle);
         let bytes = limits.max_header_bytes.unwrap_or(MAX_HEADER_BYTES as u64);
         let bytes = bytes.min(HIGHEST_HEADER_BYTES) as usize;
-        self.shared.max_header_bytes.store(bytes, Ordering::Relaxed);
+        self.max_header_bytes.store(bytes, Ordering::Relaxed);
     }
 
     /// Accepts connections until `stop` is raised or its sender is dropped, then completes
@@ -277,22 +179,11 @@
         H: Fn(HttpRequest) -> F + 'static,
         F: Future<Output = Response> + 'static,
     {
-        let shared = Arc::clone(&self.shared);
-        let step = shared.table().on_connect(shared.now());
-        let id = match step {
-            OpenStep::Accept(id) => id,
-            OpenStep::Replace(id, victim) => {
-                shared.close([victim]);
-                id
-            }
-            OpenStep::Refuse => return,
-        };
-        let closer = Arc::new(Notify::new());
-        lock(&shared.closers).insert(id, Arc::clone(&closer));
-        let guard = ConnectionGuard { shared: Arc::clone(&shared), id };
+        let Some(guard) = self.shared.admit() else { return };
+        let max_header_bytes = self.max_header_bytes.load(Ordering::Relaxed);
         tokio::task::spawn_local(async move {
-            let _open = (open_sender, guard);
-            serve_connection(shared, id, stream, handler, stop, closer).await;
+            let _open = open_sender;
+            serve_connection(guard, max_header_bytes, stream, handler, stop).await;
         });
     }
 }
@@ -302,32 +193,18 @@
     let _closed = stop.wait_for(|is_raised| *is_raised).await;
 }
 
-/// Removes a connection from the table when its task ends, also by a panic.
-struct ConnectionGuard {
-    shared: Arc<ListenerState>,
-    id: ConnectionId,
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        lock(&self.shared.closers).swap_remove(&self.id);
-        self.shared.table().on_closed(self.id);
-    }
-}
-
 /// Serves the requests of a connection, one after the other.
 async fn serve_connection<H, F>(
-    shared: Arc<ListenerState>,
-    id: ConnectionId,
+    guard: ConnectionGuard,
+    max_header_bytes: usize,
     stream: TcpStream,
     handler: H,
     mut stop: watch::Receiver<bool>,
-    closer: Arc<Notify>,
 ) where
     H: Fn(HttpRequest) -> F + 'static,
     F: Future<Output = Response> + 'static,
 {
-    let max_header_bytes = shared.max_header_bytes.load(Ordering::Relaxed);
+    let (shared, id) = (Arc::clone(guard.state()), guard.id);
     let lingers = Arc::new(AtomicBool::new(false));
     let stream = CountedStream {
         stream,
@@ -348,7 +225,7 @@
     let mut is_stopping = false;
     loop {
         tokio::select! {
-            () = closer.notified() => return,
+            () = guard.closed() => return,
             // The error only says how the client left.
             _ended = &mut connection => return,
             () = await_stop(&mut stop), if !is_stopping => {
@@ -404,14 +281,7 @@
 impl RequestHold {
     /// Holds more bytes for the request; `false` if the listener holds as many as it may.
     pub fn reserve(&self, bytes: u64) -> bool {
-        let step = self.shared.table().reserve(self.shared.now(), self.id, bytes);
-        match step {
-            ReserveStep::Grant(victims) => {
-                self.shared.close(victims);
-                true
-            }
-            ReserveStep::Refuse => false,
-        }
+        self.shared.reserve(self.id, bytes)
     }
 
     /// Most bytes that the listener ever holds.
--- a/crates/edges/src/peer_api.rs
+++ b/crates/edges/src/peer_api.rs
@@ -3,10 +3,9 @@
 //! Invariant: the error `NOT_ACCEPTED` is returned only for a message that had
 //! no effect.
 
-use jsonrpsee::RpcModule;
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
-use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
+use jsonrpsee::server::{BatchRequestConfig, ServerConfig};
 use jsonrpsee::types::ErrorObjectOwned;
 use model::{
     AgentView, AgentWatch, CatalogQuery, Command, ControlQuery, ControlReplyBody, JobCall,
@@ -83,19 +82,7 @@
         .max_connections(max_connections)
         .max_request_body_size(MAX_MESSAGE_BYTES)
         .max_response_body_size(MAX_MESSAGE_BYTES)
+        .set_batch_request_config(BatchRequestConfig::Disabled)
+        .ws_only()
         .build()
 }
-
-/// Serves an RPC module on a listener.
-///
-/// # Panics
-/// When the listener is not usable.
-pub(crate) fn start_server<C: Send + Sync + 'static>(
-    listener: std::net::TcpListener,
-    max_connections: u32,
-    module: RpcModule<C>,
-) -> ServerHandle {
-    let config = server_config(max_connections);
-    let server = Server::builder().set_config(config).build_from_tcp(listener);
-    server.expect("the listener is non-blocking").start(module)
-}
--- a/crates/edges/src/schedule_edge.rs
+++ b/crates/edges/src/schedule_edge.rs
@@ -8,25 +8,27 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use indexmap::IndexMap;
 use kernel::{PushError, Registry, RingReceiver, RingSender};
 use model::{
-    EventLine, EventLog, LinkId, ScheduleEdgeMessage, SchedulerMessage, SchedulingMessage,
-    ServiceName,
+    EventLine, EventLog, LinkId, NumberedMessage, ScheduleEdgeMessage, SchedulerMessage,
+    SchedulingMessage, ServiceName,
 };
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
 use crate::agent_stream::{
-    AGENT_PREAMBLE, StreamError, StreamReader, StreamWriter, read_preamble, split,
+    AGENT_PREAMBLE, StreamError, StreamReader, StreamWriter, read_first_message, read_preamble,
+    split,
 };
 use crate::edge_runtime::{block_on, spawn_lasting};
+use crate::listener_state::ListenerSettings;
 use crate::peer_connection::accept;
+use crate::peer_gate::{PeerGate, PeerTicket};
 
-/// Maximum number of connected agents.
-const MAX_LINKS: usize = 4_096;
 /// Messages that may wait for one agent's connection.
 const LINK_QUEUE_CAPACITY: usize = 64;
 /// Time without a message after which an agent's connection is closed; agents send
@@ -35,8 +37,9 @@
 /// Delay before a message is pushed again to a full ring.
 const FULL_RING_DELAY: Duration = Duration::from_millis(5);
 
-/// Runs the duty until its ring is closed. `listener` is that of an entry; control
-/// shares one with its other peers and hands connections over.
+/// Runs the duty until its ring is closed. `listener` is that of an entry, with its settings;
+/// control shares one with its other peers and hands connections over. At most `max_links`
+/// agents are connected.
 ///
 /// # Panics
 /// When the scheduling duty is not registered, or the listener is not usable.
@@ -44,7 +47,8 @@
     ring: &RingReceiver<ScheduleEdgeMessage>,
     registry: &Registry<ServiceName>,
     log: EventLog,
-    listener: Option<std::net::TcpListener>,
+    listener: Option<(std::net::TcpListener, ListenerSettings)>,
+    max_links: usize,
 ) {
     let scheduling =
         registry.find(ServiceName::JobScheduling).expect("the scheduling duty is registered");
@@ -52,16 +56,19 @@
         scheduling,
         log,
         links: RefCell::default(),
+        max_links,
         last_link: Cell::new(0),
     });
     block_on(async move {
-        if let Some(listener) = listener {
+        if let Some((listener, settings)) = listener {
             let listener = TcpListener::from_std(listener).expect("the listener is non-blocking");
-            spawn_lasting(Rc::clone(&server).accept(listener));
+            let gate = PeerGate::new(settings);
+            spawn_lasting(gate.clone().run_checks());
+            spawn_lasting(Rc::clone(&server).accept(listener, gate));
         }
         while let Some(message) = ring.next().await {
             match message {
-                ScheduleEdgeMessage::Connected { stream } => server.adopt(stream),
+                ScheduleEdgeMessage::Connected { stream, first } => server.adopt(stream, *first),
                 ScheduleEdgeMessage::Send { link, message } => server.send(link, message),
             }
         }
@@ -74,37 +81,46 @@
     log: EventLog,
     /// Queues of the messages to each connected agent.
     links: RefCell<IndexMap<LinkId, mpsc::Sender<SchedulerMessage>>>,
+    max_links: usize,
     last_link: Cell<LinkId>,
 }
 
 impl StreamServer {
     /// Accepts connections of agents.
-    async fn accept(self: Rc<Self>, listener: TcpListener) {
+    async fn accept(self: Rc<Self>, listener: TcpListener, gate: PeerGate) {
         loop {
             let stream = accept(&listener).await;
-            tokio::task::spawn_local(Rc::clone(&self).check_preamble(stream));
+            if let Some(ticket) = gate.admit() {
+                tokio::task::spawn_local(Rc::clone(&self).serve_new(stream, ticket));
+            }
         }
     }
 
-    async fn check_preamble(self: Rc<Self>, mut stream: TcpStream) {
-        if read_preamble(&mut stream).await == Some(AGENT_PREAMBLE) {
-            self.serve(stream).await;
+    /// Serves a connection once its first message shows that it is an agent's.
+    async fn serve_new(self: Rc<Self>, mut stream: TcpStream, ticket: Arc<PeerTicket>) {
+        let first = tokio::select! {
+            first = read_first(&mut stream, &ticket) => first,
+            () = ticket.closed() => return,
+        };
+        drop(ticket);
+        if let Some(first) = first {
+            self.serve(stream, first).await;
         }
     }
 
     /// Serves a connection that another duty has accepted.
-    fn adopt(self: &Rc<Self>, stream: std::net::TcpStream) {
+    fn adopt(self: &Rc<Self>, stream: std::net::TcpStream, first: NumberedMessage) {
         match TcpStream::from_std(stream) {
             Ok(stream) => {
-                tokio::task::spawn_local(Rc::clone(self).serve(stream));
+                tokio::task::spawn_local(Rc::clone(self).serve(stream, first));
             }
             Err(error) => self.log.warn(EventLine::new("agent_refused").with("reason", error)),
         }
     }
 
     /// Serves a connection until it ends.
-    async fn serve(self: Rc<Self>, stream: TcpStream) {
-        if self.links.borrow().len() >= MAX_LINKS || stream.set_nodelay(true).is_err() {
+    async fn serve(self: Rc<Self>, stream: TcpStream, first: NumberedMessage) {
+        if self.links.borrow().len() >= self.max_links || stream.set_nodelay(true).is_err() {
             return self.log.warn(EventLine::new("agent_refused").with("reason", "links"));
         }
         let link = self.last_link.get() + 1;
@@ -112,6 +128,7 @@
         let (sender, outgoing) = mpsc::channel(LINK_QUEUE_CAPACITY);
         self.links.borrow_mut().insert(link, sender);
         let (reader, writer) = split(stream);
+        self.forward(SchedulingMessage::Agent { link, message: first }).await;
         let ended = tokio::select! {
             error = self.forward_messages(link, reader) => Err(error),
             ended = send_messages(writer, outgoing) => ended,
@@ -152,6 +169,14 @@
     }
 }
 
+/// Reads the preamble and the first message of an agent; `None` if they are not valid.
+async fn read_first(stream: &mut TcpStream, ticket: &PeerTicket) -> Option<NumberedMessage> {
+    match read_preamble(stream).await? {
+        AGENT_PREAMBLE => read_first_message(stream, ticket).await.ok(),
+        _ => None,
+    }
+}
+
 /// Sends the queued messages, all that wait at a time, until the queue or the session
 /// is closed.
 async fn send_messages(
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -707,8 +707,10 @@
 pub enum ScheduleEdgeMessage {
     /// Serves a connection that was accepted by another duty.
     Connected {
-        /// The connection, after its preamble.
+        /// The connection, after its first message.
         stream: std::net::TcpStream,
+        /// That message.
+        first: Box<NumberedMessage>,
     },
     /// Sends a message to an agent. The connection ends after
     /// [`SchedulerMessage::Closed`].
--- a/tests/client_crowds.rs
+++ b/tests/client_crowds.rs
@@ -6,7 +6,9 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use model::ProcessLimits;
@@ -14,6 +16,7 @@
 use standin::{LeaseServer, raw_call};
 
 use crate::deployed_group::{DeployedGroup, RoleHost, SERVICE, redirect_target};
+use crate::process_group::ProcessGroup;
 
 /// Connections of a crowd; their bodies together exceed the memory limit, and they the
 /// descriptors.
@@ -143,6 +146,12 @@
         log.is_ok_and(|log| log.contains(text))
     }
 
+    /// Number of lines of a log with this text.
+    fn log_count(&self, name: &str, text: &str) -> usize {
+        let log = std::fs::read_to_string(self.group.folder().join(name)).expect("it is readable");
+        log.lines().filter(|line| line.contains(text)).count()
+    }
+
     /// Checks that each process is alive and has stayed within its limits.
     fn expect_within_limits(&mut self) {
         let mut excesses = Vec::new();
@@ -384,6 +393,145 @@
     system.set_config();
 }
 
+/// First byte of an agent's stream, and the start of a frame whose length is the largest.
+const AGENT_FRAME: [u8; 5] = [0xA1, 0x00, 0x80, 0x00, 0x00];
+/// Bytes of such a frame that are sent.
+const FRAME_BYTES: usize = 2 * 1024 * 1024;
+/// The request that opens a connection for JSON-RPC, but for its last line.
+const UPGRADE: &str = "GET / HTTP/1.1\r\nHost: peer\r\nConnection: Upgrade\r\n\
+    Upgrade: websocket\r\nSec-WebSocket-Version: 13\r\n\
+    Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n";
+
+/// Sends a crowd to the addresses that other processes connect to.
+fn crowd_at_peers(system: &mut LimitedSystem, count: usize, parts: &[&[u8]]) {
+    let hosts = [CONTROL, ENTRY];
+    let addresses = hosts.map(|host| system.group.peer_address(host));
+    let crowds = addresses.map(|address| send_all(address, count, parts));
+    system.expect_unharmed();
+    drop(crowds);
+}
+
+// Streams of agents that stop before their first message took all descriptors, so that no
+// agent could connect.
+#[test]
+fn silent_streams() {
+    let mut system = LimitedSystem::start();
+    crowd_at_peers(&mut system, CROWD, &[&AGENT_FRAME[..1]]);
+    crowd_at_peers(&mut system, CROWD, &[&AGENT_FRAME]);
+    crowd_at_peers(&mut system, CROWD, &[]);
+}
+
+// Incomplete frames of any length were kept in memory.
+#[test]
+fn half_frames() {
+    let mut system = LimitedSystem::start();
+    let content = vec![b' '; FRAME_BYTES];
+    crowd_at_peers(&mut system, CROWD / 4, &[&AGENT_FRAME, &content]);
+}
+
+// The same for JSON-RPC: requests that stop halfway, bodies that are sent without an
+// upgrade, and messages that stop halfway after one.
+#[test]
+fn half_calls() {
+    let mut system = LimitedSystem::start();
+    let content = vec![b' '; FRAME_BYTES];
+    crowd_at_peers(&mut system, CROWD, &[UPGRADE.as_bytes()]);
+    let body = head("POST", "/", "Content-Type: application/json\r\nContent-Length: 33554432");
+    crowd_at_peers(&mut system, CROWD / 4, &[body.as_bytes(), &content]);
+    let upgrade = format!("{UPGRADE}\r\n");
+    crowd_at_peers(&mut system, CROWD / 4, &[upgrade.as_bytes(), &message_start(), &content]);
+}
+
+/// The start of a masked WebSocket message of 32 MiB.
+fn message_start() -> [u8; 14] {
+    [0x81, 0xFF, 0, 0, 0, 0, 2, 0, 0, 0, 0, 0, 0, 0]
+}
+
+// Connections of agents and control hosts gave way to others: the agent's stays the same, and
+// the entry's watch at control goes on.
+#[test]
+fn known_peers_stay() {
+    let mut system = LimitedSystem::start();
+    for parts in [&AGENT_FRAME[..], UPGRADE.as_bytes(), b"G"] {
+        crowd_at_peers(&mut system, CROWD, &[parts]);
+    }
+    let sessions = |name: &str| system.log_count(name, "event=agent_session ");
+    assert_eq!((sessions(ENTRY_LOG), sessions("control-0.log")), (1, 1), "sessions of the agent");
+}
+
+/// Connections that read their replies one byte at a time, and requests on each.
+const SLOW_READERS: usize = 60;
+const PIPELINED: usize = 2_000;
+const BYTE_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Opens connections that pipeline requests, and reads from them one byte at a time until the
+/// returned flag is set.
+fn read_slowly(address: SocketAddr, request: &str) -> (Arc<AtomicBool>, JoinHandle<()>) {
+    let requests = request.repeat(PIPELINED).into_bytes();
+    let crowd = send_all(address, SLOW_READERS, &[&requests]);
+    let is_over = Arc::new(AtomicBool::new(false));
+    let flag = Arc::clone(&is_over);
+    let reader = std::thread::spawn(move || {
+        while !flag.load(Ordering::Relaxed) {
+            for mut stream in &crowd {
+                // It may be closed by now.
+                let _read = stream.set_nonblocking(true).and_then(|()| stream.read(&mut [0]));
+            }
+            std::thread::sleep(BYTE_INTERVAL);
+        }
+    });
+    (is_over, reader)
+}
+
+// Clients that read their replies one byte at a time.
+#[test]
+fn slow_readers() {
+    let mut system = LimitedSystem::start();
+    let request = head("GET", "/x/", "Accept: */*");
+    let (is_over, reader) = read_slowly(system.group.front(0), &request);
+    system.expect_unharmed();
+    is_over.store(true, Ordering::Relaxed);
+    reader.join().expect("the reader ends");
+}
+
+// The same clients, and those that don't read at all, on the older interface: at the callers'
+// address of an entry and at the address of an agent for backend servers.
+#[test]
+fn older_interface() {
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let group = ProcessGroup::start_limited(1, 1, 1, LIMITS);
+    let agent = group.agents[0].announce.expect("it takes announcements");
+    let addresses = [group.entries[0].address, agent];
+    let request = head("GET", "/readyz", "Accept: */*");
+    for address in addresses {
+        let requests = request.repeat(PIPELINED * 10).into_bytes();
+        let _unread = send_all(address, 30, &[&requests]);
+        let (is_over, reader) = read_slowly(address, &request);
+        std::thread::sleep(READ_TIME);
+        for process in [&group.entries[0], &group.agents[0]] {
+            let (peak_kb, descriptors) = usage_of(process.id());
+            println!("peak {peak_kb} kB, {descriptors} descriptors");
+            assert!(peak_kb < LIMITS.memory_mb * 1_024, "{peak_kb} kB");
+            assert!(descriptors < LIMITS.max_fds, "{descriptors} descriptors");
+        }
+        let is_answered = wait_until(|| {
+            raw_call(address, "GET", "/readyz", &[("Host", HOST)], b"", PATIENT_LIMIT).is_ok()
+        });
+        assert!(is_answered, "an ordinary request is answered");
+        is_over.store(true, Ordering::Relaxed);
+        reader.join().expect("the reader ends");
+    }
+}
+
+/// Highest resident memory of a process so far, in kB, and its open descriptors.
+fn usage_of(id: u32) -> (u64, u64) {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("it is readable");
+    let peak = status.lines().find_map(|text| text.strip_prefix("VmHWM:"));
+    let peak = peak.and_then(|text| text.split_whitespace().next()?.parse().ok());
+    let descriptors = std::fs::read_dir(format!("/proc/{id}/fd")).expect("it is readable").count();
+    (peak.expect("a number of kB"), descriptors as u64)
+}
+
 // A client that reads its reply byte by byte, or not at all, keeps one connection, and is
 // told the truth: an announced length above the limit is refused before it is read.
 #[test]
--- a/tests/connection_budget.rs
+++ b/tests/connection_budget.rs
@@ -214,3 +214,26 @@
     assert!(table.take_burst_end(now));
     assert!(!table.take_burst_end(now + ms(10_000)));
 }
+
+// A process whose first call takes a while to answer, beside a crowd that only connects: its
+// connection must neither give way nor expire before the answer shows that it is known.
+#[test]
+fn answered_peer_stays() {
+    let process = ProcessLimits { memory_mb: 64, max_fds: 256 };
+    let limits = ListenerLimits::new(ListenerKind::Peers, process);
+    let start = Instant::now();
+    let mut table = ConnectionTable::new(start, limits);
+    let peer = accepted(table.on_connect(start));
+    table.on_bytes(start, peer, 100);
+    assert_eq!(table.reserve(start, peer, 100), ReserveStep::Grant(Vec::new()));
+    table.on_request(start, peer);
+    for number in 0..200 {
+        if let OpenStep::Replace(_, victim) = table.on_connect(start + ms(number)) {
+            assert_ne!(victim, peer);
+        }
+    }
+    assert!(!table.overdue(start + ms(60_000)).contains(&peer));
+    // Its answer was an error, so that it is not known.
+    table.on_head_start(start + ms(60_000), peer);
+    assert!(table.overdue(start + ms(75_000)).contains(&peer));
+}
--- a/tests/deployed_group.rs
+++ b/tests/deployed_group.rs
@@ -148,6 +148,11 @@
         (self.ip(host), CONTROL_PORT).into()
     }
 
+    /// Where a control host or an entry takes connections of other processes.
+    pub(crate) fn peer_address(&self, host: RoleHost) -> SocketAddr {
+        (self.ip(host), PEER_PORT).into()
+    }
+
     /// Where an entry takes callers' requests.
     pub(crate) fn front(&self, entry: usize) -> SocketAddr {
         (self.ip(RoleHost::Entry(entry)), FRONT_PORT).into()
--- a/tests/process_group.rs
+++ b/tests/process_group.rs
@@ -9,6 +9,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use model::ProcessLimits;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 
@@ -71,6 +72,11 @@
         std::fs::write(&self.settings, settings.to_string()).expect("settings are written");
     }
 
+    /// The process id; the process must be running.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.as_ref().expect("the process is running").id()
+    }
+
     pub(crate) fn signal(&self, signal: Signal) {
         let child = self.child.as_ref().expect("the process is running");
         let id = Pid::from_child(child);
@@ -110,11 +116,22 @@
     pub(crate) entries: Vec<Process>,
     pub(crate) agents: Vec<Process>,
     pub(crate) control_addresses: Vec<SocketAddr>,
+    limits: ProcessLimits,
     folder: PathBuf,
 }
 
 impl ProcessGroup {
     pub(crate) fn start(controls: usize, entries: usize, agents: usize) -> ProcessGroup {
+        ProcessGroup::start_limited(controls, entries, agents, ProcessLimits::default())
+    }
+
+    /// The same with these limits of each entry and agent.
+    pub(crate) fn start_limited(
+        controls: usize,
+        entries: usize,
+        agents: usize,
+        limits: ProcessLimits,
+    ) -> ProcessGroup {
         let folder_number = NEXT_FOLDER_NUMBER.fetch_add(1, Ordering::Relaxed);
         let name = format!("cactuswing-processes-{}-{folder_number}", std::process::id());
         let folder = std::env::temp_dir().join(name);
@@ -125,6 +142,7 @@
             entries: Vec::new(),
             agents: Vec::new(),
             control_addresses,
+            limits,
             folder,
         };
         for number in 0..controls {
@@ -177,6 +195,7 @@
             "controls": self.control_addresses,
             "cores": 16,
             "memory_mb": 32_768,
+            "limits": self.limits,
             "log": self.log(&format!("agent-{number}")),
         })
     }
@@ -188,6 +207,7 @@
             "listen": "127.0.0.1:0",
             "controls": self.control_addresses,
             "seed": number,
+            "limits": self.limits,
             "log": self.log(&format!("entry-{number}")),
         })
     }
