Replies that wait to be read have one time limit

Cause: the time in which a client has to read a reply began again with each reply to a request that it had sent ahead, so a client that read one byte at a time kept its connection. Change: the time counts from the oldest reply that is not read in full. A request that was read in full is still answered first.

--- a/crates/decisions/src/connections/connection_table.rs
+++ b/crates/decisions/src/connections/connection_table.rs
@@ -54,6 +54,9 @@
     phase: ConnectionPhase,
     /// When the phase began.
     since: Instant,
+    /// Since when a reply waits to be read in full. Replies to requests that were sent ahead
+    /// don't change it: a client that reads too slowly would have the time anew with each.
+    unread_since: Option<Instant>,
     /// Bytes of the request that arrived in this phase.
     bytes: u64,
     /// Bytes that are held of its request.
@@ -99,13 +102,16 @@
     /// Why the connection has to be closed at this time, if it has to.
     fn overdue_cause(&self, now: Instant, limits: &ListenerLimits) -> Option<CloseCause> {
         let age = self.age(now);
+        let unread = self.unread_since.map(|since| now.saturating_duration_since(since));
+        let is_unread = unread.is_some_and(|unread| unread > limits.reply_timeout);
         let is_slow = age > limits.rate_grace && self.rate(now) < limits.min_body_rate;
         let (is_overdue, cause) = match self.phase {
+            ConnectionPhase::Serving | ConnectionPhase::Lingering => return None,
+            _ if is_unread => (true, CloseCause::SlowReader),
             ConnectionPhase::Idle => (age > limits.idle_timeout, CloseCause::Idle),
             ConnectionPhase::Head => (age > limits.header_timeout, CloseCause::SlowHead),
             ConnectionPhase::Body => (age > limits.body_timeout || is_slow, CloseCause::SlowBody),
-            ConnectionPhase::Reply => (age > limits.reply_timeout, CloseCause::SlowReader),
-            ConnectionPhase::Serving | ConnectionPhase::Lingering => return None,
+            ConnectionPhase::Reply => (false, CloseCause::SlowReader),
         };
         (is_overdue && !self.is_closing).then_some(cause)
     }
@@ -222,7 +228,9 @@
         let id = self.next_id;
         self.next_id += 1;
         let (phase, since) = (ConnectionPhase::Idle, now);
-        let connection = Connection { phase, since, bytes: 0, held: 0, is_closing: false };
+        let unread_since = None;
+        let connection =
+            Connection { phase, since, unread_since, bytes: 0, held: 0, is_closing: false };
         self.connections.insert(id, connection);
         self.open += 1;
         self.max_open = self.max_open.max(self.open);
@@ -267,13 +275,16 @@
     /// Records that a reply was built, which the client has to read.
     pub fn on_reply(&mut self, now: Instant, id: ConnectionId) {
         self.enter(now, id, ConnectionPhase::Reply);
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.unread_since.get_or_insert(now);
+        }
     }
 
     /// Records that all bytes of a reply were written.
     pub fn on_flushed(&mut self, now: Instant, id: ConnectionId) {
-        if let Some(connection) = self.connections.get_mut(&id)
-            && connection.phase == ConnectionPhase::Reply
-        {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.unread_since = None;
+        if connection.phase == ConnectionPhase::Reply {
             connection.enter(ConnectionPhase::Idle, now);
         }
     }
--- a/tests/connection_budget.rs
+++ b/tests/connection_budget.rs
@@ -237,3 +237,52 @@
     table.on_head_start(start + ms(60_000), peer);
     assert!(table.overdue(start + ms(75_000)).contains(&peer));
 }
+
+// A client that sends requests ahead and reads their replies too slowly had the time for a
+// reply anew with each of them, and kept its connection.
+#[test]
+fn pipelined_reader_expires() {
+    let start = Instant::now();
+    let mut table = ConnectionTable::new(start, limits(3, KB));
+    let slow = accepted(table.on_connect(start));
+    let fast = accepted(table.on_connect(start));
+    for id in [slow, fast] {
+        table.on_bytes(start, id, 100);
+        for millis in [0, 2_000, 4_000] {
+            table.on_request(start + ms(millis), id);
+            table.on_reply(start + ms(millis), id);
+            if id == fast {
+                table.on_flushed(start + ms(millis), id);
+            }
+        }
+    }
+    assert_eq!(table.overdue(start + ms(4_500)), Vec::<ConnectionId>::new());
+    assert_eq!(table.overdue(start + ms(5_500)), vec![slow]);
+}
+
+// A request that was read in full is answered, although earlier replies wait to be read.
+#[test]
+fn served_request_kept() {
+    let start = Instant::now();
+    let mut table = ConnectionTable::new(start, limits(3, KB));
+    let slow = accepted(table.on_connect(start));
+    table.on_request(start, slow);
+    table.on_reply(start, slow);
+    table.on_request(start + ms(4_000), slow);
+    assert_eq!(table.overdue(start + ms(9_000)), Vec::<ConnectionId>::new());
+    table.on_reply(start + ms(9_000), slow);
+    assert_eq!(table.overdue(start + ms(9_000)), vec![slow]);
+}
+
+// An agent that has just started connects, and sends its first report only once the runs from
+// before its start are over: its connection must not count as idle meanwhile.
+#[test]
+fn late_first_report_awaited() {
+    let limits = ListenerLimits::new(ListenerKind::Peers, ProcessLimits::default());
+    let start = Instant::now();
+    let mut table = ConnectionTable::new(start, limits);
+    let agent = accepted(table.on_connect(start));
+    let silent = accepted(table.on_connect(start));
+    table.on_bytes(start, agent, 1);
+    assert_eq!(table.overdue(start + ms(5_000)), vec![silent]);
+}
