The first byte begins the time for a peer's first message

Cause: the preamble of an agent's stream was not counted, so an agent that has just started, and waits two seconds before its first report, came close to the limit for connections without any byte (3 s).

--- a/crates/edges/src/agent_stream.rs
+++ b/crates/edges/src/agent_stream.rs
@@ -99,9 +99,11 @@
     Some(split(stream))
 }
 
-/// Reads the first byte of a new connection; `None` if it doesn't come in time.
-pub(crate) async fn read_preamble(stream: &mut TcpStream) -> Option<u8> {
-    tokio::time::timeout(PREAMBLE_TIMEOUT, stream.read_u8()).await.ok()?.ok()
+/// Reads the first byte of a new connection; `None` if it doesn't come in time. It begins the
+/// time for the first message, which an agent that has just started sends some seconds later.
+pub(crate) async fn read_preamble(stream: &mut TcpStream, ticket: &PeerTicket) -> Option<u8> {
+    let preamble = tokio::time::timeout(PREAMBLE_TIMEOUT, stream.read_u8()).await.ok()?.ok()?;
+    ticket.on_bytes(1, 1).then_some(preamble)
 }
 
 /// Reads the first message of an agent's stream, after the preamble. Each of its bytes needs
--- a/crates/edges/src/peer_listener.rs
+++ b/crates/edges/src/peer_listener.rs
@@ -57,7 +57,7 @@
     stop: StopHandle,
     streams: Option<RingSender<ScheduleEdgeMessage>>,
 ) {
-    match (read_preamble(&mut stream).await, streams) {
+    match (read_preamble(&mut stream, ticket).await, streams) {
         (Some(AGENT_PREAMBLE), Some(streams)) => {
             // The error only says how the peer left, or what it sent.
             let Ok(first) = read_first_message(&mut stream, ticket).await else { return };
--- a/crates/edges/src/schedule_edge.rs
+++ b/crates/edges/src/schedule_edge.rs
@@ -171,7 +171,7 @@
 
 /// Reads the preamble and the first message of an agent; `None` if they are not valid.
 async fn read_first(stream: &mut TcpStream, ticket: &PeerTicket) -> Option<NumberedMessage> {
-    match read_preamble(stream).await? {
+    match read_preamble(stream, ticket).await? {
         AGENT_PREAMBLE => read_first_message(stream, ticket).await.ok(),
         _ => None,
     }
