--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -288,11 +288,9 @@
         let placed = self.placements.values();
         let on_agent = placed.filter(|placed| placed.agent == *agent && !placed.ended);
         if let Some(state) = self.agents.get_mut(agent) {
-            state.usage = ResourceAmount::default();
-            state.kinds.clear_own();
+            state.clear_runs();
             for placed in on_agent {
-                state.usage = state.usage.with(&placed.size);
-                state.kinds.add(&placed.queue);
+                state.add_run(&placed.size, &placed.queue);
             }
         }
         self.placement_due = true;
@@ -413,8 +411,7 @@
             && state.life() == Some(&placed.life)
             && !placed.ended
         {
-            state.usage = state.usage.saturating_sub(&placed.size);
-            state.kinds.remove(&placed.queue);
+            state.remove_run(&placed.size, &placed.queue);
             self.placement_due = true;
         }
     }
--- a/crates/decisions/src/schedule/agent_state.rs
+++ b/crates/decisions/src/schedule/agent_state.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant};
 
 use model::{
-    AgentOrder, ClaimOrders, EndAck, EndNumber, Incarnation, LifeId, ResourceAmount, ServerView,
-    SessionId, SpeedReport, TaskRun,
+    AgentOrder, ClaimOrders, EndAck, EndNumber, Incarnation, LifeId, QueueId, ResourceAmount,
+    ServerView, SessionId, SpeedReport, TaskRun,
 };
 
 use super::agent_link::AgentLink;
@@ -34,6 +34,11 @@
     recorded: bool,
 }
 
+/// Maximum number of a scheduler's runs on one backend server. An agent handles each input in
+/// time proportional to its runs, and tasks that need little capacity would let these grow to
+/// tens of thousands.
+const MAX_OWN_RUNS: usize = 512;
+
 /// Scheduler's view of one agent.
 #[derive(Debug, Clone)]
 pub struct AgentState {
@@ -46,6 +51,8 @@
     pub(super) reports_draining: bool,
     /// Resources taken by this scheduler's runs.
     pub(super) usage: ResourceAmount,
+    /// Number of these runs.
+    pub(super) own_runs: usize,
     /// Resources taken by other schedulers' runs, as last reported.
     pub(super) other_usage: ResourceAmount,
     /// Kinds of tasks that run there.
@@ -88,6 +95,7 @@
             server: None,
             reports_draining: false,
             usage: ResourceAmount::default(),
+            own_runs: 0,
             other_usage: ResourceAmount::default(),
             kinds: KindPresence::default(),
             sent_kinds_version: 0,
@@ -163,13 +171,38 @@
             && self.server.as_ref().is_some_and(|server| !server.draining)
     }
 
+    /// Number of runs that this scheduler may add.
+    pub(super) fn free_runs(&self) -> usize {
+        MAX_OWN_RUNS.saturating_sub(self.own_runs)
+    }
+
+    /// Takes the capacity of a run of this kind.
+    pub(super) fn add_run(&mut self, size: &ResourceAmount, kind: &QueueId) {
+        self.usage = self.usage.with(size);
+        self.own_runs += 1;
+        self.kinds.add(kind);
+    }
+
+    /// Releases what a run of this kind has taken.
+    pub(super) fn remove_run(&mut self, size: &ResourceAmount, kind: &QueueId) {
+        self.usage = self.usage.saturating_sub(size);
+        self.own_runs = self.own_runs.saturating_sub(1);
+        self.kinds.remove(kind);
+    }
+
+    /// Forgets this scheduler's runs.
+    pub(super) fn clear_runs(&mut self) {
+        self.usage = ResourceAmount::default();
+        self.own_runs = 0;
+        self.kinds.clear_own();
+    }
+
     /// Resets everything that belongs to the previous life of the backend server.
     pub(super) fn begin_life(&mut self, now: Instant) {
         self.pending_ends.clear();
         self.last_acked_end = 0;
         self.unsent_ack_since = None;
-        self.usage = ResourceAmount::default();
-        self.kinds.clear_own();
+        self.clear_runs();
         self.consecutive_failures = 0;
         self.paused_until = None;
         self.speed = SpeedEstimate::new(now);
