review: a leader that goes on in its term counts runs from 1 again

Cause looked for: state that is dropped at a change that changes nothing. A control leader whose lease is over for a moment, but not its lead, forgets the latest run numbers of tasks and begins with 1 in the same term; recorded failures are kept by run number, so those that come again don't count.

--- a/review/13/case.rs
+++ b/review/13/case.rs
@@ -28,10 +28,8 @@
     }
     let minions: Vec<Minion> =
         agents.iter().map(|agent| Minion::start(&cluster, *agent, CAPACITY, true)).collect();
-    let gateways: Vec<Gateway> = agents
-        .iter()
-        .map(|agent| Gateway::start(cluster.address(*agent, CONTROL_PORT)))
-        .collect();
+    let gateways: Vec<Gateway> =
+        agents.iter().map(|agent| Gateway::start(cluster.address(*agent, CONTROL_PORT))).collect();
     if !cluster.put_config(&CONTROLS, &config(7, true), ms(15_000))
         || !cluster.wait_ready(&ENTRIES, ms(10_000))
     {
--- a/review/14/case.rs
+++ b/review/14/case.rs
@@ -46,10 +46,8 @@
         "{{\"count\":{STEP_TASKS},\"cpu\":10,\"mem_mb\":1,\"estimate_ms\":{TASK_MS},\
          \"required_label\":\"b\"}}"
     );
-    let body = format!(
-        "{{\"spec\":\"ms={TASK_MS} cpu=10\",\"steps\":[{}]}}",
-        vec![step; STEPS].join(",")
-    );
+    let body =
+        format!("{{\"spec\":\"ms={TASK_MS} cpu=10\",\"steps\":[{}]}}", vec![step; STEPS].join(","));
     let before = minions[0].heartbeat_at();
     while minions[0].heartbeat_at() == before {
         sleep_ms(2);
--- a/review/standins-3/common.rs
+++ b/review/standins-3/common.rs
@@ -569,7 +569,7 @@
 }
 
 /// A minion: it runs what it is told under a lease, as PROTOCOL.md says. What a task does
-/// stands in the spec of its job: `ms=900 cpu=1000`.
+/// stands in the spec of its job: `ms=900 cpu=1000`, with `fail=1` if it fails at its end.
 #[derive(Clone)]
 pub struct Minion {
     pub id: String,
@@ -626,10 +626,12 @@
             }
         });
         let ticker = minion.clone();
-        std::thread::spawn(move || loop {
-            sleep_ms(2);
-            let mut state = ticker.lock();
-            ticker.end_due(&mut state);
+        std::thread::spawn(move || {
+            loop {
+                sleep_ms(2);
+                let mut state = ticker.lock();
+                ticker.end_due(&mut state);
+            }
         });
         let announcer = minion.clone();
         std::thread::spawn(move || announcer.announce());
@@ -724,7 +726,8 @@
         state.left = true;
         let now = Instant::now();
         for (task, active) in std::mem::take(&mut state.running) {
-            self.record.line(format!("{} ends {task} run {}: with the minion", self.id, active.run));
+            self.record
+                .line(format!("{} ends {task} run {}: with the minion", self.id, active.run));
             state.runs[active.record].ended = Some((now, "gone"));
         }
         self.record.line(format!("{} has ended", self.id));
@@ -844,7 +847,8 @@
         self.record.line(format!("{} begins {task} run {run}, {cpu_in_use} in use", self.id));
         let (ended, acked) = (None, false);
         state.runs.push(Run { task: task.clone(), run, cpu, began: now, cpu_in_use, ended, acked });
-        let active = Active { run, cpu, ends_at: now + ms(run_ms), how: "done", record };
+        let how = if spec_number(&spec, "fail=") > 0 { "failed" } else { "done" };
+        let active = Active { run, cpu, ends_at: now + ms(run_ms), how, record };
         state.running.insert(task, active);
         self.done()
     }
@@ -966,6 +970,23 @@
     None
 }
 
+/// A run that was started after `max_attempts` runs of its task had ended `failed`, if all these
+/// ends were acknowledged under the same lease, at any time.
+pub fn find_beyond(minions: &[Minion], max_attempts: usize) -> Option<String> {
+    let runs: Vec<Run> = minions.iter().flat_map(Minion::runs).collect();
+    let has_failed_before = |run: &Run, other: &Run| {
+        other.task == run.task
+            && other.acked
+            && matches!(other.ended, Some((at, "failed")) if at < run.began)
+    };
+    runs.iter().find_map(|run| {
+        let failed = runs.iter().filter(|other| has_failed_before(run, other)).count();
+        (failed >= max_attempts).then(|| {
+            format!("{} began again as run {} after {failed} runs had failed", run.task, run.run)
+        })
+    })
+}
+
 /// Forwards connections to `target`. While `resets` is set, an answer is not passed on: the
 /// connection is closed instead.
 pub struct Gateway {
@@ -1004,9 +1025,8 @@
 ) {
     let mut space = [0; 16_384];
     while let Ok(length) = from.read(&mut space) {
-        let is_cut = resets.as_ref().is_some_and(|flag| {
-            flag.load(std::sync::atomic::Ordering::Acquire)
-        });
+        let is_cut =
+            resets.as_ref().is_some_and(|flag| flag.load(std::sync::atomic::Ordering::Acquire));
         if length == 0 || is_cut || to.write_all(&space[..length]).is_err() {
             break;
         }
