--- a/review/12/case.rs
+++ b/review/12/case.rs
@@ -30,7 +30,7 @@
 /// The last version.
 const LAST: u64 = 8 + CHANGES;
 /// From when the added machine asks to join until it is lost.
-const JOIN_MS: u64 = 100;
+const JOIN_MS: u64 = 50;
 
 /// One more route.
 fn route(number: u64) -> String {
