review: case 11 judges by the configuration alone

Cause: the verdict also took an unanswered job, which the rule that is claimed now doesn't name. The claim quotes the doses of replace_core and after_ack_wipe.

--- a/review/11/case.rs
+++ b/review/11/case.rs
@@ -92,11 +92,9 @@
         sleep_ms(300);
     }
     drop(minions);
-    let what = match (is_read, is_known) {
-        (true, true) => cluster.finish(Ok(())),
-        (false, true) => "the configuration that was acknowledged is not read back",
-        (true, false) => "the job that was accepted is not shown",
-        (false, false) => "neither the configuration nor the accepted job is known any more",
-    };
-    cluster.finish(Err(what.to_owned()))
+    record.line(format!("the accepted job is shown: {is_known}"));
+    if is_read {
+        cluster.finish(Ok(()));
+    }
+    cluster.finish(Err("the configuration that was acknowledged is not read back".to_owned()))
 }
