review: case 13 drains by the acknowledgement

Cause: the DELETE came a fixed time after the drain began, not after its acknowledgement. It now waits for the acknowledged heartbeat and 2.5 s more (drain_ms is 2 s).

--- a/review/13/case.rs
+++ b/review/13/case.rs
@@ -13,7 +13,7 @@
 const AGENTS: u8 = 11;
 const JOB: &str = "5c0e7a21d94b36f8";
 /// Longer than `drain_ms`, for which a minion serves on once its drain is acknowledged.
-const DRAIN_MS: u64 = 3_500;
+const DRAIN_MS: u64 = 2_500;
 /// How long a minion waits that got no acknowledgement of its leave.
 const PATIENCE_MS: u64 = 3_000;
 /// Shortest time that counts as one in which two runs are at work.
@@ -49,6 +49,10 @@
     };
     let minion = &minions[leaving];
     minion.drain();
+    while minion.drain_acked_at().is_none() {
+        sleep_ms(5);
+    }
+    record.line("the drain is acknowledged");
     sleep_ms(DRAIN_MS);
     gateways[leaving].resets.store(has_trouble(), Ordering::Release);
     minion.leave(gateways[leaving].address, ms(PATIENCE_MS));
--- a/review/standins-3/common.rs
+++ b/review/standins-3/common.rs
@@ -565,6 +565,7 @@
     runs: Vec<Run>,
     heartbeat_at: Option<Instant>,
     draining: bool,
+    drain_acked_at: Option<Instant>,
     left: bool,
 }
 
@@ -686,6 +687,11 @@
         ))
     }
 
+    /// When a heartbeat was first acknowledged that says that the minion drains.
+    pub fn drain_acked_at(&self) -> Option<Instant> {
+        self.lock().drain_acked_at
+    }
+
     /// When the latest heartbeat was acknowledged.
     pub fn heartbeat_at(&self) -> Option<Instant> {
         self.lock().heartbeat_at
@@ -741,7 +747,8 @@
             if self.lock().left {
                 return;
             }
-            let state = if self.lock().draining { "draining" } else { "ready" };
+            let is_draining = self.lock().draining;
+            let state = if is_draining { "draining" } else { "ready" };
             let body = format!(
                 "{{\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
                  \"slots\":8,\"state\":\"{state}\",\"cold_left_ms\":0,\"capacity\":{{\"cpu\":{},\
@@ -757,7 +764,13 @@
             );
             let sent = call(self.agent, "PUT", "agent", &path, &body, ms(1_000));
             if sent.is_ok_and(|response| response.status / 100 == 2) {
-                self.lock().heartbeat_at = Some(Instant::now());
+                let mut state = self.lock();
+                let now = Instant::now();
+                state.heartbeat_at = Some(now);
+                if is_draining {
+                    state.drain_acked_at.get_or_insert(now);
+                }
+                drop(state);
                 std::thread::sleep(HEARTBEAT);
             } else {
                 sleep_ms(50);
