agent: a leave ends no run of the backend server

Cause: RunTable::on_leave took the intention for the fact. It ended the server's life and reported all its runs as lapsed, although only the answer lets the server end.

Why it works: after a leave nothing starts there, nothing extends its lease, and its runs are stopped; they count as over only once the server's lists show none, its process is gone (connections refused and no renewal open, a new outcome of calls), or its lease has expired.

--- a/crates/decisions/src/agent/run_calls.rs
+++ b/crates/decisions/src/agent/run_calls.rs
@@ -9,7 +9,7 @@
 };
 
 use super::run_table::{RunStep, RunTable};
-use super::server_life::{RunPhase, RunState, ServerLife};
+use super::server_life::{RunPhase, RunState, ServerLife, is_contact};
 
 /// Step by which the fencing token is raised when the backend server has seen a
 /// higher one, because the host's wall clock was set back between two starts of
@@ -62,9 +62,8 @@
             return Vec::new();
         };
         life.update_clock(clock);
-        let answered = !matches!(answer, ServerAnswer::NoAnswer | ServerAnswer::NotSent);
-        life.record_contact(now, answered, self.limits.lease);
-        if !answered {
+        life.record_contact(now, &answer, self.limits.lease);
+        if !is_contact(&answer) {
             life.hedge_until = Some(now + HEDGE_DURATION);
         }
         match answer {
@@ -99,14 +98,17 @@
                 let refused = life.refuse(run, *refusal);
                 self.notify(now, refused.into_iter().collect());
             }
-            ServerAnswer::NotSent if !state.is_resent => {
+            ServerAnswer::NotSent | ServerAnswer::ConnectionRefused if !state.is_resent => {
                 life.start_resends.remove(run);
                 let refused = life.refuse(run, StartRefusal::Unhealthy);
                 self.notify(now, refused.into_iter().collect());
             }
             // A stop was ordered before this answer arrived.
             _ if state.phase != RunPhase::Starting => {}
-            ServerAnswer::NoAnswer | ServerAnswer::Refused(_) | ServerAnswer::NotSent => {
+            ServerAnswer::NoAnswer
+            | ServerAnswer::Refused(_)
+            | ServerAnswer::NotSent
+            | ServerAnswer::ConnectionRefused => {
                 let line = EventLine::new("start_in_doubt")
                     .with("run", run)
                     .with("resent", state.is_resent);
@@ -227,12 +229,15 @@
     }
 
     /// Stops runs whose scheduler's grant has expired, and runs that no scheduler
-    /// claimed in time.
+    /// claimed in time; once the backend server has left, all of them.
     pub(super) fn stop_ungranted_runs(&mut self, now: Instant) {
         let Some(life) = &self.life else { return };
-        let expired = life.runs.iter().filter(|(_, state)| {
-            state.phase.is_active() && self.granted_until(state).is_none_or(|until| until <= now)
-        });
+        let is_granted =
+            |state: &RunState| self.granted_until(state).is_some_and(|until| until > now);
+        let expired = life
+            .runs
+            .iter()
+            .filter(|(_, state)| state.phase.is_active() && (life.has_left || !is_granted(state)));
         let expired: Vec<TaskRun> = expired.map(|(run, _)| run.clone()).collect();
         for run in expired {
             let line = EventLine::new("run_ungranted").with("run", &run);
--- a/crates/decisions/src/agent/run_lease.rs
+++ b/crates/decisions/src/agent/run_lease.rs
@@ -31,11 +31,12 @@
     /// than the longest remaining grant. A call renews the lease of all runs there, so it
     /// is zero while the backend server is silent, while it is not known what it runs, and
     /// while there are runs that nobody has claimed, whose scheduler may long have lost
-    /// contact with this agent. Nor may any run, or unacknowledged end, outlast its own
-    /// scheduler's grant by more than the time to stop it.
+    /// contact with this agent, and once it has left. Nor may any run, or unacknowledged
+    /// end, outlast its own scheduler's grant by more than the time to stop it.
     pub(super) fn allowed_lease(&self, now: Instant) -> Duration {
         let Some(life) = &self.life else { return Duration::ZERO };
-        if life.is_silent(now) || !life.listed || life.has_unclaimed_runs() {
+        let is_known = life.listed && !life.has_unclaimed_runs();
+        if life.is_silent(now) || life.has_left || !is_known {
             return Duration::ZERO;
         }
         let grants = self.schedulers.values().map(|session| session.remaining_grant(now));
--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -13,6 +13,9 @@
 //!   neither the run nor its end;
 //! - no run starts unless the grant of its scheduler is valid, and a run is stopped when
 //!   it expires;
+//! - a run counts as over only once it is known to be: its end was listed, or a list that
+//!   has to show it does not; another instance answers at the backend server's address, or
+//!   nothing does since it has left; or the lease that covers it has expired;
 //! - no run counts as lapsed for a time in which this agent did not run: its host may have
 //!   been suspended, and the lease has stood still;
 //! - ends, except those of best-effort jobs, are reported in each new session
@@ -366,6 +369,7 @@
     /// Carries out all that is due after an input, and returns the steps.
     pub(super) fn finish(&mut self, now: Instant) -> Vec<RunStep> {
         self.expire_lease(now);
+        self.end_departed_life(now);
         self.void_ends_without_lease(now);
         let notices = self.claims.on_tick(now);
         self.notify_claims(now, notices);
@@ -483,7 +487,7 @@
     /// Whether a restarted agent may list its runs: once the backend server has
     /// listed them, or once all runs from before the start have lapsed with the
     /// lease, given the bound on clock drift.
-    fn can_list_runs(&self, now: Instant) -> bool {
+    pub(super) fn can_list_runs(&self, now: Instant) -> bool {
         self.has_lists || self.are_earlier_runs_over(now)
     }
 
--- a/crates/decisions/src/agent/server_heartbeats.rs
+++ b/crates/decisions/src/agent/server_heartbeats.rs
@@ -2,9 +2,11 @@
 //!
 //! Invariants:
 //! - a heartbeat of another instance than the current life's ends that life only once
-//!   nothing of it can be left: the backend server has refused a call to its instance,
-//!   it has left, or its lease has expired. A heartbeat that no instance here sent
-//!   changes nothing;
+//!   nothing of it can be left: the backend server has refused a call to its instance, its
+//!   process has left and ended, or its lease has expired. A heartbeat that no instance here
+//!   sent changes nothing;
+//! - a leave ends no run by itself: if its acknowledgement is lost, the backend server runs on
+//!   for some seconds. Its life goes on, without new starts or leases, until its runs are over;
 //! - a later generation of the instance ends no run by itself: calls name only the
 //!   instance, so the later life may have accepted them;
 //! - a late heartbeat, of an earlier life of the instance or with a lower sequence
@@ -40,7 +42,9 @@
             None => self.begin_life(now, heartbeat),
             Some(life) if life.instance != heartbeat.instance => self.await_end(now, heartbeat),
             Some(life) if life.generation == heartbeat.generation => {
-                if life.sequence < heartbeat.sequence || is_silent(life, now) {
+                if life.has_left {
+                    // Sent before the leave, or by a process that ends in any case.
+                } else if life.sequence < heartbeat.sequence || is_silent(life, now) {
                     let changed = life.take_heartbeat(now, heartbeat);
                     self.require_reports(changed);
                 }
@@ -127,15 +131,40 @@
         life.query_lists_at = Some(now);
     }
 
-    /// Handles the leave of the backend server.
+    /// Handles the leave of the backend server: nothing is started there any more, and all
+    /// that runs is stopped. Its life ends once its runs are over.
     pub fn on_leave(&mut self, now: Instant, instance: &LifeId) -> Vec<RunStep> {
         self.record_input(now);
         self.candidate.take_if(|candidate| candidate.heartbeat.instance == *instance);
-        if self.life.as_ref().is_some_and(|life| life.instance == *instance) {
+        if let Some(life) = self.life.as_mut().filter(|life| life.instance == *instance)
+            && !life.has_left
+        {
+            life.has_left = true;
+            life.view.draining = true;
+            life.query_lists_at = Some(now);
+            let refused = life.take_waiting();
+            let line = EventLine::new("server_leaves")
+                .with("life", &life.view.life)
+                .with("runs", life.runs.len())
+                .with("listed", life.listed);
+            self.steps.push(RunStep::Log(line));
+            self.notify(now, refused);
+            self.require_reports(true);
+        }
+        self.finish(now)
+    }
+
+    /// Ends the life of a backend server that has left, once its runs are over: all have
+    /// ended, or its process has. One that has listed nothing may run what an earlier process
+    /// of this agent started.
+    pub(super) fn end_departed_life(&mut self, now: Instant) {
+        let Some(life) = self.life.as_ref().filter(|life| life.has_left) else { return };
+        let is_known = life.listed || self.can_list_runs(now);
+        let is_idle = life.runs.is_empty() && is_known;
+        if is_idle || life.is_process_gone() {
             self.end_life(now, "backend server left");
             self.follow_candidate(now);
         }
-        self.finish(now)
     }
 
     /// Starts to track the instance whose heartbeat was kept, if one was; called once
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -16,7 +16,7 @@
 use indexmap::IndexMap;
 use model::{
     EndKind, EndNumber, LifeId, ListedEnd, QueueId, ResourceAmount, RunUpdate, SchedulerKey,
-    ServerHeartbeat, ServerView, SpeedReport, StartRefusal, TaskRun,
+    ServerAnswer, ServerHeartbeat, ServerView, SpeedReport, StartRefusal, TaskRun,
 };
 
 use super::kind_samples::{KindSamples, PresenceMark};
@@ -184,6 +184,11 @@
     pub(super) lease_until: Option<Instant>,
     /// Whether it has listed its runs since contact began or the lease expired.
     pub(super) listed: bool,
+    /// Whether it has said that it leaves. Its process ends soon, or some seconds later if
+    /// the acknowledgement was lost; until then its runs may go on.
+    pub(super) has_left: bool,
+    /// Whether the latest call found no process listening.
+    pub(super) refuses_connections: bool,
     pub(super) runs: IndexMap<TaskRun, RunState>,
     pub(super) start_queue: StartQueue,
     /// Starts without an answer, which may be sent again.
@@ -231,6 +236,8 @@
             lease_expires_at: None,
             lease_until: None,
             listed: false,
+            has_left: false,
+            refuses_connections: false,
             runs: IndexMap::new(),
             start_queue: StartQueue::default(),
             start_resends: StartResends::default(),
@@ -307,13 +314,25 @@
 
     /// Records whether a call was answered. After calls have gone unanswered for
     /// `max_silence`, the backend server counts as silent.
-    pub(super) fn record_contact(&mut self, now: Instant, answered: bool, max_silence: Duration) {
-        match answered {
+    pub(super) fn record_contact(
+        &mut self,
+        now: Instant,
+        answer: &ServerAnswer,
+        max_silence: Duration,
+    ) {
+        self.refuses_connections = *answer == ServerAnswer::ConnectionRefused;
+        match is_contact(answer) {
             true => self.silent_from = None,
             false => _ = self.silent_from.get_or_insert(now + max_silence),
         }
     }
 
+    /// Whether the process that has left is known to have ended: it listens no more, and holds
+    /// no renewal open either.
+    pub(super) fn is_process_gone(&self) -> bool {
+        self.has_left && self.refuses_connections && self.outstanding_renewals.is_empty()
+    }
+
     /// Whether the backend server has answered no call for so long that its lease is not
     /// extended any more.
     pub(super) fn is_silent(&self, now: Instant) -> bool {
@@ -643,6 +662,17 @@
     }
 }
 
+/// Whether the outcome of a call shows that the backend server is there.
+pub(super) fn is_contact(answer: &ServerAnswer) -> bool {
+    match answer {
+        ServerAnswer::NoAnswer | ServerAnswer::NotSent | ServerAnswer::ConnectionRefused => false,
+        ServerAnswer::Done
+        | ServerAnswer::Lists { .. }
+        | ServerAnswer::PartialLists { .. }
+        | ServerAnswer::Refused(_) => true,
+    }
+}
+
 /// Converts a listed end of a run that took `ran` to an update.
 fn update_of(end: &ListedEnd, ran: Option<Duration>) -> RunUpdate {
     let ran_ms = ran.map(|ran| ran.as_millis() as u64);
--- a/crates/model/src/server_messages.rs
+++ b/crates/model/src/server_messages.rs
@@ -122,6 +122,9 @@
     Refused(StartRefusal),
     /// The start was not sent, so it has no effect. Says nothing of the server.
     NotSent,
+    /// The connection was refused, so the call has no effect: no process listens at the
+    /// server's address.
+    ConnectionRefused,
     /// Outcome unknown: the call may have taken effect, or may still do so.
     NoAnswer,
 }
--- a/tests/schedule_model.rs
+++ b/tests/schedule_model.rs
@@ -195,6 +195,8 @@
     draining_servers: BTreeSet<usize>,
     /// Backend servers that are gone for good.
     lost_servers: BTreeSet<usize>,
+    /// Backend servers whose process has ended; their addresses refuse connections.
+    ended_servers: BTreeSet<usize>,
     /// Agents that stand still, and what waits for them.
     frozen_agents: BTreeMap<usize, Vec<HeldInput>>,
     /// Entries that stand still, and what waits for them.
@@ -257,6 +259,7 @@
             evacuated: BTreeMap::new(),
             draining_servers: BTreeSet::new(),
             lost_servers: BTreeSet::new(),
+            ended_servers: BTreeSet::new(),
             frozen_agents: BTreeMap::new(),
             frozen_entries: BTreeMap::new(),
             in_transit: VecDeque::new(),
@@ -432,8 +435,23 @@
         self.agents[agent].sessions.clear();
     }
 
+    /// Tells an agent that its backend server leaves. The server goes on as before.
+    pub(crate) fn leave_server(&mut self, server: usize) {
+        let instance = self.servers[server].instance().into();
+        let steps = self.agents[server].table.on_leave(self.now, &instance);
+        self.apply_run_steps(server, steps);
+    }
+
+    /// Ends the process of a backend server, with its runs; connections to it are refused
+    /// until [`ScheduleModel::crash_server`] starts the next one.
+    pub(crate) fn end_server(&mut self, server: usize) {
+        self.servers[server].runs.clear();
+        self.ended_servers.insert(server);
+    }
+
     /// Crashes a backend server, which restarts at once as a new generation.
     pub(crate) fn crash_server(&mut self, server: usize) {
+        self.ended_servers.remove(&server);
         self.last_generation += 1;
         self.servers[server] = ServerModel::new(self.now, self.last_generation, SERVER_SLOTS);
         self.record_life(server);
@@ -461,7 +479,7 @@
 
     /// Sends the heartbeat of a backend server to its agent.
     pub(crate) fn heartbeat(&mut self, agent: usize) {
-        if self.lost_servers.contains(&agent) {
+        if self.lost_servers.contains(&agent) || self.ended_servers.contains(&agent) {
             return;
         }
         self.agents[agent].heartbeats += 1;
@@ -855,6 +873,9 @@
             return self.delay(agent, position);
         }
         let call = self.agents[agent].calls.remove(position);
+        if self.ended_servers.contains(&agent) {
+            return self.deliver_answer(agent, &call, None, ServerAnswer::ConnectionRefused);
+        }
         let answer = self.execute_call(agent, &call);
         let clock = Some((self.servers[agent].clock(self.now), self.now));
         let (answer, clock) =
@@ -889,6 +910,9 @@
     pub(crate) fn deliver_delayed(&mut self, position: usize) {
         if position < self.delayed.len() {
             let (server, call) = self.delayed.remove(position);
+            if self.ended_servers.contains(&server) {
+                return;
+            }
             self.execute_call(server, &call);
         }
     }
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -31,6 +31,7 @@
 mod declined_claims;
 mod departed_agents;
 mod departed_servers;
+mod departing_servers;
 mod duty_failures;
 mod early_end;
 mod end_acks;
