control: a host that is lost while it joins bars no change of the group

Cause: the leader kept one joining host, which only that host's own catching up could clear. While it was set, every other change was refused and no unreachable member was removed.

Why it works: hosts catch up independently of each other; only the change itself waits for the one before it. A host without progress for 15 s is given up and may ask again. Who joins, since when and how far it is, is logged and shown by `cactuswing status`, as is each refused change.

--- a/crates/cactuswing/src/commands/inspect.rs
+++ b/crates/cactuswing/src/commands/inspect.rs
@@ -38,6 +38,20 @@
         vec![peer.name.to_string(), peer.address.to_string(), synced]
     });
     print_table(&["control", "address", "synced"], hosts.collect());
+    if !status.joining.is_empty() {
+        let joining = status.joining.iter().map(|row| {
+            vec![
+                row.host.name.to_string(),
+                row.host.address.to_string(),
+                row.joining_ms.to_string(),
+                row.stalled_ms.to_string(),
+                row.index.to_string(),
+                row.snapshot_bytes.to_string(),
+            ]
+        });
+        let titles = ["joining", "address", "since ms", "stalled ms", "synced", "snapshot bytes"];
+        print_table(&titles, joining.collect());
+    }
     let members = status.members.iter().map(|row| {
         vec![
             row.member.node.to_string(),
--- a/crates/decisions/src/control/mod.rs
+++ b/crates/decisions/src/control/mod.rs
@@ -24,6 +24,6 @@
 pub use member_store::MemberStore;
 pub use membership::{MembershipStep, MembershipTracker};
 pub use replica::{
-    EncodedSnapshot, GroupChange, LogStore, ReceivedSnapshot, Replica, ReplicaLimits, ReplicaStep,
-    StoredReplica,
+    EncodedSnapshot, GroupChange, JoiningHost, LogStore, ReceivedSnapshot, Replica, ReplicaLimits,
+    ReplicaStep, StoredReplica,
 };
--- a/crates/decisions/src/control/replica/group.rs
+++ b/crates/decisions/src/control/replica/group.rs
@@ -4,11 +4,16 @@
 //! Invariants:
 //! - consecutive groups differ in exactly one host, so their majorities overlap;
 //! - a change is appended only once the previous one is committed, and once the
-//!   leader has committed a record of its own term.
+//!   leader has committed a record of its own term;
+//! - hosts catch up independently of each other and of other changes, so one that is lost
+//!   meanwhile bars nothing. One that makes no progress for [`JOIN_TIMEOUT`] is given up; it
+//!   may ask again.
 
 use std::time::{Duration, Instant};
 
-use model::{Command, CommandResult, ControlPeer, LogIndex, NodeId, ReplicaMessage};
+use model::{Command, CommandResult, ControlPeer, EventLine, LogIndex, NodeId, ReplicaMessage};
+
+use indexmap::IndexSet;
 
 use super::leader::JoiningHost;
 use super::{Replica, ReplicaStep, Role};
@@ -17,6 +22,12 @@
 /// group is new.
 const HELLO_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time without progress after which a joining host is given up. It spans several attempts
+/// to send a snapshot.
+const JOIN_TIMEOUT: Duration = Duration::from_secs(15);
+/// Maximum number of hosts that catch up at a time.
+const MAX_JOINING_HOSTS: usize = 8;
+
 /// Outcome of a requested change of the group.
 #[derive(Debug, Clone, PartialEq)]
 pub enum GroupChange {
@@ -110,11 +121,16 @@
             let steps = self.append_records(now, at_ms, vec![Command::ChangeGroup { group }]);
             return Some(GroupChange::Appended { index, steps });
         };
+        let line = EventLine::new("group_join_started")
+            .with("host", &peer.name)
+            .with("address", peer.address)
+            .with("last_index", self.log.last_index());
         if let Role::Leader(leader) = &mut self.role {
-            leader.joining = Some(JoiningHost { peer, group });
+            leader.joining.insert(peer.name.clone(), JoiningHost::new(now, peer));
         }
         self.update_peers();
-        let steps = self.replicate_all(now);
+        let mut steps = vec![ReplicaStep::Log(line)];
+        steps.extend(self.replicate_all(now));
         Some(GroupChange::CatchingUp { steps })
     }
 
@@ -125,37 +141,82 @@
         if group.is_empty() || added + removed != 1 {
             return Err("the new group must differ from the current one in exactly one host");
         }
+        let Role::Leader(leader) = &self.role else { return Err("this host is not the leader") };
+        let names: IndexSet<&NodeId> = group.iter().map(|peer| &peer.name).collect();
+        if names.len() != group.len() {
+            return Err("two hosts of the new group have one name");
+        }
+        if added == 0 {
+            return self.check_settled();
+        }
+        let mut joining = leader.joining.values().map(|joining| &joining.peer);
+        if joining.any(|peer| group.contains(peer) && !current.contains(peer)) {
+            return Err("this host is catching up already");
+        }
+        if leader.joining.len() >= MAX_JOINING_HOSTS {
+            return Err("as many hosts as possible are catching up");
+        }
+        Ok(())
+    }
+
+    /// Whether a change of the group may be appended now.
+    fn check_settled(&self) -> Result<(), &'static str> {
+        let Role::Leader(leader) = &self.role else { return Err("this host is not the leader") };
         if self.commit_index < self.log.group_index() {
             return Err("an earlier change of the group is not committed yet");
         }
-        let Role::Leader(leader) = &self.role else { return Err("this host is not the leader") };
         if self.commit_index < leader.noop_index() {
             return Err("the leader has just been elected; try again");
         }
-        if leader.joining.is_some() {
-            return Err("another host is catching up");
-        }
         Ok(())
     }
 
-    /// Appends the pending change of the group once the joining host has caught
-    /// up.
+    /// Appends the change of the group that adds a joining host, once one has caught up.
     pub(super) fn propose_joining(&mut self, now: Instant) -> Vec<ReplicaStep> {
-        let Role::Leader(leader) = &self.role else { return Vec::new() };
-        let Some(joining) = leader.joining.clone() else { return Vec::new() };
-        if !self.has_caught_up(&joining.peer.name) {
+        if self.check_settled().is_err() {
             return Vec::new();
         }
-        if let Role::Leader(leader) = &mut self.role {
-            leader.joining = None;
+        let Role::Leader(leader) = &self.role else { return Vec::new() };
+        let ready = leader.joining.keys().find(|name| self.has_caught_up(name)).cloned();
+        let Role::Leader(leader) = &mut self.role else { return Vec::new() };
+        let joined = ready.and_then(|name| leader.joining.shift_remove(&name));
+        let Some(JoiningHost { peer, since, .. }) = joined else { return Vec::new() };
+        let line = EventLine::new("group_join_caught_up")
+            .with("host", &peer.name)
+            .with("took_ms", now.saturating_duration_since(since).as_millis());
+        let group = self.log.group().iter().cloned().chain([peer]).collect();
+        let mut steps = vec![ReplicaStep::Log(line)];
+        steps.extend(self.append_records(now, 0, vec![Command::ChangeGroup { group }]));
+        steps
+    }
+
+    /// Gives up the joining hosts that have made no progress for [`JOIN_TIMEOUT`].
+    pub(super) fn give_up_joining(&mut self, now: Instant) -> Vec<ReplicaStep> {
+        let Role::Leader(leader) = &mut self.role else { return Vec::new() };
+        let stalled = |joining: &JoiningHost| joining.progressed_at + JOIN_TIMEOUT <= now;
+        let given_up: Vec<JoiningHost> = leader
+            .joining
+            .extract_if(.., |_, joining| stalled(joining))
+            .map(|(_, host)| host)
+            .collect();
+        if given_up.is_empty() {
+            return Vec::new();
         }
-        let command = Command::ChangeGroup { group: joining.group };
-        self.append_records(now, 0, vec![command])
+        self.update_peers();
+        let lines = given_up.into_iter().map(|JoiningHost { peer, since, progress, .. }| {
+            EventLine::new("group_join_given_up")
+                .with("host", &peer.name)
+                .with("address", peer.address)
+                .with("joining_ms", now.saturating_duration_since(since).as_millis())
+                .with("index", progress.0)
+                .with("snapshot_bytes", progress.1)
+        });
+        lines.map(ReplicaStep::Log).collect()
     }
 
     /// The group without one host that has not acknowledged a round for
     /// `contact_timeout`. `None` unless the group has more than `target_size`
-    /// hosts, which means that a replacement has already joined.
+    /// hosts, which means that a replacement has already joined, and can be changed now.
     pub fn group_without_unreachable(
         &self,
         now: Instant,
@@ -164,7 +225,7 @@
     ) -> Option<Vec<ControlPeer>> {
         let Role::Leader(leader) = &self.role else { return None };
         let group = self.log.group();
-        if group.len() <= target_size || leader.joining.is_some() {
+        if group.len() <= target_size || self.check_settled().is_err() {
             return None;
         }
         let unreachable = group.iter().find(|peer| {
@@ -173,12 +234,12 @@
         Some(group.iter().filter(|peer| *peer != unreachable).cloned().collect())
     }
 
-    /// The host that is catching up. The leader needs a connection to it although
-    /// it is not in the group yet.
-    pub fn joining(&self) -> Option<&ControlPeer> {
-        match &self.role {
-            Role::Leader(leader) => leader.joining.as_ref().map(|joining| &joining.peer),
+    /// The hosts that are catching up, on their leader.
+    pub fn joining(&self) -> impl Iterator<Item = &JoiningHost> {
+        let leader = match &self.role {
+            Role::Leader(leader) => Some(leader),
             _ => None,
-        }
+        };
+        leader.into_iter().flat_map(|leader| leader.joining.values())
     }
 }
--- a/crates/decisions/src/control/replica/leader.rs
+++ b/crates/decisions/src/control/replica/leader.rs
@@ -75,16 +75,36 @@
 /// A pending addition to the group. The new host is a non-voting member until it
 /// has caught up; then the change is appended to the log (thesis section 4.2.1).
 #[derive(Debug, Clone, PartialEq)]
-pub(super) struct JoiningHost {
-    pub(super) peer: ControlPeer,
-    pub(super) group: Vec<ControlPeer>,
+pub struct JoiningHost {
+    /// Its name and address. The leader needs a connection to it although it is not in the
+    /// group yet.
+    pub peer: ControlPeer,
+    /// Time at which it asked to join.
+    pub since: Instant,
+    /// Last index that it has stored, and the bytes that it has of a snapshot.
+    pub progress: (LogIndex, u64),
+    /// Time at which that last changed, or at which it asked to join.
+    pub progressed_at: Instant,
+}
+
+impl JoiningHost {
+    pub(super) fn new(now: Instant, peer: ControlPeer) -> JoiningHost {
+        JoiningHost { peer, since: now, progress: (0, 0), progressed_at: now }
+    }
+
+    fn record_progress(&mut self, now: Instant, progress: (LogIndex, u64)) {
+        if self.progress != progress {
+            self.progress = progress;
+            self.progressed_at = now;
+        }
+    }
 }
 
 /// State that a replica holds only while it is the leader.
 #[derive(Debug, Clone, PartialEq)]
 pub(super) struct LeaderState {
     pub(super) peers: IndexMap<NodeId, PeerProgress>,
-    pub(super) joining: Option<JoiningHost>,
+    pub(super) joining: IndexMap<NodeId, JoiningHost>,
     noop_index: LogIndex,
     elected_at: Instant,
     /// Number of the latest round.
@@ -137,7 +157,7 @@
         let peers = self.others().into_iter().map(|name| (name, PeerProgress::new(next_index)));
         self.role = Role::Leader(LeaderState {
             peers: peers.collect(),
-            joining: None,
+            joining: IndexMap::new(),
             noop_index: next_index,
             elected_at: now,
             round: 0,
@@ -187,19 +207,19 @@
     }
 
     /// Tracks progress for exactly the other hosts of the group and the joining
-    /// host.
+    /// hosts.
     pub(super) fn update_peers(&mut self) {
         let others = self.others();
         let next_index = self.log.last_index() + 1;
         let Role::Leader(leader) = &mut self.role else { return };
-        let joining = leader.joining.as_ref().map(|joining| joining.peer.name.clone());
-        leader.peers.retain(|name, _| others.contains(name) || Some(name) == joining.as_ref());
-        for name in others.into_iter().chain(joining) {
+        let LeaderState { peers, joining, .. } = leader;
+        peers.retain(|name, _| others.contains(name) || joining.contains_key(name));
+        for name in others.into_iter().chain(joining.keys().cloned().collect::<Vec<_>>()) {
             leader.peers.entry(name).or_insert_with(|| PeerProgress::new(next_index));
         }
     }
 
-    /// Starts a round to all followers and the joining host.
+    /// Starts a round to all followers and the joining hosts.
     pub(super) fn replicate_all(&mut self, now: Instant) -> Vec<ReplicaStep> {
         let Role::Leader(leader) = &mut self.role else { return Vec::new() };
         let round = leader.start_round(now);
@@ -267,7 +287,7 @@
         if term > self.hard_state.term {
             return self.advance_term(now, term);
         }
-        if term != self.hard_state.term || !self.record_ack(from, ack) {
+        if term != self.hard_state.term || !self.record_ack(now, from, ack) {
             return Vec::new();
         }
         let mut steps = self.start_requalification(now, from);
@@ -281,7 +301,7 @@
 
     /// Updates a follower's progress. Returns `false` for a reply of an unknown
     /// host or of an earlier process.
-    fn record_ack(&mut self, from: &NodeId, ack: &Ack) -> bool {
+    fn record_ack(&mut self, now: Instant, from: &NodeId, ack: &Ack) -> bool {
         let last_index = self.log.last_index();
         let Role::Leader(leader) = &mut self.role else { return false };
         let round_sent_at = leader.round_sent_at(ack.round);
@@ -310,6 +330,10 @@
             peer.next_index =
                 ack.match_index.min(last_index).saturating_add(1).max(peer.match_index + 1);
         }
+        if let Some(joining) = leader.joining.get_mut(from) {
+            let received_bytes = ack.snapshot.map_or(0, |received| received.bytes);
+            joining.record_progress(now, (peer.match_index, received_bytes));
+        }
         true
     }
 
@@ -391,6 +415,7 @@
             self.become_follower(now);
             return Vec::new();
         }
+        let mut steps = self.give_up_joining(now);
         let heartbeat = self.limits.heartbeat_interval;
         let Role::Leader(leader) = &mut self.role else { return Vec::new() };
         let is_due = |peer: &PeerProgress| peer.last_sent_at.is_none_or(|at| at + heartbeat <= now);
@@ -401,10 +426,11 @@
             .map(|(name, _)| name.clone())
             .collect();
         if due.is_empty() {
-            return Vec::new();
+            return steps;
         }
         let round = leader.start_round(now);
-        due.iter().filter_map(|name| self.replicate(now, name, round)).collect()
+        steps.extend(due.iter().filter_map(|name| self.replicate(now, name, round)));
+        steps
     }
 
     /// Latest time such that a majority has acknowledged a round sent then or
--- a/crates/decisions/src/control/replica/mod.rs
+++ b/crates/decisions/src/control/replica/mod.rs
@@ -41,6 +41,7 @@
 
 pub use follower::ReceivedSnapshot;
 pub use group::GroupChange;
+pub use leader::JoiningHost;
 pub use log_store::LogStore;
 pub use snapshot_transfer::EncodedSnapshot;
 
--- a/crates/model/src/control_messages.rs
+++ b/crates/model/src/control_messages.rs
@@ -137,10 +137,28 @@
     /// Last synced log position of each replica that the answering host tracks:
     /// all of them when it leads, otherwise only its own.
     pub replicas: Vec<(NodeId, LogIndex)>,
+    /// Hosts that catch up before they join the control group.
+    #[serde(default)]
+    pub joining: Vec<JoiningStatus>,
     /// Members, each with the configuration version that it reported.
     pub members: Vec<MemberStatus>,
 }
 
+/// A host that catches up before it joins the control group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JoiningStatus {
+    /// The host.
+    pub host: ControlPeer,
+    /// Time since it asked to join, in milliseconds.
+    pub joining_ms: u64,
+    /// Time since it last made progress, in milliseconds.
+    pub stalled_ms: u64,
+    /// Last log position that it has stored.
+    pub index: LogIndex,
+    /// Bytes that it has received of a snapshot.
+    pub snapshot_bytes: u64,
+}
+
 /// A member and what it reported in its last heartbeat.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberStatus {
--- a/crates/services/src/replicated_log.rs
+++ b/crates/services/src/replicated_log.rs
@@ -23,8 +23,8 @@
 use model::{
     CallId, Command, CommandResult, ControlAnswer, ControlPeer, ControlQuery, ControlReply,
     ControlReplyBody, ControlStatus, EventLine, EventLog, GroupJoinMessage, Incarnation,
-    JournalEntry, JournalMessage, LeaderHint, LineLevel, LogIndex, LogMessage, MemberStatus,
-    MembershipMessage, NodeId, ReplicaEnvelope, ReplicaLinkMessage, ReplicaMessage,
+    JoiningStatus, JournalEntry, JournalMessage, LeaderHint, LineLevel, LogIndex, LogMessage,
+    MemberStatus, MembershipMessage, NodeId, ReplicaEnvelope, ReplicaLinkMessage, ReplicaMessage,
     SchedulingMessage, ServiceName, SnapshotMark, SnapshotProgress, SyncMark, Term,
 };
 use snafu::{ResultExt, Snafu, ensure};
@@ -223,7 +223,7 @@
             LogMessage::Synced { mark } => self.on_synced(now, mark),
             LogMessage::JournalFailed { reason } => self.suspend(&reason),
             LogMessage::MemberReports { call, members, reply } => {
-                let answer = ControlAnswer::Status(self.status(members));
+                let answer = ControlAnswer::Status(self.status(now, members));
                 send_reply(reply, call, ControlReplyBody::Answer(Box::new(answer)));
             }
         }
@@ -339,6 +339,10 @@
         match self.replica.change_group(now, at_ms, group) {
             None => self.answer_not_leader(call, reply),
             Some(GroupChange::Refused(result)) => {
+                if let CommandResult::GroupRefused { reason } = &result {
+                    let line = EventLine::new("group_change_refused").with("reason", reason);
+                    self.log.info(line);
+                }
                 send_reply(reply, call, ControlReplyBody::Results(vec![result]));
             }
             Some(GroupChange::Appended { steps, .. } | GroupChange::CatchingUp { steps }) => {
@@ -374,7 +378,10 @@
 
     fn answer_query(&self, query: &ControlQuery) -> ControlAnswer {
         match query {
-            ControlQuery::Status => ControlAnswer::Status(self.status(Vec::new())),
+            ControlQuery::Status => {
+                let now = self.context.clock.now();
+                ControlAnswer::Status(self.status(now, Vec::new()))
+            }
             ControlQuery::Config => {
                 ControlAnswer::Config(self.state.config().map(|config| (*config).clone()))
             }
@@ -386,7 +393,15 @@
         }
     }
 
-    fn status(&self, members: Vec<MemberStatus>) -> ControlStatus {
+    fn status(&self, now: Instant, members: Vec<MemberStatus>) -> ControlStatus {
+        let elapsed_ms = |since: Instant| now.saturating_duration_since(since).as_millis() as u64;
+        let joining = self.replica.joining().map(|joining| JoiningStatus {
+            host: joining.peer.clone(),
+            joining_ms: elapsed_ms(joining.since),
+            stalled_ms: elapsed_ms(joining.progressed_at),
+            index: joining.progress.0,
+            snapshot_bytes: joining.progress.1,
+        });
         ControlStatus {
             host: self.replica.name().clone(),
             term: self.replica.term(),
@@ -394,6 +409,7 @@
             group: self.replica.group(),
             config_version: self.state.config_version(),
             replicas: self.replica.progress().into_iter().collect(),
+            joining: joining.collect(),
             members,
         }
     }
@@ -698,7 +714,7 @@
 
     fn notify_group(&mut self) {
         let mut group = self.replica.group();
-        group.extend(self.replica.joining().cloned());
+        group.extend(self.replica.joining().map(|joining| joining.peer.clone()));
         if group != self.notified_group {
             self.notified_group = group.clone();
             // The ring's capacity far exceeds the number of group changes.
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -69,6 +69,7 @@
 mod log_exploration;
 mod log_lines;
 mod long_runs;
+mod lost_joiners;
 mod monthly_figures;
 mod odd_announcements;
 mod odd_appends;
