control: a host leaves a group that has a spare one before it ends

Cause: the stopped host stayed a member until it had been silent for 3 s. A group of four needs three hosts, and the planned stop was the one loss that it bears.

A group of its usual size keeps a host that ends, which may be restarted in place. A spare host that is killed is removed after 1.5 s instead of 3 s.

--- a/crates/cactuswing/src/roles/control.rs
+++ b/crates/cactuswing/src/roles/control.rs
@@ -13,7 +13,11 @@
 use edges::group_join::GroupJoin;
 use edges::journal::{Journal, RecoveredJournal};
 use kernel::{Kernel, SharedClock};
-use model::{AdmissionRule, ControlPeer, ControlReply, ControlSettings, ServiceName, host_name};
+use model::{
+    AdmissionRule, ControlPeer, ControlReply, ControlSettings, GroupJoinMessage, ServiceName,
+    host_name,
+};
+use services::ServiceContext;
 use services::replicated_log::LogSetup;
 
 use super::{
@@ -33,6 +37,9 @@
 /// along with it.
 const ACK_DELAY: Duration = Duration::from_millis(150);
 
+/// Longest time that the end of a host waits for its group, which gives up sooner.
+const LEAVE_LIMIT: Duration = Duration::from_millis(4_500);
+
 /// Starts a control host.
 ///
 /// # Errors
@@ -98,7 +105,9 @@
         edges::control_edge::run(&ring, &registry, listener, peers);
     })?;
 
-    if let Some(join) = group_join(settings, clock) {
+    let join = group_join(settings, clock, &context);
+    let joins_group = join.is_some();
+    if let Some(join) = join {
         let join_context = context.clone();
         kernel.register(ServiceName::GroupJoin, DUTY_RING_SLOTS, move |ring, registry| {
             let log = join_context.event_log(&registry).expect("the log writer is registered");
@@ -126,14 +135,33 @@
         )?;
     }
 
-    kernel.start()?;
-    // Nothing to drain: committed state is in the journals of a quorum.
-    Ok(RunningRole::without_drain(kernel, address, context))
+    let registry = kernel.start()?;
+    if !joins_group {
+        // Nothing to drain: committed state is in the journals of a quorum.
+        return Ok(RunningRole::without_drain(kernel, address, context));
+    }
+    // One item in progress, the membership: its duty sets the gate to 0 once this host has
+    // left the group, or the group keeps it.
+    context.gate.set(1);
+    let join = registry.find::<GroupJoinMessage>(ServiceName::GroupJoin)?;
+    let begin_drain = move || {
+        // Its ring has far more room than there are messages.
+        let _full = join.push(GroupJoinMessage::Leave);
+    };
+    Ok(RunningRole {
+        drain_limit: LEAVE_LIMIT,
+        begin_drain: Box::new(begin_drain),
+        ..RunningRole::without_drain(kernel, address, context)
+    })
 }
 
 /// The join of a host whose group forms from seeds, or `None` without another seed. A host
 /// that is already a member learns so as soon as it asks.
-fn group_join(settings: &ControlSettings, clock: &SharedClock) -> Option<GroupJoin> {
+fn group_join(
+    settings: &ControlSettings,
+    clock: &SharedClock,
+    context: &ServiceContext,
+) -> Option<GroupJoin> {
     let own_peer = ControlPeer { name: own_name(settings), address: settings.listen };
     let group = settings.initial_group();
     let bootstraps = settings.bootstrap && group.contains(&own_peer);
@@ -142,8 +170,14 @@
     }
     let seeds = group.into_iter().map(|peer| peer.address);
     let seeds: Vec<SocketAddr> = seeds.filter(|seed| *seed != settings.listen).collect();
-    let clock = clock.clone();
-    (!seeds.is_empty()).then_some(GroupJoin { clock, own_peer, seeds, bootstraps })
+    (!seeds.is_empty()).then(|| GroupJoin {
+        clock: clock.clone(),
+        own_peer,
+        seeds,
+        bootstraps,
+        target_hosts: settings.target_hosts(),
+        gate: context.gate.clone(),
+    })
 }
 
 /// The host's name in the group: derived from its address where the group is
--- a/crates/decisions/src/control/replica/group.rs
+++ b/crates/decisions/src/control/replica/group.rs
@@ -162,7 +162,7 @@
     /// Whether a change of the group may be appended now.
     fn check_settled(&self) -> Result<(), &'static str> {
         let Role::Leader(leader) = &self.role else { return Err("this host is not the leader") };
-        if self.commit_index < self.log.group_index() {
+        if !self.is_group_committed() {
             return Err("an earlier change of the group is not committed yet");
         }
         if self.commit_index < leader.noop_index() {
@@ -234,6 +234,11 @@
         Some(group.iter().filter(|peer| *peer != unreachable).cloned().collect())
     }
 
+    /// Whether the latest group in the log is committed.
+    pub fn is_group_committed(&self) -> bool {
+        self.commit_index >= self.log.group_index()
+    }
+
     /// The hosts that are catching up, on their leader.
     pub fn joining(&self) -> impl Iterator<Item = &JoiningHost> {
         let leader = match &self.role {
--- a/crates/model/src/control_messages.rs
+++ b/crates/model/src/control_messages.rs
@@ -132,6 +132,9 @@
     pub commit: LogIndex,
     /// The control group.
     pub group: Vec<ControlPeer>,
+    /// Whether that group is committed.
+    #[serde(default)]
+    pub group_committed: bool,
     /// The current configuration version.
     pub config_version: ConfigVersion,
     /// Last synced log position of each replica that the answering host tracks:
@@ -350,6 +353,13 @@
         /// Whether it knows one.
         known: bool,
     },
+    /// Whether the group has more hosts than it needs has changed.
+    Surplus {
+        /// Whether it has.
+        exists: bool,
+    },
+    /// This process is about to end.
+    Leave,
 }
 
 /// Messages to the connections between replicas.
--- a/crates/services/src/replicated_log.rs
+++ b/crates/services/src/replicated_log.rs
@@ -44,8 +44,9 @@
 /// Heartbeat interval of a leader as a fraction of the minimum election timeout.
 const HEARTBEAT_FRACTION: f64 = 0.35;
 /// Time without contact after which a host is removed from a group that has
-/// more hosts than configured.
-const UNREACHABLE_HOST_TIMEOUT: Duration = Duration::from_secs(3);
+/// more hosts than configured. Until then such a group needs more of its hosts than one of
+/// its usual size. Longer than a process that is killed takes to be back.
+const UNREACHABLE_HOST_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Interval between checks for answers and ended jobs past their retention.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -111,6 +112,8 @@
     /// What the leader told this host when it asked to join.
     learned_group: LearnedGroup,
     notified_group: Vec<ControlPeer>,
+    /// Whether the group had more hosts than it needs.
+    notified_surplus: bool,
     next_expiry: Instant,
     target_hosts: Option<usize>,
     /// Entries that found the journal writer's ring, or the own one, full.
@@ -159,6 +162,7 @@
         notified_leadership: (None, LeaderHint::default()),
         learned_group,
         notified_group: Vec::new(),
+        notified_surplus: false,
         next_expiry: now + EXPIRY_INTERVAL,
         target_hosts,
         unsent_entries: VecDeque::new(),
@@ -407,6 +411,7 @@
             term: self.replica.term(),
             commit: self.replica.commit_index(),
             group: self.replica.group(),
+            group_committed: self.replica.is_group_committed(),
             config_version: self.state.config_version(),
             replicas: self.replica.progress().into_iter().collect(),
             joining: joining.collect(),
@@ -675,7 +680,11 @@
         if leadership == self.notified_leadership {
             return;
         }
-        self.notify_group_join();
+        let known = self.replica.leader().is_some();
+        if known {
+            self.learned_group.forget();
+        }
+        self.notify_group_join(GroupJoinMessage::Leader { known });
         if leadership.0 != self.notified_leadership.0 {
             let line = EventLine::new("leadership")
                 .with("term", self.replica.term())
@@ -689,13 +698,9 @@
     }
 
     /// Notifies the duty that keeps this host a member, where there is one.
-    fn notify_group_join(&mut self) {
-        let known = self.replica.leader().is_some();
-        if known {
-            self.learned_group.forget();
-        }
+    fn notify_group_join(&self, message: GroupJoinMessage) {
         if let Some(join) = &self.group_join
-            && join.push(GroupJoinMessage::Leader { known }).is_err()
+            && join.push(message).is_err()
         {
             self.log.warn(EventLine::new("ring_full").with("ring", ServiceName::GroupJoin));
         }
@@ -720,6 +725,12 @@
             // The ring's capacity far exceeds the number of group changes.
             let _full = self.links.push(ReplicaLinkMessage::Group { group });
         }
+        let members = self.replica.log().group().len();
+        let exists = self.target_hosts.is_some_and(|target| members > target);
+        if exists != self.notified_surplus {
+            self.notified_surplus = exists;
+            self.notify_group_join(GroupJoinMessage::Surplus { exists });
+        }
     }
 
     fn notify_applied(&self) {
