agent: a full list of ends isn't taken for all of them

Cause: a new process of an agent reported its runs once the server had listed any, and schedulers take that report for all runs. A server lists 500 ends at a time, so the tasks of the later ones were taken for ones that never arrived.

Why it works: until a list has shown everything, reports say that there may be more, and what isn't in them isn't started again; the ends that they have are acknowledged, which brings the next page. The report with all runs follows in the same session. Until then the server gets no work, so that this report can't miss an order, and no lease is extended.

--- a/crates/decisions/src/agent/run_calls.rs
+++ b/crates/decisions/src/agent/run_calls.rs
@@ -162,7 +162,6 @@
             _ => return self.on_renewal_failed(now, was_outstanding),
         };
         let newly_listed = !std::mem::replace(&mut life.listed, true);
-        self.has_lists = true;
         let row_count = ended.len();
         let ended = life.plausible_ends(ended);
         let complete = complete && ended.len() == row_count;
@@ -172,7 +171,8 @@
                 .with("usable", running.len() + ended.len());
             self.steps.push(RunStep::Log(line));
         }
-        let updates = life.take_lists(now, number, &running, ended, complete);
+        let (updates, shows_all) = life.take_lists(now, number, &running, ended, complete);
+        self.has_lists |= shows_all;
         if was_outstanding {
             life.failed_renewals = 0;
             life.renew_at = if updates.is_empty() { now + limits.renewal_interval } else { now };
--- a/crates/decisions/src/agent/run_lease.rs
+++ b/crates/decisions/src/agent/run_lease.rs
@@ -35,7 +35,7 @@
     /// end, outlast its own scheduler's grant by more than the time to stop it.
     pub(super) fn allowed_lease(&self, now: Instant) -> Duration {
         let Some(life) = &self.life else { return Duration::ZERO };
-        let is_known = life.listed && !life.has_unclaimed_runs();
+        let is_known = life.listed && self.can_list_runs(now) && !life.has_unclaimed_runs();
         if life.is_silent(now) || life.has_left || !is_known {
             return Duration::ZERO;
         }
--- a/crates/decisions/src/agent/run_table.rs
+++ b/crates/decisions/src/agent/run_table.rs
@@ -87,7 +87,7 @@
     /// Time by which all runs from before the start of this agent have lapsed: twice the
     /// lease, each with the drift margin.
     earlier_runs_until: Instant,
-    /// Whether a backend server has listed its runs since this agent started.
+    /// Whether a backend server has listed all its runs and ends since this agent started.
     pub(super) has_lists: bool,
     /// Current life of the backend server, if one is known.
     pub(super) life: Option<ServerLife>,
@@ -290,7 +290,11 @@
             (scheduler, &orders.ack, &mut self.life)
             && ack.life == life.view.life
         {
-            life.ack_upto(ack.upto);
+            let is_news = life.ack_upto(ack.upto);
+            if is_news && !self.has_lists {
+                // The backend server lists the next ends once it knows of that.
+                life.query_lists_at = Some(now);
+            }
         }
         // Before the orders, which it concerns, and before entries are connected.
         self.take_evacuated(scheduler, orders.evacuated);
@@ -422,13 +426,19 @@
     /// Sends the reports that are due. At most [`model::MAX_UNACKED_REPORTS`] to each
     /// scheduler are unacknowledged; later updates go with the next one.
     fn report_if_due(&mut self, now: Instant) {
-        if !self.can_list_runs(now) {
+        if !self.can_report(now) {
             return;
         }
+        let runs_partial = !self.can_list_runs(now);
         let life = self.life.as_ref();
         let evacuation = &self.evacuation;
-        let server = || evacuation.report_of(life.filter(|life| life.listed));
+        let server = || {
+            let report = evacuation.report_of(life.filter(|life| life.listed));
+            // Nothing is ordered that the list of all runs, which is to follow, could miss.
+            if runs_partial { report.draining() } else { report }
+        };
         for (scheduler, session) in &mut self.schedulers {
+            session.complete_list(runs_partial);
             let other_usage = life.map(|life| life.other_usage(scheduler)).unwrap_or_default();
             if !session.is_report_due(now, &other_usage) {
                 continue;
@@ -449,8 +459,9 @@
                 session: number,
                 server,
                 runs: session.must_list_runs.then(|| listed(Some(scheduler))),
+                runs_partial,
                 unowned: if session.must_list_runs { listed(None) } else { Vec::new() },
-                updates: session.take_updates(now, other_usage),
+                updates: session.take_updates(now, other_usage, runs_partial),
                 claims: session.take_claim_updates(),
                 other_usage,
                 speed,
@@ -484,9 +495,16 @@
         }
     }
 
-    /// Whether a restarted agent may list its runs: once the backend server has
-    /// listed them, or once all runs from before the start have lapsed with the
-    /// lease, given the bound on clock drift.
+    /// Whether the agent may report: a restarted one once the backend server has listed runs
+    /// and ends, be it not all. What is listed has to be reported, as the server lists more
+    /// only once that is acknowledged.
+    fn can_report(&self, now: Instant) -> bool {
+        self.can_list_runs(now) || self.life.as_ref().is_some_and(|life| life.listed)
+    }
+
+    /// Whether a restarted agent may say which runs there are: once the backend server
+    /// has listed all of them and of their ends, or once all runs from before the start have
+    /// lapsed with the lease, given the bound on clock drift.
     pub(super) fn can_list_runs(&self, now: Instant) -> bool {
         self.has_lists || self.are_earlier_runs_over(now)
     }
@@ -514,7 +532,7 @@
             let other_usage = life.map(|life| life.other_usage(scheduler)).unwrap_or_default();
             session.next_report(&other_usage)
         });
-        due.min().filter(|_| self.can_list_runs(self.pauses.last_input()))
+        due.min().filter(|_| self.can_report(self.pauses.last_input()))
     }
 
     /// Time at which [`RunTable::on_tick`] is next due.
--- a/crates/decisions/src/agent/scheduler_session.rs
+++ b/crates/decisions/src/agent/scheduler_session.rs
@@ -68,6 +68,8 @@
     pub(super) session: Option<SessionId>,
     /// Whether the next report must list all runs.
     pub(super) must_list_runs: bool,
+    /// Whether those that it has listed in this session may not be all.
+    has_listed_part: bool,
     pub(super) needs_report: bool,
     /// Reports that are sent and not acknowledged yet.
     unacked_reports: usize,
@@ -125,6 +127,7 @@
     pub(super) fn open(&mut self, session: SessionId, updates: Vec<RunUpdate>) {
         self.session = Some(session);
         self.must_list_runs = true;
+        self.has_listed_part = false;
         self.needs_report = true;
         self.unacked_reports = 0;
         self.usage_interval = self.usage_interval.max(INITIAL_USAGE_INTERVAL);
@@ -210,13 +213,24 @@
         self.accepts_report() && (self.needs_report || is_due)
     }
 
-    /// Takes the updates for a report with this usage, which is sent now.
+    /// Requires a list of all runs once they are known, if the session has had a part of it.
+    pub(super) fn complete_list(&mut self, runs_partial: bool) {
+        if !runs_partial && std::mem::take(&mut self.has_listed_part) {
+            self.must_list_runs = true;
+            self.needs_report = true;
+        }
+    }
+
+    /// Takes the updates for a report with this usage, which is sent now. `runs_partial` is
+    /// whether there may be more runs than it lists.
     pub(super) fn take_updates(
         &mut self,
         now: Instant,
         other_usage: ResourceAmount,
+        runs_partial: bool,
     ) -> Vec<RunUpdate> {
         self.must_list_runs = false;
+        self.has_listed_part |= runs_partial;
         self.needs_report = false;
         self.unacked_reports += 1;
         self.reported_usage = other_usage;
--- a/crates/decisions/src/agent/server_heartbeats.rs
+++ b/crates/decisions/src/agent/server_heartbeats.rs
@@ -155,12 +155,11 @@
     }
 
     /// Ends the life of a backend server that has left, once its runs are over: all have
-    /// ended, or its process has. One that has listed nothing may run what an earlier process
+    /// ended, or its process has. One that has not listed all may run what an earlier process
     /// of this agent started.
     pub(super) fn end_departed_life(&mut self, now: Instant) {
         let Some(life) = self.life.as_ref().filter(|life| life.has_left) else { return };
-        let is_known = life.listed || self.can_list_runs(now);
-        let is_idle = life.runs.is_empty() && is_known;
+        let is_idle = life.runs.is_empty() && self.can_list_runs(now);
         if is_idle || life.is_process_gone() {
             self.end_life(now, "backend server left");
             self.follow_candidate(now);
--- a/crates/decisions/src/agent/server_life.rs
+++ b/crates/decisions/src/agent/server_life.rs
@@ -387,9 +387,11 @@
     }
 
     /// Handles a cumulative acknowledgement: control has recorded its ends up to
-    /// this number.
-    pub(super) fn ack_upto(&mut self, upto: EndNumber) {
+    /// this number. Returns whether that is news.
+    pub(super) fn ack_upto(&mut self, upto: EndNumber) -> bool {
+        let before = self.unacked.len();
         self.unacked.retain(|unacked| unacked.number > upto);
+        self.unacked.len() < before
     }
 
     /// The unacknowledged ends that count once they are acknowledged.
@@ -424,8 +426,8 @@
         ended
     }
 
-    /// Takes the lists that lease renewal `number` returned; returns the new
-    /// updates. `complete` is whether they show all runs and ends.
+    /// Takes the lists that lease renewal `number` returned; returns the new updates, and
+    /// whether the lists show all runs and ends. `complete` is whether they have all rows.
     pub(super) fn take_lists(
         &mut self,
         now: Instant,
@@ -433,7 +435,7 @@
         running: &[TaskRun],
         ended: Vec<ListedEnd>,
         complete: bool,
-    ) -> Vec<OwnedUpdate> {
+    ) -> (Vec<OwnedUpdate>, bool) {
         let is_full = ended.len() >= MAX_LISTED_ENDS;
         // Answers on different connections may be reordered.
         let is_latest = number >= self.latest_listed_renewal;
@@ -460,7 +462,7 @@
             }
         }
         if !is_latest {
-            return updates;
+            return (updates, false);
         }
         for run in running {
             self.runs.entry(run.clone()).or_insert(RunState {
@@ -475,10 +477,11 @@
                 is_resent: false,
             });
         }
-        if complete && !is_full {
+        let shows_all = complete && !is_full;
+        if shows_all {
             updates.extend(self.drop_unlisted(number, running));
         }
-        updates
+        (updates, shows_all)
     }
 
     /// Drops runs that are missing from the list of a renewal sent after they were
--- a/crates/decisions/src/schedule/agent_reports.rs
+++ b/crates/decisions/src/schedule/agent_reports.rs
@@ -85,7 +85,9 @@
         for update in &report.claims {
             self.on_claim_update(now, &report.agent, update);
         }
-        self.unreported_agents.swap_remove(&report.agent);
+        if !report.runs_partial {
+            self.unreported_agents.swap_remove(&report.agent);
+        }
         self.try_complete_takeover(now);
         Some(&report.agent)
     }
@@ -128,7 +130,8 @@
             .with("agent", agent)
             .with("incarnation", incarnation)
             .with("session", session)
-            .with("runs", report.runs.as_ref().map_or(0, Vec::len));
+            .with("runs", report.runs.as_ref().map_or(0, Vec::len))
+            .with("partial", report.runs_partial);
         self.steps.push(ScheduleStep::Log(line));
         self.list_claims(now, agent);
         true
@@ -212,17 +215,35 @@
         self.recompute_usage(agent);
     }
 
-    /// Reconciles the placements on an agent with its full list of runs. A placed
-    /// run that is not listed never arrived there, or ended with its life; a
-    /// listed run that is not placed there is adopted or stopped.
+    /// Reconciles the placements on an agent with its list of runs. A listed run that is not
+    /// placed there is adopted or stopped.
     fn reconcile_runs(&mut self, now: Instant, report: &AgentReport, runs: &[TaskRun]) {
         let agent = &report.agent;
+        if !report.runs_partial {
+            self.requeue_missing(report, runs);
+        }
+        for run in runs {
+            if !self.adopt(now, report, run) {
+                self.push_order(&report.agent, AgentOrder::Stop { run: run.clone() });
+            }
+        }
+        for run in &report.unowned {
+            if self.adopt(now, report, run) {
+                self.push_order(&report.agent, AgentOrder::Keep { run: run.clone() });
+            }
+        }
+        self.recompute_usage(agent);
+    }
+
+    /// Queues the tasks again that are placed on an agent whose list of all runs does not show
+    /// them: their runs never arrived there, or ended with its life.
+    fn requeue_missing(&mut self, report: &AgentReport, runs: &[TaskRun]) {
         let missing: Vec<TaskRun> = self
             .placements
             .iter()
             .filter(|(task, placed)| {
                 let mut listed = runs.iter().chain(&report.unowned);
-                let is_active = placed.agent == *agent && !placed.ended;
+                let is_active = placed.agent == report.agent && !placed.ended;
                 is_active && !listed.any(|run| run.task == **task && run.run == placed.run)
             })
             .map(|(task, placed)| TaskRun { task: task.clone(), run: placed.run })
@@ -233,17 +254,6 @@
                 self.requeue_task(&run.task);
             }
         }
-        for run in runs {
-            if !self.adopt(now, report, run) {
-                self.push_order(&report.agent, AgentOrder::Stop { run: run.clone() });
-            }
-        }
-        for run in &report.unowned {
-            if self.adopt(now, report, run) {
-                self.push_order(&report.agent, AgentOrder::Keep { run: run.clone() });
-            }
-        }
-        self.recompute_usage(agent);
     }
 
     /// Adopts a listed run if it is the task's placement and its job has not ended, or if
--- a/crates/model/src/schedule_messages.rs
+++ b/crates/model/src/schedule_messages.rs
@@ -389,6 +389,15 @@
     pub fn is_unchanged(&self) -> bool {
         *self == ServerReport::Unchanged
     }
+
+    /// The same report of a backend server that gets no new work.
+    #[must_use]
+    pub fn draining(mut self) -> ServerReport {
+        if let ServerReport::Present(view) = &mut self {
+            view.draining = true;
+        }
+        self
+    }
 }
 
 /// A report of an agent to one scheduler.
@@ -407,6 +416,10 @@
     /// first report of a session and of each life.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub runs: Option<Vec<TaskRun>>,
+    /// Whether there may be more runs, and ends, than the lists show: the agent has just
+    /// started, and its backend server has not listed all yet. A report with all runs follows.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub runs_partial: bool,
     /// Runs whose scheduler the agent does not know, because it restarted after
     /// they were started.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
--- a/tests/fast_reserve.rs
+++ b/tests/fast_reserve.rs
@@ -108,6 +108,7 @@
             session: agent,
             server: ServerReport::Unchanged,
             runs: None,
+            runs_partial: false,
             unowned: Vec::new(),
             updates: Vec::new(),
             claims: Vec::new(),
--- a/tests/odd_messages.rs
+++ b/tests/odd_messages.rs
@@ -72,6 +72,7 @@
         session: 1,
         server: ServerReport::Present(server),
         runs: Some(Vec::new()),
+        runs_partial: false,
         unowned: Vec::new(),
         updates: Vec::new(),
         claims: Vec::new(),
--- a/tests/odd_terms.rs
+++ b/tests/odd_terms.rs
@@ -182,6 +182,7 @@
             session: 1,
             server: ServerReport::Absent,
             runs: Some(Vec::new()),
+            runs_partial: false,
             unowned: Vec::new(),
             updates: Vec::new(),
             claims: Vec::new(),
--- a/tests/overload_model.rs
+++ b/tests/overload_model.rs
@@ -371,6 +371,7 @@
             session: state.session,
             server,
             runs,
+            runs_partial: false,
             unowned: Vec::new(),
             updates: std::mem::take(&mut state.updates),
             claims: std::mem::take(&mut state.claim_updates),
--- a/tests/rack_demand.rs
+++ b/tests/rack_demand.rs
@@ -185,6 +185,7 @@
             session: 1,
             server: ServerReport::Unchanged,
             runs: None,
+            runs_partial: false,
             unowned: Vec::new(),
             updates: Vec::new(),
             claims: Vec::new(),
--- a/tests/server_model.rs
+++ b/tests/server_model.rs
@@ -10,9 +10,11 @@
 
 use crate::schedule_model::LEASE;
 
+/// Number of ends that a list has at most; the lowest are listed first.
+pub(crate) const MAX_LISTED_ENDS: usize = 500;
+
 /// A backend server that does only what the platform's protocol guarantees.
 pub(crate) struct ServerModel {
-    /// Number of runs that it executes at a time.
     /// Number of runs that it takes at a time.
     pub(crate) slots: usize,
     started_at: Instant,
@@ -162,7 +164,8 @@
             ServerRequest::RenewLease { acked, .. } => {
                 self.acknowledge(*acked);
                 let running = self.runs.values().map(|(run, _)| run.clone()).collect();
-                ServerAnswer::Lists { running, ended: self.unacked_ends.clone() }
+                let ended = self.unacked_ends.iter().take(MAX_LISTED_ENDS).cloned().collect();
+                ServerAnswer::Lists { running, ended }
             }
         }
     }
--- a/tests/speed_reports.rs
+++ b/tests/speed_reports.rs
@@ -139,6 +139,7 @@
         session: 1,
         server: ServerReport::Present(server),
         runs: Some(Vec::new()),
+        runs_partial: false,
         unowned: Vec::new(),
         updates: Vec::new(),
         claims: Vec::new(),
--- a/tests/suite.rs
+++ b/tests/suite.rs
@@ -66,6 +66,7 @@
 mod lease_renewal;
 mod ledger_claims;
 mod link_model;
+mod list_pages;
 mod log_agreement;
 mod log_exploration;
 mod log_lines;
