agent: an entry that was cut off gets every end that it awaits

Cause: the agent kept the latest 500 ends for an entry without a connection, but an entry may have 512 runs on one server. The list of runs of the next session doesn't show those whose end was dropped, and the entry takes them for ones that never arrived.

Why it works: the limit follows from the one on runs. At most 512 of the kept ends are of runs that the entry takes to be active; the others have arrived.

--- a/crates/decisions/src/agent/scheduler_session.rs
+++ b/crates/decisions/src/agent/scheduler_session.rs
@@ -17,6 +17,7 @@
 use super::kind_samples::KindSamples;
 use super::server_speed::differs;
 use crate::pair_sums::PairSums;
+use crate::run_bounds::MAX_OWN_RUNS;
 
 /// How long an update that is not urgent may wait for others.
 const JOINED_UPDATE_DELAY: Duration = Duration::from_millis(20);
@@ -27,8 +28,10 @@
 /// Interval of reports of changed usage until the scheduler has named its own.
 const INITIAL_USAGE_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Maximum number of ends that wait for an entry to connect again.
-const MAX_KEPT_ENDS: usize = 500;
+/// Maximum number of ends that wait for an entry to connect again. None of a run that the entry
+/// still takes to be active is left out: it would start the task again. Those are at most
+/// [`MAX_OWN_RUNS`]; the others have arrived, and only their acknowledgement was lost.
+const MAX_KEPT_ENDS: usize = 2 * MAX_OWN_RUNS;
 
 /// Change of the backend server's speed that is reported.
 const REPORTED_SPEED_FACTOR: f64 = 1.05;
--- a/crates/decisions/src/run_bounds.rs
+++ b/crates/decisions/src/run_bounds.rs
@@ -10,6 +10,11 @@
 /// for messages in flight; both together take less.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
+/// Maximum number of a scheduler's runs on one backend server. An agent handles each input in
+/// time proportional to its runs, and tasks that need little capacity would let these grow to
+/// tens of thousands.
+pub(crate) const MAX_OWN_RUNS: usize = 512;
+
 /// Time since the last contact of a scheduler and an agent after which none of the
 /// scheduler's runs there is active: grant and lease, with the margins for clock drift
 /// and stops.
--- a/crates/decisions/src/schedule/agent_state.rs
+++ b/crates/decisions/src/schedule/agent_state.rs
@@ -16,6 +16,7 @@
 use super::given_up_agents::GiveUpKnowledge;
 use super::kind_presence::KindPresence;
 use super::speed_estimate::SpeedEstimate;
+use crate::run_bounds::MAX_OWN_RUNS;
 
 /// Consecutive failed runs after which a backend server is paused.
 const FAILURES_BEFORE_PAUSE: u32 = 3;
@@ -34,11 +35,6 @@
     recorded: bool,
 }
 
-/// Maximum number of a scheduler's runs on one backend server. An agent handles each input in
-/// time proportional to its runs, and tasks that need little capacity would let these grow to
-/// tens of thousands.
-const MAX_OWN_RUNS: usize = 512;
-
 /// Scheduler's view of one agent.
 #[derive(Debug, Clone)]
 pub struct AgentState {
