control: a lease that has expired ends the lead

Cause: the lease of a leader is shorter than the time after which it gives up the lead. In between it counts as not leading and then, when answers arrive that had waited, as leading again in the same term. Its scheduler has forgotten the runs by then and numbers them from 1, as the first number follows from the term, and a failed run counts by its number.

Evidence: with the check that no lease comes back in its term, the model of the group stops at "a second lead in term 1" in lapsed_lease_ends_lead, and in two tests that were there.

Why it works: a leader that has had a lease gives up the lead in the first input after it has expired, before that is handled. So a term has one lead, and what follows from a term is new.

--- a/crates/decisions/src/control/replica/leader.rs
+++ b/crates/decisions/src/control/replica/leader.rs
@@ -458,6 +458,15 @@
         now < since + self.limits.min_election_timeout
     }
 
+    /// Gives up the lead once its lease has expired. What follows from a lead is forgotten then,
+    /// so it must not come back in the same term. A new leader has no lease yet.
+    pub(super) fn give_up_lapsed_lead(&mut self, now: Instant) {
+        let Role::Leader(leader) = &self.role else { return };
+        if self.commit_index >= leader.noop_index && !self.holds_lease(now) {
+            self.become_follower(now);
+        }
+    }
+
     /// Whether the leader lease is valid. No other leader can be elected meanwhile:
     /// a follower grants no vote within an election timeout of the leader's last
     /// message, and the lease is shorter than that by the clock drift bound.
--- a/crates/decisions/src/control/replica/mod.rs
+++ b/crates/decisions/src/control/replica/mod.rs
@@ -10,7 +10,8 @@
 //! caller must carry out, in order.
 //!
 //! Invariants:
-//! - at most one leader is elected per term;
+//! - at most one leader is elected per term, and it leads once: a lease that has expired does
+//!   not come back;
 //! - a record is committed only once a majority of the group has synced it,
 //!   without the replicas that have not caught up;
 //! - a vote or an acknowledgement is sent only after the state it promises has
@@ -231,6 +232,7 @@
         if let Some(refusal) = self.refuse_odd(&envelope) {
             return vec![refusal];
         }
+        self.give_up_lapsed_lead(now);
         let ReplicaEnvelope { from, term, boot, message } = envelope;
         match message {
             ReplicaMessage::Hello { fresh, wants_reply } => {
@@ -332,6 +334,7 @@
         if self.journal_failed {
             return Vec::new();
         }
+        self.give_up_lapsed_lead(now);
         let mut steps = self.send_hellos(now);
         steps.extend(self.send_leader_queries(now));
         if matches!(self.role, Role::Leader(_)) {
--- a/tests/log_agreement.rs
+++ b/tests/log_agreement.rs
@@ -3,6 +3,8 @@
 //! committed record is lost and that no two hosts lead at once; the tests also check
 //! that a group elects a leader once faults stop.
 
+use std::time::Duration;
+
 use model::Command;
 use proptest::prelude::*;
 
@@ -174,6 +176,32 @@
     assert!(!model.propose(leader), "a leader without a lease must refuse proposals");
 }
 
+// The leader stands still until its lease has expired, but not for a whole election timeout. A
+// second lead in its term counted the runs of a task from 1 again (review/15, BUDGET).
+#[test]
+fn lapsed_lease_ends_lead() {
+    for pause_ms in 40..110 {
+        let mut model = LogModel::formed(3);
+        model.run_fault_free(60);
+        let leader = model.leader().expect("the group has a leader");
+        // Followers have answered a round that the leader reads only after its pause.
+        model.advance(MIN_ELECTION_TIMEOUT / 2);
+        model.tick(leader);
+        for _ in 0..model.network.len() {
+            model.deliver(0, false);
+        }
+        (0..3).for_each(|number| model.sync(number, usize::MAX));
+        model.advance(Duration::from_millis(pause_ms));
+        while !model.network.is_empty() {
+            model.deliver(0, false);
+        }
+        (0..3).for_each(|number| model.tick(number));
+        model.run_fault_free(60);
+        let next = model.leader().expect("the group has a leader again");
+        assert!(model.propose(next), "paused for {pause_ms} ms, {leader} led before");
+    }
+}
+
 #[test]
 fn lost_disk_bars_leading() {
     let mut model = LogModel::formed(3);
--- a/tests/log_model.rs
+++ b/tests/log_model.rs
@@ -2,10 +2,10 @@
 //! advances step by step.
 //!
 //! Invariants, checked after every step: at most one leader in a term, at most
-//! one host with the leader lease at a time, and no committed record is lost or
-//! differs between hosts.
+//! one host with the leader lease at a time, no lease that is lost comes back in its term, and
+//! no committed record is lost or differs between hosts.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use decisions::control::{
@@ -53,6 +53,10 @@
     committed: BTreeMap<LogIndex, LogRecord>,
     /// The first leader seen in each term.
     leaders: BTreeMap<Term, NodeId>,
+    /// The term for which each host holds the lease.
+    leases: BTreeMap<NodeId, Term>,
+    /// Terms whose leader has lost the lease.
+    lapsed_terms: BTreeSet<Term>,
     proposals: u64,
 }
 
@@ -81,6 +85,8 @@
             group,
             committed: BTreeMap::new(),
             leaders: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            lapsed_terms: BTreeSet::new(),
             proposals: 0,
         };
         for number in 0..size {
@@ -199,6 +205,7 @@
 
     pub(crate) fn advance(&mut self, step: Duration) {
         self.now += step;
+        self.check_lapsed();
     }
 
     /// Delivers the message at a position and returns whether there was one; with
@@ -355,6 +362,7 @@
             |host: &&Host| !host.down && host.replica.established_term(self.now).is_some();
         let lease_holders = self.hosts.iter().filter(holds_lease).count();
         assert!(lease_holders <= 1, "{lease_holders} hosts hold a lease at once");
+        self.check_lapsed();
         let mut leaders = Vec::new();
         for host in self.hosts.iter().filter(|host| host.replica.is_leader()) {
             leaders.push((host.replica.term(), host.replica.name().clone()));
@@ -368,6 +376,21 @@
         }
     }
 
+    /// Checks that no lease that was lost has come back in its term.
+    fn check_lapsed(&mut self) {
+        for host in &self.hosts {
+            let name = host.replica.name();
+            let term = host.replica.established_term(self.now);
+            if let Some(lost) = self.leases.remove(name).filter(|held| Some(*held) != term) {
+                self.lapsed_terms.insert(lost);
+            }
+            if let Some(term) = term {
+                assert!(!self.lapsed_terms.contains(&term), "a second lead in term {term}");
+                self.leases.insert(name.clone(), term);
+            }
+        }
+    }
+
     fn check_commits(&mut self, number: usize) {
         let replica = &self.hosts[number].replica;
         for index in (replica.log().mark().index + 1)..=replica.commit_index() {
