edges: a search for the leader that was cancelled begins anew

Cause: the end of a process is announced twice, and the second announcement cancelled the question to the leader that the first had begun. The search counts hosts that were asked as about to answer, but the questions had ended with the call, so the next search asked nobody and waited for good; the host gave up after 4 s.

Why it works: a search counts the hosts that have not answered an earlier one as not asked. A request to leave that is under way isn't cancelled by another one.

--- a/crates/decisions/src/discovery/leader_search.rs
+++ b/crates/decisions/src/discovery/leader_search.rs
@@ -231,6 +231,14 @@
         self.self_named.take_if(|named| *named == host);
     }
 
+    /// Handles the end of a search before it has found a leader. The hosts that have not
+    /// answered count as not asked.
+    pub fn on_abandoned(&mut self) {
+        for host in std::mem::take(&mut self.open) {
+            self.asked.swap_remove(&host);
+        }
+    }
+
     /// Abandons the open questions, since a host has answered that may lead.
     pub fn on_answer(&mut self) {
         self.open.clear();
--- a/crates/edges/src/group_join.rs
+++ b/crates/edges/src/group_join.rs
@@ -125,7 +125,7 @@
     }
 
     /// Asks the leader once, at most until a time; returns the delay until the next step,
-    /// `None` once the ring is closed. The request to leave ends another question.
+    /// `None` once the ring is closed. The request to leave ends the question to join.
     async fn ask_until_told(
         &mut self,
         goal: JoinGoal,
@@ -136,7 +136,7 @@
         let changes = async {
             while let Some(message) = ring.next().await {
                 on_message(&mut tracker, &clock, &message);
-                if matches!(message, GroupJoinMessage::Leave) {
+                if matches!(message, GroupJoinMessage::Leave) && goal == JoinGoal::Join {
                     return Some(Duration::ZERO);
                 }
             }
--- a/crates/edges/src/leader_finder.rs
+++ b/crates/edges/src/leader_finder.rs
@@ -53,11 +53,14 @@
 
     /// Asks hosts until one answers that it may lead. The caller reports what comes of it
     /// with [`LeaderFinder::confirm`], [`LeaderFinder::deny`] or [`LeaderFinder::lose`].
+    /// Cancel safe: the next search begins anew.
     pub async fn find<C>(
         &mut self,
         ask: impl AsyncFn(SocketAddr) -> HostAnswer<C>,
     ) -> (SocketAddr, C) {
         let mut open = FuturesUnordered::new();
+        // The questions of a search that was cancelled are answered no more.
+        self.search.on_abandoned();
         loop {
             let wait_until = match self.search.next_step(self.clock.now()) {
                 SearchStep::Ask(host) => {
--- a/tests/leader_search.rs
+++ b/tests/leader_search.rs
@@ -2,10 +2,13 @@
 //! that are down or no longer members, leaders outside the seeds, leaders that are gone.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use decisions::discovery::{LeaderSearch, SearchStep};
+use edges::leader_finder::{HostAnswer, LeaderFinder};
 use indexmap::IndexMap;
+use kernel::{SharedClock, SystemClock};
 use model::{CatalogQuery, ControlReplyBody, LeaderHint, SchedulerMessage};
 use proptest::prelude::*;
 
@@ -272,3 +275,21 @@
         prop_assert!((world.asks as f64) < 20.0 * seconds, "{} in {seconds} s", world.asks);
     }
 }
+
+// A search that is given up while hosts are being asked. The next one waited for their answers
+// for good: a host that was to leave its group ended as a member (review/11, CONFIG).
+#[test]
+fn cancelled_search_begins_anew() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let hosts = hosts(&[1, 2, 3]);
+    let clock: SharedClock = Arc::new(SystemClock);
+    let mut finder = LeaderFinder::new(clock, hosts, "process", None);
+    runtime.expect("the runtime starts").block_on(async {
+        let silent = async |_| std::future::pending::<HostAnswer<()>>().await;
+        let cancelled = tokio::time::timeout(Duration::from_millis(200), finder.find(silent)).await;
+        assert!(cancelled.is_err());
+        let answers = async |_| HostAnswer::Leads(());
+        let found = tokio::time::timeout(Duration::from_secs(20), finder.find(answers)).await;
+        assert!(found.is_ok(), "hosts are asked again");
+    });
+}
